--- /dev/null
+++ b/components/agent/src/event.rs
@@ -0,0 +1,38 @@
+//! Events of the agent's actor.
+
+use attempts::Offer;
+use base::{AttemptId, Digest, ReleaseId};
+use bytes::Bytes;
+use chunks::{FetchError, Source};
+use crossbeam_channel::Sender;
+use manifest::ChunkList;
+use net::PeerCall;
+use node::NodeEvent;
+use proto::{Fate, RefusalReason};
+use rollout::Order;
+
+use crate::engine::EngineReport;
+
+/// Something that happened to the agent.
+pub(crate) enum Event {
+    /// A call from another process.
+    Peer(PeerCall),
+    /// An event of the common part.
+    Node(NodeEvent),
+    /// The endpoint stated its state, or could not be asked.
+    Engine(Option<EngineReport>),
+    /// The answer to an order.
+    Ordered { order: Order, accepted: bool },
+    /// A chunk list was read, or could not be.
+    List { digest: Digest, list: Option<ChunkList> },
+    /// A fetch ended.
+    Fetched { list: Digest, chunk: u32, source: Source, result: Result<Bytes, FetchError> },
+    /// The engine took a chunk, or did not.
+    Staged { release: ReleaseId, digest: Digest, chunk: Bytes, ok: bool },
+    /// An entry offers an attempt.
+    Offer { offer: Offer, reply: Sender<Result<(), RefusalReason>> },
+    /// An attempt that was started has ended.
+    Finished { attempt: AttemptId, fate: Fate },
+    /// A planned stop begins.
+    Drain,
+}
--- /dev/null
+++ b/components/agent/src/lib.rs
@@ -0,0 +1,11 @@
+//! The process beside one endpoint: it brings weights to the engine and runs attempts.
+
+mod attempt;
+mod core;
+mod data;
+mod engine;
+mod event;
+mod loading;
+mod process;
+
+pub use process::Agent;
--- /dev/null
+++ b/components/agent/src/loading.rs
@@ -0,0 +1,104 @@
+//! The load of one release: its chunk lists, their transfers and what the engine has taken.
+
+use std::{
+    collections::{BTreeMap, HashSet},
+    time::Instant,
+};
+
+use base::{Digest, ReleaseId, VmId};
+use chunks::{Transfer, TransferSettings, Tree};
+use manifest::{ChunkList, Release};
+use rollout::Order;
+
+/// The load of a release.
+pub(crate) struct Loading {
+    pub(crate) release: Release,
+    /// The order to prepare, which waits for the chunk lists.
+    order: Option<Order>,
+    /// Lists that have come, by digest.
+    lists: BTreeMap<Digest, ChunkList>,
+    /// Transfers, once the engine is prepared.
+    pub(crate) transfers: BTreeMap<Digest, Transfer>,
+    /// Chunks that the engine has taken.
+    staged: HashSet<Digest>,
+}
+
+impl Loading {
+    pub(crate) fn new(release: Release, order: Order) -> Loading {
+        Loading {
+            release,
+            order: Some(order),
+            lists: BTreeMap::new(),
+            transfers: BTreeMap::new(),
+            staged: HashSet::new(),
+        }
+    }
+
+    pub(crate) fn id(&self) -> &ReleaseId {
+        &self.release.id
+    }
+
+    /// Lists that have not come.
+    pub(crate) fn missing_lists(&self) -> Vec<Digest> {
+        let parts = self.release.parts.iter().map(|p| p.chunks);
+        parts.filter(|digest| !self.lists.contains_key(digest)).collect()
+    }
+
+    pub(crate) fn add_list(&mut self, digest: Digest, list: ChunkList) {
+        if self.release.parts.iter().any(|p| p.chunks == digest) {
+            self.lists.insert(digest, list);
+        }
+    }
+
+    /// The order to prepare with the digests of all chunks, once all lists are there.
+    pub(crate) fn take_order(&mut self) -> Option<(Order, Vec<Digest>)> {
+        if !self.missing_lists().is_empty() {
+            return None;
+        }
+        let order = self.order.take()?;
+        Some((order, self.digests().into_iter().collect()))
+    }
+
+    fn digests(&self) -> HashSet<Digest> {
+        self.lists.values().flat_map(|list| list.digests.iter().copied()).collect()
+    }
+
+    /// Starts the transfers among `members`.
+    pub(crate) fn start(
+        &mut self,
+        members: &[VmId],
+        me: &VmId,
+        settings: TransferSettings,
+        now: Instant,
+    ) {
+        for (digest, list) in &self.lists {
+            let tree = Tree::new(digest, members, me);
+            let transfer = Transfer::new(list.clone(), tree, settings, now);
+            self.transfers.insert(*digest, transfer);
+        }
+    }
+
+    /// Digest and size bound of a chunk.
+    pub(crate) fn chunk(&self, list: &Digest, chunk: u32) -> Option<(Digest, base::ByteSize)> {
+        let list = self.lists.get(list)?;
+        Some((*list.digests.get(chunk as usize)?, list.chunk_size))
+    }
+
+    /// Positions of all chunks, by list.
+    pub(crate) fn all_chunks(&self) -> Vec<(Digest, u32, Digest)> {
+        let positions = |(list, chunks): (&Digest, &ChunkList)| {
+            let list = *list;
+            let numbered = chunks.digests.clone().into_iter().enumerate();
+            numbered.map(move |(i, digest)| (list, i as u32, digest))
+        };
+        self.lists.iter().flat_map(positions).collect()
+    }
+
+    /// The engine took a chunk; returns whether it has all of them now.
+    pub(crate) fn staged(&mut self, digest: Digest) -> bool {
+        self.staged.insert(digest);
+        self.transfers.values().all(Transfer::is_complete)
+            && !self.transfers.is_empty()
+            && self.staged.len() == self.digests().len()
+    }
+}
--- /dev/null
+++ b/components/agent/src/process.rs
@@ -0,0 +1,107 @@
+//! Starts and stops an agent.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    thread::JoinHandle,
+    time::{Duration, Instant},
+};
+
+use anyhow::Context;
+use base::Incarnation;
+use chunks::{Link, Pool};
+use net::{Latch, Listener, Mailbox, Peers, RpcServer, Workers};
+use node::{Identity, Node, wall_clock_ms};
+use settings::Settings;
+use slog::Logger;
+use stakker::{Stakker, actor, call, ret_shutdown};
+use tokio::runtime::Handle;
+
+use crate::{
+    core::{Core, Shared},
+    data,
+    engine::Engine,
+    event::Event,
+};
+
+/// Longest wait for a peer's next bytes on the data address.
+const DATA_IDLE: Duration = Duration::from_secs(30);
+/// Most requests in progress on the data address.
+const DATA_REQUESTS: usize = 512;
+/// Longest silence of a source of chunks.
+const CHUNK_TIMEOUT: Duration = Duration::from_secs(3);
+/// Threads for calls that block.
+const WORKERS: usize = 16;
+
+/// A running agent.
+pub struct Agent {
+    control: SocketAddr,
+    data: SocketAddr,
+    mailbox: Mailbox<Event>,
+    thread: Mutex<Option<JoinHandle<()>>>,
+}
+
+impl Agent {
+    /// Starts an agent; JSON-RPC runs on the threads of `runtime`.
+    pub fn start(settings: Settings, runtime: &Handle, log: Logger) -> anyhow::Result<Agent> {
+        let options = settings.agent.clone().context("agent: section is missing; add it")?;
+        let stop = Latch::default();
+        let (mailbox, events) = Mailbox::new();
+        let shared = Shared {
+            pool: Arc::new(Mutex::new(Pool::new(options.memory))),
+            link: Arc::new(Mutex::new(Link::new(options.link))),
+            engine: Engine::new(options.endpoint),
+            workers: Workers::start(WORKERS)?,
+            chunk_client: net::pooled(CHUNK_TIMEOUT),
+            mailbox: mailbox.clone(),
+        };
+        let calls = mailbox.clone();
+        let deliver = move |call| calls.send(Event::Peer(call));
+        let key = settings.peer_key.clone();
+        let rpc = runtime.block_on(RpcServer::start(settings.control, key.clone(), deliver));
+        let rpc = rpc.with_context(|| format!("control: {} cannot be bound", settings.control))?;
+        let listener = Listener::bind(settings.data, DATA_IDLE, DATA_REQUESTS).context("data")?;
+        let (control, data) = (rpc.addr(), listener.addr());
+        let (served, served_key) = (shared.clone(), key.clone());
+        listener.serve(stop.clone(), move |request| data::handle(&served, &served_key, request));
+        let peers = Peers::new(runtime.clone(), key);
+        let sender = mailbox.clone();
+        let thread = std::thread::Builder::new().name("agent".to_owned()).spawn(move || {
+            let incarnation = Incarnation(wall_clock_ms());
+            let identity = Identity { settings, incarnation };
+            let mut stakker = Stakker::new(Instant::now());
+            let node = Node::start(identity, peers, log, stop.clone(), move |event| {
+                sender.send(Event::Node(event))
+            });
+            let core = actor!(stakker, Core::init(node, options, shared), ret_shutdown!(stakker));
+            net::run(stakker, events, |_, event| call!([core], handle(event)));
+            stop.close();
+            rpc.stop();
+        })?;
+        Ok(Agent { control, data, mailbox, thread: Mutex::new(Some(thread)) })
+    }
+
+    /// Address for JSON-RPC.
+    pub fn control(&self) -> SocketAddr {
+        self.control
+    }
+
+    /// Address for chunks and answer streams.
+    pub fn data(&self) -> SocketAddr {
+        self.data
+    }
+
+    /// Begins a planned stop: no new work, requests in progress end.
+    pub fn drain(&self) {
+        self.mailbox.send(Event::Drain);
+    }
+
+    /// Waits until the agent has stopped.
+    pub fn wait(&self) {
+        let thread = self.thread.lock().expect("no holder panics").take();
+        if let Some(thread) = thread {
+            // A panic of the thread has been printed by its hook.
+            let _ = thread.join();
+        }
+    }
+}
--- /dev/null
+++ b/components/attempts/src/table.rs
@@ -0,0 +1,231 @@
+//! The table of attempts of one run of an agent.
+
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use base::{AttemptId, Incarnation, ReleaseId};
+use proto::{AttemptRef, Fate, RefusalReason};
+
+/// Bounds of the table.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AttemptsSettings {
+    /// Time that a finished or cancelled attempt is remembered.
+    pub retention: Duration,
+    /// Longest accepted deadline; must be shorter than `retention`.
+    pub deadline: Duration,
+    /// Attempts at the endpoint at a time.
+    pub slots: usize,
+}
+
+impl Default for AttemptsSettings {
+    fn default() -> AttemptsSettings {
+        AttemptsSettings {
+            retention: Duration::from_secs(600),
+            deadline: Duration::from_secs(300),
+            slots: 64,
+        }
+    }
+}
+
+/// An attempt that an entry asks to run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Offer {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// The run of the agent that it was made for.
+    pub incarnation: Incarnation,
+    /// The release that must answer; `None` for plain services.
+    pub release: Option<ReleaseId>,
+    /// Time that the caller still waits.
+    pub deadline: Duration,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Record {
+    Cancelled,
+    Running,
+    Done,
+    /// Failed at the endpoint in a way that leaves open whether it ran.
+    Unknown,
+}
+
+/// Attempts of one run of an agent.
+#[derive(Debug)]
+pub struct Attempts {
+    settings: AttemptsSettings,
+    incarnation: Incarnation,
+    /// Records with the time after which they may be dropped; running ones are never dropped.
+    table: HashMap<AttemptId, (Record, Instant)>,
+    /// Number of records that are running.
+    running: usize,
+}
+
+impl Attempts {
+    /// An empty table for this run of the agent.
+    pub fn new(incarnation: Incarnation, settings: AttemptsSettings) -> Attempts {
+        Attempts { settings, incarnation, table: HashMap::new(), running: 0 }
+    }
+
+    /// Attempts at the endpoint now.
+    pub fn running(&self) -> usize {
+        self.running
+    }
+
+    /// Records that are held.
+    pub fn len(&self) -> usize {
+        self.table.len()
+    }
+
+    /// Whether no record is held.
+    pub fn is_empty(&self) -> bool {
+        self.table.is_empty()
+    }
+
+    /// Decides whether an offered attempt starts now; `serving` is what the endpoint serves if it
+    /// takes new work. After `Ok` the attempt counts as running until `finish`.
+    pub fn offer(
+        &mut self,
+        offer: &Offer,
+        accepting: bool,
+        serving: Option<&ReleaseId>,
+        now: Instant,
+    ) -> Result<(), RefusalReason> {
+        if offer.incarnation != self.incarnation {
+            return Err(RefusalReason::Incarnation);
+        }
+        match self.table.get(&offer.attempt) {
+            Some((Record::Cancelled, _)) => return Err(RefusalReason::Cancelled),
+            Some(_) => return Err(RefusalReason::Duplicate),
+            None => {}
+        }
+        let refusal = self.refusal(offer, accepting, serving);
+        let record = if refusal.is_some() { Record::Cancelled } else { Record::Running };
+        self.table.insert(offer.attempt, (record, now + self.settings.retention));
+        match refusal {
+            Some(reason) => Err(reason),
+            None => {
+                self.running += 1;
+                Ok(())
+            }
+        }
+    }
+
+    fn refusal(
+        &self,
+        offer: &Offer,
+        accepting: bool,
+        serving: Option<&ReleaseId>,
+    ) -> Option<RefusalReason> {
+        if offer.deadline.is_zero() || offer.deadline > self.settings.deadline {
+            return Some(RefusalReason::Late);
+        }
+        if !accepting {
+            return Some(RefusalReason::Draining);
+        }
+        if offer.release.as_ref() != serving {
+            return Some(RefusalReason::Release);
+        }
+        (self.running >= self.settings.slots).then_some(RefusalReason::Busy)
+    }
+
+    /// Makes an attempt final if it has not started.
+    pub fn cancel(&mut self, attempt: &AttemptRef, now: Instant) -> Fate {
+        if !self.can_vouch(attempt) {
+            return Fate::Unknown;
+        }
+        let until = now + self.settings.retention;
+        let (record, _) = self.table.entry(attempt.attempt).or_insert((Record::Cancelled, until));
+        fate(*record)
+    }
+
+    /// What is known of an attempt.
+    pub fn fate(&self, attempt: &AttemptRef) -> Fate {
+        if !self.can_vouch(attempt) {
+            return Fate::Unknown;
+        }
+        self.table.get(&attempt.attempt).map_or(Fate::Unknown, |(record, _)| fate(*record))
+    }
+
+    /// Whether a missing record means that the attempt never arrived.
+    fn can_vouch(&self, attempt: &AttemptRef) -> bool {
+        let age = Duration::from_millis(attempt.age_ms);
+        attempt.incarnation == self.incarnation && age < self.settings.retention
+    }
+
+    /// An attempt that was started has ended.
+    pub fn finish(&mut self, attempt: AttemptId, fate: Fate, now: Instant) {
+        let until = now + self.settings.retention;
+        let Some(slot) = self.table.get_mut(&attempt) else { return };
+        if slot.0 != Record::Running {
+            return;
+        }
+        let record = match fate {
+            Fate::NotRun => Record::Cancelled,
+            Fate::Done => Record::Done,
+            Fate::Running | Fate::Unknown => Record::Unknown,
+        };
+        *slot = (record, until);
+        self.running -= 1;
+    }
+
+    /// Drops records that are no longer needed.
+    pub fn tick(&mut self, now: Instant) {
+        self.table.retain(|_, (record, until)| *record == Record::Running || now < *until);
+    }
+}
+
+fn fate(record: Record) -> Fate {
+    match record {
+        Record::Cancelled => Fate::NotRun,
+        Record::Running => Fate::Running,
+        Record::Done => Fate::Done,
+        Record::Unknown => Fate::Unknown,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const RUN: Incarnation = Incarnation(7);
+
+    fn offer(attempt: u128) -> Offer {
+        let deadline = Duration::from_secs(10);
+        Offer { attempt: AttemptId(attempt), incarnation: RUN, release: None, deadline }
+    }
+
+    fn reference(attempt: u128) -> AttemptRef {
+        AttemptRef { attempt: AttemptId(attempt), incarnation: RUN, age_ms: 0 }
+    }
+
+    #[test]
+    fn a_cancelled_attempt_never_starts() {
+        let now = Instant::now();
+        let mut attempts = Attempts::new(RUN, AttemptsSettings::default());
+        assert_eq!(attempts.cancel(&reference(1), now), Fate::NotRun);
+        let late = attempts.offer(&offer(1), true, None, now);
+        assert_eq!(late, Err(RefusalReason::Cancelled));
+    }
+
+    #[test]
+    fn a_repeated_offer_starts_once() {
+        let now = Instant::now();
+        let mut attempts = Attempts::new(RUN, AttemptsSettings::default());
+        assert_eq!(attempts.offer(&offer(1), true, None, now), Ok(()));
+        assert_eq!(attempts.offer(&offer(1), true, None, now), Err(RefusalReason::Duplicate));
+        assert_eq!(attempts.cancel(&reference(1), now), Fate::Running);
+        attempts.finish(AttemptId(1), Fate::Done, now);
+        assert_eq!(attempts.offer(&offer(1), true, None, now), Err(RefusalReason::Duplicate));
+        assert_eq!(attempts.running(), 0);
+    }
+
+    #[test]
+    fn another_run_cannot_vouch() {
+        let now = Instant::now();
+        let mut attempts = Attempts::new(Incarnation(8), AttemptsSettings::default());
+        assert_eq!(attempts.offer(&offer(1), true, None, now), Err(RefusalReason::Incarnation));
+        assert_eq!(attempts.cancel(&reference(1), now), Fate::Unknown);
+    }
+}
--- /dev/null
+++ b/components/audit/src/trail.rs
@@ -0,0 +1,92 @@
+//! The bounded trail in memory.
+
+use std::{
+    collections::VecDeque,
+    time::{SystemTime, UNIX_EPOCH},
+};
+
+use base::{Revision, message};
+use slog::{Logger, info};
+
+use crate::{Change, Entry};
+
+/// Entries that are kept.
+const KEPT_ENTRIES: usize = 4096;
+
+message! {
+    /// A part of the trail.
+    pub struct Page {
+        /// Entries, oldest first.
+        pub entries: Vec<Entry>,
+        /// Entries after the asked position that the trail no longer holds.
+        pub lost: u64,
+        /// Position to ask for next.
+        pub next: u64,
+    }
+}
+
+/// Keeps the last entries and writes each to the log.
+pub struct Trail {
+    log: Logger,
+    /// Consecutive in `seq`; never longer than `KEPT_ENTRIES`.
+    entries: VecDeque<Entry>,
+    next: u64,
+    revision: Revision,
+}
+
+impl Trail {
+    /// An empty trail that logs to `log`.
+    pub fn new(log: Logger) -> Trail {
+        Trail { log, entries: VecDeque::new(), next: 0, revision: Revision(0) }
+    }
+
+    /// Sets the revision that later entries carry.
+    pub fn set_revision(&mut self, revision: Revision) {
+        self.revision = revision;
+    }
+
+    /// Adds an entry.
+    pub fn record(&mut self, change: Change, cause: impl Into<String>) {
+        let cause = cause.into();
+        info!(self.log, "audit"; "kind" => change.kind(), "subject" => change.subject(),
+            "cause" => &cause, "revision" => self.revision.0);
+        let time = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let entry = Entry {
+            seq: self.next,
+            time_ms: time.as_millis() as u64,
+            revision: self.revision,
+            change,
+            cause,
+        };
+        self.next += 1;
+        if self.entries.len() == KEPT_ENTRIES {
+            self.entries.pop_front();
+        }
+        self.entries.push_back(entry);
+    }
+
+    /// The entries from position `from` on.
+    pub fn page(&self, from: u64) -> Page {
+        let first = self.next - self.entries.len() as u64;
+        let skip = from.saturating_sub(first) as usize;
+        let entries = self.entries.iter().skip(skip).cloned().collect();
+        Page { entries, lost: first.saturating_sub(from), next: self.next }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_trail_is_bounded_and_says_what_it_lost() {
+        let mut trail = Trail::new(Logger::root(slog::Discard, slog::o!()));
+        for _ in 0..KEPT_ENTRIES + 10 {
+            trail.record(Change::Draining, "test");
+        }
+        let page = trail.page(0);
+        assert_eq!(page.lost, 10);
+        assert_eq!(page.entries.len(), KEPT_ENTRIES);
+        assert_eq!(trail.page(page.next).entries.len(), 0);
+    }
+}
--- /dev/null
+++ b/components/base/src/digest.rs
@@ -0,0 +1,68 @@
+//! SHA-256 digests that name chunks and chunk lists.
+
+use std::{fmt, str::FromStr};
+
+use sha2::{Digest as _, Sha256};
+
+/// A SHA-256 digest; its text form is 64 hexadecimal digits.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Digest(pub [u8; 32]);
+
+/// Text that is not a digest.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("digest {0:?} is not valid: write the SHA-256 as 64 hexadecimal digits")]
+pub struct BadDigest(pub String);
+
+impl Digest {
+    /// The digest of `data`.
+    pub fn of(data: &[u8]) -> Digest {
+        Digest(Sha256::digest(data).into())
+    }
+}
+
+impl fmt::Display for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&hex::encode(self.0))
+    }
+}
+
+impl fmt::Debug for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Digest({})", &hex::encode(self.0)[..12])
+    }
+}
+
+impl FromStr for Digest {
+    type Err = BadDigest;
+
+    fn from_str(s: &str) -> Result<Digest, BadDigest> {
+        let mut bytes = [0; 32];
+        hex::decode_to_slice(s, &mut bytes).map_err(|_| BadDigest(s.chars().take(80).collect()))?;
+        Ok(Digest(bytes))
+    }
+}
+
+impl serde::Serialize for Digest {
+    fn serialize<S: serde::Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+        s.collect_str(self)
+    }
+}
+
+impl<'de> serde::Deserialize<'de> for Digest {
+    fn deserialize<D: serde::Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
+        let s = <std::borrow::Cow<'de, str>>::deserialize(d)?;
+        s.parse().map_err(serde::de::Error::custom)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn digests_round_trip() {
+        let digest = Digest::of(b"weights");
+        assert_eq!(digest.to_string().parse(), Ok(digest));
+        assert!("12".parse::<Digest>().is_err());
+    }
+}
--- /dev/null
+++ b/components/base/src/units.rs
@@ -0,0 +1,208 @@
+//! Sizes, rates and durations with their units.
+
+use std::{fmt, str::FromStr, time::Duration};
+
+use bytesize::ByteSize as Human;
+
+/// Text whose unit is missing or unknown.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum BadUnit {
+    /// Not a size.
+    #[error("size {0:?} is not valid: write a number and a unit, as in 64MiB")]
+    Size(String),
+    /// Not a rate in bytes.
+    #[error("rate {0:?} is not valid: write a size per second, as in 200MB/s")]
+    ByteRate(String),
+    /// Not a rate of events.
+    #[error("rate {0:?} is not valid: write a number per second, as in 200/s")]
+    Rate(String),
+    /// Not a share.
+    #[error("share {0:?} is not valid: write a percentage from 0% to 100%, as in 12.5%")]
+    Share(String),
+    /// Not a duration.
+    #[error("duration {0:?} is not valid: write a number and a unit, as in 30s")]
+    Duration(String),
+}
+
+/// Serializes a type through `Display` and `FromStr`.
+macro_rules! text_form {
+    ($name:ident) => {
+        impl serde::Serialize for $name {
+            fn serialize<S: serde::Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+                s.collect_str(self)
+            }
+        }
+
+        impl<'de> serde::Deserialize<'de> for $name {
+            fn deserialize<D: serde::Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
+                String::deserialize(d)?.parse().map_err(serde::de::Error::custom)
+            }
+        }
+    };
+}
+
+/// A number of bytes.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ByteSize(pub u64);
+
+/// A number of bytes a second.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ByteRate(pub u64);
+
+/// A number of events a second.
+#[derive(Debug, Clone, Copy, Default, PartialEq, PartialOrd)]
+pub struct Rate(pub f64);
+
+/// A part of a whole, in thousandths; its text form is a percentage.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Permille(pub u32);
+
+/// A duration; its text form has units, as in `30s`.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Timeout(pub Duration);
+
+text_form!(ByteSize);
+text_form!(ByteRate);
+text_form!(Rate);
+text_form!(Permille);
+text_form!(Timeout);
+
+impl ByteRate {
+    /// How long `size` bytes take at this rate.
+    pub fn time_for(self, size: ByteSize) -> Duration {
+        Duration::from_secs_f64(size.0 as f64 / self.0.max(1) as f64)
+    }
+}
+
+impl Permille {
+    /// All of it.
+    pub const WHOLE: Permille = Permille(1000);
+
+    /// The part as a fraction of one.
+    pub fn fraction(self) -> f64 {
+        f64::from(self.0) / 1000.0
+    }
+}
+
+impl fmt::Display for ByteSize {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        const EXACT: [(u64, &str); 6] = [
+            (1 << 30, "GiB"),
+            (1_000_000_000, "GB"),
+            (1 << 20, "MiB"),
+            (1_000_000, "MB"),
+            (1 << 10, "KiB"),
+            (1_000, "KB"),
+        ];
+        let unit = EXACT.iter().find(|(size, _)| self.0 != 0 && self.0.is_multiple_of(*size));
+        match unit {
+            Some((size, name)) => write!(f, "{}{name}", self.0 / size),
+            None => write!(f, "{}B", self.0),
+        }
+    }
+}
+
+impl FromStr for ByteSize {
+    type Err = BadUnit;
+
+    fn from_str(s: &str) -> Result<Self, BadUnit> {
+        let bad = || BadUnit::Size(s.to_owned());
+        if !s.ends_with(['B', 'b']) {
+            return Err(bad());
+        }
+        let size: Human = s.parse().map_err(|_| bad())?;
+        Ok(ByteSize(size.as_u64()))
+    }
+}
+
+impl fmt::Display for ByteRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/s", ByteSize(self.0))
+    }
+}
+
+impl FromStr for ByteRate {
+    type Err = BadUnit;
+
+    fn from_str(s: &str) -> Result<Self, BadUnit> {
+        let bad = || BadUnit::ByteRate(s.to_owned());
+        let size = s.strip_suffix("/s").ok_or_else(bad)?;
+        let size: ByteSize = size.parse().map_err(|_| bad())?;
+        Ok(ByteRate(size.0))
+    }
+}
+
+impl fmt::Display for Rate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/s", self.0)
+    }
+}
+
+impl FromStr for Rate {
+    type Err = BadUnit;
+
+    fn from_str(s: &str) -> Result<Self, BadUnit> {
+        let number = s.strip_suffix("/s").and_then(|n| n.trim().parse::<f64>().ok());
+        match number {
+            Some(n) if n.is_finite() && n >= 0.0 => Ok(Rate(n)),
+            _ => Err(BadUnit::Rate(s.to_owned())),
+        }
+    }
+}
+
+impl fmt::Display for Permille {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}%", f64::from(self.0) / 10.0)
+    }
+}
+
+impl FromStr for Permille {
+    type Err = BadUnit;
+
+    fn from_str(s: &str) -> Result<Self, BadUnit> {
+        let number = s.strip_suffix('%').and_then(|n| n.trim().parse::<f64>().ok());
+        match number {
+            Some(n) if (0.0..=100.0).contains(&n) => Ok(Permille((n * 10.0).round() as u32)),
+            _ => Err(BadUnit::Share(s.to_owned())),
+        }
+    }
+}
+
+impl fmt::Display for Timeout {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", humantime::format_duration(self.0))
+    }
+}
+
+impl FromStr for Timeout {
+    type Err = BadUnit;
+
+    fn from_str(s: &str) -> Result<Self, BadUnit> {
+        humantime::parse_duration(s).map(Timeout).map_err(|_| BadUnit::Duration(s.to_owned()))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn units_round_trip() {
+        for s in ["64MiB", "200MB", "1GB", "17B"] {
+            assert_eq!(s.parse::<ByteSize>().unwrap().to_string(), s);
+        }
+        assert_eq!("12.5%".parse(), Ok(Permille(125)));
+        assert_eq!("200MB/s".parse(), Ok(ByteRate(200_000_000)));
+        assert_eq!("2/s".parse(), Ok(Rate(2.0)));
+        assert_eq!("30s".parse(), Ok(Timeout(Duration::from_secs(30))));
+    }
+
+    #[test]
+    fn missing_units_are_refused() {
+        assert!("64".parse::<ByteSize>().is_err());
+        assert!("200MB".parse::<ByteRate>().is_err());
+        assert!("120%".parse::<Permille>().is_err());
+        assert!("NaN/s".parse::<Rate>().is_err());
+        assert!("30".parse::<Timeout>().is_err());
+    }
+}
--- /dev/null
+++ b/components/chunks/src/pool.rs
@@ -0,0 +1,71 @@
+//! Chunks in memory, within a bound.
+
+use std::collections::{HashMap, VecDeque};
+
+use base::{ByteSize, Digest};
+use bytes::Bytes;
+
+/// Holds verified chunks; the oldest go first when the bound is reached.
+#[derive(Debug)]
+pub struct Pool {
+    limit: ByteSize,
+    /// Sum of the lengths of all chunks; at most `limit`, but for a single larger chunk.
+    used: u64,
+    chunks: HashMap<Digest, Bytes>,
+    /// Keys of `chunks`, oldest first.
+    order: VecDeque<Digest>,
+}
+
+impl Pool {
+    /// An empty pool that holds at most `limit` bytes.
+    pub fn new(limit: ByteSize) -> Pool {
+        Pool { limit, used: 0, chunks: HashMap::new(), order: VecDeque::new() }
+    }
+
+    /// Adds a chunk whose digest the caller has checked.
+    pub fn insert(&mut self, digest: Digest, chunk: Bytes) {
+        if self.chunks.contains_key(&digest) {
+            return;
+        }
+        self.used += chunk.len() as u64;
+        self.chunks.insert(digest, chunk);
+        self.order.push_back(digest);
+        while self.used > self.limit.0 && self.order.len() > 1 {
+            self.drop_oldest();
+        }
+    }
+
+    fn drop_oldest(&mut self) {
+        let oldest = self.order.pop_front();
+        if let Some(chunk) = oldest.and_then(|digest| self.chunks.remove(&digest)) {
+            self.used -= chunk.len() as u64;
+        }
+    }
+
+    /// The chunk named `digest`.
+    pub fn get(&self, digest: &Digest) -> Option<Bytes> {
+        self.chunks.get(digest).cloned()
+    }
+
+    /// Bytes that are held.
+    pub fn used(&self) -> ByteSize {
+        ByteSize(self.used)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_pool_stays_within_its_bound() {
+        let mut pool = Pool::new(ByteSize(100));
+        for i in 0..50u8 {
+            let chunk = Bytes::from(vec![i; 30]);
+            pool.insert(Digest::of(&chunk), chunk);
+            assert!(pool.used() <= ByteSize(100));
+        }
+        assert!(pool.get(&Digest::of(&[49; 30])).is_some());
+        assert!(pool.get(&Digest::of(&[0; 30])).is_none());
+    }
+}
--- /dev/null
+++ b/components/entry/src/event.rs
@@ -0,0 +1,103 @@
+//! Events of the entry's actor.
+
+use std::{net::SocketAddr, time::Instant};
+
+use base::{AttemptId, Digest, ReleaseId, ServiceId, VmId, WorkspaceId};
+use crossbeam_channel::Sender;
+use net::PeerCall;
+use node::NodeEvent;
+use proto::{EndpointState, Outcome};
+use routing::Choice;
+
+/// Something that happened to the entry.
+pub(crate) enum Event {
+    /// A call from another process.
+    Peer(PeerCall),
+    /// An event of the common part.
+    Node(NodeEvent),
+    /// An agent stated its endpoint's state, or did not.
+    Endpoint { vm: VmId, state: Option<EndpointState> },
+    /// A caller's request arrived.
+    Arrived { ask: Ask, reply: Sender<Decision> },
+    /// An attempt of a request ended without an answer; it may be tried again.
+    Again { ask: Ask, last: Failure, reply: Sender<Decision> },
+    /// An attempt answered its request, whole.
+    Answered { vm: VmId },
+    /// An attempt ended, and its request with it.
+    Ended { vm: VmId, failed: bool },
+    /// A planned stop begins.
+    Drain,
+}
+
+/// What a request needs.
+#[derive(Debug, Clone)]
+pub(crate) struct Ask {
+    /// SHA-256 of the caller's key.
+    pub(crate) key: Digest,
+    /// The service.
+    pub(crate) service: ServiceId,
+    /// HTTP method of the call.
+    pub(crate) method: String,
+    /// Path of the call, below the service's prefix.
+    pub(crate) path: String,
+    /// Names the request in the quarantine.
+    pub(crate) fingerprint: Digest,
+    /// The release that must answer, once part of an answer was passed on.
+    pub(crate) release: Option<ReleaseId>,
+    /// Endpoints that were tried.
+    pub(crate) tried: Vec<VmId>,
+    /// The caller stops waiting.
+    pub(crate) deadline: Instant,
+}
+
+/// How an attempt failed.
+#[derive(Debug, Clone)]
+pub(crate) struct Failure {
+    /// The endpoint's VM.
+    pub(crate) vm: VmId,
+    /// Whether the attempt ran.
+    pub(crate) outcome: Outcome,
+    /// Whether the endpoint crashed.
+    pub(crate) crashed: bool,
+    /// Whether the endpoint is at fault, and not only full.
+    pub(crate) fault: bool,
+}
+
+/// The core's answer to a request.
+#[derive(Debug, Clone)]
+pub(crate) enum Decision {
+    /// Try this endpoint.
+    Go(Grant),
+    /// Answer the caller with an error.
+    Refuse(Refusal),
+}
+
+/// Leave to make one attempt.
+#[derive(Debug, Clone)]
+pub(crate) struct Grant {
+    /// The attempt.
+    pub(crate) attempt: AttemptId,
+    /// The endpoint.
+    pub(crate) choice: Choice,
+    /// Its agent's data address.
+    pub(crate) data: SocketAddr,
+    /// Its agent's control address.
+    pub(crate) control: SocketAddr,
+    /// The caller's workspace.
+    pub(crate) workspace: WorkspaceId,
+    /// Whether the call may be run again when its outcome is unknown.
+    pub(crate) repeatable: bool,
+}
+
+/// An error for a caller.
+#[derive(Debug, Clone)]
+pub(crate) struct Refusal {
+    /// HTTP status.
+    pub(crate) status: u16,
+    /// What is wrong and how to mend it.
+    pub(crate) message: String,
+    /// Whether the request ran.
+    pub(crate) outcome: Outcome,
+    /// Seconds after which to come back.
+    pub(crate) retry_after: Option<u64>,
+}
--- /dev/null
+++ b/components/entry/src/process.rs
@@ -0,0 +1,110 @@
+//! Starts and stops an entry.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread::JoinHandle,
+    time::Instant,
+};
+
+use anyhow::Context;
+use base::Incarnation;
+use net::{Latch, Listener, Mailbox, Peers, RpcServer};
+use node::{Identity, Node, wall_clock_ms};
+use settings::Settings;
+use slog::Logger;
+use stakker::{Stakker, actor, call, ret_shutdown};
+use telemetry::MetricsPage;
+use tokio::runtime::Handle;
+
+use crate::{
+    attempt::{Attempter, SILENCE},
+    caller::Callers,
+    core::Core,
+    event::Event,
+};
+
+/// A running entry.
+pub struct Entry {
+    callers: SocketAddr,
+    control: SocketAddr,
+    mailbox: Mailbox<Event>,
+    ready: Arc<AtomicBool>,
+    thread: Mutex<Option<JoinHandle<()>>>,
+}
+
+impl Entry {
+    /// Starts an entry; JSON-RPC runs on the threads of `runtime`.
+    pub fn start(
+        settings: Settings,
+        runtime: &Handle,
+        metrics: MetricsPage,
+        log: Logger,
+    ) -> anyhow::Result<Entry> {
+        let options = settings.entry.clone().context("entry: section is missing; add it")?;
+        let stop = Latch::default();
+        let (mailbox, events) = Mailbox::new();
+        let calls = mailbox.clone();
+        let deliver = move |call| calls.send(Event::Peer(call));
+        let key = settings.peer_key.clone();
+        let rpc = runtime.block_on(RpcServer::start(settings.control, key.clone(), deliver));
+        let rpc = rpc.with_context(|| format!("control: {} cannot be bound", settings.control))?;
+        let peers = Peers::new(runtime.clone(), key.clone());
+        let listener = Listener::bind(options.callers, options.idle.0, options.connections)
+            .context("entry.callers")?;
+        let (callers, control) = (listener.addr(), rpc.addr());
+        let ready = Arc::new(AtomicBool::new(true));
+        let attempter = Attempter { client: net::single(SILENCE), peers: peers.clone(), key };
+        let served = Callers {
+            settings: options,
+            mailbox: mailbox.clone(),
+            attempter,
+            metrics,
+            ready: ready.clone(),
+        };
+        listener.serve(stop.clone(), move |request| served.handle(request));
+        let sender = mailbox.clone();
+        let thread = std::thread::Builder::new().name("entry".to_owned()).spawn(move || {
+            let incarnation = Incarnation(wall_clock_ms());
+            let identity = Identity { settings, incarnation };
+            let mut stakker = Stakker::new(Instant::now());
+            let events_sender = sender.clone();
+            let node = Node::start(identity, peers, log, stop.clone(), move |event| {
+                events_sender.send(Event::Node(event))
+            });
+            let core = actor!(stakker, Core::init(node, sender), ret_shutdown!(stakker));
+            net::run(stakker, events, |_, event| call!([core], handle(event)));
+            stop.close();
+            rpc.stop();
+        })?;
+        Ok(Entry { callers, control, mailbox, ready, thread: Mutex::new(Some(thread)) })
+    }
+
+    /// Address for callers.
+    pub fn callers(&self) -> SocketAddr {
+        self.callers
+    }
+
+    /// Address for JSON-RPC.
+    pub fn control(&self) -> SocketAddr {
+        self.control
+    }
+
+    /// Begins a planned stop: not ready, no new work, requests in progress end.
+    pub fn drain(&self) {
+        self.ready.store(false, Ordering::Relaxed);
+        self.mailbox.send(Event::Drain);
+    }
+
+    /// Waits until the entry has stopped.
+    pub fn wait(&self) {
+        let thread = self.thread.lock().expect("no holder panics").take();
+        if let Some(thread) = thread {
+            // A panic of the thread has been printed by its hook.
+            let _ = thread.join();
+        }
+    }
+}
--- /dev/null
+++ b/components/limits/src/retries.rs
@@ -0,0 +1,76 @@
+//! The retry budget: retries are a fraction of successes.
+
+use std::time::Duration;
+
+use fastrand::Rng;
+
+/// Bounds of retries.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RetrySettings {
+    /// Retries earned by each success.
+    pub ratio: f64,
+    /// Most retries that are saved up.
+    pub burst: f64,
+    /// First backoff; doubles with each retry of a request.
+    pub backoff: Duration,
+    /// Longest backoff.
+    pub max_backoff: Duration,
+}
+
+impl Default for RetrySettings {
+    fn default() -> RetrySettings {
+        RetrySettings {
+            ratio: 0.1,
+            burst: 20.0,
+            backoff: Duration::from_millis(20),
+            max_backoff: Duration::from_secs(1),
+        }
+    }
+}
+
+/// The retries that this process may still make.
+#[derive(Debug)]
+pub struct RetryBudget {
+    settings: RetrySettings,
+    /// Between 0 and `settings.burst`.
+    saved: f64,
+}
+
+impl RetryBudget {
+    /// A full budget.
+    pub fn new(settings: RetrySettings) -> RetryBudget {
+        RetryBudget { settings, saved: settings.burst }
+    }
+
+    /// A request succeeded.
+    pub fn succeeded(&mut self) {
+        self.saved = (self.saved + self.settings.ratio).min(self.settings.burst);
+    }
+
+    /// Takes one retry, the `nth` of its request; returns the backoff before it, with jitter.
+    pub fn take(&mut self, nth: u32, rng: &mut Rng) -> Option<Duration> {
+        if self.saved < 1.0 {
+            return None;
+        }
+        self.saved -= 1.0;
+        let full = self.settings.backoff * 2u32.saturating_pow(nth.min(16));
+        Some(full.min(self.settings.max_backoff).mul_f64(0.5 + rng.f64() / 2.0))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn retries_are_a_fraction_of_successes() {
+        let mut budget = RetryBudget::new(RetrySettings::default());
+        let mut rng = Rng::with_seed(1);
+        let mut taken = 0;
+        for _ in 0..1000 {
+            budget.succeeded();
+            taken += usize::from(budget.take(0, &mut rng).is_some());
+        }
+        assert!(taken <= 120, "{taken}");
+    }
+}
--- /dev/null
+++ b/components/manifest/src/lib.rs
@@ -0,0 +1,18 @@
+//! The documents that the platform publishes: the manifest, the chunk lists and the VM list.
+
+mod check;
+mod chunk_list;
+mod error;
+mod model;
+mod release;
+mod vms;
+
+pub use check::MAX_VALUE_BYTES;
+pub use chunk_list::ChunkList;
+pub use error::ManifestError;
+pub use model::{
+    Adapter, CallRule, Manifest, Model, OriginBudget, Rollout, Service, ServiceKind, Version,
+    VersionRef, Workspace,
+};
+pub use release::{Part, Release};
+pub use vms::{Role, Vm, VmList, VmState};
--- /dev/null
+++ b/components/manifest/src/vms.rs
@@ -0,0 +1,75 @@
+//! The VM list of the platform.
+
+use std::net::SocketAddr;
+
+use base::{Region, Revision, VmId, Zone};
+use serde::{Deserialize, Serialize};
+
+/// The VMs that the platform knows, with a lag.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct VmList {
+    /// Grows with every change.
+    pub revision: Revision,
+    /// Live and leaving VMs, in any order.
+    pub vms: Vec<Vm>,
+}
+
+/// One VM.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Vm {
+    /// Its name.
+    pub id: VmId,
+    /// Its availability zone.
+    pub zone: Zone,
+    /// The zone's region.
+    pub region: Region,
+    /// What runs on it.
+    pub role: Role,
+    /// Whether it stays.
+    pub state: VmState,
+    /// Address of its process for JSON-RPC.
+    pub control: SocketAddr,
+    /// Address of its process for chunks and answer streams.
+    pub data: SocketAddr,
+}
+
+/// What runs on a VM.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Role {
+    /// An entry.
+    Entry,
+    /// An agent beside a model engine.
+    Model,
+    /// An agent beside a plain service.
+    Plain(base::ServiceId),
+}
+
+/// Whether a VM stays.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum VmState {
+    /// In use.
+    Live,
+    /// About to go: gets no new work.
+    Leaving,
+}
+
+impl VmList {
+    /// The VM named `id`.
+    pub fn get(&self, id: &VmId) -> Option<&Vm> {
+        self.vms.iter().find(|vm| vm.id == *id)
+    }
+
+    /// Live VMs with a model engine.
+    pub fn live_models(&self) -> impl Iterator<Item = &Vm> {
+        self.vms.iter().filter(|vm| vm.state == VmState::Live && vm.role == Role::Model)
+    }
+
+    /// Live VMs that run the plain service `id`.
+    pub fn live_plain(&self, id: &base::ServiceId) -> impl Iterator<Item = &Vm> {
+        self.vms
+            .iter()
+            .filter(move |vm| vm.state == VmState::Live && vm.role == Role::Plain(id.clone()))
+    }
+}
--- /dev/null
+++ b/components/net/src/lib.rs
@@ -0,0 +1,21 @@
+//! Edges of a process: the core loop, JSON-RPC, HTTP listeners and clients.
+
+mod client;
+mod core_loop;
+mod http;
+mod peers;
+mod rpc;
+mod runtime;
+mod shutdown;
+mod stream;
+mod workers;
+
+pub use client::{pooled, single};
+pub use core_loop::{Mailbox, run};
+pub use http::{Listener, abort, authorized, header, query, read_body, refuse};
+pub use peers::{CallError, Peers};
+pub use rpc::{PeerCall, Reply, RpcServer, answer_call};
+pub use runtime::runtime;
+pub use shutdown::Latch;
+pub use stream::StreamWriter;
+pub use workers::Workers;
--- /dev/null
+++ b/components/net/src/peers.rs
@@ -0,0 +1,104 @@
+//! Calls other processes by JSON-RPC.
+
+use std::{
+    collections::HashMap,
+    future::Future,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use jsonrpsee::{
+    core::ClientError,
+    http_client::{HeaderMap, HeaderValue, HttpClient, HttpClientBuilder},
+};
+use settings::PeerKey;
+use tokio::runtime::Handle;
+
+/// Longest wait for a reply.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Largest accepted reply.
+const MAX_MESSAGE_BYTES: u32 = 4 << 20;
+/// Clients that are kept; the rest are made again when needed.
+const KEPT_CLIENTS: usize = 256;
+
+/// Why a call failed.
+pub type CallError = ClientError;
+
+/// Calls other processes from the core thread; results come back through a callback.
+#[derive(Clone)]
+pub struct Peers {
+    runtime: Handle,
+    key: PeerKey,
+    clients: Arc<Mutex<HashMap<SocketAddr, HttpClient>>>,
+}
+
+impl Peers {
+    /// Calls with `key` on the threads of `runtime`.
+    pub fn new(runtime: Handle, key: PeerKey) -> Peers {
+        Peers { runtime, key, clients: Arc::default() }
+    }
+
+    /// Makes a call to `addr`; `done` gets its result on a thread of the runtime.
+    pub fn call<T, F>(
+        &self,
+        addr: SocketAddr,
+        call: impl FnOnce(HttpClient) -> F,
+        done: impl FnOnce(Result<T, CallError>) + Send + 'static,
+    ) where
+        F: Future<Output = Result<T, CallError>> + Send + 'static,
+        T: Send + 'static,
+    {
+        match self.client(addr) {
+            Ok(client) => {
+                let future = call(client);
+                self.runtime.spawn(async move { done(future.await) });
+            }
+            Err(err) => done(Err(err)),
+        }
+    }
+
+    /// Makes a call to `addr` and waits for its result; not for the core thread.
+    pub fn ask<T, F>(
+        &self,
+        addr: SocketAddr,
+        call: impl FnOnce(HttpClient) -> F,
+    ) -> Result<T, CallError>
+    where
+        F: Future<Output = Result<T, CallError>> + Send + 'static,
+        T: Send + 'static,
+    {
+        let future = call(self.client(addr)?);
+        self.runtime.block_on(future)
+    }
+
+    /// Drops the kept connections to `addr`, so that the next call opens a new one.
+    pub fn forget(&self, addr: SocketAddr) {
+        self.clients.lock().expect("no holder panics").remove(&addr);
+    }
+
+    fn client(&self, addr: SocketAddr) -> Result<HttpClient, CallError> {
+        let mut clients = self.clients.lock().expect("no holder panics");
+        if let Some(client) = clients.get(&addr) {
+            return Ok(client.clone());
+        }
+        let client = self.connect(addr)?;
+        if clients.len() >= KEPT_CLIENTS {
+            clients.clear();
+        }
+        clients.insert(addr, client.clone());
+        Ok(client)
+    }
+
+    fn connect(&self, addr: SocketAddr) -> Result<HttpClient, CallError> {
+        let mut headers = HeaderMap::new();
+        let value = HeaderValue::from_str(&format!("Bearer {}", self.key.expose()))
+            .map_err(|err| ClientError::Custom(format!("peer_key is not a header: {err}")))?;
+        headers.insert(proto::header::AUTHORIZATION, value);
+        HttpClientBuilder::default()
+            .request_timeout(CALL_TIMEOUT)
+            .max_response_size(MAX_MESSAGE_BYTES)
+            .set_headers(headers)
+            .build(format!("http://{addr}"))
+    }
+}
--- /dev/null
+++ b/components/net/src/rpc.rs
@@ -0,0 +1,181 @@
+//! Serves JSON-RPC: each call becomes an event for the actors, whose reply goes back to the caller.
+
+use std::{net::SocketAddr, time::Duration};
+
+use audit::Page;
+use jsonrpsee::{
+    core::{RpcResult, async_trait},
+    server::{Server, ServerConfig, ServerHandle},
+    types::ErrorObjectOwned,
+};
+use proto::{
+    Announcement, AttemptRef, DocumentReply, DocumentRequest, EndpointState, Fate, Gossip,
+    PeerServer, Status,
+};
+use settings::PeerKey;
+use subtle::ConstantTimeEq;
+use tokio::sync::oneshot;
+use tower_http::validate_request::ValidateRequestHeaderLayer;
+
+/// Longest wait for the actors to reply.
+const REPLY_TIMEOUT: Duration = Duration::from_secs(2);
+/// Largest accepted call or reply: a whole document and its envelope.
+const MAX_MESSAGE_BYTES: u32 = 4 << 20;
+/// Most open connections.
+const MAX_CONNECTIONS: u32 = 512;
+/// JSON-RPC code of a call that this process does not serve or cannot serve now.
+const UNAVAILABLE: i32 = -32001;
+
+/// Takes the reply to a call.
+pub type Reply<T> = oneshot::Sender<T>;
+
+/// Replies to a call; a caller that has stopped waiting gets nothing.
+pub fn answer_call<T>(reply: Reply<T>, value: T) {
+    // The value comes back if nobody waits for it.
+    let _ = reply.send(value);
+}
+
+/// A call from another process or an operator.
+pub enum PeerCall {
+    /// News about members and revisions.
+    Gossip(Gossip, Reply<Gossip>),
+    /// Asks for a newer document.
+    Document(DocumentRequest, Reply<DocumentReply>),
+    /// Chunks that a peer can give.
+    Announce(Announcement),
+    /// Asks about the endpoint.
+    Endpoint(Reply<EndpointState>),
+    /// Makes an attempt final.
+    Cancel(AttemptRef, Reply<Fate>),
+    /// Asks what became of an attempt.
+    Fate(AttemptRef, Reply<Fate>),
+    /// Asks for the state of the process.
+    Status(Reply<Status>),
+    /// Asks for the audit trail from a position on.
+    Audit(u64, Reply<Page>),
+}
+
+type Deliver = Box<dyn Fn(PeerCall) -> bool + Send + Sync>;
+
+/// The JSON-RPC server of a process.
+pub struct RpcServer {
+    handle: ServerHandle,
+    addr: SocketAddr,
+}
+
+struct Service {
+    deliver: Deliver,
+}
+
+impl RpcServer {
+    /// Serves on `addr`; calls without `key` get nothing.
+    #[expect(clippy::result_large_err, reason = "the layer fixes the signature")]
+    pub async fn start(
+        addr: SocketAddr,
+        key: PeerKey,
+        deliver: impl Fn(PeerCall) -> bool + Send + Sync + 'static,
+    ) -> std::io::Result<RpcServer> {
+        let config = ServerConfig::builder()
+            .max_request_body_size(MAX_MESSAGE_BYTES)
+            .max_response_body_size(MAX_MESSAGE_BYTES)
+            .max_connections(MAX_CONNECTIONS)
+            .http_only()
+            .build();
+        let check = move |request: &mut jsonrpsee::server::HttpRequest| check_key(request, &key);
+        let middleware =
+            tower::ServiceBuilder::new().layer(ValidateRequestHeaderLayer::custom(check));
+        let server = Server::builder()
+            .set_config(config)
+            .set_http_middleware(middleware)
+            .build(addr)
+            .await?;
+        let addr = server.local_addr()?;
+        let service = Service { deliver: Box::new(deliver) };
+        Ok(RpcServer { handle: server.start(service.into_rpc()), addr })
+    }
+
+    /// The address that is listened on.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Stops the server.
+    pub fn stop(&self) {
+        // An error means that it has stopped already.
+        let _ = self.handle.stop();
+    }
+}
+
+#[expect(clippy::result_large_err, reason = "the layer fixes the signature")]
+fn check_key(
+    request: &mut jsonrpsee::server::HttpRequest,
+    key: &PeerKey,
+) -> Result<(), jsonrpsee::server::HttpResponse> {
+    let given = request.headers().get(proto::header::AUTHORIZATION);
+    let given = given.and_then(|v| v.as_bytes().strip_prefix(b"Bearer ")).unwrap_or_default();
+    if given.ct_eq(key.as_bytes()).into() {
+        return Ok(());
+    }
+    let mut response = jsonrpsee::server::HttpResponse::new(
+        "the peer key is missing or wrong; use the fleet's peer_key".to_owned().into(),
+    );
+    *response.status_mut() = http::StatusCode::UNAUTHORIZED;
+    Err(response)
+}
+
+impl Service {
+    async fn ask<T>(&self, make: impl FnOnce(Reply<T>) -> PeerCall) -> RpcResult<T> {
+        let (reply, answer) = oneshot::channel();
+        if !(self.deliver)(make(reply)) {
+            return Err(unavailable("the process stops; ask another"));
+        }
+        match tokio::time::timeout(REPLY_TIMEOUT, answer).await {
+            Ok(Ok(value)) => Ok(value),
+            Ok(Err(_)) => Err(unavailable("this process does not serve the call; ask an agent")),
+            Err(_) => Err(unavailable("the process is too busy to reply; retry later")),
+        }
+    }
+}
+
+fn unavailable(message: &str) -> ErrorObjectOwned {
+    ErrorObjectOwned::owned(UNAVAILABLE, message, None::<()>)
+}
+
+#[async_trait]
+impl PeerServer for Service {
+    async fn gossip(&self, gossip: Gossip) -> RpcResult<Gossip> {
+        self.ask(|reply| PeerCall::Gossip(gossip, reply)).await
+    }
+
+    async fn document(&self, request: DocumentRequest) -> RpcResult<DocumentReply> {
+        self.ask(|reply| PeerCall::Document(request, reply)).await
+    }
+
+    async fn announce(&self, announcement: Announcement) -> RpcResult<()> {
+        if (self.deliver)(PeerCall::Announce(announcement)) {
+            Ok(())
+        } else {
+            Err(unavailable("the process stops; ask another"))
+        }
+    }
+
+    async fn endpoint(&self) -> RpcResult<EndpointState> {
+        self.ask(PeerCall::Endpoint).await
+    }
+
+    async fn cancel(&self, attempt: AttemptRef) -> RpcResult<Fate> {
+        self.ask(|reply| PeerCall::Cancel(attempt, reply)).await
+    }
+
+    async fn fate(&self, attempt: AttemptRef) -> RpcResult<Fate> {
+        self.ask(|reply| PeerCall::Fate(attempt, reply)).await
+    }
+
+    async fn status(&self) -> RpcResult<Status> {
+        self.ask(PeerCall::Status).await
+    }
+
+    async fn audit(&self, from: u64) -> RpcResult<Page> {
+        self.ask(|reply| PeerCall::Audit(from, reply)).await
+    }
+}
--- /dev/null
+++ b/components/node/src/lib.rs
@@ -0,0 +1,9 @@
+//! What every process of the system does: it keeps the documents in force, knows its members,
+//! gossips, and writes the audit trail.
+
+mod event;
+mod node;
+mod watcher;
+
+pub use event::{Changes, NodeEvent};
+pub use node::{Identity, Node, wall_clock_ms};
--- /dev/null
+++ b/components/node/src/watcher.rs
@@ -0,0 +1,92 @@
+//! A thread that watches one document of the platform while this process is a reader.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use base::Revision;
+use net::Latch;
+use proto::DocumentKind;
+
+use crate::NodeEvent;
+
+/// Longest wait of a watch.
+const WAIT: Duration = Duration::from_secs(10);
+/// Longest silence of the service during a watch.
+const READ_TIMEOUT: Duration = Duration::from_secs(15);
+/// Pause after a failed watch and while this process is not a reader.
+const PAUSE: Duration = Duration::from_millis(300);
+
+/// Settings that the core changes while the thread runs.
+#[derive(Clone)]
+pub(crate) struct Watcher {
+    /// Whether this process reads from the platform.
+    enabled: Arc<AtomicBool>,
+    /// The revision that is in force.
+    have: Arc<AtomicU64>,
+}
+
+impl Watcher {
+    /// Starts the thread.
+    pub(crate) fn start(
+        kind: DocumentKind,
+        addrs: Vec<SocketAddr>,
+        stop: Latch,
+        send: impl Fn(NodeEvent) -> bool + Send + 'static,
+    ) -> Watcher {
+        let watcher = Watcher { enabled: Arc::new(true.into()), have: Arc::default() };
+        let shared = watcher.clone();
+        std::thread::spawn(move || shared.run(kind, &addrs, &stop, send));
+        watcher
+    }
+
+    pub(crate) fn enable(&self, enabled: bool) {
+        self.enabled.store(enabled, Ordering::Relaxed);
+    }
+
+    pub(crate) fn set_have(&self, revision: Revision) {
+        self.have.store(revision.0, Ordering::Relaxed);
+    }
+
+    fn run(
+        &self,
+        kind: DocumentKind,
+        addrs: &[SocketAddr],
+        stop: &Latch,
+        send: impl Fn(NodeEvent) -> bool,
+    ) {
+        let client = net::pooled(READ_TIMEOUT);
+        let name = match kind {
+            DocumentKind::Manifest => "manifest",
+            DocumentKind::Vms => "vms",
+        };
+        let mut offered = Revision(0);
+        for addr in addrs.iter().cycle() {
+            if stop.is_closed() {
+                return;
+            }
+            if !self.enabled.load(Ordering::Relaxed) {
+                std::thread::sleep(PAUSE);
+                continue;
+            }
+            // A refused document is not asked for again; only a newer one is.
+            let after = offered.max(Revision(self.have.load(Ordering::Relaxed)));
+            match platform::watch(&client, *addr, name, after, WAIT) {
+                Ok(Some(watch)) => {
+                    offered = watch.revision;
+                    let cause = "platform";
+                    if !send(NodeEvent::Document { kind, text: watch.text, cause }) {
+                        return;
+                    }
+                }
+                Ok(None) => {}
+                Err(_) => std::thread::sleep(PAUSE),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/proto/src/header.rs
@@ -0,0 +1,24 @@
+//! Names of the HTTP headers on the data address.
+
+/// `Bearer` and the peer key.
+pub const AUTHORIZATION: &str = "authorization";
+/// The attempt that a request belongs to.
+pub const ATTEMPT: &str = "x-attempt";
+/// The incarnation of the agent that the attempt was made for.
+pub const INCARNATION: &str = "x-incarnation";
+/// Milliseconds until the caller's deadline.
+pub const DEADLINE: &str = "x-deadline-ms";
+/// The release that must answer, or that answered.
+pub const RELEASE: &str = "x-release";
+/// The caller's workspace.
+pub const WORKSPACE: &str = "x-workspace";
+/// The caller's idempotency key.
+pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// Method of the caller's call.
+pub const METHOD: &str = "x-call-method";
+/// Path of the caller's call, below the service's prefix.
+pub const PATH: &str = "x-call-path";
+/// Content type of the caller's call.
+pub const CONTENT_TYPE: &str = "content-type";
+/// Whether a refused request ran: `not-run`, `run` or `unknown`.
+pub const OUTCOME: &str = "x-outcome";
--- /dev/null
+++ b/components/proto/src/lib.rs
@@ -0,0 +1,20 @@
+//! The protocol between the processes of the system.
+//!
+//! Control goes by JSON-RPC (`Peer`). Chunks and answers go by HTTP on the data address, with the
+//! headers of `header`; an answer is a sequence of `Frame` lines.
+
+mod attempt;
+mod frame;
+pub mod header;
+mod member;
+mod peer;
+mod status;
+
+pub use attempt::{AttemptRef, Fate, MIN_RETRY_AFTER, Outcome, RefusalReason};
+pub use frame::{Frame, FrameError};
+pub use member::{
+    Announcement, DocumentKind, DocumentReply, DocumentRequest, EndpointState, Gossip, Load,
+    Member, MemberState, Serving,
+};
+pub use peer::{PeerClient, PeerServer};
+pub use status::{EndpointRow, RolloutRow, Status};
--- /dev/null
+++ b/components/proto/src/member.rs
@@ -0,0 +1,132 @@
+//! Messages about processes, documents and endpoints.
+
+use base::{Digest, Incarnation, ReleaseId, Revision, RolloutId, ServiceId, VmId, message};
+
+message! {
+    /// What a process says of itself and of others, in a call and in its reply.
+    pub struct Gossip {
+        /// The sender.
+        pub from: VmId,
+        /// The sender's run.
+        pub incarnation: Incarnation,
+        /// Revision of the manifest that the sender has in force.
+        pub manifest: Revision,
+        /// Revision of the VM list that the sender has in force.
+        pub vms: Revision,
+        /// News about members; bounded in number.
+        pub members: Vec<Member>,
+    }
+}
+
+message! {
+    /// What is known of one process.
+    pub struct Member {
+        /// Its VM.
+        pub vm: VmId,
+        /// Its run; news about an older run is dropped.
+        pub incarnation: Incarnation,
+        /// What it is thought to be.
+        pub state: MemberState,
+        /// Counts the changes that the process stated of itself in this run; higher wins.
+        pub beat: u64,
+        /// The release that its endpoint serves, for agents beside model engines.
+        pub serving: Option<ReleaseId>,
+    }
+}
+
+message! {
+    /// States of a process in the eyes of the others.
+    #[derive(Copy, Eq, PartialOrd, Ord)]
+    #[serde(rename_all = "snake_case")]
+    pub enum MemberState {
+        /// It answers.
+        Alive,
+        /// It did not answer; it may refute this.
+        Suspect,
+        /// It said that it stops.
+        Leaving,
+        /// It did not refute the suspicion in time.
+        Dead,
+    }
+}
+
+message! {
+    /// The documents that spread from process to process.
+    #[derive(Copy, Eq)]
+    #[serde(rename_all = "snake_case")]
+    pub enum DocumentKind {
+        /// The manifest.
+        Manifest,
+        /// The VM list.
+        Vms,
+    }
+}
+
+message! {
+    /// Asks for a newer document.
+    pub struct DocumentRequest {
+        /// Which document.
+        pub kind: DocumentKind,
+        /// The revision that the sender has.
+        pub have: Revision,
+    }
+}
+
+message! {
+    /// A document, if there is a newer one.
+    pub struct DocumentReply {
+        /// The text as the platform published it; `None` if there is nothing newer.
+        pub text: Option<String>,
+    }
+}
+
+message! {
+    /// Chunks that the sender can give from now on.
+    pub struct Announcement {
+        /// The sender.
+        pub from: VmId,
+        /// Digest of the chunk list.
+        pub list: Digest,
+        /// Positions in the list.
+        pub chunks: Vec<u32>,
+    }
+}
+
+message! {
+    /// What an agent states about its endpoint.
+    pub struct EndpointState {
+        /// The agent's VM.
+        pub vm: VmId,
+        /// The agent's run.
+        pub incarnation: Incarnation,
+        /// What the endpoint serves now, by the engine's own statement.
+        pub serving: Option<Serving>,
+        /// Whether the agent takes new work.
+        pub accepting: bool,
+        /// The endpoint's load.
+        pub load: Load,
+    }
+}
+
+message! {
+    /// What an endpoint serves.
+    pub struct Serving {
+        /// The service.
+        pub service: ServiceId,
+        /// The rollout, for models.
+        pub rollout: Option<RolloutId>,
+        /// The release, for models.
+        pub release: Option<ReleaseId>,
+    }
+}
+
+message! {
+    /// Load of an endpoint.
+    #[derive(Copy, Eq)]
+    pub struct Load {
+        /// Requests in progress, over all entries.
+        pub busy: u32,
+        /// Most requests in progress.
+        pub slots: u32,
+    }
+}
--- /dev/null
+++ b/components/proto/src/peer.rs
@@ -0,0 +1,44 @@
+//! The JSON-RPC interface of every process.
+
+use audit::Page;
+use jsonrpsee::{core::RpcResult, proc_macros::rpc};
+
+use crate::{
+    Announcement, AttemptRef, DocumentReply, DocumentRequest, EndpointState, Fate, Gossip, Status,
+};
+
+/// Calls that processes make to each other, and operators to processes.
+#[rpc(client, server)]
+pub trait Peer {
+    /// Exchanges news about members and revisions.
+    #[method(name = "gossip")]
+    async fn gossip(&self, gossip: Gossip) -> RpcResult<Gossip>;
+
+    /// Gives a document that is newer than the one the sender has.
+    #[method(name = "document")]
+    async fn document(&self, request: DocumentRequest) -> RpcResult<DocumentReply>;
+
+    /// Tells a peer which chunks the sender can give.
+    #[method(name = "announce")]
+    async fn announce(&self, announcement: Announcement) -> RpcResult<()>;
+
+    /// Asks an agent about its endpoint.
+    #[method(name = "endpoint")]
+    async fn endpoint(&self) -> RpcResult<EndpointState>;
+
+    /// Makes an attempt final: after `NotRun` it can never start.
+    #[method(name = "cancel")]
+    async fn cancel(&self, attempt: AttemptRef) -> RpcResult<Fate>;
+
+    /// Asks what became of an attempt.
+    #[method(name = "fate")]
+    async fn fate(&self, attempt: AttemptRef) -> RpcResult<Fate>;
+
+    /// The state of the process, for operators.
+    #[method(name = "status")]
+    async fn status(&self) -> RpcResult<Status>;
+
+    /// A part of the audit trail, for operators.
+    #[method(name = "audit")]
+    async fn audit(&self, from: u64) -> RpcResult<Page>;
+}
--- /dev/null
+++ b/components/quarantine/src/lib.rs
@@ -0,0 +1,5 @@
+//! Requests that crash endpoints are kept from running again.
+
+mod ledger;
+
+pub use ledger::{Ledger, LedgerSettings, Verdict};
--- /dev/null
+++ b/components/settings/src/model.rs
@@ -0,0 +1,166 @@
+//! The shape of the settings file.
+
+use std::{net::SocketAddr, time::Duration};
+
+use base::{ByteRate, ByteSize, Region, ServiceId, Timeout, VmId, Zone};
+use serde::Deserialize;
+
+/// The settings of one process.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// The VM that the process runs on.
+    pub vm: VmId,
+    /// The VM's availability zone.
+    pub zone: Zone,
+    /// The zone's region.
+    pub region: Region,
+    /// Address for JSON-RPC between processes and from operators.
+    pub control: SocketAddr,
+    /// Address for chunks and answer streams between processes.
+    pub data: SocketAddr,
+    /// The secret that all processes of the fleet share.
+    pub peer_key: PeerKey,
+    /// Where the platform answers.
+    pub platform: PlatformSettings,
+    /// Longest time that a planned stop waits for requests in progress.
+    #[serde(default = "drain")]
+    pub drain: Timeout,
+    /// Present in the settings of an entry.
+    #[serde(default)]
+    pub entry: Option<EntrySettings>,
+    /// Present in the settings of an agent.
+    #[serde(default)]
+    pub agent: Option<AgentSettings>,
+}
+
+fn drain() -> Timeout {
+    Timeout(Duration::from_secs(30))
+}
+
+/// Addresses of the platform's services.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlatformSettings {
+    /// Configuration service, tried in order.
+    pub config: Vec<SocketAddr>,
+    /// VM list, tried in order.
+    pub vms: Vec<SocketAddr>,
+    /// Weight store.
+    pub store: SocketAddr,
+    /// Origin of weights.
+    pub origin: SocketAddr,
+}
+
+/// Settings of an entry.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct EntrySettings {
+    /// Address that callers reach through the platform's balancer.
+    pub callers: SocketAddr,
+    /// Most connections open at a time.
+    pub connections: usize,
+    /// Largest accepted request body.
+    pub body: ByteSize,
+    /// Longest wait for a caller to send or take the next bytes.
+    pub idle: Timeout,
+    /// Deadline of a request whose caller sets none.
+    pub deadline: Timeout,
+    /// Endpoints that this entry keeps in use for each service.
+    pub subset: usize,
+}
+
+impl Default for EntrySettings {
+    fn default() -> EntrySettings {
+        EntrySettings {
+            callers: SocketAddr::from(([127, 0, 0, 1], 8080)),
+            connections: 2048,
+            body: ByteSize(4 << 20),
+            idle: Timeout(Duration::from_secs(30)),
+            deadline: Timeout(Duration::from_secs(120)),
+            subset: 16,
+        }
+    }
+}
+
+/// Settings of an agent.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct AgentSettings {
+    /// Address of the endpoint beside the agent.
+    pub endpoint: SocketAddr,
+    /// What the endpoint is.
+    pub kind: EndpointKind,
+    /// The plain service that the endpoint runs, if it is one.
+    pub service: Option<ServiceId>,
+    /// Whether the engine checks fencing numbers.
+    pub fencing: Fencing,
+    /// Rate of the VM's link, in and out together.
+    pub link: ByteRate,
+    /// Most memory for chunks.
+    pub memory: ByteSize,
+    /// Most requests in progress at the endpoint.
+    pub slots: usize,
+}
+
+impl Default for AgentSettings {
+    fn default() -> AgentSettings {
+        AgentSettings {
+            endpoint: SocketAddr::from(([127, 0, 0, 1], 9000)),
+            kind: EndpointKind::Model,
+            service: None,
+            fencing: Fencing::Checked,
+            link: ByteRate(200_000_000),
+            memory: ByteSize(128 << 20),
+            slots: 64,
+        }
+    }
+}
+
+/// The kinds of endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum EndpointKind {
+    /// A model engine that takes orders.
+    Model,
+    /// A plain service.
+    Plain,
+}
+
+/// Whether an engine refuses orders with an old fencing number.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Fencing {
+    /// The engine refuses them.
+    Checked,
+    /// The engine ignores fencing numbers.
+    Ignored,
+}
+
+/// The secret of the fleet; never printed.
+#[derive(Clone, PartialEq, Eq, Deserialize)]
+#[serde(transparent)]
+pub struct PeerKey(String);
+
+impl PeerKey {
+    /// A key from its text.
+    pub fn new(key: impl Into<String>) -> PeerKey {
+        PeerKey(key.into())
+    }
+
+    /// The key's bytes.
+    pub fn as_bytes(&self) -> &[u8] {
+        self.0.as_bytes()
+    }
+
+    /// The key's text, for the header that carries it.
+    pub fn expose(&self) -> &str {
+        &self.0
+    }
+}
+
+impl std::fmt::Debug for PeerKey {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("PeerKey(..)")
+    }
+}
--- /dev/null
+++ b/components/standins/src/blobs.rs
@@ -0,0 +1,139 @@
+//! An origin of weights or a weight store.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use base::{ByteRate, Digest};
+use bytes::Bytes;
+use net::{Latch, Listener, refuse};
+use tiny_http::{Request, Response};
+
+/// Longest wait for a connection's next bytes.
+const IDLE: Duration = Duration::from_secs(60);
+/// Most requests in progress.
+const LIMIT: usize = 4096;
+
+/// Faults of a source.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct BlobFaults {
+    /// Part of the reads whose bytes are corrupted.
+    pub corrupted: f64,
+    /// Part of the reads that stall.
+    pub stalled: f64,
+    /// How long a stalled read takes.
+    pub stall: Duration,
+}
+
+struct Shared {
+    blobs: Mutex<HashMap<Digest, Bytes>>,
+    /// When the link is free again.
+    free_at: Mutex<Instant>,
+    rate: ByteRate,
+    faults: Mutex<(BlobFaults, fastrand::Rng)>,
+    sent: AtomicU64,
+    reads: AtomicU64,
+}
+
+/// The stand-in; its link has a rate that all readers share.
+pub struct BlobService {
+    shared: Arc<Shared>,
+    addr: SocketAddr,
+    stop: Latch,
+}
+
+impl BlobService {
+    /// Starts on a free port of the loopback interface.
+    pub fn start(rate: ByteRate, seed: u64) -> anyhow::Result<BlobService> {
+        let listener = Listener::bind(([127, 0, 0, 1], 0).into(), IDLE, LIMIT)?;
+        let addr = listener.addr();
+        let shared = Arc::new(Shared {
+            blobs: Mutex::default(),
+            free_at: Mutex::new(Instant::now()),
+            rate,
+            faults: Mutex::new((BlobFaults::default(), fastrand::Rng::with_seed(seed))),
+            sent: AtomicU64::new(0),
+            reads: AtomicU64::new(0),
+        });
+        let stop = Latch::default();
+        let served = shared.clone();
+        listener.serve(stop.clone(), move |request| answer(&served, request));
+        Ok(BlobService { shared, addr, stop })
+    }
+
+    /// Its address.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Adds a chunk.
+    pub fn add(&self, chunk: Bytes) {
+        let mut blobs = self.shared.blobs.lock().expect("no holder panics");
+        blobs.insert(Digest::of(&chunk), chunk);
+    }
+
+    /// Sets the faults from now on.
+    pub fn set_faults(&self, faults: BlobFaults) {
+        self.shared.faults.lock().expect("no holder panics").0 = faults;
+    }
+
+    /// Bytes sent so far.
+    pub fn sent(&self) -> u64 {
+        self.shared.sent.load(Ordering::Relaxed)
+    }
+
+    /// Reads so far.
+    pub fn reads(&self) -> u64 {
+        self.shared.reads.load(Ordering::Relaxed)
+    }
+}
+
+impl Drop for BlobService {
+    fn drop(&mut self) {
+        self.stop.close();
+    }
+}
+
+fn answer(shared: &Shared, request: Request) {
+    shared.reads.fetch_add(1, Ordering::Relaxed);
+    let digest = request.url().strip_prefix("/v1/blobs/").and_then(|d| d.parse::<Digest>().ok());
+    let blob = digest.and_then(|d| shared.blobs.lock().expect("no holder panics").get(&d).cloned());
+    let Some(blob) = blob else {
+        refuse(request, 404, "no such chunk; publish it", "run");
+        return;
+    };
+    std::thread::sleep(reserve(shared, blob.len()));
+    shared.sent.fetch_add(blob.len() as u64, Ordering::Relaxed);
+    let blob = apply_faults(shared, blob);
+    // The reader may be gone.
+    let _ = request.respond(Response::from_data(blob));
+}
+
+fn reserve(shared: &Shared, bytes: usize) -> Duration {
+    let now = Instant::now();
+    let mut free_at = shared.free_at.lock().expect("no holder panics");
+    *free_at = (*free_at).max(now) + shared.rate.time_for(base::ByteSize(bytes as u64));
+    free_at.saturating_duration_since(now)
+}
+
+fn apply_faults(shared: &Shared, blob: Bytes) -> Vec<u8> {
+    let (corrupt, stall) = {
+        let mut guard = shared.faults.lock().expect("no holder panics");
+        let (faults, rng) = &mut *guard;
+        let corrupt = rng.f64() < faults.corrupted;
+        let stall = (rng.f64() < faults.stalled).then_some(faults.stall);
+        (corrupt, stall)
+    };
+    std::thread::sleep(stall.unwrap_or_default());
+    let mut bytes = blob.to_vec();
+    if corrupt && !bytes.is_empty() {
+        bytes[0] ^= 0xff;
+    }
+    bytes
+}
--- /dev/null
+++ b/components/standins/src/engine.rs
@@ -0,0 +1,459 @@
+//! A model engine: loads releases chunk by chunk, answers chat completions, and can crash.
+
+use std::{
+    collections::{HashMap, HashSet},
+    io::Write,
+    net::SocketAddr,
+    sync::{Arc, Condvar, Mutex, MutexGuard},
+    time::{Duration, Instant},
+};
+
+use base::{ByteSize, Digest};
+use net::{Latch, Listener, StreamWriter, abort, header, query, read_body, refuse};
+use serde_json::{Value, json};
+use tiny_http::{Method, Request, Response};
+
+use crate::answers::token;
+
+/// Longest wait for a connection's next bytes.
+const IDLE: Duration = Duration::from_secs(60);
+/// Most requests in progress.
+const LIMIT: usize = 1024;
+/// Largest accepted body.
+const BODY: ByteSize = ByteSize(64 << 20);
+/// Text in a prompt that crashes the engine.
+const CRASH_MARK: &str = "CRASH";
+
+/// How the engine behaves.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct EngineSettings {
+    /// Time for each token.
+    pub token_time: Duration,
+    /// Requests that run at a time; the others wait.
+    pub slots: usize,
+    /// Whether it refuses orders with an old fencing number.
+    pub fencing: bool,
+    /// Time that it is down after a crash.
+    pub restart: Duration,
+    /// Age of the load that it reports.
+    pub load_lag: Duration,
+}
+
+impl Default for EngineSettings {
+    fn default() -> EngineSettings {
+        EngineSettings {
+            token_time: Duration::from_millis(5),
+            slots: 32,
+            fencing: true,
+            restart: Duration::from_millis(500),
+            load_lag: Duration::from_millis(300),
+        }
+    }
+}
+
+/// What the engine counted.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct EngineCounts {
+    /// Requests that ran, by attempt.
+    pub runs: HashMap<String, u32>,
+    /// Crashes.
+    pub crashes: u32,
+    /// Activations of a release whose chunks were not all there.
+    pub partial: u32,
+    /// Orders refused for their fencing number.
+    pub fenced: u32,
+}
+
+#[derive(Default)]
+struct Answer {
+    bytes: Vec<u8>,
+    done: bool,
+    broken: bool,
+    release: String,
+}
+
+#[derive(Default)]
+struct State {
+    serving: Option<String>,
+    prepared: Option<String>,
+    needed: HashSet<String>,
+    staged: HashSet<String>,
+    fence: u64,
+    /// Grows with each crash; what belongs to an older one is broken.
+    epoch: u64,
+    down_until: Option<Instant>,
+    busy: usize,
+    loads: Vec<(Instant, usize)>,
+    answers: HashMap<String, Answer>,
+    counts: EngineCounts,
+}
+
+struct Shared {
+    settings: EngineSettings,
+    state: Mutex<State>,
+    changed: Condvar,
+}
+
+/// The stand-in.
+pub struct Engine {
+    shared: Arc<Shared>,
+    addr: SocketAddr,
+    stop: Latch,
+}
+
+impl Engine {
+    /// Starts on a free port of the loopback interface, with no weights.
+    pub fn start(settings: EngineSettings) -> anyhow::Result<Engine> {
+        let listener = Listener::bind(([127, 0, 0, 1], 0).into(), IDLE, LIMIT)?;
+        let addr = listener.addr();
+        let shared =
+            Arc::new(Shared { settings, state: Mutex::default(), changed: Condvar::new() });
+        let stop = Latch::default();
+        let served = shared.clone();
+        listener.serve(stop.clone(), move |request| served.answer(request));
+        Ok(Engine { shared, addr, stop })
+    }
+
+    /// Its address.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// What it counted so far.
+    pub fn counts(&self) -> EngineCounts {
+        self.shared.lock().counts.clone()
+    }
+
+    /// The release that it serves.
+    pub fn serving(&self) -> Option<String> {
+        self.shared.lock().serving.clone()
+    }
+
+    /// The release that it holds prepared.
+    pub fn prepared(&self) -> Option<String> {
+        self.shared.lock().prepared.clone()
+    }
+
+    /// Crashes it: all that it held is gone and all that it ran breaks off.
+    pub fn crash(&self) {
+        self.shared.crash();
+    }
+}
+
+impl Drop for Engine {
+    fn drop(&mut self) {
+        self.stop.close();
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder panics")
+    }
+
+    fn crash(&self) {
+        let mut state = self.lock();
+        let counts = std::mem::take(&mut state.counts);
+        *state = State {
+            epoch: state.epoch + 1,
+            down_until: Some(Instant::now() + self.settings.restart),
+            counts: EngineCounts { crashes: counts.crashes + 1, ..counts },
+            ..State::default()
+        };
+        self.changed.notify_all();
+    }
+
+    fn answer(self: &Arc<Shared>, request: Request) {
+        let down = self.lock().down_until.is_some_and(|until| Instant::now() < until);
+        if down {
+            abort(request);
+            return;
+        }
+        let url = request.url().to_owned();
+        let path = url.split('?').next().unwrap_or_default();
+        match (request.method().clone(), path) {
+            (Method::Get, "/v1/state") => self.report(request),
+            (Method::Post, "/v1/orders") => self.order(request),
+            (Method::Post, "/v1/chat/completions") => self.complete(request),
+            (Method::Put, _) => self.stage(request, path),
+            (Method::Get, _) => match path.strip_prefix("/v1/answers/") {
+                Some(id) => self.resume(request, id, &url),
+                None => refuse(request, 404, "no such path", "not-run"),
+            },
+            (Method::Delete, _) => self.cancel(request, path),
+            _ => refuse(request, 404, "no such path", "not-run"),
+        }
+    }
+
+    fn report(&self, request: Request) {
+        let mut state = self.lock();
+        let now = Instant::now();
+        let busy = state.busy;
+        state.loads.push((now, busy));
+        let lag = self.settings.load_lag;
+        let old = state.loads.iter().rev().find(|(at, _)| now.duration_since(*at) >= lag);
+        let reported = old.map_or(0, |(_, busy)| *busy);
+        state.loads.retain(|(at, _)| now.duration_since(*at) < lag * 4);
+        let body = json!({
+            "serving": state.serving, "prepared": state.prepared, "fence": state.fence,
+            "busy": reported, "slots": self.settings.slots,
+        });
+        drop(state);
+        respond_json(request, &body);
+    }
+
+    fn order(&self, mut request: Request) {
+        let body = read_body(&mut request, BODY).unwrap_or_default();
+        let Ok(order) = serde_json::from_slice::<Value>(&body) else {
+            refuse(request, 400, "order is not JSON", "not-run");
+            return;
+        };
+        let fence = order["fence"].as_u64().unwrap_or(0);
+        let release = order["release"].as_str().unwrap_or_default().to_owned();
+        let mut state = self.lock();
+        if self.settings.fencing && fence < state.fence {
+            state.counts.fenced += 1;
+            drop(state);
+            refuse(request, 409, "fencing number is old; read the state first", "not-run");
+            return;
+        }
+        state.fence = state.fence.max(fence);
+        let accepted = self.apply(&mut state, &order, release);
+        drop(state);
+        if accepted {
+            respond_json(request, &json!({ "accepted": true }));
+        } else {
+            refuse(request, 409, "the release is not prepared", "not-run");
+        }
+    }
+
+    fn apply(&self, state: &mut State, order: &Value, release: String) -> bool {
+        match order["order"].as_str() {
+            Some("prepare") => {
+                let chunks = order["chunks"].as_array().cloned().unwrap_or_default();
+                let text = |v: &Value| v.as_str().map(str::to_owned);
+                state.needed = chunks.iter().filter_map(text).collect();
+                state.staged = HashSet::new();
+                state.prepared = Some(release);
+                true
+            }
+            Some("activate") => {
+                if state.prepared.as_deref() != Some(&release) {
+                    return false;
+                }
+                if state.needed != state.staged {
+                    state.counts.partial += 1;
+                }
+                state.prepared = None;
+                state.serving = Some(release);
+                true
+            }
+            Some("abort") => {
+                if state.prepared.as_deref() == Some(&release) {
+                    state.prepared = None;
+                    state.staged = HashSet::new();
+                }
+                true
+            }
+            Some("unload") => {
+                state.serving = None;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    fn stage(&self, mut request: Request, path: &str) {
+        let name = path.strip_prefix("/v1/staging/").unwrap_or_default().to_owned();
+        let release = header(&request, proto::header::RELEASE).unwrap_or_default().to_owned();
+        let body = read_body(&mut request, BODY).unwrap_or_default();
+        let good = Digest::of(&body).to_string() == name;
+        let mut state = self.lock();
+        let wanted = state.prepared.as_deref() == Some(&release) && state.needed.contains(&name);
+        if !good || !wanted {
+            drop(state);
+            refuse(request, 409, "the chunk is not part of the prepared release", "not-run");
+            return;
+        }
+        state.staged.insert(name);
+        drop(state);
+        respond_json(request, &json!({ "staged": true }));
+    }
+
+    fn complete(self: &Arc<Shared>, mut request: Request) {
+        let body = read_body(&mut request, BODY).unwrap_or_default();
+        let call: Value = serde_json::from_slice(&body).unwrap_or_default();
+        let messages = call["messages"].as_array().cloned().unwrap_or_default();
+        let prompt = messages.last().and_then(|m| m["content"].as_str()).unwrap_or_default();
+        let tokens = call["max_tokens"].as_u64().unwrap_or(16) as usize;
+        let id = header(&request, proto::header::ATTEMPT).unwrap_or("none").to_owned();
+        let stream = call["stream"].as_bool().unwrap_or(false);
+        let (release, epoch) = {
+            let mut state = self.lock();
+            let Some(release) = state.serving.clone() else {
+                drop(state);
+                refuse(request, 409, "no release is served", "not-run");
+                return;
+            };
+            *state.counts.runs.entry(id.clone()).or_default() += 1;
+            let answer = Answer { release: release.clone(), ..Answer::default() };
+            state.answers.insert(id.clone(), answer);
+            (release, state.epoch)
+        };
+        if prompt.contains(CRASH_MARK) {
+            self.crash();
+            abort(request);
+            return;
+        }
+        let engine = self.clone();
+        let (prompt, name) = (prompt.to_owned(), id.clone());
+        std::thread::spawn(move || {
+            engine.generate(&name, &release, &prompt, tokens, stream, epoch)
+        });
+        self.send(request, &id, 0, stream);
+    }
+
+    fn generate(
+        &self,
+        id: &str,
+        release: &str,
+        prompt: &str,
+        tokens: usize,
+        stream: bool,
+        epoch: u64,
+    ) {
+        if !self.take_slot(epoch) {
+            return;
+        }
+        let mut text = String::new();
+        for n in 0..tokens {
+            std::thread::sleep(self.settings.token_time);
+            let token = token(release, prompt, n);
+            let piece = if stream { event(id, release, &token) } else { String::new() };
+            text.push_str(&token);
+            if !self.append(id, piece.as_bytes(), epoch) {
+                return;
+            }
+        }
+        let last = if stream { "data: [DONE]\n\n".to_owned() } else { whole(id, release, &text) };
+        let mut state = self.lock();
+        if state.epoch != epoch {
+            return;
+        }
+        state.busy -= 1;
+        if let Some(answer) = state.answers.get_mut(id) {
+            answer.bytes.extend_from_slice(last.as_bytes());
+            answer.done = true;
+        }
+        self.changed.notify_all();
+    }
+
+    fn take_slot(&self, epoch: u64) -> bool {
+        let mut state = self.lock();
+        while state.epoch == epoch && state.busy >= self.settings.slots {
+            state = self.changed.wait(state).expect("no holder panics");
+        }
+        if state.epoch == epoch {
+            state.busy += 1;
+        }
+        state.epoch == epoch
+    }
+
+    fn append(&self, id: &str, piece: &[u8], epoch: u64) -> bool {
+        let mut state = self.lock();
+        if state.epoch != epoch {
+            return false;
+        }
+        let Some(answer) = state.answers.get_mut(id).filter(|a| !a.broken) else {
+            state.busy -= 1;
+            self.changed.notify_all();
+            return false;
+        };
+        answer.bytes.extend_from_slice(piece);
+        self.changed.notify_all();
+        true
+    }
+
+    fn resume(&self, request: Request, id: &str, url: &str) {
+        let offset = query(url, "offset").and_then(|v| v.parse().ok()).unwrap_or(0);
+        if self.lock().answers.contains_key(id) {
+            self.send(request, id, offset, true);
+        } else {
+            refuse(request, 404, "no such answer", "unknown");
+        }
+    }
+
+    fn cancel(&self, request: Request, path: &str) {
+        let id = path.strip_prefix("/v1/answers/").unwrap_or_default();
+        if let Some(answer) = self.lock().answers.get_mut(id) {
+            answer.broken = true;
+        }
+        self.changed.notify_all();
+        respond_json(request, &json!({ "cancelled": true }));
+    }
+
+    /// Sends an answer from `offset` on, as it is generated.
+    fn send(&self, request: Request, id: &str, offset: usize, stream: bool) {
+        let (epoch, release) = {
+            let state = self.lock();
+            let release = state.answers.get(id).map(|a| a.release.clone()).unwrap_or_default();
+            (state.epoch, release)
+        };
+        let kind = if stream { "text/event-stream" } else { "application/json" };
+        let headers = [("content-type", kind), (proto::header::RELEASE, release.as_str())];
+        let Ok(mut out) = StreamWriter::start(request, 200, &headers) else { return };
+        let mut sent = offset;
+        loop {
+            let Some((piece, done)) = self.next_piece(id, sent, epoch) else { return };
+            sent += piece.len();
+            if out.write_all(&piece).and_then(|()| out.flush()).is_err() {
+                return;
+            }
+            if done {
+                // The receiver may be gone.
+                let _ = out.finish();
+                return;
+            }
+        }
+    }
+
+    fn next_piece(&self, id: &str, from: usize, epoch: u64) -> Option<(Vec<u8>, bool)> {
+        let mut state = self.lock();
+        loop {
+            if state.epoch != epoch {
+                return None;
+            }
+            let answer = state.answers.get(id).filter(|a| !a.broken)?;
+            if answer.bytes.len() > from || answer.done {
+                let piece = answer.bytes.get(from..).unwrap_or_default().to_vec();
+                return Some((piece, answer.done));
+            }
+            state = self.changed.wait(state).expect("no holder panics");
+        }
+    }
+}
+
+fn event(id: &str, release: &str, token: &str) -> String {
+    let chunk = json!({
+        "id": id, "object": "chat.completion.chunk", "model": release,
+        "choices": [{ "index": 0, "delta": { "content": token }, "finish_reason": null }],
+    });
+    format!("data: {chunk}\n\n")
+}
+
+fn whole(id: &str, release: &str, text: &str) -> String {
+    json!({
+        "id": id, "object": "chat.completion", "model": release,
+        "choices": [{
+            "index": 0,
+            "message": { "role": "assistant", "content": text },
+            "finish_reason": "stop",
+        }],
+    })
+    .to_string()
+}
+
+fn respond_json(request: Request, body: &Value) {
+    // The sender may be gone.
+    let _ = request.respond(Response::from_string(body.to_string()));
+}
--- /dev/null
+++ b/components/standins/src/lib.rs
@@ -0,0 +1,15 @@
+//! Small stand-ins for the platform and the endpoints, for tests, the demo and the bench.
+//!
+//! They count from their side what the code under test must not be trusted to count itself.
+
+mod answers;
+mod blobs;
+mod engine;
+mod plain;
+mod values;
+
+pub use answers::expected;
+pub use blobs::{BlobFaults, BlobService};
+pub use engine::{Engine, EngineCounts, EngineSettings};
+pub use plain::PlainService;
+pub use values::{ValueService, manifest_value, vms_value};
--- /dev/null
+++ b/components/telemetry/src/lib.rs
@@ -0,0 +1,7 @@
+//! Logs and metrics of a process.
+
+mod log;
+mod metrics_page;
+
+pub use log::{logger, quiet};
+pub use metrics_page::{MetricsPage, install};
--- /dev/null
+++ b/components/testbed/src/caller.rs
@@ -0,0 +1,137 @@
+//! A caller: sends requests to an entry and judges the answers.
+
+use std::{io::Read, net::SocketAddr, time::Duration};
+
+use proto::header;
+use serde_json::{Value, json};
+use standins::expected;
+
+use crate::CALLER_KEY;
+
+/// Longest silence that a caller bears.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// What a caller got.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Answer {
+    /// The whole answer to its own request, from one release.
+    Whole {
+        /// The release that answered.
+        release: String,
+    },
+    /// An error that says whether the request ran.
+    Refused {
+        /// HTTP status.
+        status: u16,
+        /// `not-run`, `run` or `unknown`.
+        outcome: String,
+    },
+    /// A stream that ended with a clear error.
+    Cut,
+    /// Something else: a foreign, mixed or silently cut answer.
+    Harmed(String),
+}
+
+/// Sends requests with one key.
+#[derive(Clone)]
+pub struct Caller {
+    client: ureq::Agent,
+    key: String,
+}
+
+impl Default for Caller {
+    fn default() -> Caller {
+        Caller::new(CALLER_KEY)
+    }
+}
+
+impl Caller {
+    /// A caller with its workspace's key.
+    pub fn new(key: &str) -> Caller {
+        Caller { client: net::pooled(PATIENCE), key: key.to_owned() }
+    }
+
+    /// Streams a chat completion and judges the answer.
+    pub fn chat(&self, entry: SocketAddr, prompt: &str, tokens: usize) -> Answer {
+        let body = json!({
+            "model": "base", "stream": true, "max_tokens": tokens,
+            "messages": [{ "role": "user", "content": prompt }],
+        });
+        let sent = self
+            .client
+            .post(format!("http://{entry}/assistant/v1/chat/completions"))
+            .header(header::AUTHORIZATION, format!("Bearer {}", self.key))
+            .send_json(body);
+        let response = match sent {
+            Ok(response) => response,
+            Err(err) => return Answer::Harmed(format!("no answer: {err}")),
+        };
+        if response.status().as_u16() != 200 {
+            return refused(&response);
+        }
+        let mut text = String::new();
+        let read = response.into_body().into_reader().read_to_string(&mut text);
+        judge(&text, read.is_ok(), prompt, tokens)
+    }
+
+    /// Sends a call to the plain service `orders`.
+    pub fn order(&self, entry: SocketAddr, key: Option<&str>, body: &str) -> Answer {
+        let mut request = self
+            .client
+            .post(format!("http://{entry}/orders/orders"))
+            .header(header::AUTHORIZATION, format!("Bearer {}", self.key));
+        if let Some(key) = key {
+            request = request.header(header::IDEMPOTENCY_KEY, key);
+        }
+        let mut response = match request.send(body) {
+            Ok(response) => response,
+            Err(err) => return Answer::Harmed(format!("no answer: {err}")),
+        };
+        if response.status().as_u16() != 200 {
+            return refused(&response);
+        }
+        match response.body_mut().read_to_string() {
+            Ok(text) if text == body => Answer::Whole { release: String::new() },
+            Ok(text) => Answer::Harmed(format!("foreign answer: {text}")),
+            Err(_) => Answer::Cut,
+        }
+    }
+}
+
+fn refused<T>(response: &ureq::http::Response<T>) -> Answer {
+    let outcome = response.headers().get(header::OUTCOME).and_then(|v| v.to_str().ok());
+    let status = response.status().as_u16();
+    match outcome {
+        Some(outcome) => Answer::Refused { status, outcome: outcome.to_owned() },
+        None => Answer::Harmed(format!("status {status} without an outcome")),
+    }
+}
+
+fn judge(text: &str, whole: bool, prompt: &str, tokens: usize) -> Answer {
+    let events: Vec<&str> = text.lines().filter_map(|line| line.strip_prefix("data: ")).collect();
+    let done = events.last() == Some(&"[DONE]");
+    if !done || !whole {
+        let told = !whole || text.contains("event: error");
+        return if told { Answer::Cut } else { Answer::Harmed("cut in silence".to_owned()) };
+    }
+    let mut release = String::new();
+    let mut content = String::new();
+    for event in &events[..events.len() - 1] {
+        let Ok(value) = serde_json::from_str::<Value>(event) else {
+            return Answer::Harmed(format!("malformed event: {event}"));
+        };
+        let model = value["model"].as_str().unwrap_or_default();
+        if release.is_empty() {
+            release = model.to_owned();
+        }
+        if release != model {
+            return Answer::Harmed(format!("mixed releases {release} and {model}"));
+        }
+        content.push_str(value["choices"][0]["delta"]["content"].as_str().unwrap_or_default());
+    }
+    if content == expected(&release, prompt, tokens) {
+        Answer::Whole { release }
+    } else {
+        Answer::Harmed("not the answer to this request".to_owned())
+    }
+}
--- /dev/null
+++ b/components/testbed/src/lib.rs
@@ -0,0 +1,10 @@
+//! A small fleet inside one process, for tests, the demo and the bench: stand-ins for the platform
+//! and the endpoints, and real agents and entries that talk over loopback.
+
+mod bed;
+mod caller;
+mod weights;
+
+pub use bed::{AgentSlot, CALLER_KEY, Testbed, TestbedSettings};
+pub use caller::{Answer, Caller};
+pub use weights::{Weights, publish};
--- /dev/null
+++ b/components/testbed/tests/path.rs
@@ -0,0 +1,29 @@
+//! The whole path: a rollout, a streamed answer, a call to a plain service, and refusals.
+
+use std::time::Duration;
+
+use base::ByteSize;
+use testbed::{Answer, Caller, Testbed, TestbedSettings, Weights};
+
+const TIMEOUT: Duration = Duration::from_secs(30);
+
+#[test]
+fn a_rollout_serves_requests() {
+    let settings = TestbedSettings { agents: 3, plain: 1, ..TestbedSettings::default() };
+    let mut bed = Testbed::start(settings).unwrap();
+    let weights = Weights::generate("v1", ByteSize(1 << 20), ByteSize(64 << 10), 1);
+    bed.add_version(&weights);
+    bed.roll_out("v1", 3, 2);
+    bed.wait_until("rollout", TIMEOUT, |bed| bed.serving("base@v1") == 3).unwrap();
+    let caller = Caller::default();
+    let entry = bed.callers(0);
+    let answer = caller.chat(entry, "hello", 10);
+    assert_eq!(answer, Answer::Whole { release: "base@v1".into() });
+    let answer = caller.order(entry, None, "two plates");
+    assert_eq!(answer, Answer::Whole { release: String::new() });
+    assert_eq!(bed.agents[3].plain.as_ref().unwrap().runs()["two plates"], 1);
+    let stranger = Caller::new("unknown").chat(entry, "hello", 10);
+    assert_eq!(stranger, Answer::Refused { status: 401, outcome: "not-run".into() });
+    assert!(bed.origin.sent() <= 1 << 20);
+    bed.stop();
+}
--- /dev/null
+++ b/examples/demo.rs
@@ -0,0 +1,120 @@
+//! Rolls out two versions to a small fleet under streaming requests, and ends with one line.
+
+use std::{
+    process::ExitCode,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use base::ByteSize;
+use testbed::{Answer, Caller, Testbed, TestbedSettings, Weights};
+
+const AGENTS: usize = 8;
+const ENTRIES: usize = 2;
+const CALLERS: usize = 8;
+const COPY: ByteSize = ByteSize(16 << 20);
+const CHUNK: ByteSize = ByteSize(256 << 10);
+const TOKENS: usize = 20;
+const TIMEOUT: Duration = Duration::from_secs(40);
+
+/// Counts what the callers got.
+#[derive(Default)]
+struct Tally {
+    requests: AtomicU64,
+    harmed: AtomicU64,
+    stop: AtomicBool,
+}
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(err) => {
+            eprintln!("demo failed: {err:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run() -> anyhow::Result<bool> {
+    let start = Instant::now();
+    let settings = TestbedSettings {
+        entries: ENTRIES,
+        agents: AGENTS,
+        zones: 3,
+        ..TestbedSettings::default()
+    };
+    let mut bed = Testbed::start(settings)?;
+    println!("started {ENTRIES} entries, {AGENTS} agents and their stand-ins");
+    let before = roll_out(&mut bed, "v1", 1)?;
+    let tally = Arc::new(Tally::default());
+    let callers = start_callers(&bed, &tally);
+    println!("started {CALLERS} callers that stream answers");
+    let sent = roll_out(&mut bed, "v2", 2)? - before;
+    // Some requests start after the last switch.
+    thread::sleep(Duration::from_millis(500));
+    tally.stop.store(true, Ordering::Relaxed);
+    for caller in callers {
+        caller.join().map_err(|_| anyhow::anyhow!("a caller panicked"))?;
+    }
+    bed.stop();
+    let partial: u32 = bed.agents.iter().flat_map(|s| &s.engine).map(|e| e.counts().partial).sum();
+    let harmed = tally.harmed.load(Ordering::Relaxed) + u64::from(partial);
+    let requests = tally.requests.load(Ordering::Relaxed);
+    let copies = sent as f64 / COPY.0 as f64;
+    let ok = harmed == 0 && requests > 0;
+    println!(
+        "demo {} replicas={} origin_copies={copies:.1}x requests={requests} harmed={harmed} seconds={:.1}",
+        if ok { "ok" } else { "failed" },
+        bed.serving("base@v2"),
+        start.elapsed().as_secs_f64()
+    );
+    Ok(ok)
+}
+
+/// Rolls a version out to all agents; returns the bytes that the origin has sent so far.
+fn roll_out(bed: &mut Testbed, version: &str, seed: u64) -> anyhow::Result<u64> {
+    let release = format!("base@{version}");
+    bed.add_version(&Weights::generate(version, COPY, CHUNK, seed));
+    bed.roll_out(version, AGENTS, AGENTS - 2);
+    let mut shown = 0;
+    let took = bed.wait_until(&release, TIMEOUT, |bed| {
+        let ready = bed.serving(&release);
+        if ready > shown {
+            shown = ready;
+            println!("{release}: {ready}/{AGENTS} replicas ready");
+        }
+        ready == AGENTS
+    })?;
+    println!("{release}: on all replicas after {:.1}s", took.as_secs_f64());
+    Ok(bed.origin.sent())
+}
+
+fn start_callers(bed: &Testbed, tally: &Arc<Tally>) -> Vec<thread::JoinHandle<()>> {
+    (0..CALLERS)
+        .map(|i| {
+            let tally = tally.clone();
+            let entry = bed.callers(i % ENTRIES);
+            thread::spawn(move || call(i, entry, &tally))
+        })
+        .collect()
+}
+
+fn call(number: usize, entry: std::net::SocketAddr, tally: &Tally) {
+    let caller = Caller::default();
+    for n in 0.. {
+        if tally.stop.load(Ordering::Relaxed) {
+            return;
+        }
+        let answer = caller.chat(entry, &format!("caller {number} question {n}"), TOKENS);
+        tally.requests.fetch_add(1, Ordering::Relaxed);
+        if !matches!(answer, Answer::Whole { .. }) {
+            tally.harmed.fetch_add(1, Ordering::Relaxed);
+            println!("caller {number}: request {n}: {answer:?}");
+        }
+    }
+}
--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,204 @@
+//! The command line.
+
+use std::{ffi::OsString, net::SocketAddr, path::PathBuf};
+
+use lexopt::{Arg, Parser, ValueExt};
+
+/// Exit code of a usage error.
+pub const USAGE_ERROR: u8 = 2;
+
+/// What to do.
+#[derive(Debug, PartialEq)]
+pub enum Command {
+    /// Run an entry.
+    Entry { settings: PathBuf },
+    /// Run an agent.
+    Agent { settings: PathBuf },
+    /// Check a settings file.
+    CheckSettings { settings: PathBuf },
+    /// Check a manifest.
+    CheckManifest { manifest: PathBuf },
+    /// Print where a manifest would be placed.
+    Plan { manifest: PathBuf, vms: PathBuf, json: bool },
+    /// Print the state of a process.
+    Status(Target),
+    /// Print the audit trail of a process.
+    Audit { target: Target, follow: bool },
+    /// Print a text, such as help.
+    Print(String),
+}
+
+/// A running process and how to ask it.
+#[derive(Debug, PartialEq)]
+pub struct Target {
+    /// Its control address.
+    pub at: SocketAddr,
+    /// A settings file with the peer key; without it the environment is asked.
+    pub settings: Option<PathBuf>,
+    /// Print JSON.
+    pub json: bool,
+}
+
+#[derive(Default)]
+struct Options {
+    settings: Option<PathBuf>,
+    manifest: Option<PathBuf>,
+    vms: Option<PathBuf>,
+    at: Option<SocketAddr>,
+    json: bool,
+    follow: bool,
+    help: bool,
+}
+
+const HELP: &str = "\
+Puts model weights onto many VMs at once and serves requests through the change.
+
+Usage: carawaypaddle COMMAND [OPTIONS]
+
+Commands:
+  entry   Run an entry, beside the callers
+  agent   Run an agent, beside one endpoint
+  check   Check a settings file or a manifest
+  plan    Print which VM would serve what
+  status  Print the state of a running process
+  audit   Print the audit trail of a running process
+
+Options:
+  --help     Print help; after a command, help for it
+  --version  Print the version
+";
+
+const COMMANDS: [(&str, &str); 6] = [
+    (
+        "entry",
+        "Usage: carawaypaddle entry --settings FILE\n\nRuns an entry until SIGTERM, then drains.\n",
+    ),
+    (
+        "agent",
+        "Usage: carawaypaddle agent --settings FILE\n\nRuns an agent until SIGTERM, then drains.\n",
+    ),
+    (
+        "check",
+        "Usage: carawaypaddle check --settings FILE | --manifest FILE\n\n\
+         Prints one line if the file is good, else each error with its key and remedy; exits 1.\n",
+    ),
+    (
+        "plan",
+        "Usage: carawaypaddle plan --manifest FILE --vms FILE [--json]\n\n\
+         Prints which VM would serve what and each workspace's share.\n",
+    ),
+    (
+        "status",
+        "Usage: carawaypaddle status --at ADDR [--settings FILE] [--json]\n\n\
+         Asks a running process. The peer key comes from the settings file or from the environment\n\
+         variable CARAWAYPADDLE_PEER_KEY.\n",
+    ),
+    (
+        "audit",
+        "Usage: carawaypaddle audit --at ADDR [--follow] [--settings FILE] [--json]\n\n\
+         Asks a running process. The peer key comes from the settings file or from the environment\n\
+         variable CARAWAYPADDLE_PEER_KEY.\n",
+    ),
+];
+
+/// Parses the command line.
+pub fn parse(args: impl IntoIterator<Item = OsString>) -> Result<Command, String> {
+    let mut parser = Parser::from_iter(args);
+    let first = parser.next().map_err(|err| hint(&err.to_string(), None))?;
+    let name = match first {
+        None => return Err(hint("a command is missing", None)),
+        Some(Arg::Long("help") | Arg::Short('h')) => return Ok(Command::Print(HELP.to_owned())),
+        Some(Arg::Long("version") | Arg::Short('V')) => {
+            return Ok(Command::Print(format!("carawaypaddle {}\n", env!("CARGO_PKG_VERSION"))));
+        }
+        Some(Arg::Value(name)) => name.to_string_lossy().into_owned(),
+        Some(other) => return Err(hint(&other.unexpected().to_string(), None)),
+    };
+    let Some((_, help)) = COMMANDS.iter().find(|(command, _)| *command == name) else {
+        return Err(hint(&format!("command {name:?} does not exist"), None));
+    };
+    let options = options(&mut parser).map_err(|err| hint(&err.to_string(), Some(&name)))?;
+    if options.help {
+        return Ok(Command::Print((*help).to_owned()));
+    }
+    command(&name, options).map_err(|err| hint(&err, Some(&name)))
+}
+
+fn options(parser: &mut Parser) -> Result<Options, lexopt::Error> {
+    let mut options = Options::default();
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Arg::Long("settings") => options.settings = Some(parser.value()?.into()),
+            Arg::Long("manifest") => options.manifest = Some(parser.value()?.into()),
+            Arg::Long("vms") => options.vms = Some(parser.value()?.into()),
+            Arg::Long("at") => options.at = Some(parser.value()?.parse()?),
+            Arg::Long("json") => options.json = true,
+            Arg::Long("follow") => options.follow = true,
+            Arg::Long("help") | Arg::Short('h') => options.help = true,
+            other => return Err(other.unexpected()),
+        }
+    }
+    Ok(options)
+}
+
+fn command(name: &str, options: Options) -> Result<Command, String> {
+    let Options { settings, manifest, vms, at, json, follow, .. } = options;
+    let need = |file: Option<PathBuf>, option: &str| {
+        file.ok_or_else(|| format!("option {option} FILE is missing"))
+    };
+    let target = |settings| {
+        let at = at.ok_or("option --at ADDR is missing")?;
+        Ok::<_, String>(Target { at, settings, json })
+    };
+    match name {
+        "entry" => Ok(Command::Entry { settings: need(settings, "--settings")? }),
+        "agent" => Ok(Command::Agent { settings: need(settings, "--settings")? }),
+        "check" => match (settings, manifest) {
+            (Some(settings), None) => Ok(Command::CheckSettings { settings }),
+            (None, Some(manifest)) => Ok(Command::CheckManifest { manifest }),
+            _ => Err("give either --settings FILE or --manifest FILE".to_owned()),
+        },
+        "plan" => {
+            let manifest = need(manifest, "--manifest")?;
+            Ok(Command::Plan { manifest, vms: need(vms, "--vms")?, json })
+        }
+        "status" => Ok(Command::Status(target(settings)?)),
+        _ => Ok(Command::Audit { target: target(settings)?, follow }),
+    }
+}
+
+fn hint(err: &str, command: Option<&str>) -> String {
+    let command = command.map(|c| format!(" {c}")).unwrap_or_default();
+    format!("{err}\nTry: carawaypaddle{command} --help")
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn parse_words(words: &[&str]) -> Result<Command, String> {
+        parse(std::iter::once("carawaypaddle").chain(words.iter().copied()).map(OsString::from))
+    }
+
+    #[test]
+    fn commands_parse() {
+        let entry = Command::Entry { settings: "e.yaml".into() };
+        assert_eq!(parse_words(&["entry", "--settings", "e.yaml"]), Ok(entry));
+        assert!(matches!(parse_words(&["status", "--help"]), Ok(Command::Print(_))));
+    }
+
+    #[test]
+    fn usage_errors_give_a_hint() {
+        for words in [
+            &[][..],
+            &["fly"],
+            &["entry"],
+            &["check"],
+            &["status", "--at", "nowhere"],
+            &["entry", "--settings", "a", "--colour"],
+        ] {
+            let err = parse_words(words).unwrap_err();
+            assert!(err.contains("Try: carawaypaddle"), "{err}");
+        }
+    }
+}
--- /dev/null
+++ b/src/cmd/audit.rs
@@ -0,0 +1,52 @@
+//! `carawaypaddle audit`.
+
+use std::time::Duration;
+
+use anyhow::Context;
+use audit::{Entry, Page};
+use proto::PeerClient;
+
+use crate::{cli::Target, cmd::remote::Remote};
+
+/// Pause between questions while following.
+const FOLLOW_EVERY: Duration = Duration::from_millis(500);
+
+/// Prints the audit trail of a process.
+pub fn run(target: &Target, follow: bool) -> anyhow::Result<()> {
+    let remote = Remote::new(target)?;
+    let mut from = 0;
+    loop {
+        let page: Page = remote
+            .peers
+            .ask(target.at, move |client| async move { client.audit(from).await })
+            .with_context(|| format!("{}: no answer; check address and peer key", target.at))?;
+        if page.lost > 0 && from > 0 {
+            eprintln!("{} entries were dropped before they were read", page.lost);
+        }
+        for entry in &page.entries {
+            print_entry(entry, target.json)?;
+        }
+        from = page.next;
+        if !follow {
+            return Ok(());
+        }
+        std::thread::sleep(FOLLOW_EVERY);
+    }
+}
+
+fn print_entry(entry: &Entry, json: bool) -> anyhow::Result<()> {
+    if json {
+        println!("{}", serde_json::to_string(entry)?);
+        return Ok(());
+    }
+    println!(
+        "seq={} time_ms={} revision={} kind={} subject={:?} cause={:?}",
+        entry.seq,
+        entry.time_ms,
+        entry.revision,
+        entry.change.kind(),
+        entry.change.subject(),
+        entry.cause
+    );
+    Ok(())
+}
--- /dev/null
+++ b/src/cmd/plan.rs
@@ -0,0 +1,66 @@
+//! `carawaypaddle plan`.
+
+use std::path::Path;
+
+use anyhow::Context;
+use manifest::{Manifest, VmList};
+use placement::{Placement, place};
+use serde_json::json;
+
+use crate::cmd::check;
+
+/// Prints which VM would serve what, and each workspace's share.
+pub fn run(manifest: &Path, vms: &Path, as_json: bool) -> anyhow::Result<()> {
+    let manifest = check::load(manifest)?;
+    let name = vms.display();
+    let text = std::fs::read(vms).with_context(|| format!("{name}: cannot be read"))?;
+    let vms: VmList = serde_norway::from_slice(&text)
+        .with_context(|| format!("{name}: is not a VM list; write revision and vms"))?;
+    let placement = place(&manifest, &vms);
+    let units = vms.live_models().count();
+    if as_json {
+        println!("{}", to_json(&manifest, &placement, units));
+    } else {
+        print_table(&manifest, &placement, units);
+    }
+    Ok(())
+}
+
+fn used(manifest: &Manifest, placement: &Placement, workspace: &base::WorkspaceId) -> usize {
+    let rollouts = manifest.rollouts.iter().filter(|r| r.workspace == *workspace);
+    rollouts.map(|r| placement.vms_of(&r.id).len()).sum()
+}
+
+fn to_json(manifest: &Manifest, placement: &Placement, units: usize) -> serde_json::Value {
+    let rollouts = manifest.rollouts.iter().map(
+        |r| json!({ "rollout": r.id, "replicas": r.replicas, "vms": placement.vms_of(&r.id) }),
+    );
+    let workspaces = manifest.workspaces.iter().map(
+        |w| json!({ "workspace": w.id, "share": w.share, "vms": used(manifest, placement, &w.id) }),
+    );
+    json!({
+        "vms": units,
+        "rollouts": rollouts.collect::<Vec<_>>(),
+        "workspaces": workspaces.collect::<Vec<_>>(),
+    })
+}
+
+fn print_table(manifest: &Manifest, placement: &Placement, units: usize) {
+    println!("{:<24} {:>6} {:>6}  VMS", "ROLLOUT", "WANTED", "PLACED");
+    for rollout in &manifest.rollouts {
+        let vms = placement.vms_of(&rollout.id);
+        let names: Vec<&str> = vms.iter().map(|vm| vm.as_str()).collect();
+        println!(
+            "{:<24} {:>6} {:>6}  {}",
+            rollout.id.as_str(),
+            rollout.replicas,
+            vms.len(),
+            names.join(" ")
+        );
+    }
+    println!("\n{:<24} {:>6} {:>6} of {units}", "WORKSPACE", "SHARE", "VMS");
+    for workspace in &manifest.workspaces {
+        let used = used(manifest, placement, &workspace.id);
+        println!("{:<24} {:>6} {used:>6}", workspace.id.as_str(), workspace.share.to_string());
+    }
+}
