--- a/components/agent/src/lib.rs
+++ b/components/agent/src/lib.rs
@@ -7,5 +7,8 @@
 mod event;
 mod loading;
 mod process;
+mod report;
+mod rollouts;
+mod weights;
 
 pub use process::Agent;
--- /dev/null
+++ b/components/entry/src/report.rs
@@ -0,0 +1,79 @@
+//! Answers to calls from other processes and from operators.
+
+use std::time::Instant;
+
+use base::{ReleaseId, RolloutId, VmId};
+use net::{PeerCall, answer_call};
+use proto::{EndpointRow, RolloutRow, Status};
+
+use crate::core::Core;
+
+impl Core {
+    pub(crate) fn answer(&mut self, call: PeerCall, now: Instant) {
+        match call {
+            PeerCall::Gossip(gossip, reply) => answer_call(reply, self.node.gossip(gossip, now)),
+            PeerCall::Document(request, reply) => {
+                answer_call(reply, self.node.document(&request));
+            }
+            PeerCall::Status(reply) => answer_call(reply, self.status(now)),
+            PeerCall::Audit(from, reply) => answer_call(reply, self.node.trail.page(from)),
+            // Only agents serve these; the dropped reply says so.
+            PeerCall::Announce(_)
+            | PeerCall::Endpoint(_)
+            | PeerCall::Cancel(..)
+            | PeerCall::Fate(..) => {}
+        }
+    }
+
+    pub(crate) fn status(&self, now: Instant) -> Status {
+        let documents = &self.node.documents;
+        Status {
+            vm: self.node.identity.settings.vm.clone(),
+            role: "entry".to_owned(),
+            manifest: documents.manifest().revision,
+            refused: documents.refused().map(str::to_owned),
+            vms: documents.vms().revision,
+            accepting: self.draining.is_none(),
+            in_flight: self.in_flight,
+            origin_bytes: 0,
+            rollouts: self.since.iter().map(|row| self.rollout_row(row, now)).collect(),
+            endpoints: self.router.endpoints().map(|(vm, k)| endpoint_row(vm, k)).collect(),
+            quarantined: self.ledger.quarantined().iter().map(|d| d.to_string()).collect(),
+        }
+    }
+
+    pub(crate) fn rollout_row(
+        &self,
+        row: &(RolloutId, ReleaseId, Instant),
+        now: Instant,
+    ) -> RolloutRow {
+        let (rollout, release, since) = row;
+        let vms = self.placement.vms_of(rollout);
+        let ready = |vm: &&VmId| {
+            let member = self.node.members.get(vm);
+            member.is_some_and(|m| m.serving.as_ref() == Some(release))
+        };
+        RolloutRow {
+            rollout: rollout.clone(),
+            release: release.clone(),
+            ready: vms.iter().filter(ready).count(),
+            wanted: vms.len(),
+            seconds: now.duration_since(*since).as_secs_f64(),
+        }
+    }
+}
+
+fn endpoint_row(vm: &VmId, known: &routing::Known) -> EndpointRow {
+    let serving = known.state.as_ref().and_then(|s| s.serving.as_ref());
+    let state = match &known.state {
+        None => "suspect",
+        Some(state) if state.accepting => "ready",
+        Some(_) => "out",
+    };
+    EndpointRow {
+        vm: vm.clone(),
+        release: serving.and_then(|s| s.release.clone()),
+        state: state.to_owned(),
+        in_flight: known.in_flight,
+    }
+}
