--- a/components/agent/src/core.rs
+++ b/components/agent/src/core.rs
@@ -13,7 +13,7 @@
 use net::{Mailbox, Workers};
 use node::{Node, NodeEvent};
 use placement::Placement;
-use proto::{MemberState, PeerClient};
+use proto::MemberState;
 use rollout::Endpoint;
 use settings::{AgentSettings, EndpointKind};
 use stakker::{CX, after, stop};
--- a/components/entry/src/core.rs
+++ b/components/entry/src/core.rs
@@ -6,20 +6,19 @@
 };
 
 use audit::Change;
-use base::{AttemptId, ReleaseId, RolloutId, VmId, WorkspaceId};
+use base::{ReleaseId, RolloutId, WorkspaceId};
 use crossbeam_channel::Sender;
 use fastrand::Rng;
 use limits::{Admission, RetryBudget, RetrySettings};
-use manifest::{Role, VmState};
-use net::{Mailbox, PeerCall, answer_call};
+use net::Mailbox;
 use node::{Node, NodeEvent};
 use placement::{Placement, place};
-use proto::{EndpointRow, MemberState, Outcome, PeerClient, RolloutRow, Status};
-use quarantine::{Ledger, LedgerSettings, Verdict};
-use routing::{Candidate, Router, RouterSettings};
+use proto::MemberState;
+use quarantine::{Ledger, LedgerSettings};
+use routing::{Router, RouterSettings};
 use stakker::{CX, after, stop};
 
-use crate::event::{Ask, Decision, Event, Failure, Grant, Refusal};
+use crate::event::{Ask, Decision, Event};
 
 /// Time between looks at the queue.
 const TICK: Duration = Duration::from_millis(20);
