--- /dev/null
+++ b/components/chunks/src/link/tests.rs
@@ -0,0 +1,14 @@
+use super::*;
+
+#[test]
+fn a_link_passes_no_more_than_its_rate() {
+    let mut link = Link::new(ByteRate(1000));
+    let now = Instant::now();
+    let mut wait = Duration::ZERO;
+    for _ in 0..20 {
+        wait = link.reserve(ByteSize(100), now);
+    }
+    assert!(wait >= Duration::from_millis(1950), "{wait:?}");
+    let later = now + Duration::from_secs(10);
+    assert!(link.reserve(ByteSize(100), later) <= Duration::from_millis(100));
+}
