--- a/components/agent/src/core.rs
+++ b/components/agent/src/core.rs
@@ -5,20 +5,21 @@
     time::{Duration, Instant},
 };
 
-use attempts::{Attempts, AttemptsSettings};
+use attempts::{Attempts, AttemptsSettings, Homes};
 use audit::Change;
-use base::{ByteSize, Digest, Fence};
+use base::{AttemptId, ByteSize, Digest, Fence};
 use bytes::Bytes;
 use chunks::{Link, Pool};
 use net::{Mailbox, Workers};
 use node::{Node, NodeEvent};
 use placement::Placement;
-use proto::MemberState;
+use proto::{Fate, MemberState};
 use rollout::Endpoint;
 use settings::{AgentSettings, EndpointKind};
 use stakker::{CX, after, stop};
 
 use crate::{
+    answers::{Answers, SharedCrashes, homes},
     engine::{Engine, EngineReport},
     event::Event,
     loading::Loading,
@@ -40,6 +41,8 @@
     pub(crate) workers: Workers,
     pub(crate) chunk_client: ureq::Agent,
     pub(crate) mailbox: Mailbox<Event>,
+    pub(crate) kind: EndpointKind,
+    pub(crate) crashes: SharedCrashes,
 }
 
 impl Shared {
@@ -61,6 +64,8 @@
     pub(crate) shared: Shared,
     pub(crate) endpoint: Endpoint,
     pub(crate) attempts: Attempts,
+    pub(crate) answers: Answers,
+    pub(crate) homes: Homes,
     pub(crate) placement: Placement,
     pub(crate) loading: Option<Loading>,
     /// The last statement of the endpoint.
@@ -86,7 +91,9 @@
         after!(TICK, [cx], tick());
         Some(Core {
             endpoint: Endpoint::new(Fence(node.identity.incarnation.0), now),
-            attempts: Attempts::new(node.identity.incarnation, slots),
+            attempts: Attempts::new(node.identity.incarnation, slots, now),
+            answers: Answers::default(),
+            homes: homes(node.identity.settings.vm.clone(), settings.handover.0, now),
             node,
             settings,
             shared,
@@ -117,28 +124,36 @@
                 self.staged(cx, release, digest, chunk, ok);
             }
             Event::Offer { offer, reply } => {
-                let accepting = self.accepting();
-                let serving = self.endpoint.serving();
-                let decision = self.attempts.offer(&offer, accepting, serving, now);
-                if reply.send(decision).is_err() {
-                    self.attempts.finish(offer.attempt, proto::Fate::NotRun, now);
+                let attempt = offer.attempt;
+                let opened = self.offered(offer, now);
+                if reply.send(opened).is_err() {
+                    self.finished(attempt, Fate::NotRun, now);
                 }
             }
-            Event::Finished { attempt, fate } => {
-                self.attempts.finish(attempt, fate, now);
-                let in_flight = self.attempts.running();
-                self.decide(rollout::Event::InFlight(in_flight), now);
+            Event::Resume { attempt, reply } => {
+                // The entry may be gone.
+                let _ = reply.send(self.resumed(&attempt, now));
             }
+            Event::Finished { attempt, fate } => self.finished(attempt, fate, now),
             Event::Drain => self.drain(now),
         }
         self.stop_if_drained(cx);
     }
 
+    fn finished(&mut self, attempt: AttemptId, fate: Fate, now: Instant) {
+        self.attempts.finish(attempt, fate, now);
+        self.answers.ended(attempt, now);
+        let in_flight = self.attempts.running();
+        self.decide(rollout::Event::InFlight(in_flight), now);
+    }
+
     pub(crate) fn tick(&mut self, cx: CX![]) {
         let now = cx.now();
-        self.attempts.tick(now);
         if now >= self.gossip_at {
             self.gossip_at = now + GOSSIP_EVERY;
+            self.attempts.tick(now);
+            self.answers.tick(now);
+            self.homes.tick(now);
             self.node.tick(now);
         }
         if self.settings.kind == EndpointKind::Plain {
@@ -189,5 +204,11 @@
         if changes.any() {
             self.retarget(now);
         }
+        if changes.vms {
+            self.update_homes(now);
+        }
+        if let Some((revision, at)) = self.node.vms_confirmed() {
+            self.homes.confirm(revision, at);
+        }
     }
 }
--- a/components/agent/src/data.rs
+++ b/components/agent/src/data.rs
@@ -16,7 +16,11 @@
     let url = request.url().to_owned();
     match (request.method(), url.strip_prefix("/v1/blobs/")) {
         (Method::Get, Some(digest)) => blob(shared, digest, request),
-        (Method::Post, None) if url == "/v1/attempts" => attempt::handle(shared, request),
+        (Method::Post, None) if url == "/v1/attempts" => attempt::offered(shared, request),
+        (Method::Get, None) => match url.strip_prefix("/v1/attempts/") {
+            Some(id) => attempt::resumed(shared, request, id),
+            None => refuse(request, 404, "no such path; update the peer", "not-run"),
+        },
         _ => refuse(request, 404, "no such path; update the peer", "not-run"),
     }
 }
--- a/components/agent/src/engine.rs
+++ b/components/agent/src/engine.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use base::{Digest, Fence, ReleaseId};
+use base::{AttemptId, Digest, Fence, ReleaseId};
 use bytes::Bytes;
 use proto::header;
 use rollout::{EngineView, Order};
@@ -10,6 +10,8 @@
 
 /// Longest silence of the endpoint while it answers a control call.
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(5);
+/// Longest silence of an endpoint that is well.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// What an engine states.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
@@ -37,6 +39,11 @@
         }
     }
 
+    /// Whether a release is served; an engine that crashed serves none.
+    pub(crate) fn serves(&self) -> bool {
+        self.serving.is_some()
+    }
+
     /// What a plain service that answers is taken to state.
     fn plain() -> EngineReport {
         EngineReport { serving: None, prepared: None, fence: Fence(0), busy: 0, slots: 0 }
@@ -55,11 +62,14 @@
 pub(crate) struct Engine {
     addr: SocketAddr,
     client: ureq::Agent,
+    /// Opens a connection for each call, as an old one tells nothing of the endpoint.
+    probe: ureq::Agent,
 }
 
 impl Engine {
     pub(crate) fn new(addr: SocketAddr) -> Engine {
-        Engine { addr, client: net::pooled(CONTROL_TIMEOUT) }
+        let (client, probe) = (net::pooled(CONTROL_TIMEOUT), net::single(PROBE_TIMEOUT));
+        Engine { addr, client, probe }
     }
 
     pub(crate) fn addr(&self) -> SocketAddr {
@@ -68,11 +78,33 @@
 
     /// Reads the state of a model engine.
     pub(crate) fn report(&self) -> Option<EngineReport> {
+        self.read_state(&self.client)
+    }
+
+    fn read_state(&self, client: &ureq::Agent) -> Option<EngineReport> {
         let url = format!("http://{}/v1/state", self.addr);
-        let mut response = self.client.get(url).call().ok()?;
+        let mut response = client.get(url).call().ok()?;
         response.body_mut().read_json().ok()
     }
 
+    /// Whether a model engine has crashed: it does not answer, or serves nothing any more.
+    pub(crate) fn has_crashed(&self) -> bool {
+        self.read_state(&self.probe).is_none_or(|report| !report.serves())
+    }
+
+    /// Whether a plain service does not answer.
+    pub(crate) fn is_down(&self) -> bool {
+        let url = format!("http://{}/healthz", self.addr);
+        !self.probe.get(url).call().is_ok_and(|r| r.status().is_success())
+    }
+
+    /// Stops an attempt.
+    pub(crate) fn cancel(&self, attempt: AttemptId) {
+        let url = format!("http://{}/v1/answers/{attempt}", self.addr);
+        // An engine that cannot be reached holds nothing, or ends the answer by itself.
+        let _ = self.probe.delete(url).call();
+    }
+
     /// Asks a plain service whether it is well.
     pub(crate) fn health(&self) -> Option<EngineReport> {
         let url = format!("http://{}/healthz", self.addr);
--- a/components/agent/src/event.rs
+++ b/components/agent/src/event.rs
@@ -1,5 +1,7 @@
 //! Events of the agent's actor.
 
+use std::sync::Arc;
+
 use attempts::Offer;
 use base::{AttemptId, Digest, ReleaseId};
 use bytes::Bytes;
@@ -8,10 +10,10 @@
 use manifest::ChunkList;
 use net::PeerCall;
 use node::NodeEvent;
-use proto::{Fate, RefusalReason};
+use proto::{AttemptRef, Fate, RefusalReason};
 use rollout::Order;
 
-use crate::engine::EngineReport;
+use crate::{answer::Answer, engine::EngineReport};
 
 /// Something that happened to the agent.
 pub(crate) enum Event {
@@ -30,9 +32,22 @@
     /// The engine took a chunk, or did not.
     Staged { release: ReleaseId, digest: Digest, chunk: Bytes, ok: bool },
     /// An entry offers an attempt.
-    Offer { offer: Offer, reply: Sender<Result<(), RefusalReason>> },
+    Offer { offer: Offer, reply: Sender<Opened> },
+    /// An entry asks for the rest of an answer.
+    Resume { attempt: AttemptRef, reply: Sender<Opened> },
     /// An attempt that was started has ended.
     Finished { attempt: AttemptId, fate: Fate },
     /// A planned stop begins.
     Drain,
 }
+
+/// The answer that an entry may read, or why there is none.
+pub(crate) type Opened = Result<Arc<Answer>, Refused>;
+
+/// Why an entry gets no answer.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct Refused {
+    pub(crate) reason: RefusalReason,
+    /// Whether the attempt ran.
+    pub(crate) fate: Fate,
+}
--- a/components/agent/src/lib.rs
+++ b/components/agent/src/lib.rs
@@ -1,5 +1,7 @@
 //! The process beside one endpoint: it brings weights to the engine and runs attempts.
 
+mod answer;
+mod answers;
 mod attempt;
 mod core;
 mod data;
@@ -9,6 +11,7 @@
 mod process;
 mod report;
 mod rollouts;
+mod run;
 mod weights;
 
 pub use process::Agent;
--- a/components/agent/src/process.rs
+++ b/components/agent/src/process.rs
@@ -10,7 +10,7 @@
 use anyhow::Context;
 use base::Incarnation;
 use chunks::{Link, Pool};
-use net::{Latch, Listener, Mailbox, Peers, RpcServer, Workers};
+use net::{Drain, Latch, Listener, Mailbox, Peers, RpcServer, Workers};
 use node::{Identity, Node, wall_clock_ms};
 use settings::Settings;
 use slog::Logger;
@@ -38,6 +38,7 @@
     control: SocketAddr,
     data: SocketAddr,
     mailbox: Mailbox<Event>,
+    drain: Drain,
     thread: Mutex<Option<JoinHandle<()>>>,
 }
 
@@ -54,6 +55,8 @@
             workers: Workers::start(WORKERS)?,
             chunk_client: net::pooled(CHUNK_TIMEOUT),
             mailbox: mailbox.clone(),
+            kind: options.kind,
+            crashes: Arc::default(),
         };
         let calls = mailbox.clone();
         let deliver = move |call| calls.send(Event::Peer(call));
@@ -63,7 +66,10 @@
         let listener = Listener::bind(settings.data, DATA_IDLE, DATA_REQUESTS).context("data")?;
         let (control, data) = (rpc.addr(), listener.addr());
         let (served, served_key) = (shared.clone(), key.clone());
-        listener.serve(stop.clone(), move |request| data::handle(&served, &served_key, request));
+        let handle = move |request| data::handle(&served, &served_key, request);
+        let handlers = listener.serve(stop.clone(), handle);
+        let drain = Drain::new(settings.drain.0);
+        let bound = drain.clone();
         let peers = Peers::new(runtime.clone(), key);
         let sender = mailbox.clone();
         let thread = std::thread::Builder::new().name("agent".to_owned()).spawn(move || {
@@ -76,9 +82,10 @@
             let core = actor!(stakker, Core::init(node, options, shared), ret_shutdown!(stakker));
             net::run(stakker, events, |_, event| call!([core], handle(event)));
             stop.close();
+            handlers.wait(bound.until());
             rpc.stop();
         })?;
-        Ok(Agent { control, data, mailbox, thread: Mutex::new(Some(thread)) })
+        Ok(Agent { control, data, mailbox, drain, thread: Mutex::new(Some(thread)) })
     }
 
     /// Address for JSON-RPC.
@@ -93,6 +100,7 @@
 
     /// Begins a planned stop: no new work, requests in progress end.
     pub fn drain(&self) {
+        self.drain.begin();
         self.mailbox.send(Event::Drain);
     }
 
--- a/components/agent/src/report.rs
+++ b/components/agent/src/report.rs
@@ -22,17 +22,21 @@
                 }
                 self.poll_transfers(now);
             }
-            PeerCall::Endpoint(reply) => answer_call(reply, self.endpoint_state()),
+            PeerCall::Endpoint(reply) => answer_call(reply, self.endpoint_state(now)),
             PeerCall::Cancel(attempt, reply) => {
-                answer_call(reply, self.attempts.cancel(&attempt, now));
+                answer_call(reply, self.cancelled(&attempt, now));
             }
-            PeerCall::Fate(attempt, reply) => answer_call(reply, self.attempts.fate(&attempt)),
+            PeerCall::Fate(attempt, reply) => {
+                answer_call(reply, self.attempts.fate(&attempt, now));
+            }
+            // Only entries serve this; the dropped reply says so.
+            PeerCall::Crashes(..) => {}
             PeerCall::Status(reply) => answer_call(reply, self.status(now)),
             PeerCall::Audit(from, reply) => answer_call(reply, self.node.trail.page(from)),
         }
     }
 
-    pub(crate) fn endpoint_state(&self) -> EndpointState {
+    pub(crate) fn endpoint_state(&self, now: Instant) -> EndpointState {
         let settings = &self.node.identity.settings;
         EndpointState {
             vm: settings.vm.clone(),
@@ -40,6 +44,7 @@
             serving: self.serving(),
             accepting: self.accepting(),
             load: Load { busy: self.attempts.running() as u32, slots: self.settings.slots as u32 },
+            clock: self.attempts.clock(now).as_millis() as u64,
         }
     }
 
--- a/components/agent/src/rollouts.rs
+++ b/components/agent/src/rollouts.rs
@@ -114,6 +114,10 @@
         self.reading = false;
         self.reported = now;
         let view = report.as_ref().map(EngineReport::view);
+        let plain = self.settings.kind == EndpointKind::Plain;
+        if report.as_ref().is_some_and(|report| plain || report.serves()) {
+            self.shared.crashes.lock().expect("no holder panics").serves();
+        }
         self.report = report;
         if self.settings.kind == EndpointKind::Model {
             let event = view.map_or(rollout::Event::EngineLost, rollout::Event::Engine);
--- a/components/attempts/src/table.rs
+++ b/components/attempts/src/table.rs
@@ -8,6 +8,8 @@
 use base::{AttemptId, Incarnation, ReleaseId};
 use proto::{AttemptRef, Fate, RefusalReason};
 
+use crate::{KeySettings, KeyUse, Keys};
+
 /// Bounds of the table.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct AttemptsSettings {
@@ -15,6 +17,13 @@
     pub retention: Duration,
     /// Longest accepted deadline; must be shorter than `retention`.
     pub deadline: Duration,
+    /// Longest time between the agent's stamp and the arrival of an attempt; must be shorter than
+    /// `retention`, so that a cancelled attempt is remembered until it can no longer start.
+    pub permit: Duration,
+    /// Age of a stamp when an entry uses it, at most, in the usual case.
+    pub lag: Duration,
+    /// Idempotency keys.
+    pub keys: KeySettings,
     /// Attempts at the endpoint at a time.
     pub slots: usize,
 }
@@ -24,6 +33,9 @@
         AttemptsSettings {
             retention: Duration::from_secs(600),
             deadline: Duration::from_secs(300),
+            permit: Duration::from_secs(120),
+            lag: Duration::from_secs(5),
+            keys: KeySettings::default(),
             slots: 64,
         }
     }
@@ -40,6 +52,10 @@
     pub release: Option<ReleaseId>,
     /// Time that the caller still waits.
     pub deadline: Duration,
+    /// The agent's clock, as the agent stated it before the attempt was made.
+    pub stamp: Duration,
+    /// The idempotency key that it runs under, if there is one.
+    pub key: Option<KeyUse>,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -56,6 +72,9 @@
 pub struct Attempts {
     settings: AttemptsSettings,
     incarnation: Incarnation,
+    /// Zero of the agent's clock.
+    started: Instant,
+    keys: Keys,
     /// Records with the time after which they may be dropped; running ones are never dropped.
     table: HashMap<AttemptId, (Record, Instant)>,
     /// Number of records that are running.
@@ -63,9 +82,16 @@
 }
 
 impl Attempts {
-    /// An empty table for this run of the agent.
-    pub fn new(incarnation: Incarnation, settings: AttemptsSettings) -> Attempts {
-        Attempts { settings, incarnation, table: HashMap::new(), running: 0 }
+    /// An empty table for this run of the agent, whose clock starts at `now`.
+    pub fn new(incarnation: Incarnation, settings: AttemptsSettings, now: Instant) -> Attempts {
+        let keys = Keys::new(settings.keys);
+        let table = HashMap::new();
+        Attempts { settings, incarnation, started: now, keys, table, running: 0 }
+    }
+
+    /// The agent's clock.
+    pub fn clock(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.started)
     }
 
     /// Attempts at the endpoint now.
@@ -100,25 +126,42 @@
             Some(_) => return Err(RefusalReason::Duplicate),
             None => {}
         }
-        let refusal = self.refusal(offer, accepting, serving);
+        if let Some(reason) = self.key_refusal(offer, now) {
+            self.table.insert(offer.attempt, (Record::Cancelled, now + self.settings.retention));
+            return Err(reason);
+        }
+        let refusal = self.refusal(offer, accepting, serving, now);
         let record = if refusal.is_some() { Record::Cancelled } else { Record::Running };
         self.table.insert(offer.attempt, (record, now + self.settings.retention));
         match refusal {
             Some(reason) => Err(reason),
             None => {
                 self.running += 1;
+                if let Some(key) = &offer.key {
+                    self.keys.bind(key, offer.attempt);
+                }
                 Ok(())
             }
         }
     }
 
+    fn key_refusal(&self, offer: &Offer, now: Instant) -> Option<RefusalReason> {
+        let never_ran = |attempt| matches!(self.table.get(&attempt), Some((Record::Cancelled, _)));
+        self.keys.check(offer.key.as_ref()?, self.clock(now), never_ran).err()
+    }
+
     fn refusal(
         &self,
         offer: &Offer,
         accepting: bool,
         serving: Option<&ReleaseId>,
+        now: Instant,
     ) -> Option<RefusalReason> {
-        if offer.deadline.is_zero() || offer.deadline > self.settings.deadline {
+        // The deadline counts from arrival, so an attempt that waited for this process is judged by
+        // the age of its stamp.
+        let age = self.clock(now).saturating_sub(offer.stamp);
+        let waited = age > (offer.deadline + self.settings.lag).min(self.settings.permit);
+        if waited || offer.deadline.is_zero() || offer.deadline > self.settings.deadline {
             return Some(RefusalReason::Late);
         }
         if !accepting {
@@ -132,7 +175,7 @@
 
     /// Makes an attempt final if it has not started.
     pub fn cancel(&mut self, attempt: &AttemptRef, now: Instant) -> Fate {
-        if !self.can_vouch(attempt) {
+        if !self.can_vouch(attempt, now) {
             return Fate::Unknown;
         }
         let until = now + self.settings.retention;
@@ -141,16 +184,16 @@
     }
 
     /// What is known of an attempt.
-    pub fn fate(&self, attempt: &AttemptRef) -> Fate {
-        if !self.can_vouch(attempt) {
+    pub fn fate(&self, attempt: &AttemptRef, now: Instant) -> Fate {
+        if !self.can_vouch(attempt, now) {
             return Fate::Unknown;
         }
         self.table.get(&attempt.attempt).map_or(Fate::Unknown, |(record, _)| fate(*record))
     }
 
     /// Whether a missing record means that the attempt never arrived.
-    fn can_vouch(&self, attempt: &AttemptRef) -> bool {
-        let age = Duration::from_millis(attempt.age_ms);
+    fn can_vouch(&self, attempt: &AttemptRef, now: Instant) -> bool {
+        let age = self.clock(now).saturating_sub(Duration::from_millis(attempt.stamp));
         attempt.incarnation == self.incarnation && age < self.settings.retention
     }
 
@@ -168,11 +211,13 @@
         };
         *slot = (record, until);
         self.running -= 1;
+        self.keys.finish(attempt, now);
     }
 
     /// Drops records that are no longer needed.
     pub fn tick(&mut self, now: Instant) {
         self.table.retain(|_, (record, until)| *record == Record::Running || now < *until);
+        self.keys.tick(now);
     }
 }
 
--- a/components/attempts/src/table/tests.rs
+++ b/components/attempts/src/table/tests.rs
@@ -4,17 +4,18 @@
 
 fn offer(attempt: u128) -> Offer {
     let deadline = Duration::from_secs(10);
-    Offer { attempt: AttemptId(attempt), incarnation: RUN, release: None, deadline }
+    let (stamp, attempt) = (Duration::ZERO, AttemptId(attempt));
+    Offer { attempt, incarnation: RUN, release: None, deadline, stamp, key: None }
 }
 
 fn reference(attempt: u128) -> AttemptRef {
-    AttemptRef { attempt: AttemptId(attempt), incarnation: RUN, age_ms: 0 }
+    AttemptRef { attempt: AttemptId(attempt), incarnation: RUN, stamp: 0 }
 }
 
 #[test]
 fn a_cancelled_attempt_never_starts() {
     let now = Instant::now();
-    let mut attempts = Attempts::new(RUN, AttemptsSettings::default());
+    let mut attempts = Attempts::new(RUN, AttemptsSettings::default(), now);
     assert_eq!(attempts.cancel(&reference(1), now), Fate::NotRun);
     let late = attempts.offer(&offer(1), true, None, now);
     assert_eq!(late, Err(RefusalReason::Cancelled));
@@ -23,7 +24,7 @@
 #[test]
 fn a_repeated_offer_starts_once() {
     let now = Instant::now();
-    let mut attempts = Attempts::new(RUN, AttemptsSettings::default());
+    let mut attempts = Attempts::new(RUN, AttemptsSettings::default(), now);
     assert_eq!(attempts.offer(&offer(1), true, None, now), Ok(()));
     assert_eq!(attempts.offer(&offer(1), true, None, now), Err(RefusalReason::Duplicate));
     assert_eq!(attempts.cancel(&reference(1), now), Fate::Running);
@@ -35,7 +36,48 @@
 #[test]
 fn another_run_cannot_vouch() {
     let now = Instant::now();
-    let mut attempts = Attempts::new(Incarnation(8), AttemptsSettings::default());
+    let mut attempts = Attempts::new(Incarnation(8), AttemptsSettings::default(), now);
     assert_eq!(attempts.offer(&offer(1), true, None, now), Err(RefusalReason::Incarnation));
     assert_eq!(attempts.cancel(&reference(1), now), Fate::Unknown);
 }
+
+#[test]
+fn a_cancelled_attempt_that_arrives_after_its_record_is_gone_does_not_start() {
+    let now = Instant::now();
+    let mut attempts = Attempts::new(RUN, AttemptsSettings::default(), now);
+    assert_eq!(attempts.cancel(&reference(1), now), Fate::NotRun);
+    let later = now + Duration::from_secs(601);
+    attempts.tick(later);
+    assert!(attempts.is_empty());
+    assert_eq!(attempts.offer(&offer(1), true, None, later), Err(RefusalReason::Late));
+    assert_eq!(attempts.cancel(&reference(2), later), Fate::Unknown, "its record may be gone too");
+}
+
+#[test]
+fn an_attempt_that_waited_for_a_paused_agent_does_not_start() {
+    let now = Instant::now();
+    let mut attempts = Attempts::new(RUN, AttemptsSettings::default(), now);
+    let woken = now + Duration::from_secs(16);
+    assert_eq!(attempts.offer(&offer(1), true, None, woken), Err(RefusalReason::Late));
+    let fresh = Offer { stamp: Duration::from_secs(15), ..offer(2) };
+    assert_eq!(attempts.offer(&fresh, true, None, woken), Ok(()));
+}
+
+#[test]
+fn a_key_whose_attempt_did_not_run_is_free_again() {
+    let now = Instant::now();
+    let mut attempts = Attempts::new(RUN, AttemptsSettings::default(), now);
+    let key = Some(KeyUse {
+        workspace: "counter".parse().unwrap(),
+        key: "k".to_owned(),
+        fingerprint: base::Digest::of(b""),
+        vouched: true,
+    });
+    let keyed = |attempt| Offer { key: key.clone(), ..offer(attempt) };
+    assert_eq!(attempts.offer(&keyed(1), true, None, now), Ok(()));
+    attempts.finish(AttemptId(1), Fate::NotRun, now);
+    assert_eq!(attempts.offer(&keyed(2), true, None, now), Ok(()));
+    attempts.finish(AttemptId(2), Fate::Unknown, now);
+    let used = Err(RefusalReason::KeyUsed { attempt: AttemptId(2) });
+    assert_eq!(attempts.offer(&keyed(3), true, None, now), used);
+}
--- a/components/entry/src/admission.rs
+++ b/components/entry/src/admission.rs
@@ -2,7 +2,6 @@
 
 use std::time::Instant;
 
-use audit::Change;
 use base::{AttemptId, VmId, WorkspaceId};
 use crossbeam_channel::Sender;
 use manifest::{Role, VmState};
@@ -18,8 +17,13 @@
 const MAX_QUEUE: usize = 1024;
 
 impl Core {
-    pub(crate) fn arrived(&mut self, ask: Ask, reply: Sender<Decision>, now: Instant) {
-        match self.admit(&ask, now) {
+    pub(crate) fn arrived(&mut self, mut ask: Ask, reply: Sender<Decision>, now: Instant) {
+        let admitted = self.check_binding(&mut ask).and_then(|()| self.admit(&ask, now));
+        match admitted {
+            Ok(workspace) if ask.binding.is_some() => {
+                self.in_flight += 1;
+                self.bind(ask, workspace, reply);
+            }
             Ok(workspace) => {
                 self.in_flight += 1;
                 self.queue.push_back(Waiting { ask, workspace, reply, not_before: now });
@@ -92,19 +96,17 @@
 
     pub(crate) fn grant(&mut self, waiting: &Waiting, now: Instant) -> Option<Grant> {
         let ask = &waiting.ask;
-        let release = ask.release.as_ref();
-        let choice = self
-            .router
-            .pick(&ask.service, release, &ask.tried, now)
-            .or_else(|| self.router.pick(&ask.service, release, &[], now))?;
+        let choice = self.choose(ask, now)?;
         let vm = self.node.documents.vms().get(&choice.vm)?;
         let service = self.node.documents.manifest().service(&ask.service)?;
         Some(Grant {
             attempt: AttemptId(self.rng.u128(..)),
+            stamp: *self.clocks.get(&choice.vm)?,
             data: vm.data,
             control: vm.control,
             workspace: waiting.workspace.clone(),
             repeatable: service.repeatable(&ask.method, &ask.path),
+            bound: false,
             choice,
         })
     }
@@ -117,10 +119,7 @@
         now: Instant,
     ) {
         self.router.finished(&last.vm, last.fault, now);
-        if last.crashed && self.ledger.crashed(ask.fingerprint, now) {
-            let change = Change::Quarantined { fingerprint: ask.fingerprint.to_string() };
-            self.node.trail.record(change, "was in progress when endpoints crashed");
-        }
+        self.suspect(&ask, last, now);
         match self.retry(&ask, last, now) {
             Ok((workspace, not_before)) => {
                 self.queue.push_back(Waiting { ask, workspace, reply, not_before });
@@ -160,6 +159,7 @@
     }
 
     pub(crate) fn ended(&mut self, vm: &VmId, failed: bool, now: Instant) {
+        self.lanes.finished(vm);
         self.router.finished(vm, failed, now);
         self.in_flight -= 1;
         self.serve_queue(now);
--- a/components/entry/src/event.rs
+++ b/components/entry/src/event.rs
@@ -2,13 +2,15 @@
 
 use std::{net::SocketAddr, time::Instant};
 
-use base::{AttemptId, Digest, ReleaseId, ServiceId, VmId, WorkspaceId};
+use base::{AttemptId, Digest, IdempotencyKey, ReleaseId, ServiceId, VmId, WorkspaceId};
 use crossbeam_channel::Sender;
 use net::PeerCall;
 use node::NodeEvent;
-use proto::{EndpointState, Outcome};
+use proto::{CrashId, CrashRecord, EndpointState, Outcome, Reservation};
 use routing::Choice;
 
+use crate::binding::Bound;
+
 /// Something that happened to the entry.
 pub(crate) enum Event {
     /// A call from another process.
@@ -22,9 +24,15 @@
     /// An attempt of a request ended without an answer; it may be tried again.
     Again { ask: Ask, last: Failure, reply: Sender<Decision> },
     /// An attempt answered its request, whole.
-    Answered { vm: VmId },
+    Answered { vm: VmId, fingerprint: Digest },
+    /// An attempt was lost, and its request with it.
+    Lost { ask: Ask, last: Failure },
+    /// The endpoint that knows a request's key stated its state, or did not.
+    Bound(Box<Bound>),
     /// An attempt ended, and its request with it.
     Ended { vm: VmId, failed: bool },
+    /// Another entry told its newest crash records.
+    Crashes(Vec<CrashRecord>),
     /// A planned stop begins.
     Drain,
 }
@@ -42,6 +50,8 @@
     pub(crate) path: String,
     /// Names the request in the quarantine.
     pub(crate) fingerprint: Digest,
+    /// The endpoint that must run it, if it carries a key.
+    pub(crate) binding: Option<Binding>,
     /// The release that must answer, once part of an answer was passed on.
     pub(crate) release: Option<ReleaseId>,
     /// Endpoints that were tried.
@@ -50,6 +60,15 @@
     pub(crate) deadline: Instant,
 }
 
+/// What an idempotency key binds a request to.
+#[derive(Debug, Clone)]
+pub(crate) enum Binding {
+    /// The run of an agent that the key was reserved for.
+    Reserved(Reservation),
+    /// The home of the caller's own key.
+    Own(IdempotencyKey),
+}
+
 /// How an attempt failed.
 #[derive(Debug, Clone)]
 pub(crate) struct Failure {
@@ -57,8 +76,8 @@
     pub(crate) vm: VmId,
     /// Whether the attempt ran.
     pub(crate) outcome: Outcome,
-    /// Whether the endpoint crashed.
-    pub(crate) crashed: bool,
+    /// The crash of the endpoint that ended it, if one did.
+    pub(crate) crash: Option<CrashId>,
     /// Whether the endpoint is at fault, and not only full.
     pub(crate) fault: bool,
 }
@@ -77,6 +96,8 @@
 pub(crate) struct Grant {
     /// The attempt.
     pub(crate) attempt: AttemptId,
+    /// The clock of the endpoint's agent, in milliseconds, as it stated it.
+    pub(crate) stamp: u64,
     /// The endpoint.
     pub(crate) choice: Choice,
     /// Its agent's data address.
@@ -87,6 +108,8 @@
     pub(crate) workspace: WorkspaceId,
     /// Whether the call may be run again when its outcome is unknown.
     pub(crate) repeatable: bool,
+    /// Whether a key binds the call to this endpoint.
+    pub(crate) bound: bool,
 }
 
 /// An error for a caller.
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -2,11 +2,16 @@
 
 mod admission;
 mod attempt;
+mod binding;
 mod caller;
 mod core;
 mod endpoints;
 mod event;
 mod process;
+mod refusal;
 mod report;
+mod request;
+mod sink;
+mod suspects;
 
 pub use process::Entry;
--- a/components/entry/src/process.rs
+++ b/components/entry/src/process.rs
@@ -12,7 +12,7 @@
 
 use anyhow::Context;
 use base::Incarnation;
-use net::{Latch, Listener, Mailbox, Peers, RpcServer};
+use net::{Drain, Latch, Listener, Mailbox, Peers, RpcServer};
 use node::{Identity, Node, wall_clock_ms};
 use settings::Settings;
 use slog::Logger;
@@ -33,6 +33,7 @@
     control: SocketAddr,
     mailbox: Mailbox<Event>,
     ready: Arc<AtomicBool>,
+    drain: Drain,
     thread: Mutex<Option<JoinHandle<()>>>,
 }
 
@@ -65,7 +66,9 @@
             metrics,
             ready: ready.clone(),
         };
-        listener.serve(stop.clone(), move |request| served.handle(request));
+        let handlers = listener.serve(stop.clone(), move |request| served.handle(request));
+        let drain = Drain::new(settings.drain.0);
+        let bound = drain.clone();
         let sender = mailbox.clone();
         let thread = std::thread::Builder::new().name("entry".to_owned()).spawn(move || {
             let incarnation = Incarnation(wall_clock_ms());
@@ -78,9 +81,10 @@
             let core = actor!(stakker, Core::init(node, sender), ret_shutdown!(stakker));
             net::run(stakker, events, |_, event| call!([core], handle(event)));
             stop.close();
+            handlers.wait(bound.until());
             rpc.stop();
         })?;
-        Ok(Entry { callers, control, mailbox, ready, thread: Mutex::new(Some(thread)) })
+        Ok(Entry { callers, control, mailbox, ready, drain, thread: Mutex::new(Some(thread)) })
     }
 
     /// Address for callers.
@@ -96,6 +100,7 @@
     /// Begins a planned stop: not ready, no new work, requests in progress end.
     pub fn drain(&self) {
         self.ready.store(false, Ordering::Relaxed);
+        self.drain.begin();
         self.mailbox.send(Event::Drain);
     }
 
--- a/components/entry/src/report.rs
+++ b/components/entry/src/report.rs
@@ -6,7 +6,7 @@
 use net::{PeerCall, answer_call};
 use proto::{EndpointRow, RolloutRow, Status};
 
-use crate::core::Core;
+use crate::{core::Core, suspects::MAX_RECORDS};
 
 impl Core {
     pub(crate) fn answer(&mut self, call: PeerCall, now: Instant) {
@@ -15,6 +15,10 @@
             PeerCall::Document(request, reply) => {
                 answer_call(reply, self.node.document(&request));
             }
+            PeerCall::Crashes(records, reply) => {
+                self.learn_crashes(&records, now);
+                answer_call(reply, self.ledger.records(MAX_RECORDS, now));
+            }
             PeerCall::Status(reply) => answer_call(reply, self.status(now)),
             PeerCall::Audit(from, reply) => answer_call(reply, self.node.trail.page(from)),
             // Only agents serve these; the dropped reply says so.
--- /dev/null
+++ b/components/entry/src/suspects.rs
@@ -0,0 +1,188 @@
+//! Requests that were in progress when endpoints crashed: they are told to other entries, tried
+//! again apart from others, and refused once they crashed too many.
+
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use audit::Change;
+use base::{Digest, VmId};
+use manifest::{Role, Vm, VmState};
+use proto::{CrashRecord, PeerClient};
+use quarantine::{Noted, Verdict};
+use routing::Choice;
+
+use crate::{
+    core::Core,
+    event::{Ask, Event, Failure},
+};
+
+/// Most crash records in one message.
+pub(crate) const MAX_RECORDS: usize = 64;
+/// Entries that are told of a new crash at once; each tells as many.
+const FANOUT: usize = 3;
+/// Time between exchanges of all records with one entry.
+const EXCHANGE_EVERY: Duration = Duration::from_secs(5);
+/// Most endpoints that are set apart for suspects.
+const MAX_LANES: usize = 4;
+/// Of how many endpoints one may be set apart.
+const ENDPOINTS_PER_LANE: usize = 4;
+
+/// Endpoints that get no other work from this entry, and whether a suspect runs there.
+#[derive(Debug, Default)]
+pub(crate) struct Lanes(HashMap<VmId, bool>);
+
+impl Lanes {
+    /// A suspect that ran on `vm` ended.
+    pub(crate) fn finished(&mut self, vm: &VmId) {
+        self.0.remove(vm);
+    }
+}
+
+/// Crash records to tell.
+#[derive(Debug)]
+pub(crate) struct Rumours {
+    fresh: Vec<CrashRecord>,
+    exchange_at: Instant,
+}
+
+impl Rumours {
+    pub(crate) fn new(now: Instant) -> Rumours {
+        Rumours { fresh: Vec::new(), exchange_at: now }
+    }
+}
+
+impl Core {
+    /// An attempt of a request was lost; it becomes a suspect if the endpoint crashed.
+    pub(crate) fn suspect(&mut self, ask: &Ask, last: &Failure, now: Instant) {
+        self.lanes.finished(&last.vm);
+        if let Some(crash) = last.crash.clone() {
+            let record = CrashRecord { fingerprint: ask.fingerprint, crash, age_ms: 0 };
+            self.learn_crashes(&[record], now);
+        }
+    }
+
+    /// An attempt was lost, and its request with it.
+    pub(crate) fn lost(&mut self, ask: &Ask, last: &Failure, now: Instant) {
+        self.suspect(ask, last, now);
+        self.ended(&last.vm, last.fault, now);
+    }
+
+    /// Takes in crash records, and passes those on that are news.
+    pub(crate) fn learn_crashes(&mut self, records: &[CrashRecord], now: Instant) {
+        for record in records {
+            match self.ledger.note(record, now) {
+                Noted::Known => continue,
+                Noted::New => {}
+                Noted::Quarantined => {
+                    let change =
+                        Change::Quarantined { fingerprint: record.fingerprint.to_string() };
+                    self.node.trail.record(change, "was in progress when endpoints crashed");
+                }
+            }
+            if self.rumours.fresh.len() < MAX_RECORDS {
+                self.rumours.fresh.push(record.clone());
+            }
+        }
+    }
+
+    /// Tells a few entries the newest crashes, and one entry all of them from time to time.
+    pub(crate) fn tell_crashes(&mut self, now: Instant) {
+        let fresh = std::mem::take(&mut self.rumours.fresh);
+        if !fresh.is_empty() {
+            self.send_crashes(&fresh, FANOUT);
+        }
+        if now >= self.rumours.exchange_at {
+            self.rumours.exchange_at = now + EXCHANGE_EVERY;
+            let all = self.ledger.records(MAX_RECORDS, now);
+            if !all.is_empty() {
+                self.send_crashes(&all, 1);
+            }
+        }
+    }
+
+    fn send_crashes(&mut self, records: &[CrashRecord], count: usize) {
+        let me = &self.node.identity.settings.vm;
+        let other = |vm: &&Vm| vm.role == Role::Entry && vm.state == VmState::Live && vm.id != *me;
+        let mut others: Vec<Vm> =
+            self.node.documents.vms().vms.iter().filter(other).cloned().collect();
+        self.rng.shuffle(&mut others);
+        for vm in others.into_iter().take(count) {
+            let (records, mailbox) = (records.to_vec(), self.mailbox.clone());
+            self.node.peers.call(
+                vm.control,
+                move |client| async move { client.crashes(records).await },
+                move |reply| {
+                    // An entry that does not answer learns from another.
+                    if let Ok(records) = reply {
+                        mailbox.send(Event::Crashes(records));
+                    }
+                },
+            );
+        }
+    }
+
+    /// Chooses the endpoint for a request that waits; a suspect gets one to itself.
+    pub(crate) fn choose(&mut self, ask: &Ask, now: Instant) -> Option<Choice> {
+        let mut avoid = self.unsure();
+        if self.ledger.verdict(&ask.fingerprint) == Verdict::Suspect {
+            return self.choose_apart(ask, avoid, now);
+        }
+        avoid.extend(self.lanes.0.keys().cloned());
+        self.pick(ask, &avoid, now)
+    }
+
+    /// Picks an endpoint that was not tried, or else any, but none of `avoid`.
+    fn pick(&mut self, ask: &Ask, avoid: &[VmId], now: Instant) -> Option<Choice> {
+        let untried = [avoid, &ask.tried].concat();
+        let release = ask.release.as_ref();
+        self.router
+            .pick(&ask.service, release, &untried, now)
+            .or_else(|| self.router.pick(&ask.service, release, avoid, now))
+    }
+
+    fn choose_apart(&mut self, ask: &Ask, avoid: Vec<VmId>, now: Instant) -> Option<Choice> {
+        let endpoints: Vec<(VmId, bool)> =
+            self.router.endpoints().map(|(vm, known)| (vm.clone(), known.in_flight > 0)).collect();
+        let busy = endpoints.iter().filter(|(_, busy)| *busy).map(|(vm, _)| vm.clone());
+        let occupied = self.lanes.0.iter().filter(|(_, runs)| **runs).map(|(vm, _)| vm.clone());
+        let not_idle: Vec<VmId> = avoid.iter().cloned().chain(busy).chain(occupied).collect();
+        if let Some(choice) = self.pick(ask, &not_idle, now) {
+            let reserved = self.lanes.0.contains_key(&choice.vm);
+            if reserved || self.may_open(endpoints.len()) {
+                self.lanes.0.insert(choice.vm.clone(), true);
+                return Some(choice);
+            }
+        }
+        if self.may_open(endpoints.len()) {
+            let taken: Vec<VmId> = avoid.into_iter().chain(self.lanes.0.keys().cloned()).collect();
+            if let Some(choice) = self.pick(ask, &taken, now) {
+                // It gets no more work, and takes the suspect once it is idle.
+                self.lanes.0.insert(choice.vm, false);
+            }
+        }
+        None
+    }
+
+    fn may_open(&self, endpoints: usize) -> bool {
+        self.lanes.0.len() < (endpoints / ENDPOINTS_PER_LANE).clamp(1, MAX_LANES)
+    }
+
+    /// Gives endpoints back that were set apart for suspects that no longer wait.
+    pub(crate) fn close_lanes(&mut self) {
+        if self.lanes.0.values().all(|runs| *runs) {
+            return;
+        }
+        let suspect = |d: &Digest| self.ledger.verdict(d) == Verdict::Suspect;
+        if !self.queue.iter().any(|waiting| suspect(&waiting.ask.fingerprint)) {
+            self.lanes.0.retain(|_, runs| *runs);
+        }
+    }
+
+    /// Endpoints whose state is from before this process last woke late.
+    fn unsure(&self) -> Vec<VmId> {
+        let old = self.router.endpoints().filter(|(_, known)| known.seen < self.woke);
+        old.map(|(vm, _)| vm.clone()).collect()
+    }
+}
--- /dev/null
+++ b/components/net/src/handlers.rs
@@ -0,0 +1,54 @@
+//! Counts the threads that handle requests, so that a stopping process can wait for them.
+
+use std::{
+    sync::{Arc, Condvar, Mutex},
+    time::Instant,
+};
+
+/// The threads of a listener that handle requests.
+#[derive(Clone, Default)]
+pub struct Handlers {
+    shared: Arc<Shared>,
+}
+
+#[derive(Default)]
+struct Shared {
+    count: Mutex<usize>,
+    changed: Condvar,
+}
+
+/// Counts as one handler while it lives.
+pub struct Running(Handlers);
+
+impl Handlers {
+    /// Counts one more until the returned value is dropped.
+    pub fn enter(&self) -> Running {
+        *self.shared.count.lock().expect("no holder panics") += 1;
+        Running(self.clone())
+    }
+
+    /// Handlers that run.
+    pub fn count(&self) -> usize {
+        *self.shared.count.lock().expect("no holder panics")
+    }
+
+    /// Waits until none runs; returns false if some still do at `until`.
+    pub fn wait(&self, until: Instant) -> bool {
+        let mut count = self.shared.count.lock().expect("no holder panics");
+        while *count > 0 {
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return false;
+            }
+            count = self.shared.changed.wait_timeout(count, left).expect("no holder panics").0;
+        }
+        true
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        *self.0.shared.count.lock().expect("no holder panics") -= 1;
+        self.0.shared.changed.notify_all();
+    }
+}
--- a/components/net/src/http.rs
+++ b/components/net/src/http.rs
@@ -1,13 +1,10 @@
 //! HTTP listeners whose connections cannot hold a thread for ever.
 
 use std::{
-    io::Read,
+    io::ErrorKind,
     net::SocketAddr,
-    sync::{
-        Arc,
-        atomic::{AtomicUsize, Ordering},
-    },
-    time::Duration,
+    sync::Arc,
+    time::{Duration, Instant},
 };
 
 use anyhow::{Context, anyhow};
@@ -17,12 +14,16 @@
 use subtle::ConstantTimeEq;
 use tiny_http::{Header, Request, Response, Server};
 
-use crate::Latch;
+use crate::{Handlers, Latch};
 
 /// Connections that wait to be accepted.
 const BACKLOG: i32 = 1024;
 /// Longest wait for a request before the latch is looked at again.
 const POLL: Duration = Duration::from_millis(200);
+/// Longest time that a whole body takes, so that one that trickles in holds no thread for long.
+const BODY_TIME: Duration = Duration::from_secs(60);
+/// Bytes of a body that are read at once.
+const PIECE_BYTES: usize = 16 << 10;
 /// Stack of a thread that handles a request.
 const STACK_BYTES: usize = 256 << 10;
 
@@ -57,27 +58,26 @@
         self.addr
     }
 
-    /// Handles each request on a thread of its own until `stop` closes.
-    pub fn serve(&self, stop: Latch, handle: impl Fn(Request) + Send + Sync + 'static) {
+    /// Handles each request on a thread of its own until `stop` closes; those that wait then are
+    /// refused. The returned handlers run until all of them are answered.
+    pub fn serve(&self, stop: Latch, handle: impl Fn(Request) + Send + Sync + 'static) -> Handlers {
         let server = self.server.clone();
         let limit = self.limit;
         let handle = Arc::new(handle);
-        let running = Arc::new(AtomicUsize::new(0));
+        let handlers = Handlers::default();
+        let running = handlers.clone();
+        let accepting = handlers.enter();
         let accept = move || {
+            let _accepting = accepting;
             while !stop.is_closed() {
                 let Ok(Some(request)) = server.recv_timeout(POLL) else { continue };
-                if running.load(Ordering::Relaxed) >= limit {
-                    refuse(
-                        request,
-                        503,
-                        "too many requests are in progress; retry in 1s",
-                        "not-run",
-                    );
+                if running.count() > limit {
+                    let message = "too many requests are in progress; retry in 1s";
+                    refuse(request, 503, message, "not-run");
                     continue;
                 }
-                running.fetch_add(1, Ordering::Relaxed);
                 let handle = handle.clone();
-                let guard = Running(running.clone());
+                let guard = running.enter();
                 let thread = std::thread::Builder::new().stack_size(STACK_BYTES);
                 // A thread that cannot start drops the request, which answers it with an error.
                 let _ = thread.spawn(move || {
@@ -85,16 +85,12 @@
                     handle(request);
                 });
             }
+            while let Ok(Some(request)) = server.try_recv() {
+                refuse(request, 503, "the process stops; retry in 1s at another", "not-run");
+            }
         };
         std::thread::spawn(accept);
-    }
-}
-
-struct Running(Arc<AtomicUsize>);
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
+        handlers
     }
 }
 
@@ -111,16 +107,27 @@
     given.as_bytes().ct_eq(key.as_bytes()).into()
 }
 
-/// Reads a request's body; `None` if it is larger than `limit` or cut.
+/// Reads a request's body; `None` if it is larger than `limit`, cut, or not there in time.
 pub fn read_body(request: &mut Request, limit: ByteSize) -> Option<Vec<u8>> {
     let declared = request.body_length();
     if declared.is_some_and(|n| n as u64 > limit.0) {
         return None;
     }
+    let until = Instant::now() + BODY_TIME;
     let mut body = Vec::new();
-    request.as_reader().take(limit.0 + 1).read_to_end(&mut body).ok()?;
-    let whole = declared.is_none_or(|n| n == body.len());
-    (whole && body.len() as u64 <= limit.0).then_some(body)
+    let mut piece = vec![0; PIECE_BYTES];
+    loop {
+        match request.as_reader().read(&mut piece) {
+            Ok(0) => break,
+            Ok(n) => body.extend_from_slice(&piece[..n]),
+            Err(err) if err.kind() == ErrorKind::Interrupted => {}
+            Err(_) => return None,
+        }
+        if body.len() as u64 > limit.0 || Instant::now() >= until {
+            return None;
+        }
+    }
+    declared.is_none_or(|n| n == body.len()).then_some(body)
 }
 
 /// Answers a request with an error in JSON.
--- a/components/net/src/lib.rs
+++ b/components/net/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod client;
 mod core_loop;
+mod handlers;
 mod http;
 mod peers;
 mod rpc;
@@ -12,10 +13,11 @@
 
 pub use client::{pooled, single};
 pub use core_loop::{Mailbox, run};
+pub use handlers::{Handlers, Running};
 pub use http::{Listener, abort, authorized, header, query, read_body, refuse};
 pub use peers::{CallError, Peers};
 pub use rpc::{PeerCall, Reply, RpcServer, answer_call};
 pub use runtime::runtime;
-pub use shutdown::Latch;
+pub use shutdown::{Drain, Latch};
 pub use stream::StreamWriter;
 pub use workers::Workers;
--- a/components/net/src/rpc.rs
+++ b/components/net/src/rpc.rs
@@ -9,8 +9,8 @@
     types::ErrorObjectOwned,
 };
 use proto::{
-    Announcement, AttemptRef, DocumentReply, DocumentRequest, EndpointState, Fate, Gossip,
-    PeerServer, Status,
+    Announcement, AttemptRef, CrashRecord, DocumentReply, DocumentRequest, EndpointState, Fate,
+    Gossip, PeerServer, Status,
 };
 use settings::PeerKey;
 use subtle::ConstantTimeEq;
@@ -49,6 +49,8 @@
     Cancel(AttemptRef, Reply<Fate>),
     /// Asks what became of an attempt.
     Fate(AttemptRef, Reply<Fate>),
+    /// Tells the newest crash records and asks for others.
+    Crashes(Vec<CrashRecord>, Reply<Vec<CrashRecord>>),
     /// Asks for the state of the process.
     Status(Reply<Status>),
     /// Asks for the audit trail from a position on.
@@ -131,7 +133,7 @@
         }
         match tokio::time::timeout(REPLY_TIMEOUT, answer).await {
             Ok(Ok(value)) => Ok(value),
-            Ok(Err(_)) => Err(unavailable("this process does not serve the call; ask an agent")),
+            Ok(Err(_)) => Err(unavailable("this process does not serve the call; ask another")),
             Err(_) => Err(unavailable("the process is too busy to reply; retry later")),
         }
     }
@@ -171,6 +173,10 @@
         self.ask(|reply| PeerCall::Fate(attempt, reply)).await
     }
 
+    async fn crashes(&self, records: Vec<CrashRecord>) -> RpcResult<Vec<CrashRecord>> {
+        self.ask(|reply| PeerCall::Crashes(records, reply)).await
+    }
+
     async fn status(&self) -> RpcResult<Status> {
         self.ask(PeerCall::Status).await
     }
--- a/components/net/src/shutdown.rs
+++ b/components/net/src/shutdown.rs
@@ -1,8 +1,11 @@
-//! A latch that tells threads to stop.
+//! Tells threads to stop, and until when a planned stop may take.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicBool, Ordering},
+use std::{
+    sync::{
+        Arc, OnceLock,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, Instant},
 };
 
 /// Closed once, seen by all clones.
@@ -20,3 +23,27 @@
         self.0.load(Ordering::Acquire)
     }
 }
+
+/// The time of a planned stop, seen by all clones.
+#[derive(Clone)]
+pub struct Drain {
+    limit: Duration,
+    begun: Arc<OnceLock<Instant>>,
+}
+
+impl Drain {
+    /// A stop that has not begun and may take `limit`.
+    pub fn new(limit: Duration) -> Drain {
+        Drain { limit, begun: Arc::default() }
+    }
+
+    /// The stop begins, unless it has begun already.
+    pub fn begin(&self) {
+        self.begun.get_or_init(Instant::now);
+    }
+
+    /// When the stop must be over.
+    pub fn until(&self) -> Instant {
+        *self.begun.get_or_init(Instant::now) + self.limit
+    }
+}
--- a/components/node/src/event.rs
+++ b/components/node/src/event.rs
@@ -1,6 +1,8 @@
 //! Events of the common part of a process.
 
-use base::VmId;
+use std::time::Instant;
+
+use base::{Revision, VmId};
 use proto::{DocumentKind, Gossip};
 
 /// Something that happened to the common part.
@@ -15,12 +17,23 @@
         /// Where from, for the audit trail.
         cause: &'static str,
     },
+    /// The platform had no newer document than this revision.
+    Confirmed {
+        /// Which document.
+        kind: DocumentKind,
+        /// The revision.
+        revision: Revision,
+        /// When the platform was asked.
+        at: Instant,
+    },
     /// A gossip call ended.
     Gossiped {
         /// The VM that was called.
         to: VmId,
         /// Its reply, if it replied.
         reply: Option<Gossip>,
+        /// When it was asked.
+        at: Instant,
     },
 }
 
--- a/components/node/src/node.rs
+++ b/components/node/src/node.rs
@@ -3,11 +3,11 @@
 use std::{
     net::SocketAddr,
     sync::Arc,
-    time::{Instant, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use audit::{Change, Trail};
-use base::{Incarnation, ReleaseId, VmId, ranked};
+use base::{Incarnation, ReleaseId, Revision, VmId, ranked};
 use gossip::{Documents, Members, MembersSettings, Taken};
 use manifest::{Vm, VmState};
 use net::{Latch, Peers};
@@ -51,6 +51,8 @@
     log: Logger,
     manifest_watcher: Watcher,
     vms_watcher: Watcher,
+    /// The revision of the VM list that was last known to be the newest, and when.
+    vms_confirmed: Option<(Revision, Instant)>,
     rng: fastrand::Rng,
     send: Send,
 }
@@ -82,6 +84,7 @@
             log,
             manifest_watcher,
             vms_watcher,
+            vms_confirmed: None,
             rng: fastrand::Rng::new(),
             send,
             identity,
@@ -92,17 +95,42 @@
     pub fn handle(&mut self, event: NodeEvent, now: Instant) -> Changes {
         match event {
             NodeEvent::Document { kind, text, cause } => self.take(kind, &text, cause),
-            NodeEvent::Gossiped { to, reply: Some(gossip) } => {
+            NodeEvent::Confirmed { kind, revision, at } => {
+                if kind == DocumentKind::Vms {
+                    self.confirm_vms(revision, at);
+                }
+                Changes::default()
+            }
+            NodeEvent::Gossiped { to, reply: Some(gossip), at } => {
+                if let Some(age) = gossip.vms_age_ms {
+                    let then = at.checked_sub(Duration::from_millis(age)).unwrap_or(at);
+                    self.confirm_vms(gossip.vms, then);
+                }
                 self.learn(&to, gossip, now);
                 Changes::default()
             }
-            NodeEvent::Gossiped { to, reply: None } => {
+            NodeEvent::Gossiped { to, reply: None, .. } => {
                 self.members.missed(&to, now);
                 Changes::default()
             }
         }
     }
 
+    /// The revision of the VM list that was last known to be the newest, and when.
+    pub fn vms_confirmed(&self) -> Option<(Revision, Instant)> {
+        self.vms_confirmed
+    }
+
+    fn confirm_vms(&mut self, revision: Revision, at: Instant) {
+        if revision == self.documents.vms().revision {
+            let newest =
+                self.vms_confirmed.is_none_or(|(known, when)| (known, when) < (revision, at));
+            if newest {
+                self.vms_confirmed = Some((revision, at));
+            }
+        }
+    }
+
     fn take(&mut self, kind: DocumentKind, text: &[u8], cause: &'static str) -> Changes {
         match self.documents.offer(kind, text) {
             Taken::Old => Changes::default(),
@@ -183,10 +211,16 @@
             incarnation: self.identity.incarnation,
             manifest: self.documents.manifest().revision,
             vms: self.documents.vms().revision,
+            vms_age_ms: self.vms_age(),
             members: self.members.news(),
         }
     }
 
+    fn vms_age(&self) -> Option<u64> {
+        let (revision, at) = self.vms_confirmed?;
+        (revision == self.documents.vms().revision).then(|| at.elapsed().as_millis() as u64)
+    }
+
     /// Gossips with one random member and judges the suspects.
     pub fn tick(&mut self, now: Instant) {
         self.members.tick(self.documents.vms(), now);
@@ -199,11 +233,12 @@
         let vm = others[self.rng.usize(..others.len())].clone();
         let message = self.message();
         let send = self.send.clone();
+        let at = Instant::now();
         self.peers.call(
             vm.control,
             move |client| async move { client.gossip(message).await },
             move |reply| {
-                send(NodeEvent::Gossiped { to: vm.id, reply: reply.ok() });
+                send(NodeEvent::Gossiped { to: vm.id, reply: reply.ok(), at });
             },
         );
     }
--- a/components/node/src/watcher.rs
+++ b/components/node/src/watcher.rs
@@ -6,7 +6,7 @@
         Arc,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use base::Revision;
@@ -76,15 +76,23 @@
             }
             // A refused document is not asked for again; only a newer one is.
             let after = offered.max(Revision(self.have.load(Ordering::Relaxed)));
+            let at = Instant::now();
             match platform::watch(&client, *addr, name, after, WAIT) {
                 Ok(Some(watch)) => {
                     offered = watch.revision;
                     let cause = "platform";
-                    if !send(NodeEvent::Document { kind, text: watch.text, cause }) {
+                    let confirmed = NodeEvent::Confirmed { kind, revision: offered, at };
+                    if !send(NodeEvent::Document { kind, text: watch.text, cause })
+                        || !send(confirmed)
+                    {
+                        return;
+                    }
+                }
+                Ok(None) => {
+                    if !send(NodeEvent::Confirmed { kind, revision: after, at }) {
                         return;
                     }
                 }
-                Ok(None) => {}
                 Err(_) => std::thread::sleep(PAUSE),
             }
         }
--- a/components/proto/src/attempt.rs
+++ b/components/proto/src/attempt.rs
@@ -28,8 +28,8 @@
         pub attempt: AttemptId,
         /// The run of the agent that it was made for.
         pub incarnation: Incarnation,
-        /// Milliseconds since it was made, by the sender's clock.
-        pub age_ms: u64,
+        /// The agent's clock, in milliseconds, as the agent stated it before the attempt was made.
+        pub stamp: u64,
     }
 }
 
@@ -77,8 +77,17 @@
         Busy,
         /// The deadline has passed.
         Late,
-        /// The idempotency key was used before, or this agent cannot vouch that it was not.
-        KeyUsed,
+        /// The idempotency key was used by an attempt that may have run.
+        KeyUsed {
+            /// That attempt.
+            attempt: AttemptId,
+        },
+        /// The idempotency key was used for another request.
+        KeyMismatch,
+        /// This agent cannot vouch that the idempotency key was never used.
+        KeyUnknown,
+        /// The agent keeps no answer of the attempt, or not from this offset on.
+        NoAnswer,
     }
 }
 
--- a/components/proto/src/frame.rs
+++ b/components/proto/src/frame.rs
@@ -48,8 +48,8 @@
         },
         /// The endpoint failed while it answered.
         Failed {
-            /// Whether the endpoint crashed, as far as the agent can tell.
-            crashed: bool,
+            /// The crash of the endpoint that ended it, as far as the agent can tell.
+            crash: Option<u64>,
             /// Whether it ran.
             fate: Fate,
         },
--- a/components/proto/src/header.rs
+++ b/components/proto/src/header.rs
@@ -6,6 +6,12 @@
 pub const ATTEMPT: &str = "x-attempt";
 /// The incarnation of the agent that the attempt was made for.
 pub const INCARNATION: &str = "x-incarnation";
+/// The agent's clock as it stated it before the attempt was made, in milliseconds.
+pub const STAMP: &str = "x-stamp";
+/// Names the caller's request to the endpoint; the same for all its attempts.
+pub const REQUEST_ID: &str = "x-request-id";
+/// SHA-256 of what the caller asks for.
+pub const FINGERPRINT: &str = "x-fingerprint";
 /// Milliseconds until the caller's deadline.
 pub const DEADLINE: &str = "x-deadline-ms";
 /// The release that must answer, or that answered.
--- a/components/proto/src/lib.rs
+++ b/components/proto/src/lib.rs
@@ -4,17 +4,21 @@
 //! headers of `header`; an answer is a sequence of `Frame` lines.
 
 mod attempt;
+mod crash;
 mod frame;
 pub mod header;
 mod member;
 mod peer;
+mod reservation;
 mod status;
 
 pub use attempt::{AttemptRef, Fate, MIN_RETRY_AFTER, Outcome, RefusalReason};
+pub use crash::{CrashId, CrashRecord};
 pub use frame::{Frame, FrameError};
 pub use member::{
     Announcement, DocumentKind, DocumentReply, DocumentRequest, EndpointState, Gossip, Load,
     Member, MemberState, Serving,
 };
 pub use peer::{PeerClient, PeerServer};
+pub use reservation::{BadReservation, Reservation};
 pub use status::{EndpointRow, RolloutRow, Status};
--- a/components/proto/src/member.rs
+++ b/components/proto/src/member.rs
@@ -13,6 +13,9 @@
         pub manifest: Revision,
         /// Revision of the VM list that the sender has in force.
         pub vms: Revision,
+        /// Milliseconds since that VM list was known to be the newest, if it ever was.
+        #[serde(default)]
+        pub vms_age_ms: Option<u64>,
         /// News about members; bounded in number.
         pub members: Vec<Member>,
     }
@@ -105,6 +108,9 @@
         pub accepting: bool,
         /// The endpoint's load.
         pub load: Load,
+        /// Milliseconds since the agent's run began, by its own clock.
+        #[serde(default)]
+        pub clock: u64,
     }
 }
 
--- a/components/proto/src/peer.rs
+++ b/components/proto/src/peer.rs
@@ -4,7 +4,8 @@
 use jsonrpsee::{core::RpcResult, proc_macros::rpc};
 
 use crate::{
-    Announcement, AttemptRef, DocumentReply, DocumentRequest, EndpointState, Fate, Gossip, Status,
+    Announcement, AttemptRef, CrashRecord, DocumentReply, DocumentRequest, EndpointState, Fate,
+    Gossip, Status,
 };
 
 /// Calls that processes make to each other, and operators to processes.
@@ -34,6 +35,10 @@
     #[method(name = "fate")]
     async fn fate(&self, attempt: AttemptRef) -> RpcResult<Fate>;
 
+    /// Exchanges the newest crash records between entries.
+    #[method(name = "crashes")]
+    async fn crashes(&self, records: Vec<CrashRecord>) -> RpcResult<Vec<CrashRecord>>;
+
     /// The state of the process, for operators.
     #[method(name = "status")]
     async fn status(&self) -> RpcResult<Status>;
--- a/components/quarantine/src/ledger.rs
+++ b/components/quarantine/src/ledger.rs
@@ -6,12 +6,13 @@
 };
 
 use base::Digest;
+use proto::{CrashId, CrashRecord};
 
 /// Bounds of the ledger.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LedgerSettings {
     /// Crashes after which a fingerprint is quarantined.
-    pub crashes: u32,
+    pub crashes: usize,
     /// Time that a fingerprint stays in the ledger after its last crash.
     pub expiry: Duration,
     /// Most fingerprints.
@@ -35,63 +36,126 @@
     Quarantined,
 }
 
-/// Crash counts by fingerprint.
+/// What a record changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Noted {
+    /// It was known, or has expired.
+    Known,
+    /// It is news.
+    New,
+    /// It is news and quarantines the fingerprint.
+    Quarantined,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Case {
+    /// Distinct crashes with their times.
+    crashes: Vec<(CrashId, Instant)>,
+    /// Crashes, of the first ones, that the request has since been answered after.
+    answered: usize,
+}
+
+/// Crashes by fingerprint; the same crash counts once, however often it is reported.
 #[derive(Debug)]
 pub struct Ledger {
     settings: LedgerSettings,
-    /// Crashes, and when the last one was.
-    crashes: HashMap<Digest, (u32, Instant)>,
+    cases: HashMap<Digest, Case>,
+}
+
+impl Case {
+    fn last(&self) -> Option<Instant> {
+        self.crashes.iter().map(|(_, at)| *at).max()
+    }
+
+    fn counted(&self) -> usize {
+        self.crashes.len() - self.answered
+    }
 }
 
 impl Ledger {
     /// An empty ledger.
     pub fn new(settings: LedgerSettings) -> Ledger {
-        Ledger { settings, crashes: HashMap::new() }
+        Ledger { settings, cases: HashMap::new() }
     }
 
-    /// An endpoint crashed while it ran a request; returns whether that quarantines it.
-    pub fn crashed(&mut self, fingerprint: Digest, now: Instant) -> bool {
-        if self.crashes.len() >= self.settings.limit && !self.crashes.contains_key(&fingerprint) {
+    /// Takes in that a request was in progress when an endpoint crashed.
+    pub fn note(&mut self, record: &CrashRecord, now: Instant) -> Noted {
+        let age = Duration::from_millis(record.age_ms);
+        if age >= self.settings.expiry {
+            return Noted::Known;
+        }
+        if self.cases.len() >= self.settings.limit && !self.cases.contains_key(&record.fingerprint)
+        {
             self.drop_oldest();
         }
-        let (count, last) = self.crashes.entry(fingerprint).or_insert((0, now));
-        *count += 1;
-        *last = now;
-        *count == self.settings.crashes
+        let case = self.cases.entry(record.fingerprint).or_default();
+        if case.crashes.iter().any(|(crash, _)| *crash == record.crash) {
+            return Noted::Known;
+        }
+        case.crashes.push((record.crash.clone(), now.checked_sub(age).unwrap_or(now)));
+        if case.counted() == self.settings.crashes { Noted::Quarantined } else { Noted::New }
     }
 
     fn drop_oldest(&mut self) {
-        let oldest = self.crashes.iter().min_by_key(|(_, (_, last))| *last).map(|(d, _)| *d);
+        let oldest = self.cases.iter().min_by_key(|(_, case)| case.last()).map(|(d, _)| *d);
         if let Some(oldest) = oldest {
-            self.crashes.remove(&oldest);
+            self.cases.remove(&oldest);
+        }
+    }
+
+    /// A request was answered, so that it did not cause the crashes so far. One in quarantine stays
+    /// there.
+    pub fn answered(&mut self, fingerprint: &Digest) {
+        let quarantine = self.settings.crashes;
+        if let Some(case) = self.cases.get_mut(fingerprint)
+            && case.counted() < quarantine
+        {
+            case.answered = case.crashes.len();
         }
     }
 
     /// How a request is to be treated.
     pub fn verdict(&self, fingerprint: &Digest) -> Verdict {
-        match self.crashes.get(fingerprint) {
-            None => Verdict::Clear,
-            Some((count, _)) if *count < self.settings.crashes => Verdict::Suspect,
-            Some(_) => Verdict::Quarantined,
+        match self.cases.get(fingerprint).map_or(0, Case::counted) {
+            0 => Verdict::Clear,
+            count if count < self.settings.crashes => Verdict::Suspect,
+            _ => Verdict::Quarantined,
         }
     }
 
+    /// The newest records, at most `limit`.
+    pub fn records(&self, limit: usize, now: Instant) -> Vec<CrashRecord> {
+        let age = |at: Instant| now.saturating_duration_since(at).as_millis() as u64;
+        let all = self.cases.iter().flat_map(|(fingerprint, case)| {
+            case.crashes.iter().map(move |(crash, at)| CrashRecord {
+                fingerprint: *fingerprint,
+                crash: crash.clone(),
+                age_ms: age(*at),
+            })
+        });
+        let mut all: Vec<CrashRecord> = all.collect();
+        all.sort_by_key(|record| record.age_ms);
+        all.truncate(limit);
+        all
+    }
+
     /// Drops expired fingerprints; returns those that were quarantined.
     pub fn tick(&mut self, now: Instant) -> Vec<Digest> {
-        let expired = |last: &Instant| now >= *last + self.settings.expiry;
+        let expiry = self.settings.expiry;
+        let expired = |case: &Case| case.last().is_none_or(|last| now >= last + expiry);
         let out: Vec<Digest> =
-            self.crashes.iter().filter(|(_, (_, last))| expired(last)).map(|(d, _)| *d).collect();
+            self.cases.iter().filter(|(_, case)| expired(case)).map(|(d, _)| *d).collect();
         let released =
             out.iter().filter(|d| self.verdict(d) == Verdict::Quarantined).copied().collect();
         for digest in out {
-            self.crashes.remove(&digest);
+            self.cases.remove(&digest);
         }
         released
     }
 
     /// Fingerprints in quarantine.
     pub fn quarantined(&self) -> Vec<Digest> {
-        let all = self.crashes.keys().filter(|d| self.verdict(d) == Verdict::Quarantined);
+        let all = self.cases.keys().filter(|d| self.verdict(d) == Verdict::Quarantined);
         all.copied().collect()
     }
 }
--- a/components/quarantine/src/lib.rs
+++ b/components/quarantine/src/lib.rs
@@ -2,4 +2,4 @@
 
 mod ledger;
 
-pub use ledger::{Ledger, LedgerSettings, Verdict};
+pub use ledger::{Ledger, LedgerSettings, Noted, Verdict};
--- a/components/routing/src/router/tests.rs
+++ b/components/routing/src/router/tests.rs
@@ -10,6 +10,7 @@
         incarnation: Incarnation(1),
         serving: Some(serving),
         accepting,
+        clock: 0,
         load: Load { busy: 0, slots: 4 },
     }
 }
--- a/components/settings/src/model.rs
+++ b/components/settings/src/model.rs
@@ -101,6 +101,10 @@
     pub memory: ByteSize,
     /// Most requests in progress at the endpoint.
     pub slots: usize,
+    /// Time after a start, or after a change of the VM list, for which a caller's idempotency key
+    /// that is not known here counts as perhaps used elsewhere. Less than the default weakens what
+    /// is promised.
+    pub handover: Timeout,
 }
 
 impl Default for AgentSettings {
@@ -113,6 +117,7 @@
             link: ByteRate(200_000_000),
             memory: ByteSize(128 << 20),
             slots: 64,
+            handover: Timeout(Duration::from_secs(240)),
         }
     }
 }
--- a/components/standins/src/engine.rs
+++ b/components/standins/src/engine.rs
@@ -56,6 +56,8 @@
 pub struct EngineCounts {
     /// Requests that ran, by attempt.
     pub runs: HashMap<String, u32>,
+    /// Requests that were cancelled before their end.
+    pub cancelled: u32,
     /// Crashes.
     pub crashes: u32,
     /// Activations of a release whose chunks were not all there.
@@ -70,6 +72,7 @@
     done: bool,
     broken: bool,
     release: String,
+    stream: bool,
 }
 
 #[derive(Default)]
@@ -88,6 +91,18 @@
     counts: EngineCounts,
 }
 
+/// An answer to generate.
+struct Job {
+    /// The attempt.
+    id: String,
+    /// Names the answer to the caller.
+    name: String,
+    release: String,
+    prompt: String,
+    tokens: usize,
+    stream: bool,
+}
+
 struct Shared {
     settings: EngineSettings,
     state: Mutex<State>,
@@ -134,6 +149,11 @@
         self.shared.lock().prepared.clone()
     }
 
+    /// Requests that it generates answers to now.
+    pub fn busy(&self) -> usize {
+        self.shared.lock().busy
+    }
+
     /// Crashes it: all that it held is gone and all that it ran breaks off.
     pub fn crash(&self) {
         self.shared.crash();
@@ -287,6 +307,7 @@
         let prompt = messages.last().and_then(|m| m["content"].as_str()).unwrap_or_default();
         let tokens = call["max_tokens"].as_u64().unwrap_or(16) as usize;
         let id = header(&request, proto::header::ATTEMPT).unwrap_or("none").to_owned();
+        let name = header(&request, proto::header::REQUEST_ID).unwrap_or(&id).to_owned();
         let stream = call["stream"].as_bool().unwrap_or(false);
         let (release, epoch) = {
             let mut state = self.lock();
@@ -296,7 +317,7 @@
                 return;
             };
             *state.counts.runs.entry(id.clone()).or_default() += 1;
-            let answer = Answer { release: release.clone(), ..Answer::default() };
+            let answer = Answer { release: release.clone(), stream, ..Answer::default() };
             state.answers.insert(id.clone(), answer);
             (release, state.epoch)
         };
@@ -306,36 +327,28 @@
             return;
         }
         let engine = self.clone();
-        let (prompt, name) = (prompt.to_owned(), id.clone());
-        std::thread::spawn(move || {
-            engine.generate(&name, &release, &prompt, tokens, stream, epoch)
-        });
-        self.send(request, &id, 0, stream);
+        let job = Job { id: id.clone(), name, release, prompt: prompt.to_owned(), tokens, stream };
+        std::thread::spawn(move || engine.generate(&job, epoch));
+        self.send(request, &id, 0);
     }
 
-    fn generate(
-        &self,
-        id: &str,
-        release: &str,
-        prompt: &str,
-        tokens: usize,
-        stream: bool,
-        epoch: u64,
-    ) {
+    fn generate(&self, job: &Job, epoch: u64) {
+        let Job { id, name, release, prompt, tokens, stream } = job;
         if !self.take_slot(epoch) {
             return;
         }
         let mut text = String::new();
-        for n in 0..tokens {
+        for n in 0..*tokens {
             std::thread::sleep(self.settings.token_time);
             let token = token(release, prompt, n);
-            let piece = if stream { event(id, release, &token) } else { String::new() };
+            let piece = if *stream { event(name, release, &token) } else { String::new() };
             text.push_str(&token);
             if !self.append(id, piece.as_bytes(), epoch) {
                 return;
             }
         }
-        let last = if stream { "data: [DONE]\n\n".to_owned() } else { whole(id, release, &text) };
+        let last =
+            if *stream { "data: [DONE]\n\n".to_owned() } else { whole(name, release, &text) };
         let mut state = self.lock();
         if state.epoch != epoch {
             return;
@@ -377,7 +390,7 @@
     fn resume(&self, request: Request, id: &str, url: &str) {
         let offset = query(url, "offset").and_then(|v| v.parse().ok()).unwrap_or(0);
         if self.lock().answers.contains_key(id) {
-            self.send(request, id, offset, true);
+            self.send(request, id, offset);
         } else {
             refuse(request, 404, "no such answer", "unknown");
         }
@@ -385,19 +398,22 @@
 
     fn cancel(&self, request: Request, path: &str) {
         let id = path.strip_prefix("/v1/answers/").unwrap_or_default();
-        if let Some(answer) = self.lock().answers.get_mut(id) {
+        let mut state = self.lock();
+        if let Some(answer) = state.answers.get_mut(id).filter(|a| !a.broken && !a.done) {
             answer.broken = true;
+            state.counts.cancelled += 1;
         }
+        drop(state);
         self.changed.notify_all();
         respond_json(request, &json!({ "cancelled": true }));
     }
 
     /// Sends an answer from `offset` on, as it is generated.
-    fn send(&self, request: Request, id: &str, offset: usize, stream: bool) {
-        let (epoch, release) = {
+    fn send(&self, request: Request, id: &str, offset: usize) {
+        let (epoch, release, stream) = {
             let state = self.lock();
-            let release = state.answers.get(id).map(|a| a.release.clone()).unwrap_or_default();
-            (state.epoch, release)
+            let Some(answer) = state.answers.get(id) else { return abort(request) };
+            (state.epoch, answer.release.clone(), answer.stream)
         };
         let kind = if stream { "text/event-stream" } else { "application/json" };
         let headers = [("content-type", kind), (proto::header::RELEASE, release.as_str())];
