--- a/components/manifest/src/check.rs
+++ b/components/manifest/src/check.rs
@@ -19,7 +19,7 @@
         }
         let yaml = serde_norway::Deserializer::from_slice(text);
         let manifest: Manifest = serde_path_to_error::deserialize(yaml).map_err(|err| {
-            one(Problem::new(err.path().to_string(), err.into_inner().to_string()))
+            one(Problem::of_parser(err.path().to_string(), &err.into_inner().to_string()))
         })?;
         let problems = manifest.problems();
         if problems.is_empty() { Ok(manifest) } else { Err(ManifestError { problems }) }
