Write logs as key=value lines and count with metrics

Cause: log lines began with a prefix that is not key=value and lines of several loggers mixed; nothing was counted.

Conclusion: requests, chunks and orders are to be counted next, where they are decided.

--- a/components/agent/src/data.rs
+++ b/components/agent/src/data.rs
@@ -16,11 +16,18 @@
     let url = request.url().to_owned();
     match (request.method(), url.strip_prefix("/v1/blobs/")) {
         (Method::Get, Some(digest)) => blob(shared, digest, request),
+        (Method::Get, None) if url == "/healthz" => text(request, "ok\n"),
+        (Method::Get, None) if url == "/metrics" => text(request, &telemetry::install().render()),
         (Method::Post, None) if url == "/v1/attempts" => attempt::handle(shared, request),
         _ => refuse(request, 404, "no such path; update the peer", "not-run"),
     }
 }
 
+fn text(request: Request, text: &str) {
+    // The sender may be gone.
+    let _ = request.respond(Response::from_string(text));
+}
+
 fn blob(shared: &Shared, digest: &str, request: Request) {
     let digest = digest.parse::<Digest>().ok();
     let Some(chunk) = digest.and_then(|digest| shared.held(&digest)) else {
--- a/components/agent/src/process.rs
+++ b/components/agent/src/process.rs
@@ -45,6 +45,8 @@
     /// Starts an agent; JSON-RPC runs on the threads of `runtime`.
     pub fn start(settings: Settings, runtime: &Handle, log: Logger) -> anyhow::Result<Agent> {
         let options = settings.agent.clone().context("agent: section is missing; add it")?;
+        // Installed before the first count, which is lost otherwise.
+        telemetry::install();
         let stop = Latch::default();
         let (mailbox, events) = Mailbox::new();
         let shared = Shared {
--- a/components/audit/src/trail.rs
+++ b/components/audit/src/trail.rs
@@ -6,7 +6,9 @@
 };
 
 use base::{Revision, message};
+use metrics::counter;
 use slog::{Logger, info};
+use telemetry::names;
 
 use crate::{Change, Entry};
 
@@ -48,6 +50,7 @@
     /// Adds an entry.
     pub fn record(&mut self, change: Change, cause: impl Into<String>) {
         let cause = cause.into();
+        counter!(names::AUDIT, "kind" => change.kind()).increment(1);
         info!(self.log, "audit"; "kind" => change.kind(), "subject" => change.subject(),
             "cause" => &cause, "revision" => self.revision.0);
         let time = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
--- a/components/node/src/node.rs
+++ b/components/node/src/node.rs
@@ -10,10 +10,12 @@
 use base::{Incarnation, ReleaseId, VmId, ranked};
 use gossip::{Documents, Members, MembersSettings, Taken};
 use manifest::{Vm, VmState};
+use metrics::{counter, gauge};
 use net::{Latch, Peers};
 use proto::{DocumentKind, DocumentReply, DocumentRequest, Gossip, MemberState, PeerClient};
 use settings::Settings;
 use slog::{Logger, warn};
+use telemetry::names;
 
 use crate::{Changes, NodeEvent, watcher::Watcher};
 
@@ -93,10 +95,12 @@
         match event {
             NodeEvent::Document { kind, text, cause } => self.take(kind, &text, cause),
             NodeEvent::Gossiped { to, reply: Some(gossip) } => {
+                counter!(names::GOSSIP, "result" => "replied").increment(1);
                 self.learn(&to, gossip, now);
                 Changes::default()
             }
             NodeEvent::Gossiped { to, reply: None } => {
+                counter!(names::GOSSIP, "result" => "missed").increment(1);
                 self.members.missed(&to, now);
                 Changes::default()
             }
@@ -107,6 +111,7 @@
         match self.documents.offer(kind, text) {
             Taken::Old => Changes::default(),
             Taken::Refused { digest, why } => {
+                counter!(names::REFUSED).increment(1);
                 warn!(self.log, "document refused"; "kind" => ?kind, "why" => &why);
                 let change = Change::ManifestRefused { digest: digest.to_string() };
                 self.trail.record(change, why);
@@ -116,12 +121,14 @@
                 self.select_readers();
                 match kind {
                     DocumentKind::Manifest => {
+                        gauge!(names::MANIFEST).set(revision.0 as f64);
                         self.trail.set_revision(revision);
                         self.trail.record(Change::ManifestAccepted { manifest: revision }, cause);
                         self.manifest_watcher.set_have(revision);
                         Changes { manifest: true, vms: false }
                     }
                     DocumentKind::Vms => {
+                        gauge!(names::VMS).set(revision.0 as f64);
                         self.trail.record(Change::VmsAccepted { vms: revision }, cause);
                         self.vms_watcher.set_have(revision);
                         Changes { manifest: false, vms: true }
--- a/components/telemetry/src/log.rs
+++ b/components/telemetry/src/log.rs
@@ -1,14 +1,24 @@
 //! One key=value line for each event, on standard error.
 
-use std::{io::Stderr, sync::Mutex};
+use std::{
+    io::LineWriter,
+    sync::Mutex,
+    time::{SystemTime, UNIX_EPOCH},
+};
 
-use slog::{Drain, Logger, o};
+use slog::{Drain, FnValue, Level, Logger, o};
 
-/// A logger whose lines carry the VM and the role of the process.
+/// A logger whose lines carry time, VM and role of the process.
 pub fn logger(vm: String, role: &'static str) -> Logger {
-    let lines = slog_logfmt::Logfmt::<Stderr>::new(std::io::stderr()).build();
-    let drain = Mutex::new(lines.filter_level(slog::Level::Info).fuse()).fuse();
-    Logger::root(drain, o!("vm" => vm, "role" => role))
+    // A line goes out in one write, so that lines of several loggers do not mix.
+    let out = LineWriter::new(std::io::stderr());
+    let lines = slog_logfmt::Logfmt::new(out).no_prefix().print_level(true).print_msg(true).build();
+    let drain = Mutex::new(lines.filter_level(Level::Info).fuse()).fuse();
+    Logger::root(drain, o!("time_ms" => FnValue(|_| now_ms()), "vm" => vm, "role" => role))
+}
+
+fn now_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
 }
 
 /// A logger that drops everything.
--- a/components/telemetry/src/metrics_page.rs
+++ b/components/telemetry/src/metrics_page.rs
@@ -1,9 +1,14 @@
 //! Prometheus text metrics.
 
-use std::sync::OnceLock;
+use std::{sync::OnceLock, thread, time::Duration};
 
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 
+use crate::names;
+
+/// Time between clean-ups of samples.
+const UPKEEP_EVERY: Duration = Duration::from_secs(5);
+
 static HANDLE: OnceLock<Option<PrometheusHandle>> = OnceLock::new();
 
 /// Renders the metrics of this process.
@@ -15,17 +20,22 @@
     pub fn render(&self) -> String {
         self.0.as_ref().map(PrometheusHandle::render).unwrap_or_default()
     }
-
-    /// Drops samples that are no longer shown; to be called every few seconds.
-    pub fn upkeep(&self) {
-        if let Some(handle) = &self.0 {
-            handle.run_upkeep();
-        }
-    }
 }
 
 /// Installs the recorder once for the process; later calls return the same page.
 pub fn install() -> MetricsPage {
-    let handle = HANDLE.get_or_init(|| PrometheusBuilder::new().install_recorder().ok());
-    MetricsPage(handle.clone())
+    MetricsPage(HANDLE.get_or_init(start).clone())
+}
+
+fn start() -> Option<PrometheusHandle> {
+    let handle = PrometheusBuilder::new().install_recorder().ok()?;
+    names::describe();
+    let kept = handle.clone();
+    thread::spawn(move || {
+        loop {
+            thread::sleep(UPKEEP_EVERY);
+            kept.run_upkeep();
+        }
+    });
+    Some(handle)
 }
--- /dev/null
+++ b/components/telemetry/src/names.rs
@@ -0,0 +1,50 @@
+//! Names of the metrics.
+
+use metrics::{Unit, describe_counter, describe_gauge, describe_histogram};
+
+/// Requests that ended, by `outcome`: `answered`, `not-run`, `run`, `unknown` or `caller-gone`.
+pub const REQUESTS: &str = "carawaypaddle_requests_total";
+/// Attempts that were made.
+pub const ATTEMPTS: &str = "carawaypaddle_attempts_total";
+/// Retries that were allowed, and those the budget did not allow, by `allowed`.
+pub const RETRIES: &str = "carawaypaddle_retries_total";
+/// Time from a request's arrival to the first byte of its answer.
+pub const FIRST_BYTE: &str = "carawaypaddle_first_byte_seconds";
+/// Requests in progress.
+pub const IN_FLIGHT: &str = "carawaypaddle_in_flight";
+/// Requests that wait for an endpoint.
+pub const QUEUED: &str = "carawaypaddle_queued";
+/// Revision of the manifest in force.
+pub const MANIFEST: &str = "carawaypaddle_manifest_revision";
+/// Revision of the VM list in force.
+pub const VMS: &str = "carawaypaddle_vms_revision";
+/// Documents that were refused.
+pub const REFUSED: &str = "carawaypaddle_documents_refused_total";
+/// Gossip calls, by `result`: `replied` or `missed`.
+pub const GOSSIP: &str = "carawaypaddle_gossip_total";
+/// Bytes of chunks that were fetched, by `source`: `peer`, `store` or `origin`.
+pub const CHUNK_BYTES: &str = "carawaypaddle_chunk_bytes_total";
+/// Fetches that failed, by `error`.
+pub const CHUNK_ERRORS: &str = "carawaypaddle_chunk_errors_total";
+/// Orders to the engine, by `order` and `accepted`.
+pub const ORDERS: &str = "carawaypaddle_orders_total";
+/// Entries of the audit trail, by `kind`.
+pub const AUDIT: &str = "carawaypaddle_audit_total";
+
+/// Tells the recorder what each metric is.
+pub(crate) fn describe() {
+    describe_counter!(REQUESTS, "requests that ended, by outcome");
+    describe_counter!(ATTEMPTS, "attempts that were made");
+    describe_counter!(RETRIES, "retries, by whether the budget allowed them");
+    describe_histogram!(FIRST_BYTE, Unit::Seconds, "time to the first byte of an answer");
+    describe_gauge!(IN_FLIGHT, "requests in progress");
+    describe_gauge!(QUEUED, "requests that wait for an endpoint");
+    describe_gauge!(MANIFEST, "revision of the manifest in force");
+    describe_gauge!(VMS, "revision of the VM list in force");
+    describe_counter!(REFUSED, "documents that were refused");
+    describe_counter!(GOSSIP, "gossip calls, by result");
+    describe_counter!(CHUNK_BYTES, Unit::Bytes, "bytes of chunks fetched, by source");
+    describe_counter!(CHUNK_ERRORS, "fetches that failed, by error");
+    describe_counter!(ORDERS, "orders to the engine");
+    describe_counter!(AUDIT, "entries of the audit trail, by kind");
+}
