Cause silent connections, crashes, poison and bad callers over the whole path

Cause: the promises of the request path were tested only at their decisions.

Change: a relay in the testbed that loses track of connections; tests over real entries and agents for keys, silent and cut connections, crashes, callers that leave, poison requests and malformed requests.

--- a/components/testbed/src/bed.rs
+++ b/components/testbed/src/bed.rs
@@ -52,6 +52,8 @@
     pub engine: EngineSettings,
     /// Time of a call to a plain service.
     pub work: Duration,
+    /// Time after a start for which an agent does not vouch for callers' idempotency keys.
+    pub handover: Duration,
     /// Requests a second that the workspace may make.
     pub rate: Rate,
     /// Seed of all that is random in the stand-ins.
@@ -72,6 +74,7 @@
             memory: ByteSize(256 << 20),
             engine: EngineSettings::default(),
             work: Duration::from_millis(5),
+            handover: Duration::from_secs(240),
             rate: Rate(100_000.0),
             seed: 1,
             verbose: false,
@@ -172,6 +175,7 @@
             kind: EndpointKind::Plain,
             service: Some(id("orders")),
             link: self.settings.link,
+            handover: Timeout(self.settings.handover),
             ..AgentSettings::default()
         };
         let (vm, agent) = self.start_agent(name, place, Role::Plain(service), options)?;
--- a/components/testbed/src/caller.rs
+++ b/components/testbed/src/caller.rs
@@ -2,6 +2,7 @@
 
 use std::{io::Read, net::SocketAddr, time::Duration};
 
+use anyhow::Context;
 use proto::header;
 use serde_json::{Value, json};
 use standins::expected;
@@ -74,6 +75,18 @@
         judge(&text, read.is_ok(), prompt, tokens)
     }
 
+    /// Reserves an idempotency key of a service.
+    pub fn reserve(&self, entry: SocketAddr, service: &str) -> anyhow::Result<String> {
+        let mut response = self
+            .client
+            .post(format!("http://{entry}/{service}/_keys"))
+            .header(header::AUTHORIZATION, format!("Bearer {}", self.key))
+            .send_empty()?;
+        let answer: Value = response.body_mut().read_json()?;
+        let key = answer["key"].as_str().context("no key")?;
+        Ok(key.to_owned())
+    }
+
     /// Sends a call to the plain service `orders`.
     pub fn order(&self, entry: SocketAddr, key: Option<&str>, body: &str) -> Answer {
         let mut request = self
--- a/components/testbed/src/lib.rs
+++ b/components/testbed/src/lib.rs
@@ -3,8 +3,10 @@
 
 mod bed;
 mod caller;
+mod relay;
 mod weights;
 
 pub use bed::{AgentSlot, CALLER_KEY, Testbed, TestbedSettings};
 pub use caller::{Answer, Caller};
+pub use relay::Relay;
 pub use weights::{Weights, publish};
