--- a/components/agent/src/core.rs
+++ b/components/agent/src/core.rs
@@ -1,19 +1,20 @@
 //! The agent's actor: turns events into decisions of the cores and carries their actions out.
 
 use std::{
+    collections::VecDeque,
     sync::{Arc, Mutex},
     time::{Duration, Instant},
 };
 
 use attempts::{Attempts, AttemptsSettings};
 use audit::Change;
-use base::{ByteSize, Digest, Fence};
+use base::{ByteSize, Digest, Fence, ReleaseId};
 use bytes::Bytes;
 use chunks::{Link, Pool};
+use manifest::ChunkList;
 use net::{Mailbox, Workers};
-use node::{Node, NodeEvent};
+use node::{Changes, Node, NodeEvent, wall_clock_ms};
 use placement::Placement;
-use proto::MemberState;
 use rollout::Endpoint;
 use settings::{AgentSettings, EndpointKind};
 use stakker::{CX, after, stop};
@@ -63,6 +64,9 @@
     pub(crate) attempts: Attempts,
     pub(crate) placement: Placement,
     pub(crate) loading: Option<Loading>,
+    /// Chunk lists that were read last, newest last; at most `KEPT_LISTS`. An engine can be loaded
+    /// again with them while the configuration service is down.
+    pub(crate) lists: VecDeque<(Digest, Arc<ChunkList>)>,
     /// The last statement of the endpoint.
     pub(crate) report: Option<EngineReport>,
     /// When the endpoint made it.
@@ -71,6 +75,12 @@
     pub(crate) draining: Option<Instant>,
     pub(crate) gossip_at: Instant,
     pub(crate) target_since: Instant,
+    /// When targets and turns are looked at next.
+    pub(crate) aim_at: Instant,
+    /// The release that was seen halted last.
+    pub(crate) halted: Option<ReleaseId>,
+    /// When the process ran last, by the wall clock and by the clock of the runtime.
+    pub(crate) ran_at: (u64, Instant),
     pub(crate) origin_bytes: u64,
 }
 
@@ -92,12 +102,16 @@
             shared,
             placement: Placement::default(),
             loading: None,
+            lists: VecDeque::new(),
             report: None,
             reported: now,
             reading: false,
             draining: None,
             gossip_at: now,
             target_since: now,
+            aim_at: now,
+            halted: None,
+            ran_at: (wall_clock_ms(), now),
             origin_bytes: 0,
         })
     }
@@ -107,7 +121,7 @@
         match event {
             Event::Peer(call) => self.answer(call, now),
             Event::Node(event) => self.node_event(event, now),
-            Event::Engine(report) => self.engine_report(report, now),
+            Event::Engine { report, asked } => self.engine_report(report, asked, now),
             Event::Ordered { order, accepted } => self.ordered(order, accepted, now),
             Event::List { digest, list } => self.list(cx, digest, list),
             Event::Fetched { list, chunk, source, result } => {
@@ -139,13 +153,14 @@
         self.attempts.tick(now);
         if now >= self.gossip_at {
             self.gossip_at = now + GOSSIP_EVERY;
-            self.node.tick(now);
+            let changes = self.node.tick(now);
+            self.changed(changes, now);
         }
         if self.settings.kind == EndpointKind::Plain {
             self.tick_plain(now);
         } else {
-            let turn = self.turn();
-            self.decide(rollout::Event::Turn(turn), now);
+            self.notice_pause(now);
+            self.aim_again(now);
             self.decide(rollout::Event::InFlight(self.attempts.running()), now);
             self.decide(rollout::Event::Tick, now);
         }
@@ -157,7 +172,7 @@
     pub(crate) fn tick_plain(&mut self, now: Instant) {
         if now >= self.reported + RETRY {
             self.reported = now;
-            self.read_engine();
+            self.read_engine(now);
         }
     }
 
@@ -165,7 +180,7 @@
         if self.draining.is_none() {
             self.draining = Some(now + self.node.identity.settings.drain.0);
             self.node.trail.record(Change::Draining, "planned stop");
-            self.node.state(MemberState::Leaving, self.endpoint.serving().cloned());
+            self.state();
         }
     }
 
@@ -186,8 +201,18 @@
 
     pub(crate) fn node_event(&mut self, event: NodeEvent, now: Instant) {
         let changes = self.node.handle(event, now);
-        if changes.any() {
+        self.changed(changes, now);
+    }
+
+    fn changed(&mut self, changes: Changes, now: Instant) {
+        if changes.manifest || changes.vms {
             self.retarget(now);
         }
+        if changes.joined {
+            self.decide(rollout::Event::Fresh, now);
+        }
+        if self.node.members.has_rival() {
+            self.decide(rollout::Event::Rival, now);
+        }
     }
 }
--- a/components/agent/src/event.rs
+++ b/components/agent/src/event.rs
@@ -1,5 +1,7 @@
 //! Events of the agent's actor.
 
+use std::time::Instant;
+
 use attempts::Offer;
 use base::{AttemptId, Digest, ReleaseId};
 use bytes::Bytes;
@@ -20,7 +22,12 @@
     /// An event of the common part.
     Node(NodeEvent),
     /// The endpoint stated its state, or could not be asked.
-    Engine(Option<EngineReport>),
+    Engine {
+        /// Its statement.
+        report: Option<EngineReport>,
+        /// When it was asked.
+        asked: Instant,
+    },
     /// The answer to an order.
     Ordered { order: Order, accepted: bool },
     /// A chunk list was read, or could not be.
--- a/components/agent/src/report.rs
+++ b/components/agent/src/report.rs
@@ -13,6 +13,7 @@
     pub(crate) fn answer(&mut self, call: PeerCall, now: Instant) {
         match call {
             PeerCall::Gossip(gossip, reply) => answer_call(reply, self.node.gossip(gossip, now)),
+            PeerCall::Probe(vm, reply) => self.node.probe(&vm, reply),
             PeerCall::Document(request, reply) => answer_call(reply, self.node.document(&request)),
             PeerCall::Announce(announcement) => {
                 let loading = self.loading.as_mut();
@@ -103,5 +104,6 @@
         Phase::Settled => "ready",
         Phase::Loading | Phase::Waiting => "loading",
         Phase::Draining | Phase::Switching => "switching",
+        Phase::Superseded => "superseded",
     }
 }
--- a/components/agent/src/rollouts.rs
+++ b/components/agent/src/rollouts.rs
@@ -1,12 +1,14 @@
 //! The agent's part in rollouts: its target, its turn, and orders to the engine.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use audit::Change;
-use base::{Digest, VmId};
+use base::{Digest, ReleaseId, VmId};
 use chunks::Tree;
+use manifest::{Release, Rollout};
+use node::wall_clock_ms;
 use placement::place;
-use proto::MemberState;
+use proto::{MemberState, Trialled, Verdict};
 use rollout::{Action, Order, OrderKind, Replica, Target, Turn};
 use settings::EndpointKind;
 
@@ -16,6 +18,13 @@
     event::Event,
 };
 
+/// Time between looks at what the other VMs of the rollout state.
+const AIM_EVERY: Duration = Duration::from_millis(250);
+/// Time by which the wall clock must run ahead of the runtime's to count as a pause.
+const WALL_GAP: Duration = Duration::from_secs(2);
+/// Age after which an order is not sent any more.
+const ORDER_LIFE: Duration = Duration::from_secs(1);
+
 impl Core {
     /// Computes the placement again and aims at what it gives this VM.
     pub(crate) fn retarget(&mut self, now: Instant) {
@@ -26,15 +35,9 @@
             return;
         }
         self.placement = place(documents.manifest(), documents.vms());
-        let target = self.placement.rollout_of(me).and_then(|id| {
-            let rollout = documents.manifest().rollout(id)?;
-            let release = documents.manifest().release(rollout)?;
-            Some(Target { rollout: id.clone(), release: release.id })
-        });
-        if self.endpoint.target() != target.as_ref() {
-            self.target_since = now;
-        }
-        self.decide(rollout::Event::Target(target), now);
+        let group = self.placement.rollout_of(me).map(|id| self.placement.vms_of(id).to_vec());
+        self.node.set_group(&group.unwrap_or_default());
+        self.aim(now);
         self.update_trees();
     }
 
@@ -54,32 +57,116 @@
         target.map(|t| self.placement.vms_of(&t.rollout).to_vec()).unwrap_or_default()
     }
 
-    pub(crate) fn turn(&self) -> bool {
-        let Some(target) = self.endpoint.target() else { return false };
-        let Some(rollout) = self.node.documents.manifest().rollout(&target.rollout) else {
-            return false;
+    /// The release that the manifest wants of this VM's rollout.
+    fn wanted(&self) -> Option<(&Rollout, Release)> {
+        let manifest = self.node.documents.manifest();
+        let id = self.placement.rollout_of(&self.node.identity.settings.vm)?;
+        let rollout = manifest.rollout(id)?;
+        Some((rollout, manifest.release(rollout)?))
+    }
+
+    /// What is known of the VMs of a rollout, in placement order.
+    fn replicas(&self, rollout: &Rollout) -> Vec<Replica> {
+        let replica = |vm: &VmId| {
+            let member = self.node.members.get(vm);
+            Replica {
+                serving: member.and_then(|m| m.serving.clone()),
+                verdict: member.and_then(|m| m.verdict.clone()),
+                dead: self.node.members.is_gone(vm),
+            }
         };
-        let vms = self.placement.vms_of(&target.rollout);
+        self.placement.vms_of(&rollout.id).iter().map(replica).collect()
+    }
+
+    /// Looks again at the release to aim at and at this VM's turn, which depend on the others.
+    pub(crate) fn aim_again(&mut self, now: Instant) {
+        if now >= self.aim_at {
+            self.aim_at = now + AIM_EVERY;
+            self.aim(now);
+        }
+    }
+
+    pub(crate) fn aim(&mut self, now: Instant) {
+        let Some((rollout, release)) = self.wanted() else {
+            self.target(None, now);
+            return;
+        };
+        let replicas = self.replicas(rollout);
         let me = &self.node.identity.settings.vm;
-        let Some(position) = vms.iter().position(|vm| vm == me) else { return false };
-        let replica = |vm: &VmId| Replica {
-            serving: self.node.members.get(vm).and_then(|m| m.serving.clone()),
-            dead: self.node.members.is_gone(vm),
+        let position = self.placement.vms_of(&rollout.id).iter().position(|vm| vm == me);
+        let halted = rollout::halted(rollout.canary, &release.id, &replicas);
+        let failed = |v: Verdict| v.outcome == Trialled::Failed;
+        let give_up = halted || self.endpoint.verdict(&release.id).is_some_and(failed);
+        let aimed = match give_up && self.endpoint.serving() != Some(&release.id) {
+            true => self.fallback(&release.id, &replicas),
+            false => Some(release.id.clone()),
         };
-        let replicas: Vec<Replica> = vms.iter().map(replica).collect();
-        let step = vms.len().saturating_sub(rollout.floor).max(1);
-        let turn = Turn { canary: rollout.canary, step };
-        rollout::my_turn(turn, &target.release, &replicas, position)
+        let turn = Turn { canary: rollout.canary, floor: rollout.floor };
+        let turn = match &aimed {
+            Some(aimed) if *aimed != release.id => true,
+            _ => position.is_some_and(|me| rollout::my_turn(turn, &release.id, &replicas, me)),
+        };
+        let (id, soak) = (rollout.id.clone(), rollout.soak.0);
+        if halted && self.halted.as_ref() != Some(&release.id) {
+            self.halted = Some(release.id.clone());
+            let change = Change::Halted { release: release.id.clone() };
+            self.node.trail.record(change, format!("it failed on the first VMs of {id}"));
+        }
+        self.target(aimed.map(|release| Target { rollout: id, release, soak }), now);
+        self.decide(rollout::Event::Turn(turn), now);
+    }
+
+    /// What to serve instead of a release that failed: what the engine serves, or else what most of
+    /// the rollout's VMs serve, if the manifest still lists it.
+    fn fallback(&self, release: &ReleaseId, replicas: &[Replica]) -> Option<ReleaseId> {
+        let current = self.endpoint.serving().cloned();
+        let fallback = current.or_else(|| rollout::fallback(release, replicas))?;
+        self.node.documents.manifest().release_named(&fallback).map(|r| r.id)
+    }
+
+    fn target(&mut self, target: Option<Target>, now: Instant) {
+        if self.endpoint.target() != target.as_ref() {
+            self.target_since = now;
+            self.decide(rollout::Event::Target(target), now);
+            self.update_trees();
+        }
+    }
+
+    /// Notices a pause that only the wall clock shows, such as that of a suspended VM.
+    pub(crate) fn notice_pause(&mut self, now: Instant) {
+        let wall = wall_clock_ms();
+        let (last_wall, last) = self.ran_at;
+        self.ran_at = (wall, now);
+        let ran = now.duration_since(last);
+        let passed = Duration::from_millis(wall.saturating_sub(last_wall));
+        if passed.saturating_sub(ran) > WALL_GAP {
+            self.decide(rollout::Event::Woke, now);
+        }
     }
 
     pub(crate) fn decide(&mut self, event: rollout::Event, now: Instant) {
+        if self.settings.kind == EndpointKind::Plain {
+            return;
+        }
         for action in self.endpoint.handle(event, now) {
             match action {
-                Action::ReadEngine => self.read_engine(),
-                Action::Order(order) => self.order(order),
+                Action::ReadEngine => self.read_engine(now),
+                Action::Refresh => {
+                    self.node.trail.record(Change::Paused, "the clock shows a gap");
+                    self.node.join(now);
+                }
+                Action::StepDown(fence) => {
+                    let cause = "a later agent gives this engine orders; stop this one";
+                    self.node.trail.record(Change::SteppedDown { fence }, cause);
+                    self.loading = None;
+                }
+                Action::Order(order) => self.order(order, now),
                 Action::Load(release) => self.load(&release, now),
                 Action::Stop(release) => {
-                    self.node.trail.record(Change::Superseded { release }, "target changed");
+                    if self.endpoint.target().is_none_or(|t| t.release != release) {
+                        let change = Change::Superseded { release };
+                        self.node.trail.record(change, "target changed");
+                    }
                     self.loading = None;
                 }
                 Action::Ready(release) => {
@@ -90,11 +177,19 @@
                 }
             }
         }
-        let state = if self.draining.is_some() { MemberState::Leaving } else { MemberState::Alive };
-        self.node.state(state, self.endpoint.serving().cloned());
+        self.state();
+    }
+
+    /// Tells the others what this VM serves and takes work for.
+    pub(crate) fn state(&mut self) {
+        let leaving = self.draining.is_some();
+        let state = if leaving { MemberState::Leaving } else { MemberState::Alive };
+        let serving = self.endpoint.serving().filter(|_| self.endpoint.accepting()).cloned();
+        let verdict = self.wanted().and_then(|(_, r)| self.endpoint.verdict(&r.id));
+        self.node.state(state, serving, verdict);
     }
 
-    pub(crate) fn read_engine(&mut self) {
+    pub(crate) fn read_engine(&mut self, asked: Instant) {
         if self.reading {
             return;
         }
@@ -106,33 +201,47 @@
                 EndpointKind::Model => engine.report(),
                 EndpointKind::Plain => engine.health(),
             };
-            mailbox.send(Event::Engine(report));
+            mailbox.send(Event::Engine { report, asked });
         });
     }
 
-    pub(crate) fn engine_report(&mut self, report: Option<EngineReport>, now: Instant) {
+    pub(crate) fn engine_report(
+        &mut self,
+        report: Option<EngineReport>,
+        asked: Instant,
+        now: Instant,
+    ) {
         self.reading = false;
         self.reported = now;
         let view = report.as_ref().map(EngineReport::view);
         self.report = report;
         if self.settings.kind == EndpointKind::Model {
-            let event = view.map_or(rollout::Event::EngineLost, rollout::Event::Engine);
-            self.decide(event, now);
+            self.decide(
+                match view {
+                    Some(view) => rollout::Event::Engine { view, asked },
+                    None => rollout::Event::EngineLost,
+                },
+                now,
+            );
         }
     }
 
-    pub(crate) fn order(&mut self, order: Order) {
+    pub(crate) fn order(&mut self, order: Order, now: Instant) {
         if order.order == OrderKind::Prepare {
             self.prepare(order);
             return;
         }
-        self.send_order(order, Vec::new());
+        self.send_order(order, Vec::new(), now);
     }
 
-    pub(crate) fn send_order(&self, order: Order, chunks: Vec<Digest>) {
+    /// Sends an order that was given at `given`; it is dropped if the process was paused meanwhile.
+    pub(crate) fn send_order(&self, order: Order, chunks: Vec<Digest>, given: Instant) {
         let Shared { engine, mailbox, workers, .. } = self.shared.clone();
+        let wall = wall_clock_ms();
         workers.run(move || {
-            let accepted = engine.order(&order, &chunks);
+            let passed = Duration::from_millis(wall_clock_ms().saturating_sub(wall));
+            let fresh = given.elapsed().max(passed) < ORDER_LIFE;
+            let accepted = fresh && engine.order(&order, &chunks);
             mailbox.send(Event::Ordered { order, accepted });
         });
     }
--- a/components/agent/src/weights.rs
+++ b/components/agent/src/weights.rs
@@ -1,10 +1,14 @@
 //! The agent's part in the spread of weights: chunk lists, fetches and hand-over to the engine.
 
-use std::time::{Duration, Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use base::{ByteSize, Digest, ReleaseId, VmId};
 use bytes::Bytes;
 use chunks::{Action as ChunkAction, FetchError, Source, TransferSettings};
+use manifest::ChunkList;
 use proto::{Announcement, PeerClient};
 use rollout::Order;
 use stakker::{CX, after};
@@ -17,17 +21,14 @@
 
 /// Pause before something that failed is tried again.
 const RETRY: Duration = Duration::from_millis(300);
+/// Chunk lists that are kept.
+const KEPT_LISTS: usize = 4;
 
 impl Core {
     /// Reads the chunk lists of a release, which the order to prepare names.
     pub(crate) fn prepare(&mut self, order: Order) {
         let manifest = self.node.documents.manifest();
-        let target = self.endpoint.target();
-        let rollout = target.and_then(|t| manifest.rollout(&t.rollout));
-        let Some(release) = rollout.and_then(|r| manifest.release(r)) else { return };
-        if release.id != order.release {
-            return;
-        }
+        let Some(release) = manifest.release_named(&order.release) else { return };
         let loading = Loading::new(release, order);
         for digest in loading.missing_lists() {
             self.read_list(digest);
@@ -36,18 +37,26 @@
     }
 
     pub(crate) fn read_list(&self, digest: Digest) {
+        if let Some((_, list)) = self.lists.iter().find(|(kept, _)| *kept == digest) {
+            let list = Some(ChunkList::clone(list));
+            self.shared.mailbox.send(Event::List { digest, list });
+            return;
+        }
         let Shared { chunk_client, mailbox, workers, .. } = self.shared.clone();
         let addrs = self.node.identity.settings.platform.config.clone();
         workers.run(move || {
             let name = format!("chunks/{digest}");
             let read = |addr| platform::read_value(&chunk_client, addr, &name).ok();
             let text = addrs.into_iter().find_map(read);
-            let list = text.and_then(|t| manifest::ChunkList::parse(&t, digest).ok());
+            let list = text.and_then(|t| ChunkList::parse(&t, digest).ok());
             mailbox.send(Event::List { digest, list });
         });
     }
 
-    pub(crate) fn list(&mut self, cx: CX![], digest: Digest, list: Option<manifest::ChunkList>) {
+    pub(crate) fn list(&mut self, cx: CX![], digest: Digest, list: Option<ChunkList>) {
+        if let Some(list) = &list {
+            self.keep_list(digest, list);
+        }
         let Some(loading) = &mut self.loading else { return };
         match list {
             Some(list) => loading.add_list(digest, list),
@@ -57,8 +66,18 @@
             }
         }
         if let Some((order, chunks)) = loading.take_order() {
-            self.send_order(order, chunks);
+            self.send_order(order, chunks, cx.now());
+        }
+    }
+
+    fn keep_list(&mut self, digest: Digest, list: &ChunkList) {
+        if self.lists.iter().any(|(kept, _)| *kept == digest) {
+            return;
+        }
+        if self.lists.len() == KEPT_LISTS {
+            self.lists.pop_front();
         }
+        self.lists.push_back((digest, Arc::new(list.clone())));
     }
 
     pub(crate) fn retry_list(&mut self, _: CX![], digest: Digest) {
--- a/components/audit/src/entry.rs
+++ b/components/audit/src/entry.rs
@@ -63,6 +63,13 @@
             /// The release.
             release: ReleaseId,
         },
+        /// A later process gives the engine its orders; this one gives none any more.
+        SteppedDown {
+            /// The highest fencing number that was seen.
+            fence: Fence,
+        },
+        /// The process did not run for a while; it asks peers and the engine before it acts.
+        Paused,
         /// An endpoint came into routing.
         RoutedIn {
             /// Its VM.
@@ -99,6 +106,8 @@
             Change::Ready { .. } => "ready",
             Change::Superseded { .. } => "superseded",
             Change::Halted { .. } => "halted",
+            Change::SteppedDown { .. } => "stepped_down",
+            Change::Paused => "paused",
             Change::RoutedIn { .. } => "routed_in",
             Change::RoutedOut { .. } => "routed_out",
             Change::Quarantined { .. } => "quarantined",
@@ -124,7 +133,8 @@
             Change::Quarantined { fingerprint } | Change::Released { fingerprint } => {
                 fingerprint.clone()
             }
-            Change::Draining => String::new(),
+            Change::SteppedDown { fence } => fence.to_string(),
+            Change::Paused | Change::Draining => String::new(),
         }
     }
 }
--- a/components/entry/src/core.rs
+++ b/components/entry/src/core.rs
@@ -124,7 +124,7 @@
         if self.draining.is_none() {
             self.draining = Some(now + self.node.identity.settings.drain.0);
             self.node.trail.record(Change::Draining, "planned stop");
-            self.node.state(MemberState::Leaving, None);
+            self.node.state(MemberState::Leaving, None, None);
         }
     }
 
@@ -138,7 +138,7 @@
 
     pub(crate) fn node_event(&mut self, event: NodeEvent, now: Instant) {
         let changes = self.node.handle(event, now);
-        if !changes.any() {
+        if !changes.manifest && !changes.vms {
             return;
         }
         self.placement = place(self.node.documents.manifest(), self.node.documents.vms());
--- a/components/entry/src/report.rs
+++ b/components/entry/src/report.rs
@@ -12,6 +12,7 @@
     pub(crate) fn answer(&mut self, call: PeerCall, now: Instant) {
         match call {
             PeerCall::Gossip(gossip, reply) => answer_call(reply, self.node.gossip(gossip, now)),
+            PeerCall::Probe(vm, reply) => self.node.probe(&vm, reply),
             PeerCall::Document(request, reply) => {
                 answer_call(reply, self.node.document(&request));
             }
--- /dev/null
+++ b/components/gossip/src/joining/tests.rs
@@ -0,0 +1,34 @@
+use super::*;
+
+fn vms(count: usize) -> Vec<VmId> {
+    (0..count).map(|i| format!("vm-{i}").parse().unwrap()).collect()
+}
+
+fn over(joining: &Joining, manifest: u64, now: Instant) -> bool {
+    joining.is_over(Revision(manifest), Revision(1), now)
+}
+
+#[test]
+fn a_process_waits_for_the_newest_document_that_a_peer_has() {
+    let now = Instant::now();
+    let asked = vms(5);
+    let mut joining = Joining::new(asked.clone(), now);
+    joining.heard(&asked[0], Some((Revision(4), Revision(1))));
+    joining.heard(&asked[1], Some((Revision(9), Revision(1))));
+    assert!(!over(&joining, 9, now), "two replies are not enough");
+    joining.heard(&asked[2], Some((Revision(4), Revision(1))));
+    assert!(!over(&joining, 4, now), "the stale service's document is not enough");
+    assert!(over(&joining, 9, now));
+}
+
+#[test]
+fn a_process_alone_begins_at_once_and_a_cut_off_one_after_the_limit() {
+    let now = Instant::now();
+    assert!(over(&Joining::new(Vec::new(), now), 1, now));
+    let asked = vms(5);
+    let mut joining = Joining::new(asked.clone(), now);
+    assert!(!over(&joining, 1, now));
+    assert!(over(&joining, 1, now + JOIN_LIMIT));
+    asked.iter().for_each(|vm| joining.heard(vm, None));
+    assert!(over(&joining, 1, now), "nobody is left to ask");
+}
--- a/components/gossip/src/members.rs
+++ b/components/gossip/src/members.rs
@@ -1,35 +1,54 @@
 //! Members: heartbeats by gossip, suspicion before death, refutation by a higher beat.
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{HashMap, HashSet, VecDeque},
     time::{Duration, Instant},
 };
 
 use base::{Incarnation, ReleaseId, VmId};
 use manifest::{VmList, VmState};
-use proto::{Member, MemberState};
+use proto::{Member, MemberState, Verdict};
 
 /// Bounds of membership.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct MembersSettings {
-    /// News items in one message.
+    /// News items in one message, besides the sender and the receiver.
     pub batch: usize,
     /// Messages that carry one item.
     pub repeats: u32,
     /// Time that a suspect has to refute.
     pub suspicion: Duration,
+    /// Members up to which all learn what each one serves; in a larger fleet only the VMs of the
+    /// same rollout pass that on.
+    pub small_fleet: usize,
 }
 
 impl Default for MembersSettings {
     fn default() -> MembersSettings {
-        MembersSettings { batch: 24, repeats: 12, suspicion: Duration::from_secs(3) }
+        let suspicion = Duration::from_secs(5);
+        MembersSettings { batch: 6, repeats: 12, suspicion, small_fleet: 256 }
     }
 }
 
+/// Whom an item of news concerns.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Scope {
+    /// All processes: a member came, went or is suspected.
+    All,
+    /// The VMs of the same rollout: what it serves.
+    Group,
+}
+
 #[derive(Debug, Clone)]
 struct Known {
     member: Member,
+    /// When `member` was learned.
     since: Instant,
+    scope: Scope,
+    /// Messages that still carry it.
+    left: u32,
+    /// Whether it stands in the queue of news.
+    queued: bool,
 }
 
 /// What this process knows of the others.
@@ -37,58 +56,140 @@
 pub struct Members {
     settings: MembersSettings,
     me: Member,
-    known: BTreeMap<VmId, Known>,
-    /// News to pass on with the number of messages that still carry it.
-    news: VecDeque<(VmId, u32)>,
+    known: HashMap<VmId, Known>,
+    /// Members with news to pass on; each stands here at most once.
+    news: VecDeque<VmId>,
+    /// Members that are suspected now.
+    suspects: HashSet<VmId>,
+    /// VMs of this process's own rollout.
+    group: HashSet<VmId>,
+    /// Whether peers confirmed that no earlier run of this VM stated a higher incarnation.
+    joined: bool,
+    rival: bool,
+    /// Whether something was learned that no message has carried yet.
+    fresh: bool,
 }
 
 impl Members {
     /// Knows only itself.
     pub fn new(me: VmId, incarnation: Incarnation, settings: MembersSettings) -> Members {
         let state = MemberState::Alive;
-        let me = Member { vm: me, incarnation, state, beat: 1, serving: None };
-        Members { settings, me, known: BTreeMap::new(), news: VecDeque::new() }
+        let me = Member { vm: me, incarnation, state, beat: 1, serving: None, verdict: None };
+        Members {
+            settings,
+            me,
+            known: HashMap::new(),
+            news: VecDeque::new(),
+            suspects: HashSet::new(),
+            group: HashSet::new(),
+            joined: false,
+            rival: false,
+            fresh: true,
+        }
     }
 
     /// States a change of this process.
-    pub fn state(&mut self, state: MemberState, serving: Option<ReleaseId>) {
-        if self.me.state == state && self.me.serving == serving {
+    pub fn state(
+        &mut self,
+        state: MemberState,
+        serving: Option<ReleaseId>,
+        verdict: Option<Verdict>,
+    ) {
+        let me = &mut self.me;
+        if me.state == state && me.serving == serving && me.verdict == verdict {
             return;
         }
-        self.me.state = state;
-        self.me.serving = serving;
-        self.me.beat += 1;
+        (me.state, me.serving, me.verdict) = (state, serving, verdict);
+        me.beat += 1;
+        self.fresh = true;
+    }
+
+    /// Sets the VMs of this process's own rollout.
+    pub fn set_group(&mut self, group: impl IntoIterator<Item = VmId>) {
+        self.group = group.into_iter().collect();
+    }
+
+    /// VMs of this process's own rollout.
+    pub fn group(&self) -> &HashSet<VmId> {
+        &self.group
+    }
+
+    /// From now on a later run of this VM is a rival, and not an earlier one with a wrong clock.
+    pub fn set_joined(&mut self) {
+        self.joined = true;
     }
 
-    /// News for the next message; this process itself comes first.
-    pub fn news(&mut self) -> Vec<Member> {
+    /// Whether a later run of this VM is known.
+    pub fn has_rival(&self) -> bool {
+        self.rival
+    }
+
+    /// The run that this process states.
+    pub fn incarnation(&self) -> Incarnation {
+        self.me.incarnation
+    }
+
+    /// Whether something was learned that no message has carried yet.
+    pub fn is_fresh(&self) -> bool {
+        self.fresh
+    }
+
+    /// News for a message to `to`: this process first, then what is known of `to`, so that it can
+    /// refute that, then what it may not have heard.
+    pub fn news(&mut self, to: &VmId) -> Vec<Member> {
+        self.fresh = false;
         let mut batch = vec![self.me.clone()];
-        for _ in 0..self.news.len().min(self.settings.batch) {
-            let Some((vm, left)) = self.news.pop_front() else { break };
-            let Some(known) = self.known.get(&vm) else { continue };
-            batch.push(known.member.clone());
-            if left > 1 {
-                self.news.push_back((vm, left - 1));
+        batch.extend(self.known.get(to).map(|known| known.member.clone()));
+        let near = self.is_near(to);
+        let room = batch.len() + self.settings.batch;
+        for _ in 0..self.news.len() {
+            if batch.len() == room {
+                break;
+            }
+            let Some(vm) = self.news.pop_front() else { break };
+            let Some(known) = self.known.get_mut(&vm) else { continue };
+            if known.left > 0 && (near || known.scope == Scope::All) {
+                known.left -= 1;
+                if vm != *to {
+                    batch.push(known.member.clone());
+                }
+            }
+            known.queued = known.left > 0;
+            if known.queued {
+                self.news.push_back(vm);
             }
         }
         batch
     }
 
+    fn is_near(&self, to: &VmId) -> bool {
+        self.known.len() <= self.settings.small_fleet || self.group.contains(to)
+    }
+
     /// Takes in news from a peer.
     pub fn learn(&mut self, members: Vec<Member>, now: Instant) {
         for member in members {
             if member.vm == self.me.vm {
-                self.refute(&member);
+                self.hear_of_me(&member);
             } else if self.is_newer(&member) {
                 self.set(member, now);
             }
         }
     }
 
-    fn refute(&mut self, member: &Member) {
-        let about_me = member.incarnation == self.me.incarnation;
-        if about_me && member.state != self.me.state && member.beat >= self.me.beat {
+    fn hear_of_me(&mut self, member: &Member) {
+        if member.incarnation > self.me.incarnation {
+            if self.joined {
+                self.rival = true;
+            } else {
+                self.me.incarnation = member.incarnation.next();
+            }
+        } else if member.incarnation == self.me.incarnation
+            && member.state != self.me.state
+            && member.beat >= self.me.beat
+        {
             self.me.beat = member.beat + 1;
+            self.fresh = true;
         }
     }
 
@@ -99,36 +200,70 @@
 
     fn set(&mut self, member: Member, now: Instant) {
         let vm = member.vm.clone();
-        self.known.insert(vm.clone(), Known { member, since: now });
-        self.news.retain(|(other, _)| *other != vm);
-        self.news.push_front((vm, self.settings.repeats));
+        let scope = self.scope(&member);
+        let near = self.known.len() <= self.settings.small_fleet || self.group.contains(&vm);
+        let passed_on = scope == Scope::All || near;
+        if member.state == MemberState::Suspect {
+            self.suspects.insert(vm.clone());
+        } else {
+            self.suspects.remove(&vm);
+        }
+        let queued = self.known.get(&vm).is_some_and(|known| known.queued);
+        if passed_on && !queued {
+            self.news.push_front(vm.clone());
+        }
+        self.fresh |= passed_on;
+        let left = if passed_on { self.settings.repeats } else { 0 };
+        let known = Known { member, since: now, scope, left, queued: queued || passed_on };
+        self.known.insert(vm, known);
     }
 
-    /// A call to a VM failed.
+    fn scope(&self, member: &Member) -> Scope {
+        let Some(known) = self.known.get(&member.vm) else {
+            // That a listed VM is alive is what all assume.
+            let expected = member.state == MemberState::Alive;
+            return if expected { Scope::Group } else { Scope::All };
+        };
+        let same_run = known.member.incarnation == member.incarnation;
+        let same_state = known.member.state == member.state;
+        let told = known.scope == Scope::Group || known.left == 0;
+        if same_run && same_state && told { Scope::Group } else { Scope::All }
+    }
+
+    /// A VM answered neither this process nor those that were asked to try.
     pub fn missed(&mut self, vm: &VmId, now: Instant) {
-        let Some(known) = self.known.get(vm) else { return };
-        if known.member.state == MemberState::Alive {
-            let member = Member { state: MemberState::Suspect, ..known.member.clone() };
-            self.set(member, now);
+        if *vm == self.me.vm {
+            return;
         }
+        let member = match self.known.get(vm) {
+            Some(known) if known.member.state == MemberState::Alive => known.member.clone(),
+            Some(_) => return,
+            None => unheard(vm),
+        };
+        self.set(Member { state: MemberState::Suspect, ..member }, now);
     }
 
-    /// Turns suspects that did not refute in time into dead ones, and forgets VMs off the list.
-    pub fn tick(&mut self, vms: &VmList, now: Instant) {
-        let due = |k: &Known| {
-            k.member.state == MemberState::Suspect && now >= k.since + self.settings.suspicion
+    /// Turns suspects that did not refute in time into dead ones.
+    pub fn tick(&mut self, now: Instant) {
+        let due = |vm: &&VmId| {
+            let since = self.known.get(*vm).map(|known| known.since);
+            since.is_some_and(|since| now >= since + self.settings.suspicion)
         };
-        let dead: Vec<Member> =
-            self.known.values().filter(|k| due(k)).map(|k| k.member.clone()).collect();
-        for member in dead {
-            self.set(Member { state: MemberState::Dead, ..member }, now);
-        }
-        if !vms.vms.is_empty() {
-            let listed: std::collections::HashSet<&VmId> = vms.vms.iter().map(|v| &v.id).collect();
-            self.known.retain(|vm, _| listed.contains(vm));
+        let dead: Vec<VmId> = self.suspects.iter().filter(due).cloned().collect();
+        for vm in dead {
+            let Some(known) = self.known.get(&vm) else { continue };
+            let member = Member { state: MemberState::Dead, ..known.member.clone() };
+            self.set(member, now);
         }
     }
 
+    /// Forgets VMs that a new list does not name.
+    pub fn set_list(&mut self, vms: &VmList) {
+        let listed: HashSet<&VmId> = vms.vms.iter().map(|v| &v.id).collect();
+        self.known.retain(|vm, _| listed.contains(vm));
+        self.suspects.retain(|vm| listed.contains(vm));
+    }
+
     /// What is known of a VM.
     pub fn get(&self, vm: &VmId) -> Option<&Member> {
         if *vm == self.me.vm {
@@ -155,5 +290,12 @@
     }
 }
 
+/// A listed VM whose process was never heard of; anything that it says is newer.
+fn unheard(vm: &VmId) -> Member {
+    let state = MemberState::Alive;
+    let incarnation = Incarnation(0);
+    Member { vm: vm.clone(), incarnation, state, beat: 0, serving: None, verdict: None }
+}
+
 #[cfg(test)]
 mod tests;
--- a/components/gossip/src/members/tests.rs
+++ b/components/gossip/src/members/tests.rs
@@ -1,32 +1,141 @@
 use super::*;
 
-fn members(name: &str) -> Members {
-    Members::new(name.parse().unwrap(), Incarnation(1), MembersSettings::default())
+fn vm(name: &str) -> VmId {
+    name.parse().unwrap()
+}
+
+fn members(name: &str, incarnation: u64) -> Members {
+    Members::new(vm(name), Incarnation(incarnation), MembersSettings::default())
+}
+
+fn suspicion() -> Duration {
+    MembersSettings::default().suspicion
 }
 
 #[test]
 fn a_suspect_refutes() {
     let now = Instant::now();
-    let (mut a, mut b) = (members("a"), members("b"));
-    a.learn(b.news(), now);
-    a.missed(&"b".parse().unwrap(), now);
-    b.learn(a.news(), now);
-    a.learn(b.news(), now);
-    let later = now + Duration::from_secs(10);
-    a.tick(&VmList::default(), later);
-    assert_eq!(a.get(&"b".parse().unwrap()).unwrap().state, MemberState::Alive);
+    let (mut a, mut b) = (members("a", 1), members("b", 1));
+    a.learn(b.news(&vm("a")), now);
+    a.missed(&vm("b"), now);
+    assert_eq!(a.get(&vm("b")).unwrap().state, MemberState::Suspect);
+    b.learn(a.news(&vm("b")), now);
+    a.learn(b.news(&vm("a")), now);
+    a.tick(now + suspicion() * 2);
+    assert_eq!(a.get(&vm("b")).unwrap().state, MemberState::Alive);
 }
 
 #[test]
 fn a_silent_suspect_dies_and_a_new_run_lives() {
     let now = Instant::now();
-    let (mut a, mut b) = (members("a"), members("b"));
-    a.learn(b.news(), now);
-    let vm = "b".parse().unwrap();
-    a.missed(&vm, now);
-    a.tick(&VmList::default(), now + Duration::from_secs(4));
-    assert!(a.is_gone(&vm));
-    let mut again = Members::new(vm.clone(), Incarnation(2), MembersSettings::default());
-    a.learn(again.news(), now);
-    assert!(!a.is_gone(&vm));
+    let (mut a, mut b) = (members("a", 1), members("b", 1));
+    a.learn(b.news(&vm("a")), now);
+    a.missed(&vm("b"), now);
+    a.tick(now + suspicion() / 2);
+    assert!(!a.is_gone(&vm("b")));
+    a.tick(now + suspicion());
+    assert!(a.is_gone(&vm("b")));
+    let mut again = members("b", 2);
+    a.learn(again.news(&vm("a")), now);
+    assert!(!a.is_gone(&vm("b")));
+}
+
+#[test]
+fn a_listed_vm_that_was_never_heard_of_dies_too() {
+    let now = Instant::now();
+    let mut a = members("a", 1);
+    a.missed(&vm("b"), now);
+    a.tick(now + suspicion());
+    assert!(a.is_gone(&vm("b")));
+    a.learn(members("b", 1).news(&vm("a")), now);
+    assert!(!a.is_gone(&vm("b")));
+}
+
+#[test]
+fn both_sides_of_a_partition_reconcile() {
+    let now = Instant::now();
+    let (mut a, mut b) = (members("a", 1), members("b", 1));
+    a.learn(b.news(&vm("a")), now);
+    b.learn(a.news(&vm("b")), now);
+    for (side, other) in [(&mut a, "b"), (&mut b, "a")] {
+        side.missed(&vm(other), now);
+        side.tick(now + suspicion());
+        assert!(side.is_gone(&vm(other)));
+    }
+    // The first call after it ends tells each what the other thinks of it.
+    b.learn(a.news(&vm("b")), now);
+    a.learn(b.news(&vm("a")), now);
+    b.learn(a.news(&vm("b")), now);
+    assert!(!a.is_gone(&vm("b")) && !b.is_gone(&vm("a")));
+}
+
+#[test]
+fn a_restart_with_the_clock_set_back_takes_a_higher_incarnation() {
+    let now = Instant::now();
+    let mut peer = members("p", 1);
+    peer.learn(members("a", 500).news(&vm("p")), now);
+    let mut again = members("a", 100);
+    again.learn(peer.news(&vm("a")), now);
+    assert_eq!(again.incarnation(), Incarnation(501));
+    assert!(!again.has_rival());
+    peer.learn(again.news(&vm("p")), now);
+    assert_eq!(peer.get(&vm("a")).unwrap().incarnation, Incarnation(501));
+}
+
+#[test]
+fn a_process_that_joined_learns_of_a_later_run() {
+    let now = Instant::now();
+    let (mut peer, mut old) = (members("p", 1), members("a", 100));
+    old.set_joined();
+    peer.learn(members("a", 500).news(&vm("p")), now);
+    old.learn(peer.news(&vm("a")), now);
+    assert!(old.has_rival());
+}
+
+#[test]
+fn a_message_is_bounded_whatever_the_news() {
+    let now = Instant::now();
+    let mut a = members("a", 1);
+    for i in 0..12_960 {
+        a.learn(members(&format!("vm-{i:05}"), 1).news(&vm("a")), now);
+    }
+    let settings = MembersSettings::default();
+    for i in 0..100 {
+        assert!(a.news(&vm(&format!("vm-{i:05}"))).len() <= settings.batch + 2);
+    }
+}
+
+#[test]
+fn each_item_is_carried_a_bounded_number_of_times() {
+    let now = Instant::now();
+    let mut a = members("a", 1);
+    a.learn(members("b", 1).news(&vm("a")), now);
+    let carried = (0..100).filter(|_| a.news(&vm("c")).len() > 1).count();
+    assert_eq!(carried as u32, MembersSettings::default().repeats);
+}
+
+#[test]
+fn what_a_vm_serves_spreads_within_its_rollout_only() {
+    let now = Instant::now();
+    let settings = MembersSettings { small_fleet: 2, ..MembersSettings::default() };
+    let mut a = Members::new(vm("a"), Incarnation(1), settings);
+    let (mut b, mut c) = (members("b", 1), members("c", 1));
+    for peer in [&mut b, &mut c, &mut members("d", 1), &mut members("e", 1)] {
+        a.learn(peer.news(&vm("a")), now);
+    }
+    while a.news(&vm("x")).len() > 1 {}
+    a.set_group([vm("a"), vm("b"), vm("d")]);
+    for peer in [&mut b, &mut c] {
+        peer.state(MemberState::Alive, "m@v1".parse().ok(), None);
+        a.learn(peer.news(&vm("a")), now);
+    }
+    let told = |a: &mut Members, to: &str| -> Vec<VmId> {
+        a.news(&vm(to)).into_iter().skip(2).map(|m| m.vm).collect()
+    };
+    assert_eq!(told(&mut a, "d"), [vm("b")]);
+    assert!(told(&mut a, "e").is_empty());
+    // That it leaves concerns all.
+    b.state(MemberState::Leaving, None, None);
+    a.learn(b.news(&vm("a")), now);
+    assert_eq!(told(&mut a, "e"), [vm("b")]);
 }
--- /dev/null
+++ b/components/gossip/src/picker.rs
@@ -0,0 +1,79 @@
+//! Whom to gossip with: mostly own zone, sometimes anyone, so that each zone and both sides of a
+//! healed partition hear of each other.
+
+use base::{VmId, Zone};
+use fastrand::Rng;
+use manifest::VmList;
+
+/// Share of calls that go to the own rollout, if there is one: one in this many.
+const GROUP_ONE_IN: u32 = 2;
+/// Share of the other calls that go anywhere: one in this many.
+const ANYWHERE_ONE_IN: u32 = 4;
+/// Draws until one is found that is not gone.
+const DRAWS: usize = 8;
+
+/// The other VMs, by nearness.
+#[derive(Debug, Default)]
+pub struct Picker {
+    zone: Vec<VmId>,
+    all: Vec<VmId>,
+    group: Vec<VmId>,
+}
+
+impl Picker {
+    /// Sets the VMs of the list other than `me`, which is in `zone`.
+    pub fn set_list(&mut self, vms: &VmList, me: &VmId, zone: &Zone) {
+        let others = || vms.vms.iter().filter(|vm| vm.id != *me);
+        self.all = others().map(|vm| vm.id.clone()).collect();
+        self.zone = others().filter(|vm| vm.zone == *zone).map(|vm| vm.id.clone()).collect();
+    }
+
+    /// Sets the VMs of the own rollout other than `me`.
+    pub fn set_group(&mut self, vms: &[VmId], me: &VmId) {
+        self.group = vms.iter().filter(|vm| *vm != me).cloned().collect();
+    }
+
+    /// Picks a VM to gossip with. One that is gone is picked only among all, where the call may find
+    /// that it is back.
+    pub fn pick(&self, rng: &mut Rng, gone: impl Fn(&VmId) -> bool) -> Option<VmId> {
+        let live = |rng: &mut Rng, from: &[VmId]| {
+            let draws = (0..DRAWS.min(from.len())).map(|_| &from[rng.usize(..from.len())]);
+            draws.into_iter().find(|vm| !gone(vm)).cloned()
+        };
+        let group = if rng.u32(..GROUP_ONE_IN) == 0 { live(rng, &self.group) } else { None };
+        if group.is_some() {
+            return group;
+        }
+        let zone = if rng.u32(..ANYWHERE_ONE_IN) > 0 { live(rng, &self.zone) } else { None };
+        zone.or_else(|| self.anywhere(rng))
+    }
+
+    /// Picks any VM.
+    pub fn anywhere(&self, rng: &mut Rng) -> Option<VmId> {
+        if self.all.is_empty() { None } else { Some(self.all[rng.usize(..self.all.len())].clone()) }
+    }
+
+    /// Up to `count` different VMs for one question, half of them from the own zone.
+    pub fn some(&self, count: usize, rng: &mut Rng) -> Vec<VmId> {
+        let mut picked = Vec::new();
+        for i in 0..count * DRAWS {
+            let from = if i % 2 == 0 && !self.zone.is_empty() { &self.zone } else { &self.all };
+            if from.is_empty() || picked.len() == count {
+                break;
+            }
+            let vm = &from[rng.usize(..from.len())];
+            if !picked.contains(vm) {
+                picked.push(vm.clone());
+            }
+        }
+        picked
+    }
+
+    /// How many other VMs are listed.
+    pub fn others(&self) -> usize {
+        self.all.len()
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/components/manifest/src/check.rs
+++ b/components/manifest/src/check.rs
@@ -17,12 +17,13 @@
             let what = format!("is {} bytes; keep a manifest within 1MB", text.len());
             return Err(one(Problem::new(".", what)));
         }
-        let yaml = serde_norway::Deserializer::from_slice(text);
-        let manifest: Manifest = serde_path_to_error::deserialize(yaml).map_err(|err| {
-            one(Problem::new(err.path().to_string(), err.into_inner().to_string()))
-        })?;
+        let mut manifest = read(text).map_err(one)?;
         let problems = manifest.problems();
-        if problems.is_empty() { Ok(manifest) } else { Err(ManifestError { problems }) }
+        if !problems.is_empty() {
+            return Err(ManifestError { problems });
+        }
+        manifest.sort();
+        Ok(manifest)
     }
 
     /// All that is wrong in the manifest.
@@ -116,6 +117,19 @@
     }
 }
 
+/// Reads JSON with its own parser, which is much faster than that of YAML.
+fn read(text: &[u8]) -> Result<Manifest, Problem> {
+    let problem = |path: String, what: String| Problem::new(path, what);
+    if text.first() == Some(&b'{') {
+        let mut json = serde_json::Deserializer::from_slice(text);
+        return serde_path_to_error::deserialize(&mut json)
+            .map_err(|err| problem(err.path().to_string(), err.into_inner().to_string()));
+    }
+    let yaml = serde_norway::Deserializer::from_slice(text);
+    serde_path_to_error::deserialize(yaml)
+        .map_err(|err| problem(err.path().to_string(), err.into_inner().to_string()))
+}
+
 fn unique<'a>(found: &mut Vec<Problem>, list: &str, ids: impl Iterator<Item = &'a str>) {
     let mut seen = HashSet::new();
     for (i, id) in ids.enumerate() {
--- a/components/manifest/src/lib.rs
+++ b/components/manifest/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod chunk_list;
+mod delta;
 mod error;
 mod model;
 mod release;
@@ -9,6 +10,7 @@
 
 pub use check::MAX_VALUE_BYTES;
 pub use chunk_list::ChunkList;
+pub use delta::{Delta, ManifestDelta, ManifestEntry, ManifestKey, VmsDelta};
 pub use error::ManifestError;
 pub use model::{
     Adapter, CallRule, Manifest, Model, OriginBudget, Rollout, Service, ServiceKind, Version,
--- a/components/manifest/src/model.rs
+++ b/components/manifest/src/model.rs
@@ -1,7 +1,9 @@
 //! The shape of the manifest.
 
+use std::time::Duration;
+
 use base::{
-    ArtifactId, ByteSize, Digest, Permille, Rate, Region, Revision, RolloutId, ServiceId,
+    ArtifactId, ByteSize, Digest, Permille, Rate, Region, Revision, RolloutId, ServiceId, Timeout,
     VersionId, WorkspaceId, Zone,
 };
 use serde::{Deserialize, Serialize};
@@ -152,6 +154,9 @@
     /// VMs that take a new version first; the others wait for them.
     #[serde(default = "canary")]
     pub canary: usize,
+    /// Time that a VM serves a new version without a failure before it counts as good there.
+    #[serde(default = "soak")]
+    pub soak: Timeout,
     /// Rollouts with a lower order get VMs first within their workspace.
     #[serde(default)]
     pub order: u32,
@@ -167,6 +172,10 @@
     1
 }
 
+fn soak() -> Timeout {
+    Timeout(Duration::from_secs(5))
+}
+
 /// How much is read from the origin for one release.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/components/manifest/src/release.rs
+++ b/components/manifest/src/release.rs
@@ -2,7 +2,7 @@
 
 use base::{ByteSize, Digest, ReleaseId};
 
-use crate::{Manifest, Rollout, Version, VersionRef};
+use crate::{Manifest, Model, Rollout, Version, VersionRef};
 
 /// One model or adapter version within a release.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -44,6 +44,36 @@
     }
 }
 
+impl Manifest {
+    /// The release named `id`, if the manifest still lists its versions.
+    pub fn release_named(&self, id: &ReleaseId) -> Option<Release> {
+        let alone = |model: &Model, version: &Version| format!("{}@{}", model.id, version.id);
+        for model in &self.models {
+            for version in &model.versions {
+                let name = alone(model, version);
+                let Some(rest) = id.as_str().strip_prefix(&name) else { continue };
+                let mut parts = vec![Part { chunks: version.chunks, size: version.size }];
+                if rest.is_empty() {
+                    return Some(Release { id: id.clone(), parts });
+                }
+                if let Some(adapter) = self.adapter_part(model, rest) {
+                    parts.push(adapter);
+                    return Some(Release { id: id.clone(), parts });
+                }
+            }
+        }
+        None
+    }
+
+    /// The version of an adapter for `model` that a release name ends with as `+adapter@version`.
+    fn adapter_part(&self, model: &Model, rest: &str) -> Option<Part> {
+        let adapters = self.adapters.iter().filter(|a| a.model == model.id);
+        let versions = adapters.flat_map(|a| a.versions.iter().map(move |v| (a, v)));
+        let mut named = versions.filter(|(a, v)| rest == format!("+{}@{}", a.id, v.id));
+        named.next().map(|(_, v)| Part { chunks: v.chunks, size: v.size })
+    }
+}
+
 fn part(versions: &[Version], wanted: &VersionRef) -> Option<Part> {
     let version = versions.iter().find(|v| v.id == wanted.version)?;
     Some(Part { chunks: version.chunks, size: version.size })
--- a/components/manifest/src/vms.rs
+++ b/components/manifest/src/vms.rs
@@ -2,9 +2,11 @@
 
 use std::net::SocketAddr;
 
-use base::{Region, Revision, VmId, Zone};
+use base::{Problem, Region, Revision, VmId, Zone};
 use serde::{Deserialize, Serialize};
 
+use crate::ManifestError;
+
 /// The VMs that the platform knows, with a lag.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct VmList {
@@ -56,9 +58,24 @@
 }
 
 impl VmList {
-    /// The VM named `id`.
+    /// Parses a list and sorts it by VM, so that equal lists have equal text and digest.
+    pub fn parse(text: &[u8]) -> Result<VmList, ManifestError> {
+        let bad = |what: String| ManifestError { problems: vec![Problem::new("vms", what)] };
+        let mut list: VmList = serde_json::from_slice(text)
+            .map_err(|err| bad(format!("{err}; publish the VM list as JSON")))?;
+        list.vms.sort_by(|a, b| a.id.cmp(&b.id));
+        if let Some(pair) = list.vms.windows(2).find(|pair| pair[0].id == pair[1].id) {
+            return Err(bad(format!("{} is listed twice; list each VM once", pair[0].id)));
+        }
+        Ok(list)
+    }
+
+    /// The VM named `id`; fast in a list that is sorted.
     pub fn get(&self, id: &VmId) -> Option<&Vm> {
-        self.vms.iter().find(|vm| vm.id == *id)
+        match self.vms.binary_search_by(|vm| vm.id.cmp(id)) {
+            Ok(found) => self.vms.get(found),
+            Err(_) => self.vms.iter().find(|vm| vm.id == *id),
+        }
     }
 
     /// Live VMs with a model engine.
--- a/components/net/src/rpc.rs
+++ b/components/net/src/rpc.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use audit::Page;
+use base::VmId;
 use jsonrpsee::{
     core::{RpcResult, async_trait},
     server::{Server, ServerConfig, ServerHandle},
@@ -41,6 +42,8 @@
     Gossip(Gossip, Reply<Gossip>),
     /// Asks for a newer document.
     Document(DocumentRequest, Reply<DocumentReply>),
+    /// Asks whether another process answers this one.
+    Probe(VmId, Reply<bool>),
     /// Chunks that a peer can give.
     Announce(Announcement),
     /// Asks about the endpoint.
@@ -151,6 +154,10 @@
         self.ask(|reply| PeerCall::Document(request, reply)).await
     }
 
+    async fn probe(&self, vm: VmId) -> RpcResult<bool> {
+        self.ask(|reply| PeerCall::Probe(vm, reply)).await
+    }
+
     async fn announce(&self, announcement: Announcement) -> RpcResult<()> {
         if (self.deliver)(PeerCall::Announce(announcement)) {
             Ok(())
--- a/components/node/src/event.rs
+++ b/components/node/src/event.rs
@@ -1,12 +1,12 @@
 //! Events of the common part of a process.
 
 use base::VmId;
-use proto::{DocumentKind, Gossip};
+use proto::{DocumentKind, DocumentReply, Gossip};
 
 /// Something that happened to the common part.
 #[derive(Debug)]
 pub enum NodeEvent {
-    /// The platform or a peer gave a document.
+    /// The platform gave a document.
     Document {
         /// Which document.
         kind: DocumentKind,
@@ -15,6 +15,15 @@
         /// Where from, for the audit trail.
         cause: &'static str,
     },
+    /// A peer that was asked for a document replied, or did not.
+    Replied {
+        /// The peer.
+        from: VmId,
+        /// Which document.
+        kind: DocumentKind,
+        /// Its reply.
+        reply: Option<DocumentReply>,
+    },
     /// A gossip call ended.
     Gossiped {
         /// The VM that was called.
@@ -22,20 +31,29 @@
         /// Its reply, if it replied.
         reply: Option<Gossip>,
     },
+    /// A peer tried to reach a VM that did not answer this process.
+    Probed {
+        /// The VM.
+        vm: VmId,
+        /// Whether the peer reached it; false too if the peer itself did not answer.
+        alive: bool,
+    },
 }
 
-/// Documents that came into force.
+/// What an event or a tick changed.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Changes {
-    /// The manifest.
+    /// A manifest came into force.
     pub manifest: bool,
-    /// The VM list.
+    /// A VM list came into force.
     pub vms: bool,
+    /// Peers confirmed what this process knows, or the time for that is up.
+    pub joined: bool,
 }
 
 impl Changes {
     /// Whether there are any.
     pub fn any(self) -> bool {
-        self.manifest || self.vms
+        self.manifest || self.vms || self.joined
     }
 }
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -3,6 +3,8 @@
 
 mod event;
 mod node;
+mod readers;
+mod talk;
 mod watcher;
 
 pub use event::{Changes, NodeEvent};
--- a/components/node/src/node.rs
+++ b/components/node/src/node.rs
@@ -7,18 +7,19 @@
 };
 
 use audit::{Change, Trail};
-use base::{Incarnation, ReleaseId, VmId, ranked};
-use gossip::{Documents, Members, MembersSettings, Taken};
-use manifest::{Vm, VmState};
+use base::{Incarnation, ReleaseId, VmId};
+use gossip::{Documents, Joining, Members, MembersSettings, Picker, Taken};
 use net::{Latch, Peers};
-use proto::{DocumentKind, DocumentReply, DocumentRequest, Gossip, MemberState, PeerClient};
+use proto::{DocumentKind, DocumentReply, DocumentRequest, MemberState, Verdict};
 use settings::Settings;
 use slog::{Logger, warn};
 
-use crate::{Changes, NodeEvent, watcher::Watcher};
-
-/// Processes in each zone that read from the platform.
-const READERS_PER_ZONE: usize = 2;
+use crate::{
+    Changes, NodeEvent,
+    readers::Readers,
+    talk::{Burst, Probes},
+    watcher::Watcher,
+};
 
 /// Milliseconds of the wall clock since 1970.
 pub fn wall_clock_ms() -> u64 {
@@ -34,7 +35,7 @@
     pub incarnation: Incarnation,
 }
 
-type Send = Arc<dyn Fn(NodeEvent) -> bool + std::marker::Send + Sync>;
+pub(crate) type Send = Arc<dyn Fn(NodeEvent) -> bool + std::marker::Send + Sync>;
 
 /// Documents, members and trail of a process.
 pub struct Node {
@@ -48,11 +49,21 @@
     pub trail: Trail,
     /// Calls to the others.
     pub peers: Peers,
+    pub(crate) picker: Picker,
+    pub(crate) rng: fastrand::Rng,
+    pub(crate) send: Send,
+    /// Questions to peers before this process acts; `None` once it may.
+    pub(crate) joining: Option<Joining>,
+    pub(crate) probes: Probes,
+    pub(crate) burst: Burst,
+    /// When gossip is due next.
+    pub(crate) gossip_at: Instant,
+    /// Documents that were asked for, with the time until which no other peer is asked.
+    pub(crate) asked: Vec<(DocumentKind, Instant)>,
     log: Logger,
     manifest_watcher: Watcher,
     vms_watcher: Watcher,
-    rng: fastrand::Rng,
-    send: Send,
+    readers: Readers,
 }
 
 impl Node {
@@ -74,9 +85,17 @@
         let vms_watcher = watch(DocumentKind::Vms, &platform.vms);
         let vm = identity.settings.vm.clone();
         let members = Members::new(vm, identity.incarnation, MembersSettings::default());
+        let now = Instant::now();
         Node {
             documents: Documents::default(),
             members,
+            picker: Picker::default(),
+            joining: None,
+            probes: Probes::default(),
+            burst: Burst::new(now),
+            gossip_at: now,
+            asked: Vec::new(),
+            readers: Readers::default(),
             trail: Trail::new(log.clone()),
             peers,
             log,
@@ -88,24 +107,53 @@
         }
     }
 
-    /// Handles an event; returns the documents that came into force.
+    /// Handles an event; returns what it changed.
     pub fn handle(&mut self, event: NodeEvent, now: Instant) -> Changes {
-        match event {
-            NodeEvent::Document { kind, text, cause } => self.take(kind, &text, cause),
-            NodeEvent::Gossiped { to, reply: Some(gossip) } => {
-                self.learn(&to, gossip, now);
+        let mut changes = match event {
+            NodeEvent::Document { kind, text, cause } => {
+                let taken = self.documents.offer(kind, &text);
+                self.taken(kind, taken, cause, now)
+            }
+            NodeEvent::Replied { from, kind, reply } => self.replied(&from, kind, reply, now),
+            NodeEvent::Gossiped { to, reply } => {
+                self.gossiped(to, reply, now);
                 Changes::default()
             }
-            NodeEvent::Gossiped { to, reply: None } => {
-                self.members.missed(&to, now);
+            NodeEvent::Probed { vm, alive } => {
+                self.probed(&vm, alive, now);
                 Changes::default()
             }
+        };
+        changes.joined = self.end_joining(now);
+        changes
+    }
+
+    fn replied(
+        &mut self,
+        from: &VmId,
+        kind: DocumentKind,
+        reply: Option<DocumentReply>,
+        now: Instant,
+    ) -> Changes {
+        self.asked.retain(|(asked, _)| *asked != kind);
+        let Some(reply) = reply else { return Changes::default() };
+        let taken = self.documents.offer_reply(kind, reply);
+        if taken == Taken::Mismatch {
+            let whole = DocumentRequest { kind, have: base::Revision(0) };
+            self.fetch_document(from, whole, now);
         }
+        self.taken(kind, taken, "peer", now)
     }
 
-    fn take(&mut self, kind: DocumentKind, text: &[u8], cause: &'static str) -> Changes {
-        match self.documents.offer(kind, text) {
-            Taken::Old => Changes::default(),
+    fn taken(
+        &mut self,
+        kind: DocumentKind,
+        taken: Taken,
+        cause: &'static str,
+        now: Instant,
+    ) -> Changes {
+        match taken {
+            Taken::Old | Taken::Mismatch => Changes::default(),
             Taken::Refused { digest, why } => {
                 warn!(self.log, "document refused"; "kind" => ?kind, "why" => &why);
                 let change = Change::ManifestRefused { digest: digest.to_string() };
@@ -113,41 +161,44 @@
                 Changes::default()
             }
             Taken::Accepted(revision) => {
-                self.select_readers();
+                self.burst.documents();
                 match kind {
                     DocumentKind::Manifest => {
                         self.trail.set_revision(revision);
                         self.trail.record(Change::ManifestAccepted { manifest: revision }, cause);
                         self.manifest_watcher.set_have(revision);
-                        Changes { manifest: true, vms: false }
+                        Changes { manifest: true, ..Changes::default() }
                     }
                     DocumentKind::Vms => {
                         self.trail.record(Change::VmsAccepted { vms: revision }, cause);
                         self.vms_watcher.set_have(revision);
-                        Changes { manifest: false, vms: true }
+                        self.listed(now);
+                        Changes { vms: true, ..Changes::default() }
                     }
                 }
             }
         }
     }
 
-    /// Reads from the platform if this process is one of the readers of its zone, or knows nothing.
-    fn select_readers(&mut self) {
-        let settings = &self.identity.settings;
-        let vms = &self.documents.vms().vms;
-        let in_zone = vms.iter().filter(|v| v.zone == settings.zone && v.state == VmState::Live);
-        let order = ranked(settings.zone.as_str().as_bytes(), in_zone, |vm| vm.id.as_str());
-        let reader = order.iter().take(READERS_PER_ZONE).any(|vm| vm.id == settings.vm);
-        let listed = order.iter().any(|vm| vm.id == settings.vm);
-        self.vms_watcher.enable(reader || !listed);
-        self.manifest_watcher.enable(reader || !listed);
+    /// Takes in a new VM list; the first one tells whom to ask before this process acts.
+    fn listed(&mut self, now: Instant) {
+        let Settings { vm, zone, .. } = &self.identity.settings;
+        let first = self.picker.others() == 0 && self.joining.is_none();
+        self.readers.set_list(self.documents.vms(), zone);
+        self.picker.set_list(self.documents.vms(), vm, zone);
+        self.members.set_list(self.documents.vms());
+        self.select_readers();
+        if first {
+            self.join(now);
+        }
     }
 
-    /// Answers a gossip call.
-    pub fn gossip(&mut self, gossip: Gossip, now: Instant) -> Gossip {
-        let from = gossip.from.clone();
-        self.learn(&from, gossip, now);
-        self.message()
+    /// Reads from the platform if this process is one of the readers of its zone.
+    pub(crate) fn select_readers(&mut self) {
+        let me = &self.identity.settings.vm;
+        let reads = self.readers.reads(me, |vm| self.members.is_gone(vm));
+        self.vms_watcher.enable(reads);
+        self.manifest_watcher.enable(reads);
     }
 
     /// Answers a call for a document.
@@ -155,61 +206,19 @@
         self.documents.reply(request)
     }
 
-    fn learn(&mut self, from: &VmId, gossip: Gossip, now: Instant) {
-        for request in self.documents.wanted(gossip.manifest, gossip.vms) {
-            self.fetch_document(from, request);
-        }
-        self.members.learn(gossip.members, now);
-    }
-
-    fn fetch_document(&self, from: &VmId, request: DocumentRequest) {
-        let Some(vm) = self.documents.vms().get(from) else { return };
-        let kind = request.kind;
-        let send = self.send.clone();
-        self.peers.call(
-            vm.control,
-            move |client| async move { client.document(request).await },
-            move |reply| {
-                if let Some(text) = reply.ok().and_then(|r| r.text) {
-                    send(NodeEvent::Document { kind, text: text.into_bytes(), cause: "peer" });
-                }
-            },
-        );
-    }
-
-    fn message(&mut self) -> Gossip {
-        Gossip {
-            from: self.identity.settings.vm.clone(),
-            incarnation: self.identity.incarnation,
-            manifest: self.documents.manifest().revision,
-            vms: self.documents.vms().revision,
-            members: self.members.news(),
-        }
-    }
-
-    /// Gossips with one random member and judges the suspects.
-    pub fn tick(&mut self, now: Instant) {
-        self.members.tick(self.documents.vms(), now);
-        let me = &self.identity.settings.vm;
-        let vms = &self.documents.vms().vms;
-        let others: Vec<&Vm> = vms.iter().filter(|vm| vm.id != *me).collect();
-        if others.is_empty() {
-            return;
-        }
-        let vm = others[self.rng.usize(..others.len())].clone();
-        let message = self.message();
-        let send = self.send.clone();
-        self.peers.call(
-            vm.control,
-            move |client| async move { client.gossip(message).await },
-            move |reply| {
-                send(NodeEvent::Gossiped { to: vm.id, reply: reply.ok() });
-            },
-        );
+    /// Sets the VMs of this process's own rollout, with which it shares what each one serves.
+    pub fn set_group(&mut self, vms: &[VmId]) {
+        self.picker.set_group(vms, &self.identity.settings.vm);
+        self.members.set_group(vms.iter().cloned());
     }
 
     /// States what this process's endpoint serves, and whether it stops.
-    pub fn state(&mut self, state: MemberState, serving: Option<ReleaseId>) {
-        self.members.state(state, serving);
+    pub fn state(
+        &mut self,
+        state: MemberState,
+        serving: Option<ReleaseId>,
+        verdict: Option<Verdict>,
+    ) {
+        self.members.state(state, serving, verdict);
     }
 }
--- a/components/node/src/watcher.rs
+++ b/components/node/src/watcher.rs
@@ -19,8 +19,13 @@
 const WAIT: Duration = Duration::from_secs(10);
 /// Longest silence of the service during a watch.
 const READ_TIMEOUT: Duration = Duration::from_secs(15);
-/// Pause after a failed watch and while this process is not a reader.
+/// Pause while this process is not a reader.
 const PAUSE: Duration = Duration::from_millis(300);
+/// Pause after the first failed watch; it doubles with each further one.
+const FIRST_RETRY: Duration = Duration::from_millis(200);
+/// Longest pause after a failed watch. When the service is down as the whole fleet starts, all of it
+/// asks this often.
+const LAST_RETRY: Duration = Duration::from_secs(8);
 
 /// Settings that the core changes while the thread runs.
 #[derive(Clone)]
@@ -66,6 +71,7 @@
             DocumentKind::Vms => "vms",
         };
         let mut offered = Revision(0);
+        let mut retry = FIRST_RETRY;
         for addr in addrs.iter().cycle() {
             if stop.is_closed() {
                 return;
@@ -78,14 +84,19 @@
             let after = offered.max(Revision(self.have.load(Ordering::Relaxed)));
             match platform::watch(&client, *addr, name, after, WAIT) {
                 Ok(Some(watch)) => {
+                    retry = FIRST_RETRY;
                     offered = watch.revision;
                     let cause = "platform";
                     if !send(NodeEvent::Document { kind, text: watch.text, cause }) {
                         return;
                     }
                 }
-                Ok(None) => {}
-                Err(_) => std::thread::sleep(PAUSE),
+                Ok(None) => retry = FIRST_RETRY,
+                Err(_) => {
+                    // Between half of the pause and all of it, so that processes spread out.
+                    std::thread::sleep(retry.mul_f64(0.5 + fastrand::f64() / 2.0));
+                    retry = (retry * 2).min(LAST_RETRY);
+                }
             }
         }
     }
--- a/components/platform/src/documents.rs
+++ b/components/platform/src/documents.rs
@@ -7,9 +7,12 @@
 
 use anyhow::{Context, bail};
 use base::Revision;
-use manifest::MAX_VALUE_BYTES;
 use ureq::Agent;
 
+/// Longest text that is read: a VM list, which may be larger than a value of the configuration
+/// service.
+const MAX_TEXT_BYTES: u64 = 4 << 20;
+
 /// A value with its revision.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Watch {
@@ -49,6 +52,6 @@
     }
     let revision = response.headers().get("x-revision");
     let revision = revision.and_then(|v| v.to_str().ok()).and_then(|v| v.parse().ok());
-    let text = response.body_mut().with_config().limit(MAX_VALUE_BYTES as u64 + 1).read_to_vec()?;
+    let text = response.body_mut().with_config().limit(MAX_TEXT_BYTES).read_to_vec()?;
     Ok(Some(Watch { revision: revision.unwrap_or_default(), text }))
 }
--- a/components/proto/src/lib.rs
+++ b/components/proto/src/lib.rs
@@ -14,7 +14,7 @@
 pub use frame::{Frame, FrameError};
 pub use member::{
     Announcement, DocumentKind, DocumentReply, DocumentRequest, EndpointState, Gossip, Load,
-    Member, MemberState, Serving,
+    Member, MemberState, Serving, Trialled, Verdict,
 };
 pub use peer::{PeerClient, PeerServer};
 pub use status::{EndpointRow, RolloutRow, Status};
--- a/components/proto/src/member.rs
+++ b/components/proto/src/member.rs
@@ -1,6 +1,7 @@
 //! Messages about processes, documents and endpoints.
 
 use base::{Digest, Incarnation, ReleaseId, Revision, RolloutId, ServiceId, VmId, message};
+use manifest::{ManifestDelta, VmsDelta};
 
 message! {
     /// What a process says of itself and of others, in a call and in its reply.
@@ -29,8 +30,35 @@
         pub state: MemberState,
         /// Counts the changes that the process stated of itself in this run; higher wins.
         pub beat: u64,
-        /// The release that its endpoint serves, for agents beside model engines.
+        /// The release that its endpoint serves and takes work for, for agents beside model engines.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
         pub serving: Option<ReleaseId>,
+        /// How the release of its rollout fared there.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub verdict: Option<Verdict>,
+    }
+}
+
+message! {
+    /// How a release fared on one endpoint.
+    #[derive(Eq)]
+    pub struct Verdict {
+        /// The release.
+        pub release: ReleaseId,
+        /// How it fared.
+        pub outcome: Trialled,
+    }
+}
+
+message! {
+    /// Ends of a trial.
+    #[derive(Copy, Eq)]
+    #[serde(rename_all = "snake_case")]
+    pub enum Trialled {
+        /// It served for the soak time.
+        Passed,
+        /// The engine refused it, or crashed on it.
+        Failed,
     }
 }
 
@@ -67,16 +95,23 @@
     pub struct DocumentRequest {
         /// Which document.
         pub kind: DocumentKind,
-        /// The revision that the sender has.
+        /// The revision that the sender has; 0 asks for the whole document.
         pub have: Revision,
     }
 }
 
 message! {
-    /// A document, if there is a newer one.
-    pub struct DocumentReply {
-        /// The text as the platform published it; `None` if there is nothing newer.
-        pub text: Option<String>,
+    /// What a peer has for the one who asks for a newer document.
+    #[serde(rename_all = "snake_case")]
+    pub enum DocumentReply {
+        /// Nothing newer.
+        Current,
+        /// The whole document.
+        Whole(String),
+        /// The changes of the manifest since the revision that the asker has, oldest first.
+        Manifest(Vec<ManifestDelta>),
+        /// The changes of the VM list since the revision that the asker has, oldest first.
+        Vms(Vec<VmsDelta>),
     }
 }
 
--- a/components/proto/src/peer.rs
+++ b/components/proto/src/peer.rs
@@ -1,6 +1,7 @@
 //! The JSON-RPC interface of every process.
 
 use audit::Page;
+use base::VmId;
 use jsonrpsee::{core::RpcResult, proc_macros::rpc};
 
 use crate::{
@@ -18,6 +19,10 @@
     #[method(name = "document")]
     async fn document(&self, request: DocumentRequest) -> RpcResult<DocumentReply>;
 
+    /// Asks whether the sender's peer `vm` answers the receiver.
+    #[method(name = "probe")]
+    async fn probe(&self, vm: VmId) -> RpcResult<bool>;
+
     /// Tells a peer which chunks the sender can give.
     #[method(name = "announce")]
     async fn announce(&self, announcement: Announcement) -> RpcResult<()>;
--- a/components/rollout/src/endpoint.rs
+++ b/components/rollout/src/endpoint.rs
@@ -2,92 +2,19 @@
 
 use std::time::{Duration, Instant};
 
-use base::{Fence, ReleaseId, RolloutId};
+use base::{Fence, ReleaseId};
+use proto::Verdict;
 
-use crate::{Order, OrderKind};
-
-/// What the engine says of itself.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct EngineView {
-    /// The release that it serves.
-    pub serving: Option<ReleaseId>,
-    /// The release that it holds prepared.
-    pub prepared: Option<ReleaseId>,
-    /// The highest fencing number that it saw.
-    pub fence: Fence,
-}
-
-/// What this VM is to serve.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Target {
-    /// The rollout.
-    pub rollout: RolloutId,
-    /// Its release.
-    pub release: ReleaseId,
-}
-
-/// Where the endpoint is on its way.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Phase {
-    /// The engine's state is not known.
-    Unknown,
-    /// It serves what it is to serve, perhaps nothing.
-    Settled,
-    /// Chunks are fetched and handed to the engine.
-    Loading,
-    /// All chunks are in the engine; it waits for its turn.
-    Waiting,
-    /// It takes no new work and waits for requests in progress.
-    Draining,
-    /// The order to switch is on its way.
-    Switching,
-}
-
-/// What happened.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Event {
-    /// The placement names a target, or none.
-    Target(Option<Target>),
-    /// The engine stated its state.
-    Engine(EngineView),
-    /// The engine could not be asked.
-    EngineLost,
-    /// All chunks of a release are in the engine.
-    Staged(ReleaseId),
-    /// Whether it is this VM's turn to switch.
-    Turn(bool),
-    /// Number of requests in progress.
-    InFlight(usize),
-    /// The answer to an order.
-    Ordered {
-        /// The order.
-        order: Order,
-        /// Whether the engine accepted it.
-        accepted: bool,
-    },
-    /// Time passed.
-    Tick,
-}
-
-/// What the process is to do.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Action {
-    /// Ask the engine for its state.
-    ReadEngine,
-    /// Give the engine an order.
-    Order(Order),
-    /// Fetch the chunks of a release and hand them to the engine.
-    Load(ReleaseId),
-    /// Stop fetching the chunks of a release.
-    Stop(ReleaseId),
-    /// The endpoint serves its target.
-    Ready(ReleaseId),
-}
+use crate::{Action, EngineView, Event, Order, OrderKind, Phase, Target, trial::Trial};
 
 /// Time after which the engine's state is asked for again.
 const READ_EVERY: Duration = Duration::from_millis(500);
-/// Time without a tick after which all knowledge counts as old.
+/// Time without an event after which all knowledge counts as old.
 const PAUSE: Duration = Duration::from_secs(2);
+/// Pause after an order that the engine did not accept.
+const RETRY: Duration = Duration::from_millis(500);
+/// Distance of a new process's fencing numbers from those that the engine saw before.
+const FENCE_GAP: u64 = 1024;
 
 /// Drives one endpoint.
 #[derive(Debug)]
@@ -95,8 +22,21 @@
     phase: Phase,
     target: Option<Target>,
     engine: Option<EngineView>,
-    /// Higher than any fencing number that this process saw or used.
+    /// The highest fencing number that this process used, or adopted when it first read the engine.
+    /// The engine states a higher one only if another process gave it an order.
     fence: Fence,
+    /// Whether the engine was read once, so that `fence` is above the numbers of earlier processes.
+    adopted: bool,
+    /// Whether peers confirmed documents and members since the start or the last pause. No order is
+    /// given before.
+    fresh: bool,
+    /// Statements of the engine that were asked for before are old.
+    known_since: Instant,
+    /// When the engine accepted the order to prepare; `None` before.
+    prepared_at: Option<Instant>,
+    /// No order is given before.
+    retry_at: Instant,
+    trial: Trial,
     in_flight: usize,
     turn: bool,
     read_at: Instant,
@@ -104,14 +44,20 @@
 }
 
 impl Endpoint {
-    /// An endpoint of which nothing is known; fencing numbers start at `fence`, which must be higher
-    /// than those of earlier runs, such as the wall clock in milliseconds.
+    /// An endpoint of which nothing is known; fencing numbers start at `fence`, such as the wall clock
+    /// in milliseconds, or above those that the engine saw.
     pub fn new(fence: Fence, now: Instant) -> Endpoint {
         Endpoint {
             phase: Phase::Unknown,
             target: None,
             engine: None,
             fence,
+            adopted: false,
+            fresh: false,
+            known_since: now,
+            prepared_at: None,
+            retry_at: now,
+            trial: Trial::default(),
             in_flight: 0,
             turn: false,
             read_at: now,
@@ -134,9 +80,14 @@
         self.engine.as_ref().and_then(|e| e.serving.as_ref())
     }
 
+    /// How `release` fared here, once that is known.
+    pub fn verdict(&self, release: &ReleaseId) -> Option<Verdict> {
+        self.trial.verdict(release)
+    }
+
     /// Whether new work may go to the engine.
     pub fn accepting(&self) -> bool {
-        let busy = matches!(self.phase, Phase::Unknown | Phase::Draining | Phase::Switching);
+        let busy = matches!(self.phase, Phase::Draining | Phase::Switching | Phase::Superseded);
         !busy && self.serving().is_some()
     }
 
@@ -144,40 +95,64 @@
     pub fn handle(&mut self, event: Event, now: Instant) -> Vec<Action> {
         let paused = now.saturating_duration_since(self.last_event) > PAUSE;
         self.last_event = now;
-        if paused {
+        if self.phase == Phase::Superseded {
+            return Vec::new();
+        }
+        if paused || event == Event::Woke {
             return self.wake(event, now);
         }
         match event {
             Event::Target(target) => self.retarget(target, now),
-            Event::Engine(view) => self.observe(view, now),
+            Event::Engine { asked, .. } if asked < self.known_since => {
+                self.read_at = now;
+                Vec::new()
+            }
+            Event::Engine { view, asked } => self.observe(view, asked, now),
             Event::EngineLost => self.lose(now),
-            Event::Staged(release) => self.staged(&release),
+            Event::Staged(release) => self.staged(&release, now),
             Event::Turn(turn) => {
                 self.turn = turn;
-                self.advance()
+                self.advance(now)
             }
             Event::InFlight(n) => {
                 self.in_flight = n;
-                self.advance()
+                self.advance(now)
             }
             Event::Ordered { order, accepted } => self.ordered(&order, accepted, now),
+            Event::Fresh => {
+                self.fresh = true;
+                self.leave_unknown(now)
+            }
+            Event::Woke => Vec::new(),
+            Event::Rival => self.step_down(self.fence),
             Event::Tick => self.tick(now),
         }
     }
 
-    /// After a pause nothing is ordered before the engine was asked again.
+    /// After a pause nothing is ordered before peers and the engine were asked again.
     fn wake(&mut self, event: Event, now: Instant) -> Vec<Action> {
         if let Event::Target(target) = event {
             self.target = target;
         }
         self.turn = false;
-        self.lose(now)
+        self.fresh = false;
+        let mut actions = self.lose(now);
+        actions.push(Action::Refresh);
+        actions
+    }
+
+    fn step_down(&mut self, seen: Fence) -> Vec<Action> {
+        let stop = self.loading().map(Action::Stop);
+        self.phase = Phase::Superseded;
+        stop.into_iter().chain([Action::StepDown(seen)]).collect()
     }
 
     fn lose(&mut self, now: Instant) -> Vec<Action> {
         let stop = self.loading().map(Action::Stop);
         self.phase = Phase::Unknown;
         self.engine = None;
+        self.prepared_at = None;
+        self.known_since = now;
         self.read_at = now;
         stop.into_iter().collect()
     }
@@ -201,22 +176,58 @@
         actions
     }
 
-    fn observe(&mut self, view: EngineView, now: Instant) -> Vec<Action> {
-        self.fence = self.fence.max(Fence(view.fence.0 + 1));
+    fn observe(&mut self, mut view: EngineView, asked: Instant, now: Instant) -> Vec<Action> {
+        self.read_at = now + READ_EVERY;
+        if !self.adopted {
+            self.adopted = true;
+            self.fence = self.fence.max(Fence(view.fence.0 + FENCE_GAP));
+        }
+        if view.fence > self.fence {
+            self.trial.void();
+            return self.step_down(view.fence);
+        }
+        if self.phase == Phase::Loading && !self.prepare_shows(asked) {
+            view.prepared = self.engine.as_ref().and_then(|e| e.prepared.clone());
+        }
         let changed = self.engine.as_ref() != Some(&view);
         self.engine = Some(view);
-        self.read_at = now + READ_EVERY;
+        self.judge(now);
         match self.phase {
-            Phase::Unknown => self.start(now),
+            Phase::Unknown => self.leave_unknown(now),
             Phase::Settled if changed => self.start(now),
-            Phase::Loading | Phase::Waiting if self.prepared_is_gone() => self.start(now),
+            Phase::Loading | Phase::Waiting if self.prepared_is_gone(asked) => self.start(now),
             _ => Vec::new(),
         }
     }
 
-    fn prepared_is_gone(&self) -> bool {
+    /// Judges the release on trial by the engine's statement, unless an order is on its way.
+    fn judge(&mut self, now: Instant) {
+        if self.phase == Phase::Switching {
+            return;
+        }
+        let serving = self.engine.as_ref().and_then(|e| e.serving.as_ref());
+        if let Some(target) = &self.target {
+            if serving == Some(&target.release) {
+                self.trial.found(&target.release);
+            }
+            self.trial.observe(serving, target.soak, now);
+        }
+    }
+
+    fn leave_unknown(&mut self, now: Instant) -> Vec<Action> {
+        let ready = self.phase == Phase::Unknown && self.fresh && now >= self.retry_at;
+        if ready { self.start(now) } else { Vec::new() }
+    }
+
+    /// Whether a statement asked for at `asked` follows the accepted order to prepare.
+    fn prepare_shows(&self, asked: Instant) -> bool {
+        self.prepared_at.is_some_and(|at| asked >= at)
+    }
+
+    /// Whether the engine accepted the order to prepare and holds something else since.
+    fn prepared_is_gone(&self, asked: Instant) -> bool {
         let prepared = self.engine.as_ref().and_then(|e| e.prepared.as_ref());
-        prepared != self.target.as_ref().map(|t| &t.release)
+        self.prepare_shows(asked) && prepared != self.target.as_ref().map(|t| &t.release)
     }
 
     /// Begins the way from what the engine states to the target.
@@ -227,13 +238,14 @@
         if engine.prepared.is_some() && (engine.prepared != wanted || engine.serving == wanted) {
             let prepared = engine.prepared.clone().expect("checked above");
             actions.push(self.order(OrderKind::Abort, prepared));
+            self.assume_prepared(None);
         }
         match wanted {
             None => {
                 self.phase = Phase::Settled;
                 if engine.serving.is_some() {
                     self.phase = Phase::Draining;
-                    actions.extend(self.advance());
+                    actions.extend(self.advance(now));
                 }
             }
             Some(release) if engine.serving.as_ref() == Some(&release) => {
@@ -242,6 +254,8 @@
             }
             Some(release) => {
                 self.phase = Phase::Loading;
+                self.prepared_at = None;
+                self.assume_prepared(Some(release.clone()));
                 actions.push(self.order(OrderKind::Prepare, release));
             }
         }
@@ -249,26 +263,41 @@
         actions
     }
 
-    fn staged(&mut self, release: &ReleaseId) -> Vec<Action> {
+    /// Notes what an order that is on its way makes the engine hold, so that a change of target
+    /// meanwhile takes it back.
+    fn assume_prepared(&mut self, release: Option<ReleaseId>) {
+        if let Some(engine) = &mut self.engine {
+            engine.prepared = release;
+        }
+    }
+
+    fn staged(&mut self, release: &ReleaseId, now: Instant) -> Vec<Action> {
         if self.loading().as_ref() != Some(release) {
             return Vec::new();
         }
         self.phase = Phase::Waiting;
-        self.advance()
+        self.advance(now)
     }
 
     /// Goes on where nothing is awaited any more.
-    fn advance(&mut self) -> Vec<Action> {
-        if self.phase == Phase::Waiting && (self.turn || self.serving().is_none()) {
+    fn advance(&mut self, now: Instant) -> Vec<Action> {
+        if self.phase == Phase::Waiting && self.turn {
             self.phase = Phase::Draining;
         }
         if self.phase != Phase::Draining || self.in_flight > 0 {
             return Vec::new();
         }
         self.phase = Phase::Switching;
+        self.read_at = now + READ_EVERY;
         match (self.target.clone(), self.serving().cloned()) {
-            (Some(target), _) => vec![self.order(OrderKind::Activate, target.release)],
-            (None, Some(serving)) => vec![self.order(OrderKind::Unload, serving)],
+            (Some(target), _) => {
+                self.trial.ordered(&target.release);
+                vec![self.order(OrderKind::Activate, target.release)]
+            }
+            (None, Some(serving)) => {
+                self.trial.unloaded();
+                vec![self.order(OrderKind::Unload, serving)]
+            }
             (None, None) => {
                 self.phase = Phase::Settled;
                 Vec::new()
@@ -277,13 +306,23 @@
     }
 
     fn ordered(&mut self, order: &Order, accepted: bool, now: Instant) -> Vec<Action> {
+        if order.fence != self.fence && order.order != OrderKind::Prepare {
+            return Vec::new();
+        }
+        let wanted = self.loading().as_ref() == Some(&order.release) && order.fence == self.fence;
         match order.order {
-            OrderKind::Prepare if accepted && self.loading().as_ref() == Some(&order.release) => {
+            OrderKind::Prepare if accepted && wanted => {
+                self.prepared_at = Some(now);
                 vec![Action::Load(order.release.clone())]
             }
+            // The target changed meanwhile; the way to the new one took it back.
+            OrderKind::Prepare if !wanted => Vec::new(),
             OrderKind::Abort => Vec::new(),
             // The engine's own statement decides, not the answer to the order.
             _ => {
+                if !accepted {
+                    self.retry_at = now + RETRY;
+                }
                 let mut actions = self.lose(now);
                 actions.push(Action::ReadEngine);
                 actions
@@ -292,11 +331,15 @@
     }
 
     fn tick(&mut self, now: Instant) -> Vec<Action> {
-        if now < self.read_at {
-            return Vec::new();
+        let mut actions = Vec::new();
+        if self.engine.is_some() {
+            actions = self.leave_unknown(now);
         }
-        self.read_at = now + READ_EVERY;
-        vec![Action::ReadEngine]
+        if now >= self.read_at {
+            self.read_at = now + READ_EVERY;
+            actions.push(Action::ReadEngine);
+        }
+        actions
     }
 
     fn order(&mut self, order: OrderKind, release: ReleaseId) -> Action {
--- a/components/rollout/src/endpoint/tests.rs
+++ b/components/rollout/src/endpoint/tests.rs
@@ -1,52 +1,247 @@
 use super::*;
+use crate::Event;
+
+const SOAK: Duration = Duration::from_secs(5);
 
 fn release(s: &str) -> ReleaseId {
     s.parse().unwrap()
 }
 
 fn target(s: &str) -> Event {
-    Event::Target(Some(Target { rollout: "r".parse().unwrap(), release: release(s) }))
+    let (rollout, release) = ("r".parse().unwrap(), release(s));
+    Event::Target(Some(Target { rollout, release, soak: SOAK }))
 }
 
-fn view(serving: Option<&str>, prepared: Option<&str>) -> Event {
+fn stated(serving: Option<&str>, prepared: Option<&str>, fence: u64, asked: Instant) -> Event {
     let parse = |s: Option<&str>| s.map(release);
-    Event::Engine(EngineView {
-        serving: parse(serving),
-        prepared: parse(prepared),
-        fence: Fence(50),
-    })
+    let (serving, prepared) = (parse(serving), parse(prepared));
+    Event::Engine { view: EngineView { serving, prepared, fence: Fence(fence) }, asked }
+}
+
+fn view(serving: Option<&str>, prepared: Option<&str>, asked: Instant) -> Event {
+    stated(serving, prepared, 50, asked)
+}
+
+fn answered(action: &Action, accepted: bool) -> Event {
+    Event::Ordered { order: order(action).clone(), accepted }
 }
 
-fn accepted(action: &Action) -> Event {
+fn order(action: &Action) -> &Order {
     let Action::Order(order) = action else { panic!("{action:?}") };
-    Event::Ordered { order: order.clone(), accepted: true }
+    order
+}
+
+fn kinds(actions: &[Action]) -> Vec<OrderKind> {
+    let orders = actions.iter().filter(|a| matches!(a, Action::Order(_)));
+    orders.map(|a| order(a).order).collect()
+}
+
+/// An endpoint whose knowledge peers confirmed.
+fn fresh(fence: u64, now: Instant) -> Endpoint {
+    let mut endpoint = Endpoint::new(Fence(fence), now);
+    assert_eq!(endpoint.handle(Event::Fresh, now), []);
+    endpoint
+}
+
+/// An endpoint that loads `to` while the engine serves `from`.
+fn loading(from: Option<&str>, to: &str, now: Instant) -> Endpoint {
+    let mut endpoint = fresh(10, now);
+    endpoint.handle(target(to), now);
+    let orders = endpoint.handle(view(from, None, now), now);
+    assert_eq!(kinds(&orders), [OrderKind::Prepare]);
+    assert_eq!(endpoint.handle(answered(&orders[0], true), now), [Action::Load(release(to))]);
+    endpoint
+}
+
+/// Goes on until `to` is activated; the engine's answer is still to come.
+fn switching(endpoint: &mut Endpoint, to: &str, now: Instant) -> Action {
+    endpoint.handle(Event::Turn(true), now);
+    let orders = endpoint.handle(Event::Staged(release(to)), now);
+    assert_eq!(kinds(&orders), [OrderKind::Activate]);
+    orders[0].clone()
 }
 
 #[test]
 fn an_endpoint_goes_from_nothing_to_ready() {
     let now = Instant::now();
-    let mut endpoint = Endpoint::new(Fence(10), now);
-    assert_eq!(endpoint.handle(target("m@v1"), now), []);
-    let orders = endpoint.handle(view(None, None), now);
-    assert_eq!(endpoint.handle(accepted(&orders[0]), now), [Action::Load(release("m@v1"))]);
-    let orders = endpoint.handle(Event::Staged(release("m@v1")), now);
-    assert!(matches!(&orders[0], Action::Order(o) if o.order == OrderKind::Activate));
-    assert!(matches!(&orders[0], Action::Order(o) if o.fence > Fence(50)));
-    assert_eq!(endpoint.handle(accepted(&orders[0]), now), [Action::ReadEngine]);
-    let ready = endpoint.handle(view(Some("m@v1"), None), now);
+    let mut endpoint = loading(None, "m@v1", now);
+    assert_eq!(endpoint.handle(Event::Staged(release("m@v1")), now), []);
+    let orders = endpoint.handle(Event::Turn(true), now);
+    assert_eq!(kinds(&orders), [OrderKind::Activate]);
+    assert!(order(&orders[0]).fence > Fence(50));
+    assert_eq!(endpoint.handle(answered(&orders[0], true), now), [Action::ReadEngine]);
+    let ready = endpoint.handle(view(Some("m@v1"), None, now), now);
     assert_eq!(ready, [Action::Ready(release("m@v1"))]);
     assert!(endpoint.accepting());
 }
 
 #[test]
-fn a_paused_process_asks_the_engine_before_it_orders() {
+fn nothing_is_ordered_before_peers_confirm() {
     let now = Instant::now();
     let mut endpoint = Endpoint::new(Fence(10), now);
-    endpoint.handle(target("m@v1"), now);
-    let orders = endpoint.handle(view(None, None), now);
-    endpoint.handle(accepted(&orders[0]), now);
+    endpoint.handle(target("m@v2"), now);
+    assert_eq!(endpoint.handle(view(Some("m@v1"), None, now), now), []);
+    assert!(endpoint.accepting(), "what the engine serves may answer requests");
+    assert_eq!(kinds(&endpoint.handle(Event::Fresh, now)), [OrderKind::Prepare]);
+}
+
+#[test]
+fn a_paused_process_asks_peers_and_the_engine_before_it_orders() {
+    let now = Instant::now();
+    let mut endpoint = loading(Some("m@v1"), "m@v2", now);
     let late = now + Duration::from_secs(60);
-    let actions = endpoint.handle(Event::Staged(release("m@v1")), late);
-    assert_eq!(actions, [Action::Stop(release("m@v1"))]);
+    let actions = endpoint.handle(Event::Staged(release("m@v2")), late);
+    assert_eq!(actions, [Action::Stop(release("m@v2")), Action::Refresh]);
+    assert_eq!(endpoint.handle(Event::Turn(true), late), []);
     assert_eq!(endpoint.handle(Event::Tick, late), [Action::ReadEngine]);
+    // A statement that was asked for before the pause is not believed.
+    assert_eq!(endpoint.handle(view(Some("m@v1"), Some("m@v2"), now), late), []);
+    assert_eq!(endpoint.handle(Event::Fresh, late), []);
+    let actions = endpoint.handle(view(Some("m@v1"), None, late), late);
+    assert_eq!(kinds(&actions), [OrderKind::Prepare]);
+}
+
+#[test]
+fn a_gap_of_the_wall_clock_counts_as_a_pause() {
+    let now = Instant::now();
+    let mut endpoint = loading(Some("m@v1"), "m@v2", now);
+    let actions = endpoint.handle(Event::Woke, now);
+    assert_eq!(actions, [Action::Stop(release("m@v2")), Action::Refresh]);
+}
+
+#[test]
+fn fencing_numbers_grow_though_the_wall_clock_was_set_back() {
+    let now = Instant::now();
+    let mut endpoint = fresh(10, now);
+    endpoint.handle(target("m@v2"), now);
+    let seen = 1_700_000_000_000;
+    let orders = endpoint.handle(stated(Some("m@v1"), None, seen, now), now);
+    assert!(order(&orders[0]).fence > Fence(seen));
+}
+
+#[test]
+fn the_older_of_two_processes_steps_down() {
+    let now = Instant::now();
+    let mut old = loading(Some("m@v1"), "m@v2", now);
+    let late = now + Duration::from_secs(60);
+    old.handle(Event::Tick, late);
+    old.handle(Event::Fresh, late);
+    // The later process has adopted the engine's number and given an order.
+    let actions = old.handle(stated(Some("m@v3"), None, 9999, late), late);
+    assert_eq!(actions, [Action::StepDown(Fence(9999))]);
+    assert_eq!(old.phase(), &Phase::Superseded);
+    assert!(!old.accepting());
+    assert_eq!(old.handle(target("m@v4"), late), []);
+    assert_eq!(old.handle(view(None, None, late), late), []);
+}
+
+#[test]
+fn a_process_with_a_later_run_beside_it_steps_down() {
+    let now = Instant::now();
+    let mut endpoint = loading(Some("m@v1"), "m@v2", now);
+    let actions = endpoint.handle(Event::Rival, now);
+    assert_eq!(actions[0], Action::Stop(release("m@v2")));
+    assert!(matches!(actions[1], Action::StepDown(_)));
+    assert_eq!(endpoint.handle(Event::Staged(release("m@v2")), now), []);
+}
+
+#[test]
+fn a_superseded_release_is_taken_back_before_the_engine_shows_it() {
+    let now = Instant::now();
+    let mut endpoint = loading(Some("m@v1"), "m@v2", now);
+    // Asked for before the engine accepted the order to prepare.
+    endpoint.handle(view(Some("m@v1"), None, now - Duration::from_millis(1)), now);
+    let actions = endpoint.handle(target("m@v1"), now);
+    assert_eq!(actions[0], Action::Stop(release("m@v2")));
+    assert_eq!(kinds(&actions), [OrderKind::Abort]);
+    assert_eq!(order(&actions[1]).release, release("m@v2"));
+    // An abort that was overtaken by the order to prepare is repeated.
+    let again = endpoint.handle(view(Some("m@v1"), Some("m@v2"), now), now);
+    assert_eq!(kinds(&again), [OrderKind::Abort]);
+}
+
+#[test]
+fn an_engine_that_restarts_during_a_load_is_prepared_again() {
+    let now = Instant::now();
+    let mut endpoint = loading(None, "m@v2", now);
+    let later = now + Duration::from_millis(600);
+    let actions = endpoint.handle(view(None, None, later), later);
+    assert_eq!(kinds(&actions), [OrderKind::Prepare]);
+}
+
+#[test]
+fn an_engine_that_holds_another_release_is_cleared_first() {
+    let now = Instant::now();
+    let mut endpoint = fresh(10, now);
+    endpoint.handle(target("m@v2"), now);
+    let actions = endpoint.handle(view(None, Some("m@v9"), now), now);
+    assert_eq!(kinds(&actions), [OrderKind::Abort, OrderKind::Prepare]);
+    assert_eq!(order(&actions[0]).release, release("m@v9"));
+}
+
+#[test]
+fn a_lost_engine_is_read_before_the_next_order() {
+    let now = Instant::now();
+    let mut endpoint = loading(None, "m@v2", now);
+    assert_eq!(endpoint.handle(Event::EngineLost, now), [Action::Stop(release("m@v2"))]);
+    assert_eq!(endpoint.handle(Event::Staged(release("m@v2")), now), []);
+    assert_eq!(endpoint.handle(Event::Turn(true), now), []);
+    assert!(!endpoint.accepting());
+    assert_eq!(kinds(&endpoint.handle(view(None, None, now), now)), [OrderKind::Prepare]);
+}
+
+#[test]
+fn a_refused_order_is_repeated_only_after_a_pause() {
+    let now = Instant::now();
+    let mut endpoint = fresh(10, now);
+    endpoint.handle(target("m@v2"), now);
+    let orders = endpoint.handle(view(None, None, now), now);
+    let actions = endpoint.handle(answered(&orders[0], false), now);
+    assert_eq!(actions, [Action::Stop(release("m@v2")), Action::ReadEngine]);
+    assert_eq!(endpoint.handle(view(None, None, now), now), []);
+    let later = now + RETRY;
+    assert_eq!(kinds(&endpoint.handle(Event::Tick, later)), [OrderKind::Prepare]);
+}
+
+#[test]
+fn an_engine_that_twice_refuses_to_activate_fails_the_release() {
+    let now = Instant::now();
+    let v2 = release("m@v2");
+    let mut endpoint = loading(Some("m@v1"), "m@v2", now);
+    let mut at = now;
+    for failures in 1..=2 {
+        let activate = switching(&mut endpoint, "m@v2", at);
+        endpoint.handle(answered(&activate, false), at);
+        at += RETRY;
+        let orders = endpoint.handle(view(Some("m@v1"), None, at), at);
+        assert_eq!(endpoint.verdict(&v2).is_some(), failures == 2);
+        assert_eq!(kinds(&orders), [OrderKind::Prepare]);
+        endpoint.handle(answered(&orders[0], true), at);
+    }
+    // The target goes back to the old release, which still serves.
+    let actions = endpoint.handle(target("m@v1"), at);
+    assert_eq!(kinds(&actions), [OrderKind::Abort]);
+    assert!(endpoint.accepting());
+    assert!(endpoint.verdict(&v2).is_some());
+}
+
+#[test]
+fn an_engine_that_crashes_while_it_soaks_counts_as_failed_once() {
+    let now = Instant::now();
+    let v2 = release("m@v2");
+    let mut endpoint = loading(Some("m@v1"), "m@v2", now);
+    let activate = switching(&mut endpoint, "m@v2", now);
+    endpoint.handle(answered(&activate, true), now);
+    endpoint.handle(view(Some("m@v2"), None, now), now);
+    endpoint.handle(Event::EngineLost, now);
+    assert_eq!(kinds(&endpoint.handle(view(None, None, now), now)), [OrderKind::Prepare]);
+    assert_eq!(endpoint.verdict(&v2), None);
+    let mut passed = loading(None, "m@v2", now);
+    let activate = switching(&mut passed, "m@v2", now);
+    passed.handle(answered(&activate, true), now);
+    for step in 0..=10 {
+        let at = now + SOAK * step / 10;
+        passed.handle(view(Some("m@v2"), None, at), at);
+    }
+    assert!(passed.verdict(&v2).is_some());
 }
--- a/components/rollout/src/lib.rs
+++ b/components/rollout/src/lib.rs
@@ -1,9 +1,12 @@
 //! Takes one endpoint from one release to the next.
 
 mod endpoint;
+mod event;
 mod order;
+mod trial;
 mod turn;
 
-pub use endpoint::{Action, Endpoint, EngineView, Event, Phase, Target};
+pub use endpoint::Endpoint;
+pub use event::{Action, EngineView, Event, Phase, Target};
 pub use order::{Order, OrderKind};
-pub use turn::{Replica, Turn, my_turn};
+pub use turn::{Replica, Turn, fallback, halted, my_turn};
--- a/components/standins/src/engine.rs
+++ b/components/standins/src/engine.rs
@@ -88,8 +88,21 @@
     counts: EngineCounts,
 }
 
+/// What a release does to the engine when it is activated.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Flaw {
+    /// The engine refuses it.
+    Refused,
+    /// The engine crashes at once.
+    Crashes,
+    /// The engine serves it and crashes after this time.
+    CrashesAfter(Duration),
+}
+
 struct Shared {
     settings: EngineSettings,
+    /// Releases that do not work here.
+    flaws: Mutex<HashMap<String, Flaw>>,
     state: Mutex<State>,
     changed: Condvar,
 }
@@ -106,8 +119,12 @@
     pub fn start(settings: EngineSettings) -> anyhow::Result<Engine> {
         let listener = Listener::bind(([127, 0, 0, 1], 0).into(), IDLE, LIMIT)?;
         let addr = listener.addr();
-        let shared =
-            Arc::new(Shared { settings, state: Mutex::default(), changed: Condvar::new() });
+        let shared = Arc::new(Shared {
+            settings,
+            flaws: Mutex::default(),
+            state: Mutex::default(),
+            changed: Condvar::new(),
+        });
         let stop = Latch::default();
         let served = shared.clone();
         listener.serve(stop.clone(), move |request| served.answer(request));
@@ -134,6 +151,12 @@
         self.shared.lock().prepared.clone()
     }
 
+    /// Makes a release fail when it is activated.
+    pub fn set_flaw(&self, release: &str, flaw: Flaw) {
+        let mut flaws = self.shared.flaws.lock().expect("no holder panics");
+        flaws.insert(release.to_owned(), flaw);
+    }
+
     /// Crashes it: all that it held is gone and all that it ran breaks off.
     pub fn crash(&self) {
         self.shared.crash();
@@ -202,7 +225,23 @@
         respond_json(request, &body);
     }
 
-    fn order(&self, mut request: Request) {
+    fn flaw(&self, release: &str) -> Option<Flaw> {
+        self.flaws.lock().expect("no holder panics").get(release).copied()
+    }
+
+    /// Crashes after `wait`, unless it crashed meanwhile.
+    fn crash_later(self: &Arc<Shared>, wait: Duration) {
+        let engine = self.clone();
+        let epoch = self.lock().epoch;
+        std::thread::spawn(move || {
+            std::thread::sleep(wait);
+            if engine.lock().epoch == epoch {
+                engine.crash();
+            }
+        });
+    }
+
+    fn order(self: &Arc<Shared>, mut request: Request) {
         let body = read_body(&mut request, BODY).unwrap_or_default();
         let Ok(order) = serde_json::from_slice::<Value>(&body) else {
             refuse(request, 400, "order is not JSON", "not-run");
@@ -218,6 +257,27 @@
             return;
         }
         state.fence = state.fence.max(fence);
+        let activates = order["order"] == "activate" && state.prepared.as_ref() == Some(&release);
+        match self.flaw(&release).filter(|_| activates) {
+            Some(Flaw::Refused) => {
+                state.prepared = None;
+                drop(state);
+                refuse(request, 409, "the release does not fit this engine", "not-run");
+                return;
+            }
+            Some(Flaw::Crashes) => {
+                drop(state);
+                self.crash();
+                abort(request);
+                return;
+            }
+            Some(Flaw::CrashesAfter(wait)) => {
+                drop(state);
+                self.crash_later(wait);
+                state = self.lock();
+            }
+            None => {}
+        }
         let accepted = self.apply(&mut state, &order, release);
         drop(state);
         if accepted {
--- a/components/standins/src/lib.rs
+++ b/components/standins/src/lib.rs
@@ -10,6 +10,6 @@
 
 pub use answers::expected;
 pub use blobs::{BlobFaults, BlobService};
-pub use engine::{Engine, EngineCounts, EngineSettings};
+pub use engine::{Engine, EngineCounts, EngineSettings, Flaw};
 pub use plain::PlainService;
 pub use values::{ValueService, manifest_value, vms_value};
--- a/components/testbed/src/bed.rs
+++ b/components/testbed/src/bed.rs
@@ -7,6 +7,7 @@
 
 use agent::Agent;
 use anyhow::{Context, bail};
+use audit::Entry as AuditEntry;
 use base::{ByteRate, ByteSize, Digest, Permille, Rate, Revision, Timeout, VmId};
 use entry::Entry;
 use manifest::{
@@ -287,6 +288,7 @@
             replicas,
             floor,
             canary: 1,
+            soak: Timeout(Duration::from_millis(300)),
             order: 0,
             regions: Vec::new(),
             avoid: Vec::new(),
@@ -323,6 +325,12 @@
         self.peers.ask(control, ask).context("status")
     }
 
+    /// The audit trail of a process, oldest entry first.
+    pub fn audit(&self, control: SocketAddr) -> anyhow::Result<Vec<AuditEntry>> {
+        let ask = |client| async move { PeerClient::audit(&client, 0).await };
+        Ok(self.peers.ask(control, ask).context("audit")?.entries)
+    }
+
     /// Address of an entry for callers.
     pub fn callers(&self, entry: usize) -> SocketAddr {
         self.entries[entry].1.callers()
--- /dev/null
+++ b/components/testbed/tests/versions.rs
@@ -0,0 +1,126 @@
+//! One version or none at each endpoint: superseded rollouts, engine crashes, and two agents for one
+//! engine.
+
+use std::time::Duration;
+
+use agent::Agent;
+use audit::Change;
+use base::{ByteRate, ByteSize};
+use manifest::Role;
+use settings::{AgentSettings, Fencing};
+use standins::EngineSettings;
+use testbed::{Testbed, TestbedSettings, Weights};
+
+const TIMEOUT: Duration = Duration::from_secs(40);
+
+fn fleet(agents: usize, settings: TestbedSettings) -> Testbed {
+    let mut bed = Testbed::start(TestbedSettings { agents, ..settings }).unwrap();
+    for (seed, version) in [(1, "v1"), (2, "v2"), (3, "v3")] {
+        let weights = Weights::generate(version, ByteSize(1 << 20), ByteSize(64 << 10), seed);
+        bed.add_version(&weights);
+    }
+    bed
+}
+
+fn partial(bed: &Testbed) -> u32 {
+    bed.agents.iter().map(|s| s.engine.as_ref().unwrap().counts().partial).sum()
+}
+
+fn prepared(bed: &Testbed) -> usize {
+    bed.agents.iter().filter(|s| s.engine.as_ref().unwrap().prepared().is_some()).count()
+}
+
+#[test]
+fn a_superseded_rollout_stops_and_leaves_nothing_half_loaded() {
+    let link = ByteRate(500_000);
+    let mut bed = fleet(3, TestbedSettings { link, ..TestbedSettings::default() });
+    bed.roll_out("v1", 3, 1);
+    bed.wait_until("loading", TIMEOUT, |bed| prepared(bed) == 3).unwrap();
+    assert_eq!(bed.serving("base@v1"), 0);
+    bed.roll_out("v2", 3, 1);
+    bed.wait_until("v2", TIMEOUT, |bed| bed.serving("base@v2") == 3).unwrap();
+    assert_eq!((prepared(&bed), partial(&bed)), (0, 0));
+    for slot in &bed.agents {
+        let trail = bed.audit(slot.vm.control).unwrap();
+        let at = |wanted: &dyn Fn(&Change) -> bool| trail.iter().position(|e| wanted(&e.change));
+        let superseded =
+            at(&|c| matches!(c, Change::Superseded { release } if release.as_str() == "base@v1"));
+        let ready =
+            at(&|c| matches!(c, Change::Ready { release } if release.as_str() == "base@v2"));
+        assert!(superseded.unwrap() < ready.unwrap());
+    }
+    bed.manifest.rollouts.clear();
+    bed.publish_manifest();
+    bed.wait_until("nothing", TIMEOUT, |bed| bed.serving("base@v2") == 0).unwrap();
+    bed.stop();
+}
+
+#[test]
+fn an_engine_that_crashes_while_it_loads_or_serves_is_loaded_again() {
+    let link = ByteRate(1_000_000);
+    let mut bed = fleet(2, TestbedSettings { link, ..TestbedSettings::default() });
+    bed.roll_out("v1", 2, 1);
+    bed.wait_until("loading", TIMEOUT, |bed| prepared(bed) == 2).unwrap();
+    bed.agents[0].engine.as_ref().unwrap().crash();
+    bed.wait_until("v1", TIMEOUT, |bed| bed.serving("base@v1") == 2).unwrap();
+    bed.agents[1].engine.as_ref().unwrap().crash();
+    assert_eq!(bed.serving("base@v1"), 1);
+    bed.wait_until("v1 again", TIMEOUT, |bed| bed.serving("base@v1") == 2).unwrap();
+    assert_eq!(partial(&bed), 0);
+    bed.stop();
+}
+
+/// Starts a second agent for the engine of the first VM, as after a replacement that the first agent
+/// did not notice.
+fn second_agent(bed: &mut Testbed, fencing: Fencing) -> Agent {
+    let endpoint = bed.agents[0].engine.as_ref().unwrap().addr();
+    let options = AgentSettings { endpoint, fencing, ..AgentSettings::default() };
+    let name = bed.agents[0].vm.id.to_string();
+    let (vm, agent) = bed.start_agent(&name, 0, Role::Model, options).unwrap();
+    bed.agents[0].vm = vm;
+    let old = bed.agents[0].agent.replace(agent).unwrap();
+    bed.publish_vms();
+    old
+}
+
+fn older_agent_steps_down(fencing: bool) {
+    let engine = EngineSettings { fencing, ..EngineSettings::default() };
+    let mut bed = fleet(2, TestbedSettings { engine, ..TestbedSettings::default() });
+    bed.roll_out("v1", 2, 1);
+    bed.wait_until("v1", TIMEOUT, |bed| bed.serving("base@v1") == 2).unwrap();
+    let setting = if fencing { Fencing::Checked } else { Fencing::Ignored };
+    let old = second_agent(&mut bed, setting);
+    let stepped_down = |bed: &Testbed| {
+        let trail = bed.audit(old.control()).unwrap();
+        trail.iter().any(|entry| matches!(entry.change, Change::SteppedDown { .. }))
+    };
+    for version in ["v2", "v3"] {
+        bed.roll_out(version, 2, 1);
+        let release = format!("base@{version}");
+        bed.wait_until(version, TIMEOUT, |bed| bed.serving(&release) == 2).unwrap();
+    }
+    bed.wait_until("step down", TIMEOUT, stepped_down).unwrap();
+    assert!(!bed.status(old.control()).unwrap().accepting);
+    assert_eq!(partial(&bed), 0);
+    // From now on only the later agent acts.
+    let orders = |bed: &Testbed| bed.audit(old.control()).unwrap().len();
+    let before = orders(&bed);
+    bed.roll_out("v1", 2, 1);
+    bed.wait_until("v1 again", TIMEOUT, |bed| bed.serving("base@v1") == 2).unwrap();
+    let after = bed.audit(old.control()).unwrap();
+    let ordered = |change: &Change| matches!(change, Change::Order { .. });
+    assert!(!after[before..].iter().any(|entry| ordered(&entry.change)));
+    old.drain();
+    old.wait();
+    bed.stop();
+}
+
+#[test]
+fn the_older_of_two_agents_steps_down_where_fencing_is_checked() {
+    older_agent_steps_down(true);
+}
+
+#[test]
+fn the_older_of_two_agents_steps_down_where_fencing_is_ignored() {
+    older_agent_steps_down(false);
+}
