Measure rollouts with the present trees

Cause: nothing measured the time until all VMs serve a version. Change: `bench rollout` with real agents on loopback, enforced link rates, a measured baseline, and faults: corrupted chunks, killed and replaced VMs, a stalled link, a paused process.

--- a/components/agent/src/core.rs
+++ b/components/agent/src/core.rs
@@ -129,6 +129,7 @@
                 let in_flight = self.attempts.running();
                 self.decide(rollout::Event::InFlight(in_flight), now);
             }
+            Event::Pause(pause) => std::thread::sleep(pause),
             Event::Drain => self.drain(now),
         }
         self.stop_if_drained(cx);
--- a/components/agent/src/event.rs
+++ b/components/agent/src/event.rs
@@ -1,5 +1,7 @@
 //! Events of the agent's actor.
 
+use std::time::Duration;
+
 use attempts::Offer;
 use base::{AttemptId, Digest, ReleaseId};
 use bytes::Bytes;
@@ -33,6 +35,8 @@
     Offer { offer: Offer, reply: Sender<Result<(), RefusalReason>> },
     /// An attempt that was started has ended.
     Finished { attempt: AttemptId, fate: Fate },
+    /// The core stands still, as on a VM that is paused.
+    Pause(Duration),
     /// A planned stop begins.
     Drain,
 }
--- a/components/agent/src/process.rs
+++ b/components/agent/src/process.rs
@@ -96,6 +96,11 @@
         self.mailbox.send(Event::Drain);
     }
 
+    /// Makes the core stand still for a while, as on a VM that is paused; for tests of failures.
+    pub fn pause(&self, pause: Duration) {
+        self.mailbox.send(Event::Pause(pause));
+    }
+
     /// Waits until the agent has stopped.
     pub fn wait(&self) {
         let thread = self.thread.lock().expect("no holder panics").take();
--- a/components/agent/src/weights.rs
+++ b/components/agent/src/weights.rs
@@ -72,7 +72,9 @@
         let members = self.rollout_vms();
         let me = self.node.identity.settings.vm.clone();
         let Some(loading) = self.loading.as_mut().filter(|l| l.id() == release) else { return };
-        loading.start(&members, &me, TransferSettings::default(), now);
+        let settings =
+            TransferSettings { strategy: self.settings.strategy, ..TransferSettings::default() };
+        loading.start(&members, &me, settings, now);
         for (list, chunk, digest) in loading.all_chunks() {
             let Some(bytes) = self.shared.held(&digest) else { continue };
             if let Some(transfer) = loading.transfers.get_mut(&list) {
--- a/components/chunks/src/transfer.rs
+++ b/components/chunks/src/transfer.rs
@@ -7,12 +7,15 @@
 
 use base::{Digest, VmId};
 use manifest::ChunkList;
+use settings::Strategy;
 
 use crate::Tree;
 
 /// Bounds of a transfer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TransferSettings {
+    /// How chunks spread.
+    pub strategy: Strategy,
     /// Fetches in progress at a time.
     pub window: usize,
     /// Wait for an announcement before ancestors are asked without one.
@@ -26,6 +29,7 @@
 impl Default for TransferSettings {
     fn default() -> TransferSettings {
         TransferSettings {
+            strategy: Strategy::Tree,
             window: 8,
             patience: Duration::from_millis(1500),
             takeover: Duration::from_secs(4),
@@ -248,6 +252,9 @@
         if now < chunk.not_before {
             return None;
         }
+        if self.settings.strategy == Strategy::Origin {
+            return Some(Source::Origin);
+        }
         let trusted = |vm: &&VmId| self.blame(vm) < MAX_BLAME;
         if let Some(vm) = chunk.offers.iter().find(trusted) {
             return Some(Source::Peer(vm.clone()));
--- a/components/settings/src/model.rs
+++ b/components/settings/src/model.rs
@@ -101,6 +101,8 @@
     pub memory: ByteSize,
     /// Most requests in progress at the endpoint.
     pub slots: usize,
+    /// How weights spread; the same on all VMs.
+    pub strategy: Strategy,
 }
 
 impl Default for AgentSettings {
@@ -113,10 +115,51 @@
             link: ByteRate(200_000_000),
             memory: ByteSize(128 << 20),
             slots: 64,
+            strategy: Strategy::Tree,
         }
     }
 }
 
+/// How the chunks of a version spread over the VMs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Strategy {
+    /// Along a tree for each chunk.
+    Tree,
+    /// Among neighbours, the rarest chunk first.
+    Rarest,
+    /// All VMs read all chunks from the origin.
+    Origin,
+}
+
+impl std::str::FromStr for Strategy {
+    type Err = BadStrategy;
+
+    fn from_str(s: &str) -> Result<Strategy, BadStrategy> {
+        match s {
+            "tree" => Ok(Strategy::Tree),
+            "rarest" => Ok(Strategy::Rarest),
+            "origin" => Ok(Strategy::Origin),
+            other => Err(BadStrategy(other.to_owned())),
+        }
+    }
+}
+
+impl std::fmt::Display for Strategy {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Strategy::Tree => "tree",
+            Strategy::Rarest => "rarest",
+            Strategy::Origin => "origin",
+        })
+    }
+}
+
+/// Text that is not a strategy.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("strategy {0:?} does not exist: use tree, rarest or origin")]
+pub struct BadStrategy(pub String);
+
 /// The kinds of endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "lowercase")]
--- a/components/standins/src/lib.rs
+++ b/components/standins/src/lib.rs
@@ -6,10 +6,12 @@
 mod blobs;
 mod engine;
 mod plain;
+mod relay;
 mod values;
 
 pub use answers::expected;
 pub use blobs::{BlobFaults, BlobService};
 pub use engine::{Engine, EngineCounts, EngineSettings};
 pub use plain::PlainService;
+pub use relay::Relay;
 pub use values::{ValueService, manifest_value, vms_value};
--- a/components/testbed/src/bed.rs
+++ b/components/testbed/src/bed.rs
@@ -17,9 +17,11 @@
 use proto::{PeerClient, Status};
 use settings::{
     AgentSettings, EndpointKind, EntrySettings, Fencing, PeerKey, PlatformSettings, Settings,
+    Strategy,
 };
 use standins::{
-    BlobService, Engine, EngineSettings, PlainService, ValueService, manifest_value, vms_value,
+    BlobService, Engine, EngineCounts, EngineSettings, PlainService, ValueService, manifest_value,
+    vms_value,
 };
 use tokio::runtime::Runtime;
 
@@ -48,6 +50,8 @@
     pub origin: ByteRate,
     /// Chunk memory of each agent.
     pub memory: ByteSize,
+    /// How weights spread.
+    pub strategy: Strategy,
     /// Engines.
     pub engine: EngineSettings,
     /// Time of a call to a plain service.
@@ -70,6 +74,7 @@
             link: ByteRate(50_000_000),
             origin: ByteRate(100_000_000),
             memory: ByteSize(256 << 20),
+            strategy: AgentSettings::default().strategy,
             engine: EngineSettings::default(),
             work: Duration::from_millis(5),
             rate: Rate(100_000.0),
@@ -155,6 +160,7 @@
             fencing: if self.settings.engine.fencing { Fencing::Checked } else { Fencing::Ignored },
             link: self.settings.link,
             memory: self.settings.memory,
+            strategy: self.settings.strategy,
             slots: self.settings.engine.slots,
             ..AgentSettings::default()
         };
@@ -317,6 +323,18 @@
         Ok(start.elapsed())
     }
 
+    /// Ends an agent without a farewell and takes its engine down with it; returns what the engine
+    /// counted. The VM list is not published.
+    pub fn kill_agent(&mut self, vm: &VmId) -> Option<EngineCounts> {
+        let at = self.agents.iter().position(|slot| slot.vm.id == *vm)?;
+        let slot = self.agents.remove(at);
+        // An agent without requests in progress stops at once and tells nobody.
+        if let Some(agent) = &slot.agent {
+            agent.drain();
+        }
+        slot.engine.map(|engine| engine.counts())
+    }
+
     /// Asks a process for its state.
     pub fn status(&self, control: SocketAddr) -> anyhow::Result<Status> {
         let ask = |client| async move { PeerClient::status(&client).await };
--- a/examples/bench/main.rs
+++ b/examples/bench/main.rs
@@ -3,7 +3,9 @@
 //! Each run prints its settings and seed, a line for each result, and a last line that sums it up.
 
 mod control;
+mod faults;
 mod report;
+mod rollout;
 
 use std::process::ExitCode;
 
@@ -12,10 +14,21 @@
 
 Commands:
   control   Slopes of control: bytes, processor time and memory
+  rollout   Time until all VMs serve a new version, and bytes read from the origin
 
 Options:
   --seed K     Seed of all that is random
   --json FILE  Write the results as JSON too
+
+Options of rollout:
+  --vms N         VMs, or --sizes N,N,... for several runs
+  --strategy S    tree, rarest or origin
+  --copies C      Copies that are read from the origin at once
+  --percent P     Most that is read from the origin, in hundredths of a copy
+  --zones Z       Availability zones
+  --memory SIZE   Chunk memory of each agent
+  --faults        Corrupt chunks, kill and replace VMs, stall a link, pause a process
+  --no-baseline   Do not measure the baseline, in which all VMs read from the origin
 ";
 
 fn main() -> ExitCode {
@@ -26,6 +39,7 @@
     };
     let result = match command.as_str() {
         "control" => control::run(parser),
+        "rollout" => rollout::run(parser),
         other => return usage(&format!("command {other:?} does not exist")),
     };
     match result {
