--- a/components/agent/src/core.rs
+++ b/components/agent/src/core.rs
@@ -150,6 +150,7 @@
                 let _ = reply.send(self.resumed(&attempt, now));
             }
             Event::Finished { attempt, fate } => self.finished(attempt, fate, now),
+            Event::Pause(pause) => std::thread::sleep(pause),
             Event::Drain => self.drain(now),
         }
         self.stop_if_drained(cx);
--- a/components/agent/src/event.rs
+++ b/components/agent/src/event.rs
@@ -1,6 +1,9 @@
 //! Events of the agent's actor.
 
-use std::{sync::Arc, time::Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use attempts::Offer;
 use base::{AttemptId, Digest, ReleaseId};
@@ -42,6 +45,8 @@
     Resume { attempt: AttemptRef, reply: Sender<Opened> },
     /// An attempt that was started has ended.
     Finished { attempt: AttemptId, fate: Fate },
+    /// The core stands still, as on a VM that is paused.
+    Pause(Duration),
     /// A planned stop begins.
     Drain,
 }
