Measure requests under overload

Cause: Nothing measured fairness, goodput and attempts under overload. Change: The command requests of the bench drives entries and agents on loopback with an open-loop load of four workspaces, finds the peak, then overloads the fleet.

--- a/components/entry/src/admission.rs
+++ b/components/entry/src/admission.rs
@@ -82,6 +82,10 @@
             }
             match self.grant(&waiting, now) {
                 Some(grant) => {
+                    metrics::counter!("entry_attempts_total").increment(1);
+                    if waiting.ask.tried.is_empty() {
+                        metrics::counter!("entry_started_total").increment(1);
+                    }
                     self.router.started(&grant.choice.vm);
                     decide(&waiting.reply, Decision::Go(grant));
                 }
--- a/components/settings/src/error.rs
+++ b/components/settings/src/error.rs
@@ -15,6 +15,9 @@
         /// Why.
         source: std::io::Error,
     },
+    /// A way to pick endpoints that does not exist.
+    #[error("policy {0:?} does not exist; use p2c, random or round-robin")]
+    Policy(String),
     /// The file has problems.
     #[error("{}", lines(file, problems))]
     Invalid {
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -6,5 +6,6 @@
 
 pub use error::SettingsError;
 pub use model::{
-    AgentSettings, EndpointKind, EntrySettings, Fencing, PeerKey, PlatformSettings, Settings,
+    AgentSettings, EndpointKind, EntrySettings, Fencing, PeerKey, PlatformSettings, RoutingPolicy,
+    Settings,
 };
--- a/components/settings/src/model.rs
+++ b/components/settings/src/model.rs
@@ -5,6 +5,8 @@
 use base::{ByteRate, ByteSize, Region, ServiceId, Timeout, VmId, Zone};
 use serde::Deserialize;
 
+use crate::SettingsError;
+
 /// The settings of one process.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -68,6 +70,8 @@
     pub deadline: Timeout,
     /// Endpoints that this entry keeps in use for each service.
     pub subset: usize,
+    /// How an endpoint of the subset is picked.
+    pub policy: RoutingPolicy,
 }
 
 impl Default for EntrySettings {
@@ -79,6 +83,7 @@
             idle: Timeout(Duration::from_secs(30)),
             deadline: Timeout(Duration::from_secs(120)),
             subset: 16,
+            policy: RoutingPolicy::default(),
         }
     }
 }
@@ -137,6 +142,40 @@
     Ignored,
 }
 
+/// The ways to pick an endpoint.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum RoutingPolicy {
+    /// The less loaded of two random endpoints, in the own zone first.
+    #[default]
+    P2c,
+    /// A random endpoint; for comparisons.
+    Random,
+    /// Each endpoint in turn; for comparisons.
+    RoundRobin,
+}
+
+impl RoutingPolicy {
+    /// The name in settings.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            RoutingPolicy::P2c => "p2c",
+            RoutingPolicy::Random => "random",
+            RoutingPolicy::RoundRobin => "round-robin",
+        }
+    }
+}
+
+impl std::str::FromStr for RoutingPolicy {
+    type Err = SettingsError;
+
+    fn from_str(s: &str) -> Result<RoutingPolicy, SettingsError> {
+        let all = [RoutingPolicy::P2c, RoutingPolicy::Random, RoutingPolicy::RoundRobin];
+        let found = all.into_iter().find(|policy| policy.as_str() == s);
+        found.ok_or_else(|| SettingsError::Policy(s.to_owned()))
+    }
+}
+
 /// The secret of the fleet; never printed.
 #[derive(Clone, PartialEq, Eq, Deserialize)]
 #[serde(transparent)]
--- a/components/testbed/src/bed.rs
+++ b/components/testbed/src/bed.rs
@@ -16,7 +16,8 @@
 use net::Peers;
 use proto::{PeerClient, Status};
 use settings::{
-    AgentSettings, EndpointKind, EntrySettings, Fencing, PeerKey, PlatformSettings, Settings,
+    AgentSettings, EndpointKind, EntrySettings, Fencing, PeerKey, PlatformSettings, RoutingPolicy,
+    Settings,
 };
 use standins::{
     BlobService, Engine, EngineSettings, PlainService, ValueService, manifest_value, vms_value,
@@ -54,6 +55,10 @@
     pub work: Duration,
     /// Requests a second that the workspace may make.
     pub rate: Rate,
+    /// How the entries pick endpoints.
+    pub policy: RoutingPolicy,
+    /// Endpoints that each entry uses for a service.
+    pub subset: usize,
     /// Seed of all that is random in the stand-ins.
     pub seed: u64,
     /// Whether logs go to standard error.
@@ -73,6 +78,8 @@
             engine: EngineSettings::default(),
             work: Duration::from_millis(5),
             rate: Rate(100_000.0),
+            policy: RoutingPolicy::default(),
+            subset: EntrySettings::default().subset,
             seed: 1,
             verbose: false,
         }
@@ -195,7 +202,12 @@
     }
 
     fn add_entry(&mut self, name: &str, place: usize) -> anyhow::Result<()> {
-        let options = EntrySettings { callers: local(), ..EntrySettings::default() };
+        let options = EntrySettings {
+            callers: local(),
+            policy: self.settings.policy,
+            subset: self.settings.subset,
+            ..EntrySettings::default()
+        };
         let settings = Settings { entry: Some(options), ..self.process_settings(name, place) };
         let log = self.log(name, "entry");
         let entry = Entry::start(settings, self.runtime.handle(), telemetry::install(), log)?;
--- a/components/testbed/src/caller.rs
+++ b/components/testbed/src/caller.rs
@@ -37,6 +37,7 @@
 pub struct Caller {
     client: ureq::Agent,
     key: String,
+    deadline: Option<Duration>,
 }
 
 impl Default for Caller {
@@ -48,7 +49,21 @@
 impl Caller {
     /// A caller with its workspace's key.
     pub fn new(key: &str) -> Caller {
-        Caller { client: net::pooled(PATIENCE), key: key.to_owned() }
+        Caller { client: net::pooled(PATIENCE), key: key.to_owned(), deadline: None }
+    }
+
+    /// Sets the deadline of each request.
+    pub fn with_deadline(self, deadline: Duration) -> Caller {
+        Caller { deadline: Some(deadline), ..self }
+    }
+
+    fn post(&self, url: String) -> ureq::RequestBuilder<ureq::typestate::WithBody> {
+        let key = format!("Bearer {}", self.key);
+        let request = self.client.post(url).header(header::AUTHORIZATION, key);
+        match self.deadline {
+            Some(deadline) => request.header(header::DEADLINE, deadline.as_millis().to_string()),
+            None => request,
+        }
     }
 
     /// Streams a chat completion and judges the answer.
@@ -57,11 +72,8 @@
             "model": "base", "stream": true, "max_tokens": tokens,
             "messages": [{ "role": "user", "content": prompt }],
         });
-        let sent = self
-            .client
-            .post(format!("http://{entry}/assistant/v1/chat/completions"))
-            .header(header::AUTHORIZATION, format!("Bearer {}", self.key))
-            .send_json(body);
+        let url = format!("http://{entry}/assistant/v1/chat/completions");
+        let sent = self.post(url).send_json(body);
         let response = match sent {
             Ok(response) => response,
             Err(err) => return Answer::Harmed(format!("no answer: {err}")),
@@ -76,10 +88,7 @@
 
     /// Sends a call to the plain service `orders`.
     pub fn order(&self, entry: SocketAddr, key: Option<&str>, body: &str) -> Answer {
-        let mut request = self
-            .client
-            .post(format!("http://{entry}/orders/orders"))
-            .header(header::AUTHORIZATION, format!("Bearer {}", self.key));
+        let mut request = self.post(format!("http://{entry}/orders/orders"));
         if let Some(key) = key {
             request = request.header(header::IDEMPOTENCY_KEY, key);
         }
--- a/examples/bench/main.rs
+++ b/examples/bench/main.rs
@@ -4,6 +4,7 @@
 
 mod control;
 mod report;
+mod requests;
 
 use std::process::ExitCode;
 
@@ -12,6 +13,8 @@
 
 Commands:
   control   Slopes of control: bytes, processor time and memory
+  requests  Requests under overload: --overload 3 [--rollout] [--faults] [--poison]
+            [--policy p2c|random|round-robin] [--skew F] [--seconds N]
 
 Options:
   --seed K     Seed of all that is random
@@ -26,6 +29,7 @@
     };
     let result = match command.as_str() {
         "control" => control::run(parser),
+        "requests" => requests::run(parser),
         other => return usage(&format!("command {other:?} does not exist")),
     };
     match result {
--- /dev/null
+++ b/examples/bench/requests/options.rs
@@ -0,0 +1,110 @@
+//! Options of `bench requests`.
+
+use std::{path::PathBuf, time::Duration};
+
+use lexopt::{Arg, ValueExt};
+use serde_json::Value;
+use settings::RoutingPolicy;
+
+/// Size of the fleet and the load on it.
+pub struct Options {
+    pub entries: usize,
+    pub agents: usize,
+    pub zones: usize,
+    pub slots: usize,
+    pub tokens: usize,
+    pub token_time: Duration,
+    /// Load over the capacity of all slots.
+    pub overload: f64,
+    /// Time of each step of the search for the peak.
+    pub step: Duration,
+    /// Time of the overload.
+    pub time: Duration,
+    pub deadline: Duration,
+    /// Part of each workspace's requests that goes to one entry.
+    pub skew: f64,
+    /// Part of the requests that are calls to the plain service.
+    pub orders: f64,
+    pub rollout: bool,
+    pub faults: bool,
+    pub poison: bool,
+    pub policy: RoutingPolicy,
+    pub seed: u64,
+    pub json: Option<PathBuf>,
+}
+
+impl Default for Options {
+    fn default() -> Options {
+        Options {
+            entries: 3,
+            agents: 6,
+            zones: 3,
+            slots: 4,
+            tokens: 10,
+            token_time: Duration::from_millis(20),
+            overload: 3.0,
+            step: Duration::from_secs(3),
+            time: Duration::from_secs(12),
+            deadline: Duration::from_secs(2),
+            skew: 0.0,
+            orders: 0.02,
+            rollout: false,
+            faults: false,
+            poison: false,
+            policy: RoutingPolicy::default(),
+            seed: 1,
+            json: None,
+        }
+    }
+}
+
+impl Options {
+    /// Reads the command line.
+    pub fn parse(mut parser: lexopt::Parser) -> anyhow::Result<Options> {
+        let mut options = Options::default();
+        while let Some(arg) = parser.next()? {
+            match arg {
+                Arg::Long("entries") => options.entries = parser.value()?.parse()?,
+                Arg::Long("agents") => options.agents = parser.value()?.parse()?,
+                Arg::Long("slots") => options.slots = parser.value()?.parse()?,
+                Arg::Long("overload") => options.overload = parser.value()?.parse()?,
+                Arg::Long("skew") => options.skew = parser.value()?.parse()?,
+                Arg::Long("seconds") => {
+                    options.time = Duration::from_secs(parser.value()?.parse()?);
+                }
+                Arg::Long("policy") => options.policy = parser.value()?.parse()?,
+                Arg::Long("rollout") => options.rollout = true,
+                Arg::Long("faults") => options.faults = true,
+                Arg::Long("poison") => options.poison = true,
+                Arg::Long("seed") => options.seed = parser.value()?.parse()?,
+                Arg::Long("json") => options.json = Some(parser.value()?.into()),
+                other => return Err(other.unexpected().into()),
+            }
+        }
+        Ok(options)
+    }
+
+    /// Requests a second that all slots can answer.
+    pub fn capacity(&self) -> f64 {
+        let service = self.token_time.as_secs_f64() * self.tokens as f64;
+        (self.agents * self.slots) as f64 / service
+    }
+
+    /// The options as pairs of a report.
+    pub fn pairs(&self) -> Vec<(&'static str, Value)> {
+        vec![
+            ("entries", self.entries.into()),
+            ("agents", self.agents.into()),
+            ("slots", self.slots.into()),
+            ("capacity", self.capacity().into()),
+            ("overload", self.overload.into()),
+            ("deadline_ms", (self.deadline.as_millis() as u64).into()),
+            ("skew", self.skew.into()),
+            ("rollout", self.rollout.into()),
+            ("faults", self.faults.into()),
+            ("poison", self.poison.into()),
+            ("policy", self.policy.as_str().into()),
+            ("seed", self.seed.into()),
+        ]
+    }
+}
