--- a/components/agent/src/report.rs
+++ b/components/agent/src/report.rs
@@ -27,6 +27,8 @@
                 answer_call(reply, self.attempts.cancel(&attempt, now));
             }
             PeerCall::Fate(attempt, reply) => answer_call(reply, self.attempts.fate(&attempt)),
+            // Only entries exchange usage.
+            PeerCall::Usage(_) => {}
             PeerCall::Status(reply) => answer_call(reply, self.status(now)),
             PeerCall::Audit(from, reply) => answer_call(reply, self.node.trail.page(from)),
         }
--- a/components/entry/src/admission.rs
+++ b/components/entry/src/admission.rs
@@ -1,29 +1,25 @@
-//! Admission of requests, the queue, and retries.
+//! Admission of requests.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use audit::Change;
-use base::{AttemptId, VmId, WorkspaceId};
+use base::{Rate, WorkspaceId};
 use crossbeam_channel::Sender;
-use manifest::{Role, VmState};
+use limits::{Entrant, Full};
 use proto::Outcome;
 use quarantine::Verdict;
 
 use crate::{
-    core::{Core, Waiting},
-    event::{Ask, Decision, Failure, Grant, Refusal},
+    core::Core,
+    event::{Ask, Decision, Refusal},
+    queue::Waiting,
 };
 
-/// Most requests that wait for an endpoint.
-const MAX_QUEUE: usize = 1024;
-
 impl Core {
     pub(crate) fn arrived(&mut self, ask: Ask, reply: Sender<Decision>, now: Instant) {
         match self.admit(&ask, now) {
             Ok(workspace) => {
                 self.in_flight += 1;
-                self.queue.push_back(Waiting { ask, workspace, reply, not_before: now });
-                self.serve_queue(now);
+                self.wait_for_endpoint(ask, workspace, reply, now);
             }
             Err(refusal) => decide(&reply, Decision::Refuse(refusal)),
         }
@@ -33,11 +29,10 @@
         if self.draining.is_some() {
             return Err(not_run(503, "this entry stops; retry in 1s at another", Some(1)));
         }
-        let manifest = self.node.documents.manifest();
-        let workspace = manifest.workspace_of(&ask.key).map(|w| w.id.clone());
-        let workspace = workspace
+        let claim = self.claims.by_key(&ask.key);
+        let claim = claim
             .ok_or_else(|| not_run(401, "the key is not known; use a key of a workspace", None))?;
-        if manifest.service(&ask.service).is_none() {
+        if !self.claims.has_service(&ask.service) {
             let message = format!("service {} does not exist; check the path", ask.service);
             return Err(not_run(404, &message, None));
         }
@@ -45,137 +40,78 @@
             let message = "requests like this one crashed endpoints; change it";
             return Err(not_run(422, message, None));
         }
-        let entries = self.live_entries();
-        let part = 1.0 / entries.max(1) as f64;
-        self.admission.admit(manifest, &workspace, part, now).map_err(|refusal| match refusal {
-            limits::Refusal::Unknown => not_run(401, "the workspace is gone; use another", None),
-            limits::Refusal::Rate { retry } => {
-                let seconds = retry.as_secs() + 1;
-                let message = format!("the workspace is over its rate; retry in {seconds}s");
-                not_run(429, &message, Some(seconds))
-            }
+        let rate = Rate(claim.rate.0 * self.parts.rate(&claim.id));
+        self.admission.admit(&claim.id, rate, now).map_err(|over| {
+            let message = "the workspace is over its rate";
+            later(429, message, over.retry)
         })?;
-        if self.queue.len() >= MAX_QUEUE {
-            return Err(not_run(503, "too many requests wait; retry in 1s", Some(1)));
-        }
-        Ok(workspace)
-    }
-
-    pub(crate) fn live_entries(&self) -> usize {
-        let vms = &self.node.documents.vms().vms;
-        vms.iter().filter(|vm| vm.role == Role::Entry && vm.state == VmState::Live).count()
-    }
-
-    /// Gives endpoints to the requests that wait, oldest first.
-    pub(crate) fn serve_queue(&mut self, now: Instant) {
-        for _ in 0..self.queue.len() {
-            let Some(waiting) = self.queue.pop_front() else { break };
-            if now >= waiting.ask.deadline {
-                self.in_flight -= 1;
-                let refusal = not_run(503, "no endpoint was free in time; retry in 1s", Some(1));
-                decide(&waiting.reply, Decision::Refuse(refusal));
-                continue;
-            }
-            if now < waiting.not_before {
-                self.queue.push_back(waiting);
-                continue;
-            }
-            match self.grant(&waiting, now) {
-                Some(grant) => {
-                    metrics::counter!("entry_attempts_total").increment(1);
-                    if waiting.ask.tried.is_empty() {
-                        metrics::counter!("entry_started_total").increment(1);
-                    }
-                    self.router.started(&grant.choice.vm);
-                    decide(&waiting.reply, Decision::Go(grant));
-                }
-                None => self.queue.push_back(waiting),
-            }
-        }
-    }
-
-    pub(crate) fn grant(&mut self, waiting: &Waiting, now: Instant) -> Option<Grant> {
-        let ask = &waiting.ask;
-        let release = ask.release.as_ref();
-        let choice = self
-            .router
-            .pick(&ask.service, release, &ask.tried, now)
-            .or_else(|| self.router.pick(&ask.service, release, &[], now))?;
-        let vm = self.node.documents.vms().get(&choice.vm)?;
-        let service = self.node.documents.manifest().service(&ask.service)?;
-        Some(Grant {
-            attempt: AttemptId(self.rng.u128(..)),
-            data: vm.data,
-            control: vm.control,
-            workspace: waiting.workspace.clone(),
-            repeatable: service.repeatable(&ask.method, &ask.path),
-            choice,
-        })
+        Ok(claim.id.clone())
     }
 
-    pub(crate) fn again(
+    /// Lets a new request wait, or refuses it at once if it would wait in vain.
+    fn wait_for_endpoint(
         &mut self,
         ask: Ask,
-        last: &Failure,
+        workspace: WorkspaceId,
         reply: Sender<Decision>,
         now: Instant,
     ) {
-        self.router.finished(&last.vm, last.fault, now);
-        if last.crashed && self.ledger.crashed(ask.fingerprint, now) {
-            let change = Change::Quarantined { fingerprint: ask.fingerprint.to_string() };
-            self.node.trail.record(change, "was in progress when endpoints crashed");
+        let key = (ask.service.clone(), workspace.clone());
+        self.usage.arrived(&key, now);
+        let claim = self.claims.by_id(&workspace);
+        let (share, limit) = claim.map_or((0.0, 0), |c| (c.share, c.queue));
+        let weight = self.parts.weight(&key, share);
+        let (service, deadline) = (ask.service.clone(), ask.deadline);
+        let line = self.line(&service, now);
+        let cost = line.pace.service_time();
+        let start_by = deadline.checked_sub(cost).unwrap_or(now);
+        if let Some(wait) = line.wait(&workspace, weight)
+            && now + wait > start_by
+        {
+            let message = "the deadline cannot be met, so many requests wait";
+            return self.refuse(&reply, later(503, message, wait));
         }
-        match self.retry(&ask, last, now) {
-            Ok((workspace, not_before)) => {
-                self.queue.push_back(Waiting { ask, workspace, reply, not_before });
-                self.serve_queue(now);
-            }
-            Err(refusal) => {
-                self.in_flight -= 1;
-                decide(&reply, Decision::Refuse(refusal));
+        if line.queue.is_empty() {
+            line.pace.waits(now);
+        }
+        let waiting =
+            Waiting { ask, workspace: workspace.clone(), reply: reply.clone(), charged: cost };
+        let entrant = Entrant { item: waiting, workspace, weight, limit, cost, start_by };
+        match line.queue.push(entrant) {
+            Ok(()) => self.serve(&service, now),
+            Err(full) => {
+                let wait = line.pace.service_time();
+                self.refuse(&reply, is_full(full, wait));
             }
         }
     }
 
-    pub(crate) fn retry(
-        &mut self,
-        ask: &Ask,
-        last: &Failure,
-        now: Instant,
-    ) -> Result<(WorkspaceId, Instant), Refusal> {
-        let outcome = last.outcome;
-        let refuse = |status, message: &str| Refusal {
-            status,
-            message: message.to_owned(),
-            outcome,
-            retry_after: Some(1),
-        };
-        let manifest = self.node.documents.manifest();
-        let workspace = manifest.workspace_of(&ask.key).map(|w| w.id.clone());
-        let workspace = workspace.ok_or_else(|| refuse(401, "the key is not known any more"))?;
-        if self.ledger.verdict(&ask.fingerprint) == Verdict::Quarantined {
-            let message = "requests like this one crashed endpoints; change it";
-            return Err(refuse(422, message));
-        }
-        let nth = ask.tried.len() as u32;
-        let backoff = self.retries.take(nth, &mut self.rng);
-        let backoff = backoff.ok_or_else(|| refuse(503, "too many requests fail; retry in 1s"))?;
-        Ok((workspace, now + backoff))
+    /// Ends a request with an error.
+    pub(crate) fn refuse(&mut self, reply: &Sender<Decision>, refusal: Refusal) {
+        self.in_flight -= 1;
+        decide(reply, Decision::Refuse(refusal));
     }
+}
 
-    pub(crate) fn ended(&mut self, vm: &VmId, failed: bool, now: Instant) {
-        self.router.finished(vm, failed, now);
-        self.in_flight -= 1;
-        self.serve_queue(now);
+fn is_full(full: Full, wait: Duration) -> Refusal {
+    match full {
+        Full::Workspace => later(503, "too many requests of the workspace wait", wait),
+        Full::Overall => later(503, "too many requests wait", wait),
     }
 }
 
-fn not_run(status: u16, message: &str, retry_after: Option<u64>) -> Refusal {
+pub(crate) fn not_run(status: u16, message: &str, retry_after: Option<u64>) -> Refusal {
     let outcome = Outcome::NotRun;
     Refusal { status, message: message.to_owned(), outcome, retry_after }
 }
 
+/// A refusal of a request that did not run and may come back after `wait`.
+pub(crate) fn later(status: u16, problem: &str, wait: Duration) -> Refusal {
+    let seconds = wait.max(proto::MIN_RETRY_AFTER).as_secs_f64().ceil() as u64;
+    not_run(status, &format!("{problem}; retry in {seconds}s"), Some(seconds))
+}
+
 /// Answers the thread that handles a request; it always waits for the answer.
-fn decide(reply: &Sender<Decision>, decision: Decision) {
+pub(crate) fn decide(reply: &Sender<Decision>, decision: Decision) {
     let _ = reply.send(decision);
 }
--- a/components/entry/src/attempt.rs
+++ b/components/entry/src/attempt.rs
@@ -158,7 +158,7 @@
 }
 
 fn failure(grant: &Grant, outcome: Outcome, crashed: bool, fault: bool) -> Failure {
-    Failure { vm: grant.choice.vm.clone(), outcome, crashed, fault }
+    Failure { attempt: grant.attempt, vm: grant.choice.vm.clone(), outcome, crashed, fault }
 }
 
 fn outcome(fate: Fate) -> Outcome {
--- a/components/entry/src/caller.rs
+++ b/components/entry/src/caller.rs
@@ -112,16 +112,25 @@
                 End::Answered => {
                     // A stopping entry ends once no request is in progress, so the answer goes first.
                     sink.finish();
-                    self.mailbox.send(Event::Answered { vm: grant.choice.vm });
+                    self.mailbox
+                        .send(Event::Answered { vm: grant.choice.vm, attempt: grant.attempt });
                     return;
                 }
                 End::CallerGone => {
-                    self.mailbox.send(Event::Ended { vm: grant.choice.vm, failed: false });
+                    self.mailbox.send(Event::Ended {
+                        vm: grant.choice.vm,
+                        attempt: grant.attempt,
+                        failed: false,
+                    });
                     return;
                 }
                 End::Failed(failure) if !may_repeat(&grant, &failure) || sink.started() => {
                     sink.refuse(&lost(&failure));
-                    self.mailbox.send(Event::Ended { vm: failure.vm, failed: true });
+                    self.mailbox.send(Event::Ended {
+                        vm: failure.vm,
+                        attempt: grant.attempt,
+                        failed: true,
+                    });
                     return;
                 }
                 End::Failed(last) => {
--- a/components/entry/src/core.rs
+++ b/components/entry/src/core.rs
@@ -1,41 +1,33 @@
 //! The entry's actor: admits requests, queues them and chooses endpoints.
 
 use std::{
-    collections::VecDeque,
+    collections::{HashMap, VecDeque},
     time::{Duration, Instant},
 };
 
 use audit::Change;
-use base::{ReleaseId, RolloutId, WorkspaceId};
-use crossbeam_channel::Sender;
+use base::{AttemptId, ReleaseId, RolloutId, VmId};
 use fastrand::Rng;
-use limits::{Admission, RetryBudget, RetrySettings};
+use limits::{Admission, Parts, RetryBudget, RetrySettings, Usage, UsageSettings};
 use net::Mailbox;
 use node::{Node, NodeEvent};
 use placement::{Placement, place};
 use proto::MemberState;
 use quarantine::{Ledger, LedgerSettings};
-use routing::{Router, RouterSettings};
+use routing::{AttemptEnd, Router, RouterSettings};
 use stakker::{CX, after, stop};
 
-use crate::event::{Ask, Decision, Event};
+use crate::{
+    claims::Claims,
+    event::Event,
+    pools::Pools,
+    queue::{Delayed, Lines, Running},
+};
 
 /// Time between looks at the queue.
 const TICK: Duration = Duration::from_millis(20);
 /// Time between gossip calls.
 const GOSSIP_EVERY: Duration = Duration::from_millis(200);
-/// Time between questions to each endpoint's agent.
-const ASK_EVERY: Duration = Duration::from_millis(500);
-
-/// A request that waits for an endpoint.
-pub(crate) struct Waiting {
-    pub(crate) ask: Ask,
-    pub(crate) workspace: WorkspaceId,
-    pub(crate) reply: Sender<Decision>,
-    /// No endpoint is chosen before.
-    pub(crate) not_before: Instant,
-}
-
 /// The actor.
 pub(crate) struct Core {
     pub(crate) node: Node,
@@ -45,11 +37,25 @@
     pub(crate) retries: RetryBudget,
     pub(crate) ledger: Ledger,
     pub(crate) placement: Placement,
-    pub(crate) queue: VecDeque<Waiting>,
+    pub(crate) claims: Claims,
+    pub(crate) pools: Pools,
+    pub(crate) usage: Usage,
+    pub(crate) parts: Parts,
+    pub(crate) lines: Lines,
+    pub(crate) delayed: Delayed,
+    /// Counts the requests that were delayed.
+    pub(crate) delays: u64,
+    pub(crate) running: HashMap<AttemptId, Running>,
+    /// Requests that wait or run.
     pub(crate) in_flight: usize,
     pub(crate) draining: Option<Instant>,
     pub(crate) gossip_at: Instant,
+    /// When the next agent is asked about its endpoint.
     pub(crate) ask_at: Instant,
+    /// Agents in the order in which they are asked.
+    pub(crate) order: VecDeque<VmId>,
+    /// When each agent was asked last.
+    pub(crate) asked: HashMap<VmId, Instant>,
     /// Since when each rollout's release is wanted.
     pub(crate) since: Vec<(RolloutId, ReleaseId, Instant)>,
     pub(crate) rng: Rng,
@@ -58,21 +64,33 @@
 impl Core {
     pub(crate) fn init(cx: CX![], node: Node, mailbox: Mailbox<Event>) -> Option<Self> {
         let now = cx.now();
-        let zone = node.identity.settings.zone.clone();
+        let settings = &node.identity.settings;
+        let (zone, me) = (settings.zone.clone(), settings.vm.clone());
+        let policy = settings.entry.as_ref().map(|entry| entry.policy).unwrap_or_default();
+        let routing = RouterSettings { policy, ..RouterSettings::default() };
         after!(TICK, [cx], tick());
         Some(Core {
             node,
             mailbox,
-            router: Router::new(zone, RouterSettings::default(), Rng::new()),
+            router: Router::new(zone, routing, Rng::new()),
             admission: Admission::default(),
             retries: RetryBudget::new(RetrySettings::default()),
             ledger: Ledger::new(LedgerSettings::default()),
             placement: Placement::default(),
-            queue: VecDeque::new(),
+            claims: Claims::default(),
+            pools: Pools::default(),
+            usage: Usage::new(me, UsageSettings::default(), now),
+            parts: Parts::even(1),
+            lines: Lines::new(),
+            delayed: Delayed::new(),
+            delays: 0,
+            running: HashMap::new(),
             in_flight: 0,
             draining: None,
             gossip_at: now,
             ask_at: now,
+            order: VecDeque::new(),
+            asked: HashMap::new(),
             since: Vec::new(),
             rng: Rng::new(),
         })
@@ -84,17 +102,25 @@
             Event::Peer(call) => self.answer(call, now),
             Event::Node(event) => self.node_event(event, now),
             Event::Endpoint { vm, state: Some(state) } if state.vm == vm => {
+                let service = state.serving.as_ref().map(|serving| serving.service.clone());
                 self.router.observe(state, now);
-                self.serve_queue(now);
+                if let Some(service) = service {
+                    self.serve(&service, now);
+                }
+            }
+            Event::Endpoint { vm, .. } => {
+                self.router.missed(&vm);
+                self.node.members.missed(&vm, now);
             }
-            Event::Endpoint { vm, .. } => self.node.members.missed(&vm, now),
             Event::Arrived { ask, reply } => self.arrived(ask, reply, now),
             Event::Again { ask, last, reply } => self.again(ask, &last, reply, now),
-            Event::Answered { vm } => {
-                self.retries.succeeded();
-                self.ended(&vm, false, now);
+            Event::Answered { vm, attempt } => {
+                self.ended(attempt, &vm, AttemptEnd::Fine, true, now);
+            }
+            Event::Ended { vm, attempt, failed } => {
+                let end = if failed { AttemptEnd::Failed } else { AttemptEnd::Fine };
+                self.ended(attempt, &vm, end, false, now);
             }
-            Event::Ended { vm, failed } => self.ended(&vm, failed, now),
             Event::Drain => self.drain(now),
         }
         self.stop_if_drained(cx);
@@ -111,11 +137,9 @@
                 self.node.trail.record(change, "expired");
             }
         }
-        if now >= self.ask_at {
-            self.ask_at = now + ASK_EVERY;
-            self.ask_endpoints();
-        }
-        self.serve_queue(now);
+        self.ask_next(now);
+        self.exchange_usage(now);
+        self.tick_lines(now);
         self.stop_if_drained(cx);
         after!(TICK, [cx], tick());
     }
@@ -130,7 +154,7 @@
 
     pub(crate) fn stop_if_drained(&mut self, cx: CX![]) {
         let Some(until) = self.draining else { return };
-        let idle = self.in_flight == 0 && self.queue.is_empty();
+        let idle = self.in_flight == 0 && self.is_idle();
         if idle || cx.now() >= until {
             stop!(cx);
         }
@@ -142,8 +166,14 @@
             return;
         }
         self.placement = place(self.node.documents.manifest(), self.node.documents.vms());
-        self.admission.set_manifest(self.node.documents.manifest());
+        self.claims = Claims::of(self.node.documents.manifest());
+        let claims = &self.claims;
+        self.admission.retain(|id| claims.by_id(id).is_some());
+        self.usage.retain(|id| claims.by_id(id).is_some());
+        for line in self.lines.values_mut() {
+            line.queue.retain(|id| claims.by_id(id).is_some());
+        }
         self.note_releases(now);
-        self.update_candidates(now);
+        self.update_pools(now);
     }
 }
--- a/components/entry/src/event.rs
+++ b/components/entry/src/event.rs
@@ -22,9 +22,9 @@
     /// An attempt of a request ended without an answer; it may be tried again.
     Again { ask: Ask, last: Failure, reply: Sender<Decision> },
     /// An attempt answered its request, whole.
-    Answered { vm: VmId },
+    Answered { vm: VmId, attempt: AttemptId },
     /// An attempt ended, and its request with it.
-    Ended { vm: VmId, failed: bool },
+    Ended { vm: VmId, attempt: AttemptId, failed: bool },
     /// A planned stop begins.
     Drain,
 }
@@ -53,6 +53,8 @@
 /// How an attempt failed.
 #[derive(Debug, Clone)]
 pub(crate) struct Failure {
+    /// The attempt.
+    pub(crate) attempt: AttemptId,
     /// The endpoint's VM.
     pub(crate) vm: VmId,
     /// Whether the attempt ran.
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -3,10 +3,15 @@
 mod admission;
 mod attempt;
 mod caller;
+mod claims;
 mod core;
 mod endpoints;
 mod event;
+mod pools;
 mod process;
+mod queue;
 mod report;
+mod retry;
+mod shares;
 
 pub use process::Entry;
--- /dev/null
+++ b/components/entry/src/queue.rs
@@ -0,0 +1,260 @@
+//! Requests that wait, and the endpoints that they get.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::{Duration, Instant},
+};
+
+use base::{AttemptId, ServiceId, VmId, WorkspaceId};
+use crossbeam_channel::Sender;
+use limits::{Entrant, FairQueue, Pace};
+use quarantine::Verdict;
+use routing::{Choice, Need};
+
+use crate::{
+    admission::{decide, later},
+    core::Core,
+    event::{Ask, Decision, Grant},
+};
+
+/// Requests of a service that may wait; a workspace below its part may exceed it.
+const MAX_QUEUE: usize = 1024;
+/// Time without any progress after which the requests of a service are refused.
+const STALL: Duration = Duration::from_secs(3);
+/// Most requests that wait for one certain endpoint or release.
+const MAX_PARKED: usize = 64;
+
+/// A request that waits for an endpoint.
+pub(crate) struct Waiting {
+    pub(crate) ask: Ask,
+    pub(crate) workspace: WorkspaceId,
+    pub(crate) reply: Sender<Decision>,
+    /// Endpoint time that its workspace is charged.
+    pub(crate) charged: Duration,
+}
+
+/// The requests of one service.
+pub(crate) struct Line {
+    pub(crate) queue: FairQueue<Waiting>,
+    pub(crate) pace: Pace,
+    /// Requests that only certain endpoints may get, which are not free; they hold up no others.
+    pub(crate) parked: Vec<Waiting>,
+    /// Most requests at endpoints.
+    pub(crate) cap: Option<u32>,
+}
+
+impl Line {
+    fn new(now: Instant) -> Line {
+        Line {
+            queue: FairQueue::new(MAX_QUEUE),
+            pace: Pace::new(now),
+            parked: Vec::new(),
+            cap: None,
+        }
+    }
+
+    /// How long a new request would wait; `None` if it is unknown or does not wait.
+    pub(crate) fn wait(&self, workspace: &WorkspaceId, weight: f64) -> Option<Duration> {
+        if self.queue.is_empty() {
+            return None;
+        }
+        Some(self.queue.wait(workspace, weight, self.pace.rate()?))
+    }
+
+    fn is_capped(&self) -> bool {
+        self.cap.is_some_and(|cap| self.pace.in_flight() >= cap)
+    }
+}
+
+/// An attempt in progress.
+pub(crate) struct Running {
+    pub(crate) service: ServiceId,
+    pub(crate) workspace: WorkspaceId,
+    pub(crate) charged: Duration,
+    pub(crate) since: Instant,
+}
+
+/// Lines by service.
+pub(crate) type Lines = HashMap<ServiceId, Line>;
+/// Requests that wait out a backoff, by its end.
+pub(crate) type Delayed = BTreeMap<(Instant, u64), Waiting>;
+
+impl Core {
+    pub(crate) fn line(&mut self, service: &ServiceId, now: Instant) -> &mut Line {
+        if !self.lines.contains_key(service) {
+            self.lines.insert(service.clone(), Line::new(now));
+        }
+        self.lines.get_mut(service).expect("it was inserted")
+    }
+
+    /// Whether a request waits.
+    pub(crate) fn is_idle(&self) -> bool {
+        let empty = |line: &Line| line.queue.is_empty() && line.parked.is_empty();
+        self.delayed.is_empty() && self.lines.values().all(empty)
+    }
+
+    /// Gives endpoints to the requests of a service, by fair shares.
+    pub(crate) fn serve(&mut self, service: &ServiceId, now: Instant) {
+        self.refuse_late(service, now);
+        loop {
+            let Some(line) = self.lines.get_mut(service) else { return };
+            if line.is_capped() {
+                return;
+            }
+            let Some(waiting) = line.queue.peek() else { return };
+            let ask = waiting.ask.clone();
+            let choice = self.choose(&ask, now);
+            if choice.is_none() && !self.is_particular(&ask) {
+                return;
+            }
+            let Some(line) = self.lines.get_mut(service) else { return };
+            let Some(waiting) = line.queue.pop() else { return };
+            match choice {
+                Some(choice) => self.go(waiting, choice, now),
+                None if line.parked.len() < MAX_PARKED => line.parked.push(waiting),
+                None => {
+                    let refusal = later(503, "no fitting endpoint is free", Duration::ZERO);
+                    self.refuse(&waiting.reply, refusal);
+                }
+            }
+        }
+    }
+
+    /// Whether only certain endpoints may get a request.
+    fn is_particular(&self, ask: &Ask) -> bool {
+        ask.release.is_some() || self.ledger.verdict(&ask.fingerprint) == Verdict::Suspect
+    }
+
+    /// Looks after all requests that wait: once in every tick.
+    pub(crate) fn tick_lines(&mut self, now: Instant) {
+        while let Some(slot) = self.delayed.first_entry()
+            && slot.key().0 <= now
+        {
+            let waiting = slot.remove();
+            self.push_again(waiting, now);
+        }
+        let services: Vec<ServiceId> = self.lines.keys().cloned().collect();
+        for service in services {
+            self.serve(&service, now);
+            self.serve_parked(&service, now);
+            self.refuse_stalled(&service, now);
+        }
+    }
+
+    /// Lets a request wait that had an endpoint before.
+    fn push_again(&mut self, waiting: Waiting, now: Instant) {
+        let service = waiting.ask.service.clone();
+        let key = (service.clone(), waiting.workspace.clone());
+        let share = self.claims.by_id(&waiting.workspace).map_or(0.0, |claim| claim.share);
+        let weight = self.parts.weight(&key, share);
+        let start_by = waiting.ask.deadline;
+        let workspace = waiting.workspace.clone();
+        let line = self.line(&service, now);
+        if line.queue.is_empty() {
+            line.pace.waits(now);
+        }
+        let (limit, cost) = (usize::MAX, Duration::ZERO);
+        line.queue.push_again(Entrant { item: waiting, workspace, weight, limit, cost, start_by });
+    }
+
+    fn serve_parked(&mut self, service: &ServiceId, now: Instant) {
+        let Some(line) = self.lines.get_mut(service) else { return };
+        for waiting in std::mem::take(&mut line.parked) {
+            if now >= waiting.ask.deadline {
+                self.refuse(&waiting.reply, missed());
+            } else if let Some(choice) = self.choose(&waiting.ask, now) {
+                self.go(waiting, choice, now);
+            } else if let Some(line) = self.lines.get_mut(service) {
+                line.parked.push(waiting);
+            }
+        }
+    }
+
+    /// Refuses requests that can no longer start in time.
+    fn refuse_late(&mut self, service: &ServiceId, now: Instant) {
+        while let Some(line) = self.lines.get_mut(service)
+            && let Some(waiting) = line.queue.pop_late(now)
+        {
+            self.refuse(&waiting.reply, missed());
+        }
+    }
+
+    /// Refuses all requests of a service that has had no endpoint for a while.
+    fn refuse_stalled(&mut self, service: &ServiceId, now: Instant) {
+        while let Some(line) = self.lines.get_mut(service)
+            && line.pace.is_stalled(STALL, now)
+            && let Some(waiting) = line.queue.pop_any()
+        {
+            let refusal = later(503, "no endpoint serves the service now", STALL);
+            self.refuse(&waiting.reply, refusal);
+        }
+    }
+
+    pub(crate) fn choose(&mut self, ask: &Ask, now: Instant) -> Option<Choice> {
+        let need = Need {
+            service: &ask.service,
+            release: ask.release.as_ref(),
+            avoid: &[],
+            tried: &ask.tried,
+        };
+        self.router.pick(&need, now)
+    }
+
+    fn go(&mut self, waiting: Waiting, choice: Choice, now: Instant) {
+        let Some(grant) = self.grant(&waiting, choice) else {
+            let refusal = later(503, "the endpoint has just left", Duration::ZERO);
+            return self.refuse(&waiting.reply, refusal);
+        };
+        metrics::counter!("entry_attempts_total").increment(1);
+        if waiting.ask.tried.is_empty() {
+            metrics::counter!("entry_started_total").increment(1);
+        }
+        self.started(&grant, &waiting, now);
+        decide(&waiting.reply, Decision::Go(grant));
+    }
+
+    fn started(&mut self, grant: &Grant, waiting: &Waiting, now: Instant) {
+        let service = waiting.ask.service.clone();
+        self.router.started(&grant.choice.vm);
+        self.line(&service, now).pace.started(now);
+        let running = Running {
+            service,
+            workspace: waiting.workspace.clone(),
+            charged: waiting.charged,
+            since: now,
+        };
+        self.running.insert(grant.attempt, running);
+    }
+
+    fn grant(&mut self, waiting: &Waiting, choice: Choice) -> Option<Grant> {
+        let ask = &waiting.ask;
+        let vm = self.pools.vm(&choice.vm)?;
+        let service = self.node.documents.manifest().service(&ask.service)?;
+        Some(Grant {
+            attempt: AttemptId(self.rng.u128(..)),
+            data: vm.data,
+            control: vm.control,
+            workspace: waiting.workspace.clone(),
+            repeatable: service.repeatable(&ask.method, &ask.path),
+            choice,
+        })
+    }
+
+    /// An attempt ended; `answered` if its caller got the whole answer.
+    pub(crate) fn left(&mut self, attempt: AttemptId, vm: &VmId, answered: bool, now: Instant) {
+        let Some(running) = self.running.remove(&attempt) else { return };
+        let took = now.saturating_duration_since(running.since);
+        let line = self.line(&running.service, now);
+        line.pace.ended(answered.then_some(took), now);
+        line.queue.settle(&running.workspace, running.charged, took);
+        if answered {
+            self.usage.served(&(running.service.clone(), running.workspace), now);
+        }
+        let _ = vm;
+        self.serve(&running.service, now);
+    }
+}
+
+fn missed() -> crate::event::Refusal {
+    later(503, "no endpoint was free in time", Duration::ZERO)
+}
--- a/components/entry/src/report.rs
+++ b/components/entry/src/report.rs
@@ -15,6 +15,10 @@
             PeerCall::Document(request, reply) => {
                 answer_call(reply, self.node.document(&request));
             }
+            PeerCall::Usage(news) => {
+                let entries = self.live_entries();
+                self.usage.receive(news, entries, now);
+            }
             PeerCall::Status(reply) => answer_call(reply, self.status(now)),
             PeerCall::Audit(from, reply) => answer_call(reply, self.node.trail.page(from)),
             // Only agents serve these; the dropped reply says so.
--- /dev/null
+++ b/components/entry/src/retry.rs
@@ -0,0 +1,107 @@
+//! Attempts that ended, and requests that are tried again.
+
+use std::time::{Duration, Instant};
+
+use audit::Change;
+use base::{AttemptId, VmId, WorkspaceId};
+use crossbeam_channel::Sender;
+use proto::Outcome;
+use quarantine::Verdict;
+use routing::AttemptEnd;
+
+use crate::{
+    core::Core,
+    event::{Ask, Decision, Failure, Refusal},
+    queue::Waiting,
+};
+
+impl Core {
+    /// An attempt failed, and its request may be tried again.
+    pub(crate) fn again(
+        &mut self,
+        ask: Ask,
+        last: &Failure,
+        reply: Sender<Decision>,
+        now: Instant,
+    ) {
+        self.attempt_ended(&last.vm, last.end(), now);
+        self.left(last.attempt, &last.vm, false, now);
+        if last.crashed && self.ledger.crashed(ask.fingerprint, now) {
+            let change = Change::Quarantined { fingerprint: ask.fingerprint.to_string() };
+            self.node.trail.record(change, "was in progress when endpoints crashed");
+        }
+        match self.retry(&ask, last, now) {
+            Ok((backoff, workspace)) => {
+                self.delays += 1;
+                // The first attempt was charged with the time that it took.
+                let waiting = Waiting { ask, workspace, reply, charged: Duration::ZERO };
+                self.delayed.insert((now + backoff, self.delays), waiting);
+            }
+            Err(refusal) => self.refuse(&reply, refusal),
+        }
+    }
+
+    /// Decides whether a request is tried again; returns the backoff before.
+    fn retry(
+        &mut self,
+        ask: &Ask,
+        last: &Failure,
+        now: Instant,
+    ) -> Result<(Duration, WorkspaceId), Refusal> {
+        let outcome = last.outcome;
+        let refuse = |status, message: &str| Refusal {
+            status,
+            message: message.to_owned(),
+            outcome,
+            retry_after: Some(1),
+        };
+        let workspace = self.claims.by_key(&ask.key).map(|claim| claim.id.clone());
+        let workspace = workspace.ok_or_else(|| refuse(401, "the key is not known any more"))?;
+        if self.ledger.verdict(&ask.fingerprint) == Verdict::Quarantined {
+            let message = "requests like this one crashed endpoints; change it";
+            return Err(refuse(422, message));
+        }
+        let service_time = self.line(&ask.service, now).pace.service_time();
+        let nth = ask.tried.len() as u32;
+        let backoff = self.retries.take(nth, &mut self.rng);
+        let backoff = backoff.ok_or_else(|| refuse(503, "too many requests fail; retry in 1s"))?;
+        if now + backoff + service_time > ask.deadline {
+            return Err(refuse(503, "no time is left to try again; retry in 1s"));
+        }
+        Ok((backoff, workspace))
+    }
+
+    /// A request ended with its attempt.
+    pub(crate) fn ended(
+        &mut self,
+        attempt: AttemptId,
+        vm: &VmId,
+        end: AttemptEnd,
+        answered: bool,
+        now: Instant,
+    ) {
+        self.in_flight -= 1;
+        if answered {
+            self.retries.succeeded();
+        }
+        self.attempt_ended(vm, end, now);
+        self.left(attempt, vm, answered, now);
+    }
+
+    fn attempt_ended(&mut self, vm: &VmId, end: AttemptEnd, now: Instant) {
+        if self.router.finished(vm, end, now) {
+            self.ask_endpoint(vm, now);
+        }
+    }
+}
+
+impl Failure {
+    /// What the attempt tells of the endpoint.
+    pub(crate) fn end(&self) -> AttemptEnd {
+        match (self.fault, self.outcome) {
+            (false, _) => AttemptEnd::Full,
+            (true, Outcome::NotRun) => AttemptEnd::NotTaken,
+            (true, Outcome::Run | Outcome::Unknown) => AttemptEnd::Failed,
+        }
+    }
+}
--- a/components/limits/src/admission.rs
+++ b/components/limits/src/admission.rs
@@ -1,27 +1,23 @@
-//! Decides whether a request of a workspace may start.
+//! Rate limits of workspaces.
 
 use std::{
     collections::HashMap,
     time::{Duration, Instant},
 };
 
-use base::WorkspaceId;
-use manifest::{Manifest, Workspace};
+use base::{Rate, WorkspaceId};
 
-/// A refused request.
+/// A workspace is over its rate.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Refusal {
-    /// The workspace does not exist.
-    Unknown,
-    /// The workspace is over its rate.
-    Rate {
-        /// When to come back.
-        retry: Duration,
-    },
+pub struct OverRate {
+    /// Time after which a request may pass.
+    pub retry: Duration,
 }
 
 /// Seconds of the rate that may be used at once.
 const BURST_SECONDS: f64 = 1.0;
+/// Lowest rate, in requests a second.
+const MIN_RATE: f64 = 0.001;
 
 #[derive(Debug)]
 struct Bucket {
@@ -36,36 +32,36 @@
 }
 
 impl Admission {
-    /// Takes one request of a workspace out of its rate; this entry enforces `part` of it.
+    /// Takes one request of a workspace out of its rate at this entry.
     pub fn admit(
         &mut self,
-        manifest: &Manifest,
-        id: &WorkspaceId,
-        part: f64,
+        workspace: &WorkspaceId,
+        rate: Rate,
         now: Instant,
-    ) -> Result<(), Refusal> {
-        let workspace = manifest.workspace(id).ok_or(Refusal::Unknown)?;
-        let rate = workspace.requests.0 * part;
+    ) -> Result<(), OverRate> {
+        let rate = rate.0.max(MIN_RATE);
         let full = (rate * BURST_SECONDS).max(1.0);
         let bucket = self.bucket(workspace, full, now);
         let passed = now.saturating_duration_since(bucket.filled).as_secs_f64();
         bucket.tokens = (bucket.tokens + passed * rate).min(full);
         bucket.filled = now;
         if bucket.tokens < 1.0 {
-            let seconds = (1.0 - bucket.tokens) / rate.max(0.001);
-            return Err(Refusal::Rate { retry: Duration::from_secs_f64(seconds) });
+            let seconds = (1.0 - bucket.tokens) / rate;
+            return Err(OverRate { retry: Duration::from_secs_f64(seconds) });
         }
         bucket.tokens -= 1.0;
         Ok(())
     }
 
-    fn bucket(&mut self, workspace: &Workspace, full: f64, now: Instant) -> &mut Bucket {
-        let new = || Bucket { tokens: full, filled: now };
-        self.buckets.entry(workspace.id.clone()).or_insert_with(new)
+    fn bucket(&mut self, workspace: &WorkspaceId, full: f64, now: Instant) -> &mut Bucket {
+        if !self.buckets.contains_key(workspace) {
+            self.buckets.insert(workspace.clone(), Bucket { tokens: full, filled: now });
+        }
+        self.buckets.get_mut(workspace).expect("it was inserted")
     }
 
     /// Drops the buckets of workspaces that are gone.
-    pub fn set_manifest(&mut self, manifest: &Manifest) {
-        self.buckets.retain(|id, _| manifest.workspace(id).is_some());
+    pub fn retain(&mut self, keep: impl Fn(&WorkspaceId) -> bool) {
+        self.buckets.retain(|id, _| keep(id));
     }
 }
--- /dev/null
+++ b/components/limits/src/usage.rs
@@ -0,0 +1,225 @@
+//! What all entries together use, by push-sum gossip.
+//!
+//! In each epoch every entry begins with its own rates and the weight one. In each round it keeps
+//! half and sends half to one random entry, so the ratio of sums to weight tends to the mean over all
+//! entries. Lost messages take sums and weight together, and the next epoch starts afresh.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use base::{ServiceId, VmId, WorkspaceId};
+use proto::{FlowRow, UsageNews};
+
+use crate::meter::Meter;
+
+/// A workspace's requests for a service.
+pub type FlowKey = (ServiceId, WorkspaceId);
+
+/// Bounds of the exchange.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct UsageSettings {
+    /// Time between rounds.
+    pub period: Duration,
+    /// Rounds of an epoch on top of two for each doubling of the entries.
+    pub rounds: u32,
+    /// Epochs for which totals stay good without news of a peer.
+    pub patience: u32,
+}
+
+impl Default for UsageSettings {
+    fn default() -> UsageSettings {
+        UsageSettings { period: Duration::from_millis(400), rounds: 4, patience: 2 }
+    }
+}
+
+/// Requests a second.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Flow {
+    /// Requests that arrived.
+    pub demand: f64,
+    /// Requests that were answered.
+    pub served: f64,
+}
+
+impl Flow {
+    fn scaled(self, factor: f64) -> Flow {
+        Flow { demand: self.demand * factor, served: self.served * factor }
+    }
+
+    fn plus(self, other: Flow) -> Flow {
+        Flow { demand: self.demand + other.demand, served: self.served + other.served }
+    }
+}
+
+/// Flows at one moment.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Flows(pub BTreeMap<FlowKey, Flow>);
+
+impl Flows {
+    /// The flow of a workspace at a service.
+    pub fn get(&self, key: &FlowKey) -> Flow {
+        self.0.get(key).copied().unwrap_or_default()
+    }
+
+    /// Flows of a workspace over all services.
+    pub fn of_workspace(&self, workspace: &WorkspaceId) -> Flow {
+        let rows = self.0.iter().filter(|((_, w), _)| w == workspace);
+        rows.fold(Flow::default(), |sum, (_, flow)| sum.plus(*flow))
+    }
+
+    fn scaled(&self, factor: f64) -> Flows {
+        Flows(self.0.iter().map(|(key, flow)| (key.clone(), flow.scaled(factor))).collect())
+    }
+}
+
+/// What an epoch found.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Totals {
+    /// Flows over all entries.
+    pub all: Flows,
+    /// Flows of this entry, at the beginning of the epoch.
+    pub own: Flows,
+    /// Entries that the totals are over.
+    pub entries: usize,
+}
+
+/// The flows of this entry and the sums of the epoch.
+#[derive(Debug)]
+pub struct Usage {
+    settings: UsageSettings,
+    me: VmId,
+    meters: BTreeMap<FlowKey, (Meter, Meter)>,
+    epoch: u64,
+    own: Flows,
+    sums: Flows,
+    /// Above zero.
+    weight: f64,
+    round: u32,
+    round_at: Instant,
+    /// Whether a peer sent sums in this epoch.
+    heard: bool,
+    /// The totals with the time after which they are not used.
+    totals: Option<(Totals, Instant)>,
+}
+
+impl Usage {
+    /// Knows of no flow.
+    pub fn new(me: VmId, settings: UsageSettings, now: Instant) -> Usage {
+        Usage {
+            settings,
+            me,
+            meters: BTreeMap::new(),
+            epoch: 0,
+            own: Flows::default(),
+            sums: Flows::default(),
+            weight: 1.0,
+            round: 0,
+            round_at: now,
+            heard: false,
+            totals: None,
+        }
+    }
+
+    /// A request arrived.
+    pub fn arrived(&mut self, key: &FlowKey, now: Instant) {
+        self.meter(key, now).0.add(now);
+    }
+
+    /// A request was answered.
+    pub fn served(&mut self, key: &FlowKey, now: Instant) {
+        self.meter(key, now).1.add(now);
+    }
+
+    fn meter(&mut self, key: &FlowKey, now: Instant) -> &mut (Meter, Meter) {
+        if !self.meters.contains_key(key) {
+            self.meters.insert(key.clone(), (Meter::new(now), Meter::new(now)));
+        }
+        self.meters.get_mut(key).expect("it was inserted")
+    }
+
+    /// Drops the flows of workspaces that are gone.
+    pub fn retain(&mut self, keep: impl Fn(&WorkspaceId) -> bool) {
+        self.meters.retain(|(_, workspace), _| keep(workspace));
+    }
+
+    /// The totals over all entries; `None` while peers are silent.
+    pub fn totals(&self, now: Instant) -> Option<&Totals> {
+        let (totals, until) = self.totals.as_ref()?;
+        (now < *until).then_some(totals)
+    }
+
+    /// Ends a round if it is due. Returns what goes to one random entry of the `entries` that there
+    /// are, this one included.
+    pub fn tick(&mut self, entries: usize, now: Instant) -> Option<UsageNews> {
+        if now < self.round_at {
+            return None;
+        }
+        self.round_at = now + self.settings.period;
+        if self.round >= self.rounds(entries) {
+            self.end_epoch(entries, now);
+            self.begin_epoch(self.epoch + 1, now);
+        }
+        self.round += 1;
+        if entries <= 1 {
+            return None;
+        }
+        self.weight /= 2.0;
+        self.sums = self.sums.scaled(0.5);
+        let row = |(key, flow): (&FlowKey, &Flow)| {
+            FlowRow(key.0.clone(), key.1.clone(), flow.demand, flow.served)
+        };
+        let flows = self.sums.0.iter().map(row).collect();
+        Some(UsageNews { from: self.me.clone(), epoch: self.epoch, weight: self.weight, flows })
+    }
+
+    /// Takes in the sums of a peer.
+    pub fn receive(&mut self, news: UsageNews, entries: usize, now: Instant) {
+        let sane = news.weight.is_finite() && news.weight > 0.0;
+        if !sane || news.epoch < self.epoch {
+            return;
+        }
+        if news.epoch > self.epoch {
+            if self.round >= self.rounds(entries) / 2 {
+                self.end_epoch(entries, now);
+            }
+            self.begin_epoch(news.epoch, now);
+        }
+        self.heard = true;
+        self.weight += news.weight;
+        for FlowRow(service, workspace, demand, served) in news.flows {
+            let sum = self.sums.0.entry((service, workspace)).or_default();
+            *sum = sum.plus(Flow { demand: demand.max(0.0), served: served.max(0.0) });
+        }
+    }
+
+    /// Rounds after which sums over `entries` agree well.
+    fn rounds(&self, entries: usize) -> u32 {
+        self.settings.rounds + 2 * entries.max(1).next_power_of_two().ilog2()
+    }
+
+    fn end_epoch(&mut self, entries: usize, now: Instant) {
+        if entries > 1 && !self.heard {
+            return;
+        }
+        let all = self.sums.scaled(entries.max(1) as f64 / self.weight);
+        let totals = Totals { all, own: self.own.clone(), entries };
+        let epoch = self.settings.period * self.rounds(entries);
+        self.totals = Some((totals, now + epoch * (1 + self.settings.patience)));
+    }
+
+    fn begin_epoch(&mut self, epoch: u64, now: Instant) {
+        let flow = |(arrived, served): &(Meter, Meter)| Flow {
+            demand: arrived.rate(now),
+            served: served.rate(now),
+        };
+        let flows = self.meters.iter().map(|(key, meters)| (key.clone(), flow(meters)));
+        self.own = Flows(flows.collect());
+        self.sums = self.own.clone();
+        self.weight = 1.0;
+        self.round = 0;
+        self.epoch = epoch;
+        self.heard = false;
+    }
+}
--- a/components/net/src/rpc.rs
+++ b/components/net/src/rpc.rs
@@ -10,7 +10,7 @@
 };
 use proto::{
     Announcement, AttemptRef, DocumentReply, DocumentRequest, EndpointState, Fate, Gossip,
-    PeerServer, Status,
+    PeerServer, Status, UsageNews,
 };
 use settings::PeerKey;
 use subtle::ConstantTimeEq;
@@ -43,6 +43,8 @@
     Document(DocumentRequest, Reply<DocumentReply>),
     /// Chunks that a peer can give.
     Announce(Announcement),
+    /// A part of an entry's sums of usage.
+    Usage(UsageNews),
     /// Asks about the endpoint.
     Endpoint(Reply<EndpointState>),
     /// Makes an attempt final.
@@ -159,6 +161,14 @@
         }
     }
 
+    async fn usage(&self, news: UsageNews) -> RpcResult<()> {
+        if (self.deliver)(PeerCall::Usage(news)) {
+            Ok(())
+        } else {
+            Err(unavailable("the process stops; ask another"))
+        }
+    }
+
     async fn endpoint(&self) -> RpcResult<EndpointState> {
         self.ask(PeerCall::Endpoint).await
     }
--- a/components/proto/src/lib.rs
+++ b/components/proto/src/lib.rs
@@ -9,6 +9,7 @@
 mod member;
 mod peer;
 mod status;
+mod usage;
 
 pub use attempt::{AttemptRef, Fate, MIN_RETRY_AFTER, Outcome, RefusalReason};
 pub use frame::{Frame, FrameError};
@@ -18,3 +19,4 @@
 };
 pub use peer::{PeerClient, PeerServer};
 pub use status::{EndpointRow, RolloutRow, Status};
+pub use usage::{FlowRow, UsageNews};
--- a/components/proto/src/peer.rs
+++ b/components/proto/src/peer.rs
@@ -5,6 +5,7 @@
 
 use crate::{
     Announcement, AttemptRef, DocumentReply, DocumentRequest, EndpointState, Fate, Gossip, Status,
+    UsageNews,
 };
 
 /// Calls that processes make to each other, and operators to processes.
@@ -22,6 +23,10 @@
     #[method(name = "announce")]
     async fn announce(&self, announcement: Announcement) -> RpcResult<()>;
 
+    /// Gives an entry a part of the sender's sums of usage.
+    #[method(name = "usage")]
+    async fn usage(&self, news: UsageNews) -> RpcResult<()>;
+
     /// Asks an agent about its endpoint.
     #[method(name = "endpoint")]
     async fn endpoint(&self) -> RpcResult<EndpointState>;
--- a/components/routing/src/router.rs
+++ b/components/routing/src/router.rs
@@ -1,36 +1,54 @@
 //! The endpoints that an entry uses and how it picks one.
 
 use std::{
-    collections::{BTreeMap, btree_map::Entry},
+    collections::{BTreeMap, HashSet, btree_map::Entry},
     time::{Duration, Instant},
 };
 
 use base::{Incarnation, ReleaseId, ServiceId, VmId, Zone};
 use fastrand::Rng;
 use proto::{EndpointState, Load};
+use settings::RoutingPolicy;
+
+use crate::{
+    health::{AttemptEnd, Health, HealthSettings},
+    subset::Placed,
+};
 
 /// Bounds of routing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RouterSettings {
+    /// How an endpoint is picked.
+    pub policy: RoutingPolicy,
     /// Age after which what an endpoint stated no longer counts.
     pub stale: Duration,
-    /// Time that an endpoint stays out after a failure.
-    pub cooldown: Duration,
+    /// Age up to which a stated load may show free slots beyond the own part.
+    pub fresh: Duration,
+    /// Time without progress of a rollout after which endpoints that are left behind get nothing.
+    pub patience: Duration,
+    /// Breakers.
+    pub health: HealthSettings,
 }
 
 impl Default for RouterSettings {
     fn default() -> RouterSettings {
-        RouterSettings { stale: Duration::from_secs(3), cooldown: Duration::from_secs(1) }
+        RouterSettings {
+            policy: RoutingPolicy::P2c,
+            stale: Duration::from_secs(6),
+            fresh: Duration::from_secs(2),
+            patience: Duration::from_secs(120),
+            health: HealthSettings::default(),
+        }
     }
 }
 
-/// An endpoint that this entry may use.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Candidate {
-    /// Its VM.
-    pub vm: VmId,
-    /// The VM's zone.
-    pub zone: Zone,
+/// Releases that may answer for a service.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Wanted {
+    /// Releases of the rollouts in force; empty for plain services.
+    pub current: HashSet<ReleaseId>,
+    /// Other releases of the same models, which serve until a rollout has replaced them.
+    pub older: HashSet<ReleaseId>,
 }
 
 /// What is known of one endpoint.
@@ -44,8 +62,11 @@
     pub seen: Instant,
     /// Attempts of this entry in progress.
     pub in_flight: u32,
-    /// It is not used before.
-    pub out_until: Instant,
+    /// Attempts of the other entries, as far as is known.
+    others: u32,
+    /// When `others` was learnt.
+    load_seen: Instant,
+    health: Health,
 }
 
 /// A picked endpoint.
@@ -59,28 +80,86 @@
     pub release: Option<ReleaseId>,
 }
 
+/// What a request needs of an endpoint.
+#[derive(Debug, Clone, Copy)]
+pub struct Need<'a> {
+    /// The service.
+    pub service: &'a ServiceId,
+    /// The release that must answer, if it matters.
+    pub release: Option<&'a ReleaseId>,
+    /// Endpoints that may not be picked.
+    pub avoid: &'a [VmId],
+    /// Endpoints that were tried; avoided if there are others.
+    pub tried: &'a [VmId],
+}
+
+/// The part of a service's slots that this entry may use.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct SlotPart {
+    /// The part of each endpoint's slots.
+    pub part: f64,
+    /// Whether slots that others leave may be used too.
+    pub lent: bool,
+}
+
+impl Default for SlotPart {
+    fn default() -> SlotPart {
+        SlotPart { part: 1.0, lent: true }
+    }
+}
+
+#[derive(Debug, Default)]
+struct Service {
+    wanted: Wanted,
+    part: SlotPart,
+    /// When an endpoint last came to serve a current release.
+    progress: Option<Instant>,
+    /// Counts the picks.
+    turn: usize,
+}
+
 /// The endpoints of an entry.
 pub struct Router {
     settings: RouterSettings,
     zone: Zone,
     known: BTreeMap<VmId, Known>,
+    services: BTreeMap<ServiceId, Service>,
     rng: Rng,
 }
 
 impl Router {
     /// A router in `zone` that knows no endpoint.
     pub fn new(zone: Zone, settings: RouterSettings, rng: Rng) -> Router {
-        Router { settings, zone, known: BTreeMap::new(), rng }
+        Router { settings, zone, known: BTreeMap::new(), services: BTreeMap::new(), rng }
+    }
+
+    /// Sets how old a statement may get.
+    pub fn set_stale(&mut self, stale: Duration) {
+        self.settings.stale = stale;
+    }
+
+    /// Sets the releases that may answer for a service.
+    pub fn set_wanted(&mut self, service: &ServiceId, wanted: Wanted, now: Instant) {
+        let known = self.services.entry(service.clone()).or_default();
+        if known.wanted != wanted {
+            known.wanted = wanted;
+            known.progress = Some(now);
+        }
+    }
+
+    /// Sets the part of a service's slots that this entry may use.
+    pub fn set_part(&mut self, service: &ServiceId, part: SlotPart) {
+        self.services.entry(service.clone()).or_default().part = part;
     }
 
     /// Replaces the endpoints that may be used; returns those that came in and went out.
     pub fn set_candidates(
         &mut self,
-        candidates: Vec<Candidate>,
+        candidates: Vec<Placed>,
         now: Instant,
     ) -> (Vec<VmId>, Vec<VmId>) {
-        let kept = |vm: &VmId| candidates.iter().any(|c| c.vm == *vm);
-        let out: Vec<VmId> = self.known.keys().filter(|vm| !kept(vm)).cloned().collect();
+        let kept: HashSet<&VmId> = candidates.iter().map(|c| &c.vm).collect();
+        let out: Vec<VmId> = self.known.keys().filter(|vm| !kept.contains(vm)).cloned().collect();
         for vm in &out {
             self.known.remove(vm);
         }
@@ -96,9 +175,33 @@
 
     /// Takes in what an agent states.
     pub fn observe(&mut self, state: EndpointState, now: Instant) {
-        if let Some(known) = self.known.get_mut(&state.vm) {
-            known.state = Some(state);
-            known.seen = now;
+        let Some(known) = self.known.get_mut(&state.vm) else { return };
+        let before = known.state.as_ref();
+        let changed =
+            before.is_none_or(|s| s.incarnation != state.incarnation || s.serving != state.serving);
+        if changed {
+            known.health.restart(now);
+            self.note_progress(&state, now);
+        }
+        let Some(known) = self.known.get_mut(&state.vm) else { return };
+        known.others = state.load.busy.saturating_sub(known.in_flight);
+        known.load_seen = now;
+        known.seen = now;
+        known.state = Some(state);
+    }
+
+    fn note_progress(&mut self, state: &EndpointState, now: Instant) {
+        let Some(serving) = &state.serving else { return };
+        let Some(service) = self.services.get_mut(&serving.service) else { return };
+        if serving.release.as_ref().is_some_and(|r| service.wanted.current.contains(r)) {
+            service.progress = Some(now);
+        }
+    }
+
+    /// An agent did not answer; what it stated no longer counts.
+    pub fn missed(&mut self, vm: &VmId) {
+        if let Some(known) = self.known.get_mut(vm) {
+            known.state = None;
         }
     }
 
@@ -107,46 +210,117 @@
         self.known.iter()
     }
 
-    /// Whether an endpoint may get new work for the service now.
-    fn usable(&self, known: &Known, service: &ServiceId, now: Instant) -> bool {
-        let Some(state) = &known.state else { return false };
-        let serves = state.serving.as_ref().is_some_and(|s| s.service == *service);
-        let fresh = now.saturating_duration_since(known.seen) <= self.settings.stale;
-        let free = known.in_flight < state.load.slots;
-        serves && fresh && free && state.accepting && now >= known.out_until
+    /// What is known of an endpoint.
+    pub fn endpoint(&self, vm: &VmId) -> Option<&Known> {
+        self.known.get(vm)
     }
 
-    /// Picks the less loaded of two random endpoints, in the own zone if one there is not full.
-    pub fn pick(
-        &mut self,
-        service: &ServiceId,
-        release: Option<&ReleaseId>,
-        tried: &[VmId],
-        now: Instant,
-    ) -> Option<Choice> {
-        let mut usable: Vec<(&VmId, &Known)> = self
-            .known
-            .iter()
-            .filter(|(vm, known)| !tried.contains(vm) && self.usable(known, service, now))
-            .filter(|(_, known)| release.is_none() || stated_release(known) == release)
-            .collect();
-        let local: Vec<_> = usable
-            .iter()
-            .filter(|(_, k)| k.zone == self.zone && pressure(k) < 1.0)
-            .copied()
-            .collect();
-        if !local.is_empty() {
-            usable = local;
+    /// Slots of all endpoints that state the service.
+    pub fn slots(&self, service: &ServiceId) -> u32 {
+        let states = self.known.values().filter_map(|known| known.state.as_ref());
+        let serving = states.filter(|s| s.serving.as_ref().is_some_and(|x| x.service == *service));
+        serving.map(|s| s.load.slots).sum()
+    }
+
+    /// Picks an endpoint for a request; `None` if none may get it now.
+    pub fn pick(&mut self, need: &Need<'_>, now: Instant) -> Option<Choice> {
+        let mut usable = self.usable(need, now);
+        if usable.iter().any(|c| !need.tried.contains(&c.vm)) {
+            usable.retain(|c| !need.tried.contains(&c.vm));
         }
         if usable.is_empty() {
             return None;
         }
-        let a = usable[self.rng.usize(..usable.len())];
-        let b = usable[self.rng.usize(..usable.len())];
-        let (vm, known) = if pressure(a.1) <= pressure(b.1) { a } else { b };
+        let turn = self.services.get_mut(need.service).map_or(0, |s| {
+            s.turn += 1;
+            s.turn
+        });
+        let index = match self.settings.policy {
+            RoutingPolicy::P2c => {
+                self.prefer_local(&mut usable);
+                self.less_loaded(&usable)
+            }
+            RoutingPolicy::Random => self.rng.usize(..usable.len()),
+            RoutingPolicy::RoundRobin => turn % usable.len(),
+        };
+        let vm = usable[index].vm.clone();
+        let state = self.known.get(&vm)?.state.as_ref()?;
+        let release = state.serving.as_ref().and_then(|s| s.release.clone());
+        Some(Choice { vm, incarnation: state.incarnation, release })
+    }
+
+    /// Endpoints that may get the request now.
+    fn usable(&self, need: &Need<'_>, now: Instant) -> Vec<Usable> {
+        let all = self.known.iter().filter(|(vm, _)| !need.avoid.contains(vm));
+        let mut usable: Vec<Usable> =
+            all.filter_map(|(vm, known)| self.judge(vm, known, need, now)).collect();
+        // If all of them are cold, they are as good as warm.
+        let warmest = usable.iter().map(|u| u.warmth).fold(0.0, f64::max);
+        for endpoint in &mut usable {
+            endpoint.warmth /= warmest;
+        }
+        usable.retain(Usable::has_room);
+        usable
+    }
+
+    fn judge(&self, vm: &VmId, known: &Known, need: &Need<'_>, now: Instant) -> Option<Usable> {
         let state = known.state.as_ref()?;
-        let release = stated_release(known).cloned();
-        Some(Choice { vm: vm.clone(), incarnation: state.incarnation, release })
+        let serving = state.serving.as_ref().filter(|s| s.service == *need.service)?;
+        let service = self.services.get(need.service)?;
+        let fresh = now.saturating_duration_since(known.seen) <= self.settings.stale;
+        let right = need.release.is_none() || serving.release.as_ref() == need.release;
+        let wanted = self.is_wanted(service, serving.release.as_ref(), now);
+        let healthy = known.health.allows(known.in_flight, now);
+        if !(state.accepting && fresh && right && wanted && healthy) {
+            return None;
+        }
+        Some(Usable {
+            vm: vm.clone(),
+            local: known.zone == self.zone,
+            in_flight: known.in_flight,
+            load: Load { busy: known.others + known.in_flight, slots: state.load.slots },
+            allowed: self.allowed(service.part, known, state.load.slots, now),
+            warmth: known.health.warmth(&self.settings.health, now),
+        })
+    }
+
+    fn is_wanted(&self, service: &Service, release: Option<&ReleaseId>, now: Instant) -> bool {
+        let Some(release) = release else { return service.wanted.current.is_empty() };
+        if service.wanted.current.contains(release) {
+            return true;
+        }
+        let moving = service
+            .progress
+            .is_some_and(|at| now.saturating_duration_since(at) <= self.settings.patience);
+        moving && service.wanted.older.contains(release)
+    }
+
+    /// Most attempts of this entry at an endpoint.
+    fn allowed(&self, part: SlotPart, known: &Known, slots: u32, now: Instant) -> u32 {
+        let own = ((f64::from(slots) * part.part).floor() as u32).clamp(1, slots.max(1));
+        if !part.lent {
+            return ((f64::from(slots) * part.part).ceil() as u32).clamp(1, slots.max(1));
+        }
+        let age = now.saturating_duration_since(known.load_seen);
+        let others = if age <= self.settings.fresh { known.others } else { 0 };
+        own.max(slots.saturating_sub(others))
+    }
+
+    /// Keeps the endpoints of the own zone if one of them has a free slot.
+    fn prefer_local(&self, usable: &mut Vec<Usable>) {
+        if usable.iter().any(|u| u.local && u.pressure() < 1.0) {
+            usable.retain(|u| u.local);
+        }
+    }
+
+    /// The less loaded of two different random endpoints.
+    fn less_loaded(&mut self, usable: &[Usable]) -> usize {
+        let first = self.rng.usize(..usable.len());
+        if usable.len() == 1 {
+            return first;
+        }
+        let second = (first + 1 + self.rng.usize(..usable.len() - 1)) % usable.len();
+        if usable[first].pressure() <= usable[second].pressure() { first } else { second }
     }
 
     /// An attempt was sent to an endpoint.
@@ -156,29 +330,60 @@
         }
     }
 
-    /// An attempt at an endpoint ended; after a failure the endpoint stays out for a while.
-    pub fn finished(&mut self, vm: &VmId, failed: bool, now: Instant) {
-        if let Some(known) = self.known.get_mut(vm) {
-            known.in_flight = known.in_flight.saturating_sub(1);
-            if failed {
-                known.out_until = now + self.settings.cooldown;
+    /// An attempt at an endpoint ended. Returns whether its agent should be asked at once.
+    pub fn finished(&mut self, vm: &VmId, end: AttemptEnd, now: Instant) -> bool {
+        let Some(known) = self.known.get_mut(vm) else { return false };
+        known.in_flight = known.in_flight.saturating_sub(1);
+        known.health.ended(end, &self.settings.health, now);
+        match end {
+            AttemptEnd::Fine => false,
+            AttemptEnd::Full => {
+                let slots = known.state.as_ref().map_or(0, |s| s.load.slots);
+                known.others = slots.saturating_sub(known.in_flight);
+                known.load_seen = now;
+                false
+            }
+            AttemptEnd::NotTaken | AttemptEnd::Failed => {
+                known.state = None;
+                true
             }
         }
     }
 }
 
-fn unseen(zone: Zone, now: Instant) -> Known {
-    Known { zone, state: None, seen: now, in_flight: 0, out_until: now }
+/// An endpoint that may get a request.
+struct Usable {
+    vm: VmId,
+    local: bool,
+    in_flight: u32,
+    load: Load,
+    allowed: u32,
+    /// Above 0, at most 1.
+    warmth: f64,
 }
 
-fn stated_release(known: &Known) -> Option<&ReleaseId> {
-    known.state.as_ref()?.serving.as_ref()?.release.as_ref()
+impl Usable {
+    /// Requests for each slot that is warm.
+    fn pressure(&self) -> f64 {
+        f64::from(self.load.busy) / (f64::from(self.load.slots.max(1)) * self.warmth)
+    }
+
+    fn has_room(&self) -> bool {
+        let warm = (f64::from(self.load.slots) * self.warmth).ceil() as u32;
+        self.in_flight < self.allowed.min(warm.max(1))
+    }
 }
 
-/// Requests per slot: the larger of what the agent stated and what this entry sent.
-fn pressure(known: &Known) -> f64 {
-    let load = known.state.as_ref().map_or(Load { busy: 0, slots: 1 }, |s| s.load);
-    f64::from(load.busy.max(known.in_flight)) / f64::from(load.slots.max(1))
+fn unseen(zone: Zone, now: Instant) -> Known {
+    Known {
+        zone,
+        state: None,
+        seen: now,
+        in_flight: 0,
+        others: 0,
+        load_seen: now,
+        health: Health::new(now),
+    }
 }
 
 #[cfg(test)]
--- a/components/routing/src/router/tests.rs
+++ b/components/routing/src/router/tests.rs
@@ -14,18 +14,31 @@
     }
 }
 
+fn need(service: &ServiceId) -> Need<'_> {
+    Need { service, release: None, avoid: &[], tried: &[] }
+}
+
+fn wanted(releases: &[&str]) -> Wanted {
+    let current = releases.iter().map(|r| r.parse().unwrap()).collect();
+    Wanted { current, older: HashSet::new() }
+}
+
+fn placed(vm: &str) -> Placed {
+    Placed { vm: vm.parse().unwrap(), zone: "z".parse().unwrap() }
+}
+
 #[test]
 fn only_accepting_and_fresh_endpoints_are_picked() {
     let now = Instant::now();
     let zone: Zone = "z".parse().unwrap();
-    let mut router = Router::new(zone.clone(), RouterSettings::default(), Rng::with_seed(1));
-    let candidate = |vm: &str| Candidate { vm: vm.parse().unwrap(), zone: zone.clone() };
-    router.set_candidates(vec![candidate("a"), candidate("b")], now);
-    let service = "chat".parse().unwrap();
-    assert_eq!(router.pick(&service, None, &[], now), None);
+    let mut router = Router::new(zone, RouterSettings::default(), Rng::with_seed(1));
+    let service: ServiceId = "chat".parse().unwrap();
+    router.set_wanted(&service, wanted(&["m@v1"]), now);
+    router.set_candidates(vec![placed("a"), placed("b")], now);
+    assert_eq!(router.pick(&need(&service), now), None);
     router.observe(state("a", false), now);
     router.observe(state("b", true), now);
-    assert_eq!(router.pick(&service, None, &[], now).unwrap().vm.as_str(), "b");
-    let late = now + Duration::from_secs(4);
-    assert_eq!(router.pick(&service, None, &[], late), None);
+    assert_eq!(router.pick(&need(&service), now).unwrap().vm.as_str(), "b");
+    let late = now + RouterSettings::default().stale + Duration::from_secs(1);
+    assert_eq!(router.pick(&need(&service), late), None);
 }
