--- a/components/entry/src/admission.rs
+++ b/components/entry/src/admission.rs
@@ -15,8 +15,13 @@
 };
 
 impl Core {
-    pub(crate) fn arrived(&mut self, ask: Ask, reply: Sender<Decision>, now: Instant) {
-        match self.admit(&ask, now) {
+    pub(crate) fn arrived(&mut self, mut ask: Ask, reply: Sender<Decision>, now: Instant) {
+        let admitted = self.check_binding(&mut ask).and_then(|()| self.admit(&ask, now));
+        match admitted {
+            Ok(workspace) if ask.binding.is_some() => {
+                self.in_flight += 1;
+                self.bind(ask, workspace, reply);
+            }
             Ok(workspace) => {
                 self.in_flight += 1;
                 self.wait_for_endpoint(ask, workspace, reply, now);
--- a/components/entry/src/core.rs
+++ b/components/entry/src/core.rs
@@ -22,12 +22,16 @@
     event::Event,
     pools::Pools,
     queue::{Delayed, Lines, Running},
+    suspects::{Lanes, Rumours},
 };
 
 /// Time between looks at the queue.
 const TICK: Duration = Duration::from_millis(20);
 /// Time between gossip calls.
 const GOSSIP_EVERY: Duration = Duration::from_millis(200);
+/// Time without a turn after which what is known of endpoints must be asked again.
+const PAUSE: Duration = Duration::from_secs(1);
+
 /// The actor.
 pub(crate) struct Core {
     pub(crate) node: Node,
@@ -36,7 +40,11 @@
     pub(crate) admission: Admission,
     pub(crate) retries: RetryBudget,
     pub(crate) ledger: Ledger,
+    pub(crate) lanes: Lanes,
+    pub(crate) rumours: Rumours,
     pub(crate) placement: Placement,
+    /// Clocks of agents, in milliseconds, as they stated them last.
+    pub(crate) clocks: HashMap<VmId, u64>,
     pub(crate) claims: Claims,
     pub(crate) pools: Pools,
     pub(crate) usage: Usage,
@@ -49,6 +57,10 @@
     /// Requests that wait or run.
     pub(crate) in_flight: usize,
     pub(crate) draining: Option<Instant>,
+    /// When this process last acted.
+    pub(crate) acted: Instant,
+    /// When this process last noticed that it had been paused; what it knew before may be wrong.
+    pub(crate) woke: Instant,
     pub(crate) gossip_at: Instant,
     /// When the next agent is asked about its endpoint.
     pub(crate) ask_at: Instant,
@@ -76,7 +88,10 @@
             admission: Admission::default(),
             retries: RetryBudget::new(RetrySettings::default()),
             ledger: Ledger::new(LedgerSettings::default()),
+            lanes: Lanes::default(),
+            rumours: Rumours::new(now),
             placement: Placement::default(),
+            clocks: HashMap::new(),
             claims: Claims::default(),
             pools: Pools::default(),
             usage: Usage::new(me, UsageSettings::default(), now),
@@ -87,6 +102,8 @@
             running: HashMap::new(),
             in_flight: 0,
             draining: None,
+            acted: now,
+            woke: now,
             gossip_at: now,
             ask_at: now,
             order: VecDeque::new(),
@@ -98,11 +115,13 @@
 
     pub(crate) fn handle(&mut self, cx: CX![], event: Event) {
         let now = cx.now();
+        self.notice_pause(now);
         match event {
             Event::Peer(call) => self.answer(call, now),
             Event::Node(event) => self.node_event(event, now),
             Event::Endpoint { vm, state: Some(state) } if state.vm == vm => {
                 let service = state.serving.as_ref().map(|serving| serving.service.clone());
+                self.clocks.insert(vm, state.clock);
                 self.router.observe(state, now);
                 if let Some(service) = service {
                     self.serve(&service, now);
@@ -114,20 +133,33 @@
             }
             Event::Arrived { ask, reply } => self.arrived(ask, reply, now),
             Event::Again { ask, last, reply } => self.again(ask, &last, reply, now),
-            Event::Answered { vm, attempt } => {
+            Event::Bound(bound) => self.bound(*bound, now),
+            Event::Lost { ask, last } => self.lost(&ask, &last, now),
+            Event::Answered { vm, attempt, fingerprint } => {
+                self.ledger.answered(&fingerprint);
                 self.ended(attempt, &vm, AttemptEnd::Fine, true, now);
             }
-            Event::Ended { vm, attempt, failed } => {
-                let end = if failed { AttemptEnd::Failed } else { AttemptEnd::Fine };
-                self.ended(attempt, &vm, end, false, now);
+            Event::Ended { vm, attempt } => {
+                self.ended(attempt, &vm, AttemptEnd::Fine, false, now);
             }
+            Event::Crashes(records) => self.learn_crashes(&records, now),
             Event::Drain => self.drain(now),
         }
         self.stop_if_drained(cx);
     }
 
+    /// Asks the endpoints again if this process was paused, before anything is decided.
+    pub(crate) fn notice_pause(&mut self, now: Instant) {
+        if now.saturating_duration_since(self.acted) > PAUSE {
+            self.woke = now;
+            self.ask_endpoints(now);
+        }
+        self.acted = now;
+    }
+
     pub(crate) fn tick(&mut self, cx: CX![]) {
         let now = cx.now();
+        self.notice_pause(now);
         if now >= self.gossip_at {
             self.gossip_at = now + GOSSIP_EVERY;
             self.node.tick(now);
@@ -139,6 +171,8 @@
         }
         self.ask_next(now);
         self.exchange_usage(now);
+        self.tell_crashes(now);
+        self.close_lanes();
         self.tick_lines(now);
         self.stop_if_drained(cx);
         after!(TICK, [cx], tick());
@@ -173,6 +207,8 @@
         for line in self.lines.values_mut() {
             line.queue.retain(|id| claims.by_id(id).is_some());
         }
+        let vms = self.node.documents.vms();
+        self.clocks.retain(|vm, _| vms.get(vm).is_some());
         self.note_releases(now);
         self.update_pools(now);
     }
--- a/components/entry/src/endpoints.rs
+++ b/components/entry/src/endpoints.rs
@@ -95,6 +95,13 @@
         }
     }
 
+    /// Asks all agents of the subsets.
+    pub(crate) fn ask_endpoints(&mut self, now: Instant) {
+        for vm in self.order.clone() {
+            self.ask_endpoint(&vm, now);
+        }
+    }
+
     /// Asks an agent what its endpoint does, unless it was asked just now.
     pub(crate) fn ask_endpoint(&mut self, vm: &VmId, now: Instant) {
         let recent = |at: &Instant| now.saturating_duration_since(*at) < ASK_AGAIN;
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod attempt;
+mod binding;
 mod caller;
 mod claims;
 mod core;
@@ -10,8 +11,12 @@
 mod pools;
 mod process;
 mod queue;
+mod refusal;
 mod report;
+mod request;
 mod retry;
 mod shares;
+mod sink;
+mod suspects;
 
 pub use process::Entry;
--- a/components/entry/src/queue.rs
+++ b/components/entry/src/queue.rs
@@ -5,11 +5,11 @@
     time::{Duration, Instant},
 };
 
-use base::{AttemptId, ServiceId, VmId, WorkspaceId};
+use base::{AttemptId, ServiceId, WorkspaceId};
 use crossbeam_channel::Sender;
 use limits::{Entrant, FairQueue, Pace};
 use quarantine::Verdict;
-use routing::{Choice, Need};
+use routing::Choice;
 
 use crate::{
     admission::{decide, later},
@@ -122,7 +122,17 @@
 
     /// Whether only certain endpoints may get a request.
     fn is_particular(&self, ask: &Ask) -> bool {
-        ask.release.is_some() || self.ledger.verdict(&ask.fingerprint) == Verdict::Suspect
+        ask.release.is_some() || self.is_suspect(ask)
+    }
+
+    fn is_suspect(&self, ask: &Ask) -> bool {
+        self.ledger.verdict(&ask.fingerprint) == Verdict::Suspect
+    }
+
+    /// Whether a suspect waits. Those in the queue are parked before their turn.
+    pub(crate) fn has_suspects(&self) -> bool {
+        let parked = self.lines.values().flat_map(|line| &line.parked);
+        parked.chain(self.delayed.values()).any(|waiting| self.is_suspect(&waiting.ask))
     }
 
     /// Looks after all requests that wait: once in every tick.
@@ -190,16 +200,6 @@
         }
     }
 
-    pub(crate) fn choose(&mut self, ask: &Ask, now: Instant) -> Option<Choice> {
-        let need = Need {
-            service: &ask.service,
-            release: ask.release.as_ref(),
-            avoid: &[],
-            tried: &ask.tried,
-        };
-        self.router.pick(&need, now)
-    }
-
     fn go(&mut self, waiting: Waiting, choice: Choice, now: Instant) {
         let Some(grant) = self.grant(&waiting, choice) else {
             let refusal = later(503, "the endpoint has just left", Duration::ZERO);
@@ -232,16 +232,18 @@
         let service = self.node.documents.manifest().service(&ask.service)?;
         Some(Grant {
             attempt: AttemptId(self.rng.u128(..)),
+            stamp: *self.clocks.get(&choice.vm)?,
             data: vm.data,
             control: vm.control,
             workspace: waiting.workspace.clone(),
             repeatable: service.repeatable(&ask.method, &ask.path),
+            bound: false,
             choice,
         })
     }
 
     /// An attempt ended; `answered` if its caller got the whole answer.
-    pub(crate) fn left(&mut self, attempt: AttemptId, vm: &VmId, answered: bool, now: Instant) {
+    pub(crate) fn left(&mut self, attempt: AttemptId, answered: bool, now: Instant) {
         let Some(running) = self.running.remove(&attempt) else { return };
         let took = now.saturating_duration_since(running.since);
         let line = self.line(&running.service, now);
@@ -250,7 +252,6 @@
         if answered {
             self.usage.served(&(running.service.clone(), running.workspace), now);
         }
-        let _ = vm;
         self.serve(&running.service, now);
     }
 }
--- a/components/entry/src/retry.rs
+++ b/components/entry/src/retry.rs
@@ -2,7 +2,6 @@
 
 use std::time::{Duration, Instant};
 
-use audit::Change;
 use base::{AttemptId, VmId, WorkspaceId};
 use crossbeam_channel::Sender;
 use proto::Outcome;
@@ -25,11 +24,8 @@
         now: Instant,
     ) {
         self.attempt_ended(&last.vm, last.end(), now);
-        self.left(last.attempt, &last.vm, false, now);
-        if last.crashed && self.ledger.crashed(ask.fingerprint, now) {
-            let change = Change::Quarantined { fingerprint: ask.fingerprint.to_string() };
-            self.node.trail.record(change, "was in progress when endpoints crashed");
-        }
+        self.left(last.attempt, false, now);
+        self.suspect(&ask, last, now);
         match self.retry(&ask, last, now) {
             Ok((backoff, workspace)) => {
                 self.delays += 1;
@@ -84,8 +80,9 @@
         if answered {
             self.retries.succeeded();
         }
+        self.lanes.finished(vm);
         self.attempt_ended(vm, end, now);
-        self.left(attempt, vm, answered, now);
+        self.left(attempt, answered, now);
     }
 
     fn attempt_ended(&mut self, vm: &VmId, end: AttemptEnd, now: Instant) {
--- a/components/node/src/node.rs
+++ b/components/node/src/node.rs
@@ -3,17 +3,19 @@
 use std::{
     net::SocketAddr,
     sync::Arc,
-    time::{Instant, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use audit::{Change, Trail};
-use base::{Incarnation, ReleaseId, VmId, ranked};
+use base::{Incarnation, ReleaseId, Revision, VmId, ranked};
 use gossip::{Documents, Members, MembersSettings, Taken};
 use manifest::{Vm, VmState};
+use metrics::{counter, gauge};
 use net::{Latch, Peers};
 use proto::{DocumentKind, DocumentReply, DocumentRequest, Gossip, MemberState, PeerClient};
 use settings::Settings;
 use slog::{Logger, warn};
+use telemetry::names;
 
 use crate::{Changes, NodeEvent, watcher::Watcher};
 
@@ -51,6 +53,8 @@
     log: Logger,
     manifest_watcher: Watcher,
     vms_watcher: Watcher,
+    /// The revision of the VM list that was last known to be the newest, and when.
+    vms_confirmed: Option<(Revision, Instant)>,
     rng: fastrand::Rng,
     send: Send,
 }
@@ -82,6 +86,7 @@
             log,
             manifest_watcher,
             vms_watcher,
+            vms_confirmed: None,
             rng: fastrand::Rng::new(),
             send,
             identity,
@@ -92,21 +97,49 @@
     pub fn handle(&mut self, event: NodeEvent, now: Instant) -> Changes {
         match event {
             NodeEvent::Document { kind, text, cause } => self.take(kind, &text, cause),
-            NodeEvent::Gossiped { to, reply: Some(gossip) } => {
+            NodeEvent::Confirmed { kind, revision, at } => {
+                if kind == DocumentKind::Vms {
+                    self.confirm_vms(revision, at);
+                }
+                Changes::default()
+            }
+            NodeEvent::Gossiped { to, reply: Some(gossip), at } => {
+                counter!(names::GOSSIP, "result" => "replied").increment(1);
+                if let Some(age) = gossip.vms_age_ms {
+                    let then = at.checked_sub(Duration::from_millis(age)).unwrap_or(at);
+                    self.confirm_vms(gossip.vms, then);
+                }
                 self.learn(&to, gossip, now);
                 Changes::default()
             }
-            NodeEvent::Gossiped { to, reply: None } => {
+            NodeEvent::Gossiped { to, reply: None, .. } => {
+                counter!(names::GOSSIP, "result" => "missed").increment(1);
                 self.members.missed(&to, now);
                 Changes::default()
             }
         }
     }
 
+    /// The revision of the VM list that was last known to be the newest, and when.
+    pub fn vms_confirmed(&self) -> Option<(Revision, Instant)> {
+        self.vms_confirmed
+    }
+
+    fn confirm_vms(&mut self, revision: Revision, at: Instant) {
+        if revision == self.documents.vms().revision {
+            let newest =
+                self.vms_confirmed.is_none_or(|(known, when)| (known, when) < (revision, at));
+            if newest {
+                self.vms_confirmed = Some((revision, at));
+            }
+        }
+    }
+
     fn take(&mut self, kind: DocumentKind, text: &[u8], cause: &'static str) -> Changes {
         match self.documents.offer(kind, text) {
             Taken::Old => Changes::default(),
             Taken::Refused { digest, why } => {
+                counter!(names::REFUSED).increment(1);
                 warn!(self.log, "document refused"; "kind" => ?kind, "why" => &why);
                 let change = Change::ManifestRefused { digest: digest.to_string() };
                 self.trail.record(change, why);
@@ -116,12 +149,14 @@
                 self.select_readers();
                 match kind {
                     DocumentKind::Manifest => {
+                        gauge!(names::MANIFEST).set(revision.0 as f64);
                         self.trail.set_revision(revision);
                         self.trail.record(Change::ManifestAccepted { manifest: revision }, cause);
                         self.manifest_watcher.set_have(revision);
                         Changes { manifest: true, vms: false }
                     }
                     DocumentKind::Vms => {
+                        gauge!(names::VMS).set(revision.0 as f64);
                         self.trail.record(Change::VmsAccepted { vms: revision }, cause);
                         self.vms_watcher.set_have(revision);
                         Changes { manifest: false, vms: true }
@@ -183,10 +218,16 @@
             incarnation: self.identity.incarnation,
             manifest: self.documents.manifest().revision,
             vms: self.documents.vms().revision,
+            vms_age_ms: self.vms_age(),
             members: self.members.news(),
         }
     }
 
+    fn vms_age(&self) -> Option<u64> {
+        let (revision, at) = self.vms_confirmed?;
+        (revision == self.documents.vms().revision).then(|| at.elapsed().as_millis() as u64)
+    }
+
     /// Gossips with one random member and judges the suspects.
     pub fn tick(&mut self, now: Instant) {
         self.members.tick(self.documents.vms(), now);
@@ -199,11 +240,12 @@
         let vm = others[self.rng.usize(..others.len())].clone();
         let message = self.message();
         let send = self.send.clone();
+        let at = Instant::now();
         self.peers.call(
             vm.control,
             move |client| async move { client.gossip(message).await },
             move |reply| {
-                send(NodeEvent::Gossiped { to: vm.id, reply: reply.ok() });
+                send(NodeEvent::Gossiped { to: vm.id, reply: reply.ok(), at });
             },
         );
     }
--- a/components/testbed/src/bed.rs
+++ b/components/testbed/src/bed.rs
@@ -53,6 +53,8 @@
     pub engine: EngineSettings,
     /// Time of a call to a plain service.
     pub work: Duration,
+    /// Time after a start for which an agent does not vouch for callers' idempotency keys.
+    pub handover: Duration,
     /// Requests a second that the workspace may make.
     pub rate: Rate,
     /// How the entries pick endpoints.
@@ -77,6 +79,7 @@
             memory: ByteSize(256 << 20),
             engine: EngineSettings::default(),
             work: Duration::from_millis(5),
+            handover: Duration::from_secs(240),
             rate: Rate(100_000.0),
             policy: RoutingPolicy::default(),
             subset: EntrySettings::default().subset,
@@ -179,6 +182,7 @@
             kind: EndpointKind::Plain,
             service: Some(id("orders")),
             link: self.settings.link,
+            handover: Timeout(self.settings.handover),
             ..AgentSettings::default()
         };
         let (vm, agent) = self.start_agent(name, place, Role::Plain(service), options)?;
