--- a/components/entry/src/attempt.rs
+++ b/components/entry/src/attempt.rs
@@ -290,7 +290,13 @@
             incarnation: choice.incarnation,
             number,
         });
-        End::Failed(Failure { vm: choice.vm.clone(), outcome, crash, fault })
+        End::Failed(Failure {
+            attempt: self.grant.attempt,
+            vm: choice.vm.clone(),
+            outcome,
+            crash,
+            fault,
+        })
     }
 
     fn refused(&self, reason: &RefusalReason, fate: Fate) -> Result<End, Break> {
--- a/components/entry/src/caller.rs
+++ b/components/entry/src/caller.rs
@@ -61,16 +61,19 @@
                     // A stopping entry ends once no request is in progress, so the answer goes first.
                     sink.finish();
                     let fingerprint = call.ask.fingerprint;
-                    self.mailbox.send(Event::Answered { vm: grant.choice.vm, fingerprint });
+                    let (vm, attempt) = (grant.choice.vm, grant.attempt);
+                    self.mailbox.send(Event::Answered { vm, attempt, fingerprint });
                     return;
                 }
                 End::CallerGone => {
-                    self.mailbox.send(Event::Ended { vm: grant.choice.vm, failed: false });
+                    let (vm, attempt) = (grant.choice.vm, grant.attempt);
+                    self.mailbox.send(Event::Ended { vm, attempt });
                     return;
                 }
                 End::Refused(refusal) => {
                     sink.refuse(&refusal);
-                    self.mailbox.send(Event::Ended { vm: grant.choice.vm, failed: false });
+                    let (vm, attempt) = (grant.choice.vm, grant.attempt);
+                    self.mailbox.send(Event::Ended { vm, attempt });
                     return;
                 }
                 End::Failed(last) if !may_repeat(&grant, &last) || !sink.may_restart() => {
@@ -102,7 +105,7 @@
                 };
                 let key = serde_json::json!({ "key": reservation.to_string() });
                 text(request, 200, &key.to_string());
-                self.mailbox.send(Event::Ended { vm, failed: false });
+                self.mailbox.send(Event::Ended { vm, attempt: grant.attempt });
             }
         }
     }
--- a/components/entry/src/event.rs
+++ b/components/entry/src/event.rs
@@ -24,13 +24,13 @@
     /// An attempt of a request ended without an answer; it may be tried again.
     Again { ask: Ask, last: Failure, reply: Sender<Decision> },
     /// An attempt answered its request, whole.
-    Answered { vm: VmId, fingerprint: Digest },
+    Answered { vm: VmId, attempt: AttemptId, fingerprint: Digest },
     /// An attempt was lost, and its request with it.
     Lost { ask: Ask, last: Failure },
     /// The endpoint that knows a request's key stated its state, or did not.
     Bound(Box<Bound>),
-    /// An attempt ended, and its request with it.
-    Ended { vm: VmId, failed: bool },
+    /// An attempt ended without fault, and its request with it.
+    Ended { vm: VmId, attempt: AttemptId },
     /// Another entry told its newest crash records.
     Crashes(Vec<CrashRecord>),
     /// A planned stop begins.
@@ -72,6 +72,8 @@
 /// How an attempt failed.
 #[derive(Debug, Clone)]
 pub(crate) struct Failure {
+    /// The attempt.
+    pub(crate) attempt: AttemptId,
     /// The endpoint's VM.
     pub(crate) vm: VmId,
     /// Whether the attempt ran.
--- a/components/entry/src/report.rs
+++ b/components/entry/src/report.rs
@@ -16,6 +16,10 @@
             PeerCall::Document(request, reply) => {
                 answer_call(reply, self.node.document(&request));
             }
+            PeerCall::Usage(news) => {
+                let entries = self.live_entries();
+                self.usage.receive(news, entries, now);
+            }
             PeerCall::Crashes(records, reply) => {
                 self.learn_crashes(&records, now);
                 answer_call(reply, self.ledger.records(MAX_RECORDS, now));
--- a/components/entry/src/suspects.rs
+++ b/components/entry/src/suspects.rs
@@ -7,11 +7,11 @@
 };
 
 use audit::Change;
-use base::{Digest, VmId};
+use base::VmId;
 use manifest::{Role, Vm, VmState};
 use proto::{CrashRecord, PeerClient};
 use quarantine::{Noted, Verdict};
-use routing::Choice;
+use routing::{Choice, Need};
 
 use crate::{
     core::Core,
@@ -66,7 +66,7 @@
     /// An attempt was lost, and its request with it.
     pub(crate) fn lost(&mut self, ask: &Ask, last: &Failure, now: Instant) {
         self.suspect(ask, last, now);
-        self.ended(&last.vm, last.fault, now);
+        self.ended(last.attempt, &last.vm, last.end(), false, now);
     }
 
     /// Takes in crash records, and passes those on that are news.
@@ -135,11 +135,9 @@
 
     /// Picks an endpoint that was not tried, or else any, but none of `avoid`.
     fn pick(&mut self, ask: &Ask, avoid: &[VmId], now: Instant) -> Option<Choice> {
-        let untried = [avoid, &ask.tried].concat();
-        let release = ask.release.as_ref();
-        self.router
-            .pick(&ask.service, release, &untried, now)
-            .or_else(|| self.router.pick(&ask.service, release, avoid, now))
+        let need =
+            Need { service: &ask.service, release: ask.release.as_ref(), avoid, tried: &ask.tried };
+        self.router.pick(&need, now)
     }
 
     fn choose_apart(&mut self, ask: &Ask, avoid: Vec<VmId>, now: Instant) -> Option<Choice> {
@@ -174,8 +172,7 @@
         if self.lanes.0.values().all(|runs| *runs) {
             return;
         }
-        let suspect = |d: &Digest| self.ledger.verdict(d) == Verdict::Suspect;
-        if !self.queue.iter().any(|waiting| suspect(&waiting.ask.fingerprint)) {
+        if !self.has_suspects() {
             self.lanes.0.retain(|_, runs| *runs);
         }
     }
--- a/components/net/src/rpc.rs
+++ b/components/net/src/rpc.rs
@@ -11,7 +11,7 @@
 };
 use proto::{
     Announcement, AttemptRef, CrashRecord, DocumentReply, DocumentRequest, EndpointState, Fate,
-    Gossip, PeerServer, Status,
+    Gossip, PeerServer, Status, UsageNews,
 };
 use settings::PeerKey;
 use subtle::ConstantTimeEq;
@@ -46,6 +46,8 @@
     Probe(VmId, Reply<bool>),
     /// Chunks that a peer can give.
     Announce(Announcement),
+    /// A part of an entry's sums of usage.
+    Usage(UsageNews),
     /// Asks about the endpoint.
     Endpoint(Reply<EndpointState>),
     /// Makes an attempt final.
@@ -168,6 +170,14 @@
         }
     }
 
+    async fn usage(&self, news: UsageNews) -> RpcResult<()> {
+        if (self.deliver)(PeerCall::Usage(news)) {
+            Ok(())
+        } else {
+            Err(unavailable("the process stops; ask another"))
+        }
+    }
+
     async fn endpoint(&self) -> RpcResult<EndpointState> {
         self.ask(PeerCall::Endpoint).await
     }
--- a/components/proto/src/lib.rs
+++ b/components/proto/src/lib.rs
@@ -11,6 +11,7 @@
 mod peer;
 mod reservation;
 mod status;
+mod usage;
 
 pub use attempt::{AttemptRef, Fate, MIN_RETRY_AFTER, Outcome, RefusalReason};
 pub use crash::{CrashId, CrashRecord};
@@ -22,3 +23,4 @@
 pub use peer::{PeerClient, PeerServer};
 pub use reservation::{BadReservation, Reservation};
 pub use status::{EndpointRow, RolloutRow, Status};
+pub use usage::{FlowRow, UsageNews};
--- a/examples/bench/main.rs
+++ b/examples/bench/main.rs
@@ -5,6 +5,7 @@
 mod control;
 mod faults;
 mod report;
+mod requests;
 mod rollout;
 
 use std::process::ExitCode;
@@ -15,6 +16,8 @@
 Commands:
   control   Slopes of control: bytes, processor time and memory
   rollout   Time until all VMs serve a new version, and bytes read from the origin
+  requests  Requests under overload: --overload 3 [--rollout] [--faults] [--poison]
+            [--policy p2c|random|round-robin] [--skew F] [--seconds N]
 
 Options:
   --seed K     Seed of all that is random
@@ -40,6 +43,7 @@
     let result = match command.as_str() {
         "control" => control::run(parser),
         "rollout" => rollout::run(parser),
+        "requests" => requests::run(parser),
         other => return usage(&format!("command {other:?} does not exist")),
     };
     match result {
