Serve HTTP with hyper under the same blocking handlers

Cause: tiny_http harmed requests. Its pool lets a connection wait for another's end (of 16 calls sent at once 2 began 1.4 s late), one declared body of 2^40 bytes ends the process, and connections hold threads without bound. Found by the drain test, which waits until 16 calls run, and by a caller with a huge content-length.

Ruled out: the entry's queue and the router; the calls were not read from their connections.

Change: net::Listener is built on hyper, which jsonrpsee brings already, and keeps its shape. Handlers see when their caller left before the first byte. Stopping listeners wait until each answer is sent.

--- a/components/agent/src/attempt.rs
+++ b/components/agent/src/attempt.rs
@@ -5,9 +5,8 @@
 use attempts::{KeyUse, Offer};
 use base::{AttemptId, ByteSize};
 use crossbeam_channel::{Sender, bounded};
-use net::{StreamWriter, header, query, read_body, refuse};
+use net::{Request, StreamWriter, header, query, read_body, refuse};
 use proto::{AttemptRef, Fate, Frame, RefusalReason, header as name};
-use tiny_http::Request;
 
 use crate::{
     answer::{Answer, Ending, Position, Step},
--- a/components/agent/src/data.rs
+++ b/components/agent/src/data.rs
@@ -1,9 +1,8 @@
 //! The data address: chunks for peers and attempts from entries.
 
 use base::{ByteSize, Digest};
-use net::{authorized, refuse};
+use net::{Method, Request, Response, authorized, refuse};
 use settings::PeerKey;
-use tiny_http::{Method, Request, Response};
 
 use crate::{attempt, core::Shared};
 
@@ -15,11 +14,11 @@
     }
     let url = request.url().to_owned();
     match (request.method(), url.strip_prefix("/v1/blobs/")) {
-        (Method::Get, Some(digest)) => blob(shared, digest, request),
-        (Method::Get, None) if url == "/healthz" => text(request, "ok\n"),
-        (Method::Get, None) if url == "/metrics" => text(request, &telemetry::install().render()),
-        (Method::Post, None) if url == "/v1/attempts" => attempt::offered(shared, request),
-        (Method::Get, None) => match url.strip_prefix("/v1/attempts/") {
+        (&Method::GET, Some(digest)) => blob(shared, digest, request),
+        (&Method::GET, None) if url == "/healthz" => text(request, "ok\n"),
+        (&Method::GET, None) if url == "/metrics" => text(request, &telemetry::install().render()),
+        (&Method::POST, None) if url == "/v1/attempts" => attempt::offered(shared, request),
+        (&Method::GET, None) => match url.strip_prefix("/v1/attempts/") {
             Some(id) => attempt::resumed(shared, request, id),
             None => refuse(request, 404, "no such path; update the peer", "not-run"),
         },
@@ -28,8 +27,7 @@
 }
 
 fn text(request: Request, text: &str) {
-    // The sender may be gone.
-    let _ = request.respond(Response::from_string(text));
+    request.respond(Response::from_string(text));
 }
 
 fn blob(shared: &Shared, digest: &str, request: Request) {
@@ -39,9 +37,5 @@
         return;
     };
     shared.pace(ByteSize(chunk.len() as u64));
-    let length = chunk.len();
-    let body = std::io::Cursor::new(chunk);
-    let response = Response::new(200.into(), Vec::new(), body, Some(length), None);
-    // The peer may be gone.
-    let _ = request.respond(response);
+    request.respond(Response::from_data(chunk));
 }
--- a/components/entry/src/caller.rs
+++ b/components/entry/src/caller.rs
@@ -6,11 +6,10 @@
 };
 
 use crossbeam_channel::{Sender, bounded};
-use net::Mailbox;
+use net::{Mailbox, Request};
 use proto::{Outcome, Reservation};
 use settings::EntrySettings;
 use telemetry::MetricsPage;
-use tiny_http::Request;
 
 use crate::{
     attempt::{Attempter, Call, End},
@@ -56,6 +55,10 @@
                 Decision::Go(grant) => grant,
                 Decision::Refuse(refusal) => return sink.refuse(&for_key(&call.ask, refusal)),
             };
+            if sink.is_abandoned() {
+                self.mailbox.send(Event::Ended { vm: grant.choice.vm, failed: false });
+                return;
+            }
             match self.attempter.run(&call, &grant, &mut sink) {
                 End::Answered => {
                     // A stopping entry ends once no request is in progress, so the answer goes first.
--- a/components/entry/src/request.rs
+++ b/components/entry/src/request.rs
@@ -3,10 +3,9 @@
 use std::time::{Duration, Instant};
 
 use base::{Digest, IdempotencyKey, ServiceId};
-use net::{header, read_body};
+use net::{Request, header, read_body};
 use proto::header as name;
 use settings::EntrySettings;
-use tiny_http::Request;
 
 use crate::{
     attempt::Call,
--- a/components/entry/src/sink.rs
+++ b/components/entry/src/sink.rs
@@ -3,9 +3,8 @@
 use std::io::Write;
 
 use base::ReleaseId;
-use net::StreamWriter;
+use net::{Request, Response, StreamWriter};
 use proto::header as name;
-use tiny_http::{Header, Request, Response};
 
 use crate::{
     attempt::{Head, Passed, Sink},
@@ -51,6 +50,12 @@
         self.request.is_none()
     }
 
+    /// Whether the caller is gone.
+    pub(crate) fn is_abandoned(&self) -> bool {
+        let before = self.request.as_ref().is_some_and(Request::is_abandoned);
+        before || self.out.as_ref().is_some_and(StreamWriter::is_abandoned)
+    }
+
     /// The release that answers, once the head was sent.
     pub(crate) fn release(&self) -> Option<&ReleaseId> {
         self.head.as_ref()?.release.as_ref()
@@ -115,10 +120,11 @@
     }
 
     fn alive(&mut self) -> bool {
-        if self.out.is_none() || !self.is_stream() || !self.between {
-            return true;
+        if self.is_abandoned() {
+            return false;
         }
-        self.write(COMMENT)
+        let quiet = self.out.is_none() || !self.is_stream() || !self.between;
+        quiet || self.write(COMMENT)
     }
 }
 
@@ -134,23 +140,17 @@
 
 /// Answers a request with an error.
 pub(crate) fn refuse(request: Request, refusal: &Refusal) {
-    let mut response = Response::from_string(body(refusal)).with_status_code(refusal.status);
-    let mut add = |name: &str, value: &str| {
-        if let Ok(header) = Header::from_bytes(name, value) {
-            response.add_header(header);
-        }
-    };
-    add(name::CONTENT_TYPE, "application/json");
-    add(name::OUTCOME, refusal.outcome.as_str());
-    if let Some(seconds) = refusal.retry_after {
-        add("retry-after", &seconds.to_string());
-    }
-    // The caller may be gone.
-    let _ = request.respond(response);
+    let response = Response::from_string(body(refusal))
+        .with_status_code(refusal.status)
+        .with_header(name::CONTENT_TYPE, "application/json")
+        .with_header(name::OUTCOME, refusal.outcome.as_str());
+    request.respond(match refusal.retry_after {
+        Some(seconds) => response.with_header("retry-after", &seconds.to_string()),
+        None => response,
+    });
 }
 
 /// Answers a request with text.
 pub(crate) fn text(request: Request, status: u16, text: &str) {
-    // The caller may be gone.
-    let _ = request.respond(Response::from_string(text).with_status_code(status));
+    request.respond(Response::from_string(text).with_status_code(status));
 }
--- a/components/net/src/stream.rs
+++ b/components/net/src/stream.rs
@@ -2,94 +2,125 @@
 
 use std::{
     io::{self, Write},
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
+    pin::Pin,
+    task::{Context, Poll},
+    time::Duration,
 };
 
-use chunked_transfer::Encoder;
-use tiny_http::Request;
+use bytes::{Bytes, BytesMut};
+use http::StatusCode;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Frame};
+use tokio::{
+    runtime::Handle,
+    sync::mpsc::{Receiver, Sender, channel},
+};
+
+use crate::{
+    Request,
+    response::{Broken, head, header},
+};
 
-/// Largest piece that is sent at once, in bytes.
+/// Bytes after which a piece is sent without a flush.
 const PIECE_BYTES: usize = 16 << 10;
-/// Not a chunk header: the receiver fails at once instead of waiting for the rest.
-pub(crate) const ABORT: &[u8] = b"aborted\r\n";
+/// Pieces that wait for a slow receiver.
+const PIECES: usize = 4;
 
 /// Writes an answer whose length is not known; only `finish` marks it whole.
 pub struct StreamWriter {
-    encoder: Encoder<Gate>,
-    aborted: Arc<AtomicBool>,
-    finished: bool,
+    pieces: Sender<Piece>,
+    buffer: BytesMut,
+    io: Handle,
+    idle: Duration,
 }
 
-/// Replaces what the encoder writes when it is dropped, the mark of a whole answer.
-struct Gate {
-    out: Box<dyn Write + Send>,
-    aborted: Arc<AtomicBool>,
+enum Piece {
+    Data(Bytes),
+    /// The answer is whole.
+    End,
 }
 
+/// The body of an answer that ends whole only after `Piece::End`.
+struct Pieces(Option<Receiver<Piece>>);
+
 impl StreamWriter {
-    /// Sends the head of the answer.
+    /// Sends the head of the answer; fails if the caller is gone.
     pub fn start(request: Request, status: u16, headers: &[(&str, &str)]) -> io::Result<Self> {
-        let mut out = request.into_writer();
-        write!(out, "HTTP/1.1 {status} \r\ntransfer-encoding: chunked\r\n")?;
-        for (name, value) in headers {
-            write!(out, "{name}: {value}\r\n")?;
+        let (pieces, received) = channel(PIECES);
+        let status = StatusCode::from_u16(status).map_err(io::Error::other)?;
+        let headers = headers.iter().filter_map(|(name, value)| header(name, value));
+        let response = head(status, headers, Pieces(Some(received)).boxed());
+        let (io, idle) = request.io();
+        if !request.send(Ok(response)) {
+            return Err(io::ErrorKind::BrokenPipe.into());
         }
-        out.write_all(b"\r\n")?;
-        out.flush()?;
-        let aborted = Arc::new(AtomicBool::new(false));
-        let gate = Gate { out, aborted: aborted.clone() };
-        let encoder = Encoder::with_chunks_size(gate, PIECE_BYTES);
-        Ok(StreamWriter { encoder, aborted, finished: false })
+        Ok(StreamWriter { pieces, buffer: BytesMut::new(), io, idle })
     }
 
     /// Marks the answer whole; without this the receiver sees that it was cut.
     pub fn finish(mut self) -> io::Result<()> {
-        self.encoder.flush()?;
-        self.finished = true;
-        Ok(())
+        self.flush()?;
+        self.send(Piece::End)
     }
-}
 
-impl Drop for StreamWriter {
-    fn drop(&mut self) {
-        if !self.finished {
-            // What is buffered was written before the cut, so it may still be sent.
-            let _ = self.encoder.flush();
-            self.aborted.store(true, Ordering::Relaxed);
+    /// Whether the receiver is gone.
+    pub fn is_abandoned(&self) -> bool {
+        self.pieces.is_closed()
+    }
+
+    fn send(&self, piece: Piece) -> io::Result<()> {
+        let (pieces, idle) = (&self.pieces, self.idle);
+        let sent = self.io.block_on(async { tokio::time::timeout(idle, pieces.send(piece)).await });
+        match sent {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(_)) => Err(io::ErrorKind::BrokenPipe.into()),
+            Err(_) => Err(io::ErrorKind::TimedOut.into()),
         }
     }
 }
 
 impl Write for StreamWriter {
     fn write(&mut self, data: &[u8]) -> io::Result<usize> {
-        self.encoder.write(data)
+        self.buffer.extend_from_slice(data);
+        if self.buffer.len() >= PIECE_BYTES {
+            self.flush()?;
+        }
+        Ok(data.len())
     }
 
     fn flush(&mut self) -> io::Result<()> {
-        self.encoder.flush()
-    }
-}
-
-impl Write for Gate {
-    fn write(&mut self, data: &[u8]) -> io::Result<usize> {
-        if self.aborted.load(Ordering::Relaxed) {
-            self.out.write_all(ABORT)?;
-            return Ok(data.len());
+        if self.buffer.is_empty() {
+            return Ok(());
         }
-        self.out.write(data)
+        let piece = self.buffer.split().freeze();
+        self.send(Piece::Data(piece))
     }
+}
 
-    fn flush(&mut self) -> io::Result<()> {
-        self.out.flush()
+impl Drop for StreamWriter {
+    fn drop(&mut self) {
+        // What was written before a cut may still be sent.
+        let _ = self.flush();
     }
 }
 
-impl Drop for Gate {
-    fn drop(&mut self) {
-        // Nothing more can be done for a receiver that is gone.
-        let _ = self.out.flush();
+impl Body for Pieces {
+    type Data = Bytes;
+    type Error = Broken;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        let Some(pieces) = &mut self.0 else { return Poll::Ready(None) };
+        let piece = std::task::ready!(pieces.poll_recv(cx));
+        Poll::Ready(match piece {
+            Some(Piece::Data(bytes)) => Some(Ok(Frame::data(bytes))),
+            Some(Piece::End) => {
+                self.0 = None;
+                None
+            }
+            None => Some(Err(Broken)),
+        })
     }
 }
--- /dev/null
+++ b/components/net/tests/listener.rs
@@ -0,0 +1,164 @@
+//! What a listener owes to many callers at once, and to bad ones.
+
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpStream},
+    time::{Duration, Instant},
+};
+
+use net::{Handlers, Latch, Listener, Request, StreamWriter};
+
+/// Connections that arrive together.
+const BURST: usize = 64;
+const WORK: Duration = Duration::from_millis(400);
+const TIMEOUT: Duration = Duration::from_secs(10);
+
+struct Server {
+    addr: SocketAddr,
+    stop: Latch,
+    handlers: Handlers,
+}
+
+fn serve(handle: impl Fn(Request) + Send + Sync + 'static) -> Server {
+    serve_with(TIMEOUT, 1024, handle)
+}
+
+fn serve_with(
+    idle: Duration,
+    limit: usize,
+    handle: impl Fn(Request) + Send + Sync + 'static,
+) -> Server {
+    let listener = Listener::bind(([127, 0, 0, 1], 0).into(), idle, limit).unwrap();
+    let stop = Latch::default();
+    let handlers = listener.serve(stop.clone(), handle);
+    Server { addr: listener.addr(), stop, handlers }
+}
+
+fn not_found(request: Request) {
+    net::refuse(request, 404, "as expected", "not-run");
+}
+
+fn ask(addr: SocketAddr, text: &str) -> String {
+    let mut stream = TcpStream::connect(addr).unwrap();
+    stream.set_read_timeout(Some(TIMEOUT)).unwrap();
+    stream.write_all(text.as_bytes()).unwrap();
+    let mut answer = vec![0; 4096];
+    let length = stream.read(&mut answer).unwrap_or(0);
+    String::from_utf8_lossy(&answer[..length]).into_owned()
+}
+
+#[test]
+fn no_connection_of_a_burst_waits_for_another() {
+    let Server { addr, .. } = serve(|request| {
+        std::thread::sleep(WORK);
+        not_found(request);
+    });
+    for _ in 0..5 {
+        let start = Instant::now();
+        std::thread::scope(|scope| {
+            for _ in 0..BURST {
+                scope.spawn(|| ask(addr, "GET / HTTP/1.1\r\nhost: x\r\n\r\n"));
+            }
+        });
+        assert!(start.elapsed() < WORK * 2, "{:?}", start.elapsed());
+    }
+}
+
+#[test]
+fn a_huge_declared_body_does_not_end_the_process() {
+    let Server { addr, .. } = serve(|mut request| {
+        let body = net::read_body(&mut request, base::ByteSize(1024));
+        assert!(body.is_none());
+        net::refuse(request, 413, "send less", "not-run");
+    });
+    for length in [1u64 << 40, 1 << 50, 1 << 62, u64::MAX] {
+        let text = format!("POST / HTTP/1.1\r\nhost: x\r\ncontent-length: {length}\r\n\r\nx");
+        let answer = ask(addr, &text);
+        assert!(answer.starts_with("HTTP/1.1 4"), "{length}: {answer}");
+    }
+}
+
+#[test]
+fn slow_senders_are_closed_and_leave_nothing() {
+    let idle = Duration::from_millis(300);
+    let server = serve_with(idle, 1024, |mut request| {
+        assert!(net::read_body(&mut request, base::ByteSize(1024)).is_none());
+        net::refuse(request, 408, "send faster", "not-run");
+    });
+    let head = "POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 100\r\n\r\n";
+    let mut streams: Vec<TcpStream> = ["", "POST / HT", head, &format!("{head}part")]
+        .map(|text| {
+            let mut stream = TcpStream::connect(server.addr).unwrap();
+            stream.write_all(text.as_bytes()).unwrap();
+            stream
+        })
+        .into();
+    let answers = streams.iter_mut().map(|stream| {
+        stream.set_read_timeout(Some(TIMEOUT)).unwrap();
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).unwrap();
+        answer
+    });
+    let answers: Vec<String> = answers.collect();
+    assert!(answers[2].starts_with("HTTP/1.1 408"), "{answers:?}");
+    assert!(answers[3].starts_with("HTTP/1.1 408"), "{answers:?}");
+    let start = Instant::now();
+    // The accepting task is left.
+    while server.handlers.count() > 1 {
+        assert!(start.elapsed() < TIMEOUT, "{} handlers are left", server.handlers.count());
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+#[test]
+fn connections_above_the_limit_are_refused_and_come_back_later() {
+    let server = serve_with(TIMEOUT, 2, not_found);
+    let held: Vec<TcpStream> = (0..2).map(|_| TcpStream::connect(server.addr).unwrap()).collect();
+    let request = "GET / HTTP/1.1\r\nhost: x\r\n\r\n";
+    let refused = ask(server.addr, request);
+    assert!(refused.starts_with("HTTP/1.1 503"), "{refused}");
+    let (head, body) = refused.split_once("\r\n\r\n").unwrap();
+    assert!(head.contains("retry-after: 1"), "{refused}");
+    assert!(head.ends_with(&format!("content-length: {}", body.len())), "{refused}");
+    drop(held);
+    let start = Instant::now();
+    while !ask(server.addr, request).starts_with("HTTP/1.1 404") {
+        assert!(start.elapsed() < TIMEOUT, "the connections that ended still count");
+    }
+}
+
+#[test]
+fn a_stopped_listener_sends_each_answer_to_its_end() {
+    let server = serve(|request| {
+        let mut out = StreamWriter::start(request, 200, &[]).unwrap();
+        for _ in 0..20 {
+            std::thread::sleep(WORK / 20);
+            out.write_all(&[b'x'; 1000]).unwrap();
+            out.flush().unwrap();
+        }
+        out.finish().unwrap();
+    });
+    let addr = server.addr;
+    let send = || std::thread::spawn(move || get(addr));
+    let threads: Vec<_> = (0..8).map(|_| send()).collect();
+    std::thread::sleep(WORK / 2);
+    server.stop.close();
+    assert!(server.handlers.wait(Instant::now() + TIMEOUT));
+    for thread in threads {
+        assert_eq!(thread.join().unwrap().unwrap().len(), 20_000);
+    }
+}
+
+#[test]
+fn a_stream_that_was_not_finished_is_not_taken_for_whole() {
+    let server = serve(|request| {
+        let mut out = StreamWriter::start(request, 200, &[]).unwrap();
+        out.write_all(b"part").unwrap();
+    });
+    assert!(get(server.addr).is_err());
+}
+
+fn get(addr: SocketAddr) -> Result<Vec<u8>, ureq::Error> {
+    let mut response = net::single(TIMEOUT).get(format!("http://{addr}/")).call()?;
+    response.body_mut().read_to_vec()
+}
--- a/components/standins/src/blobs.rs
+++ b/components/standins/src/blobs.rs
@@ -12,8 +12,7 @@
 
 use base::{ByteRate, Digest};
 use bytes::Bytes;
-use net::{Latch, Listener, refuse};
-use tiny_http::{Request, Response};
+use net::{Latch, Listener, Request, Response, refuse};
 
 /// Longest wait for a connection's next bytes.
 const IDLE: Duration = Duration::from_secs(60);
@@ -111,8 +110,7 @@
     std::thread::sleep(reserve(shared, blob.len()));
     shared.sent.fetch_add(blob.len() as u64, Ordering::Relaxed);
     let blob = apply_faults(shared, blob);
-    // The reader may be gone.
-    let _ = request.respond(Response::from_data(blob));
+    request.respond(Response::from_data(blob));
 }
 
 fn reserve(shared: &Shared, bytes: usize) -> Duration {
--- a/components/standins/src/engine.rs
+++ b/components/standins/src/engine.rs
@@ -9,9 +9,10 @@
 };
 
 use base::{ByteSize, Digest};
-use net::{Latch, Listener, StreamWriter, abort, header, query, read_body, refuse};
+use net::{
+    Latch, Listener, Method, Request, Response, StreamWriter, header, query, read_body, refuse,
+};
 use serde_json::{Value, json};
-use tiny_http::{Method, Request, Response};
 
 use crate::answers::token;
 
@@ -186,21 +187,21 @@
     fn answer(self: &Arc<Shared>, request: Request) {
         let down = self.lock().down_until.is_some_and(|until| Instant::now() < until);
         if down {
-            abort(request);
+            request.abort();
             return;
         }
         let url = request.url().to_owned();
         let path = url.split('?').next().unwrap_or_default();
         match (request.method().clone(), path) {
-            (Method::Get, "/v1/state") => self.report(request),
-            (Method::Post, "/v1/orders") => self.order(request),
-            (Method::Post, "/v1/chat/completions") => self.complete(request),
-            (Method::Put, _) => self.stage(request, path),
-            (Method::Get, _) => match path.strip_prefix("/v1/answers/") {
+            (Method::GET, "/v1/state") => self.report(request),
+            (Method::POST, "/v1/orders") => self.order(request),
+            (Method::POST, "/v1/chat/completions") => self.complete(request),
+            (Method::PUT, _) => self.stage(request, path),
+            (Method::GET, _) => match path.strip_prefix("/v1/answers/") {
                 Some(id) => self.resume(request, id, &url),
                 None => refuse(request, 404, "no such path", "not-run"),
             },
-            (Method::Delete, _) => self.cancel(request, path),
+            (Method::DELETE, _) => self.cancel(request, path),
             _ => refuse(request, 404, "no such path", "not-run"),
         }
     }
@@ -323,7 +324,7 @@
         };
         if prompt.contains(CRASH_MARK) {
             self.crash();
-            abort(request);
+            request.abort();
             return;
         }
         let engine = self.clone();
@@ -412,7 +413,7 @@
     fn send(&self, request: Request, id: &str, offset: usize) {
         let (epoch, release, stream) = {
             let state = self.lock();
-            let Some(answer) = state.answers.get(id) else { return abort(request) };
+            let Some(answer) = state.answers.get(id) else { return request.abort() };
             (state.epoch, answer.release.clone(), answer.stream)
         };
         let kind = if stream { "text/event-stream" } else { "application/json" };
@@ -470,6 +471,5 @@
 }
 
 fn respond_json(request: Request, body: &Value) {
-    // The sender may be gone.
-    let _ = request.respond(Response::from_string(body.to_string()));
+    request.respond(Response::from_string(body.to_string()));
 }
--- a/components/standins/src/plain.rs
+++ b/components/standins/src/plain.rs
@@ -8,8 +8,7 @@
 };
 
 use base::ByteSize;
-use net::{Latch, Listener, abort, header, read_body};
-use tiny_http::{Request, Response};
+use net::{Latch, Listener, Request, Response, header, read_body};
 
 /// Longest wait for a connection's next bytes.
 const IDLE: Duration = Duration::from_secs(60);
@@ -69,7 +68,7 @@
 fn answer(shared: &Shared, mut request: Request, work: Duration) {
     let body = read_body(&mut request, BODY).unwrap_or_default();
     if *shared.down.lock().expect("no holder panics") {
-        abort(request);
+        request.abort();
         return;
     }
     if request.url() != "/healthz" {
@@ -78,6 +77,5 @@
         *shared.runs.lock().expect("no holder panics").entry(key).or_default() += 1;
         std::thread::sleep(work);
     }
-    // The sender may be gone.
-    let _ = request.respond(Response::from_data(body));
+    request.respond(Response::from_data(body));
 }
--- a/components/standins/src/values.rs
+++ b/components/standins/src/values.rs
@@ -12,8 +12,7 @@
 };
 
 use manifest::{Manifest, VmList};
-use net::{Latch, Listener, query};
-use tiny_http::{Header, Request, Response};
+use net::{Latch, Listener, Request, Response, query};
 
 /// Longest wait for a connection's next bytes.
 const IDLE: Duration = Duration::from_secs(60);
@@ -114,13 +113,8 @@
 
 fn respond(request: Request, status: u16, value: Option<(u64, Vec<u8>)>) {
     let (revision, text) = value.unwrap_or_default();
-    let header = Header::from_bytes("x-revision", revision.to_string());
-    let mut response = Response::from_data(text).with_status_code(status);
-    if let Ok(header) = header {
-        response.add_header(header);
-    }
-    // The reader may be gone.
-    let _ = request.respond(response);
+    let response = Response::from_data(text).with_status_code(status);
+    request.respond(response.with_header("x-revision", &revision.to_string()));
 }
 
 /// A manifest as it is published.
--- a/components/testbed/tests/callers.rs
+++ b/components/testbed/tests/callers.rs
@@ -58,6 +58,7 @@
     let entry = bed.callers(0);
     let key = format!("authorization: Bearer {CALLER_KEY}\r\n");
     let with = |header: &str| format!("{key}{header}\r\n");
+    let huge = format!("POST /orders/x HTTP/1.1\r\ncontent-length: {}\r\n{key}\r\n", 1u64 << 60);
     let cases = [
         (post("/orders/orders", "", "a"), "401", "send Authorization"),
         (post("/orders/orders", "authorization: Bearer x\r\n", "a"), "401", "use a key"),
@@ -67,6 +68,7 @@
         (post("/orders/orders", &with("x-deadline-ms: soon"), "a"), "400", "not a number"),
         (post("/orders/orders", &with("idempotency-key: a b"), "a"), "400", "Idempotency-Key"),
         (post("/orders/orders", &key, &"x".repeat((4 << 20) + 1)), "413", "send less"),
+        (huge, "413", "send less"),
         ("nonsense\r\n\r\n".to_owned(), "400", ""),
     ];
     for (text, status, part) in cases {
--- a/components/testbed/tests/streams.rs
+++ b/components/testbed/tests/streams.rs
@@ -10,9 +10,7 @@
 use manifest::Role;
 use settings::AgentSettings;
 use standins::{Engine, EngineSettings};
-use testbed::{
-    AgentSlot, Answer, CALLER_KEY, Caller, Relay, Testbed, TestbedSettings, Weights,
-};
+use testbed::{AgentSlot, Answer, CALLER_KEY, Caller, Relay, Testbed, TestbedSettings, Weights};
 
 const TIMEOUT: Duration = Duration::from_secs(30);
 /// Tokens of an answer that takes about two seconds.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -12,7 +12,8 @@
 
 /// A running process of the binary.
 pub struct Process {
-    child: Child,
+    /// The process; it is ended by force when this is dropped.
+    pub child: Child,
     /// The addresses that it printed at start, by name.
     addrs: Vec<(String, SocketAddr)>,
 }
@@ -76,6 +77,7 @@
 }
 
 /// Runs a command of the binary with the peer key in its environment.
+#[allow(dead_code, reason = "not every test file calls it")]
 pub fn operate(args: &[&str], key: &str) -> Output {
     Command::new(env!("CARGO_BIN_EXE_carawaypaddle"))
         .args(args)
