--- a/components/agent/src/event.rs
+++ b/components/agent/src/event.rs
@@ -1,6 +1,9 @@
 //! Events of the agent's actor.
 
-use std::sync::Arc;
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use attempts::Offer;
 use base::{AttemptId, Digest, ReleaseId};
@@ -22,7 +25,12 @@
     /// An event of the common part.
     Node(NodeEvent),
     /// The endpoint stated its state, or could not be asked.
-    Engine(Option<EngineReport>),
+    Engine {
+        /// Its statement.
+        report: Option<EngineReport>,
+        /// When it was asked.
+        asked: Instant,
+    },
     /// The answer to an order.
     Ordered { order: Order, accepted: bool },
     /// A chunk list was read, or could not be.
@@ -37,6 +45,8 @@
     Resume { attempt: AttemptRef, reply: Sender<Opened> },
     /// An attempt that was started has ended.
     Finished { attempt: AttemptId, fate: Fate },
+    /// The core stands still, as on a VM that is paused.
+    Pause(Duration),
     /// A planned stop begins.
     Drain,
 }
--- a/components/proto/src/lib.rs
+++ b/components/proto/src/lib.rs
@@ -17,7 +17,7 @@
 pub use frame::{Frame, FrameError};
 pub use member::{
     Announcement, DocumentKind, DocumentReply, DocumentRequest, EndpointState, Gossip, Load,
-    Member, MemberState, Serving,
+    Member, MemberState, Serving, Trialled, Verdict,
 };
 pub use peer::{PeerClient, PeerServer};
 pub use reservation::{BadReservation, Reservation};
