--- a/components/agent/src/core.rs
+++ b/components/agent/src/core.rs
@@ -1,19 +1,21 @@
 //! The agent's actor: turns events into decisions of the cores and carries their actions out.
 
 use std::{
+    collections::VecDeque,
     sync::{Arc, Mutex},
     time::{Duration, Instant},
 };
 
 use attempts::{Attempts, AttemptsSettings, Homes};
 use audit::Change;
-use base::{AttemptId, ByteSize, Digest, Fence};
+use base::{AttemptId, ByteSize, Digest, Fence, ReleaseId};
 use bytes::Bytes;
 use chunks::{Link, Pool};
+use manifest::ChunkList;
 use net::{Mailbox, Workers};
-use node::{Node, NodeEvent};
+use node::{Changes, Node, NodeEvent, wall_clock_ms};
 use placement::Placement;
-use proto::{Fate, MemberState};
+use proto::Fate;
 use rollout::Endpoint;
 use settings::{AgentSettings, EndpointKind};
 use stakker::{CX, after, stop};
@@ -29,6 +31,8 @@
 const TICK: Duration = Duration::from_millis(20);
 /// Time between gossip calls.
 const GOSSIP_EVERY: Duration = Duration::from_millis(200);
+/// Least number of attempts that an agent beside an engine accepts beyond its slots.
+const MIN_SPARE: usize = 2;
 /// Pause before something that failed is tried again.
 const RETRY: Duration = Duration::from_millis(300);
 
@@ -68,6 +72,9 @@
     pub(crate) homes: Homes,
     pub(crate) placement: Placement,
     pub(crate) loading: Option<Loading>,
+    /// Chunk lists that were read last, newest last; at most `KEPT_LISTS`. An engine can be loaded
+    /// again with them while the configuration service is down.
+    pub(crate) lists: VecDeque<(Digest, Arc<ChunkList>)>,
     /// The last statement of the endpoint.
     pub(crate) report: Option<EngineReport>,
     /// When the endpoint made it.
@@ -76,6 +83,12 @@
     pub(crate) draining: Option<Instant>,
     pub(crate) gossip_at: Instant,
     pub(crate) target_since: Instant,
+    /// When targets and turns are looked at next.
+    pub(crate) aim_at: Instant,
+    /// The release that was seen halted last.
+    pub(crate) halted: Option<ReleaseId>,
+    /// When the process ran last, by the wall clock and by the clock of the runtime.
+    pub(crate) ran_at: (u64, Instant),
     pub(crate) origin_bytes: u64,
 }
 
@@ -87,7 +100,8 @@
         shared: Shared,
     ) -> Option<Self> {
         let now = cx.now();
-        let slots = AttemptsSettings { slots: settings.slots, ..AttemptsSettings::default() };
+        let slots = settings.slots + spare_slots(&settings);
+        let slots = AttemptsSettings { slots, ..AttemptsSettings::default() };
         after!(TICK, [cx], tick());
         Some(Core {
             endpoint: Endpoint::new(Fence(node.identity.incarnation.0), now),
@@ -99,12 +113,16 @@
             shared,
             placement: Placement::default(),
             loading: None,
+            lists: VecDeque::new(),
             report: None,
             reported: now,
             reading: false,
             draining: None,
             gossip_at: now,
             target_since: now,
+            aim_at: now,
+            halted: None,
+            ran_at: (wall_clock_ms(), now),
             origin_bytes: 0,
         })
     }
@@ -114,7 +132,7 @@
         match event {
             Event::Peer(call) => self.answer(call, now),
             Event::Node(event) => self.node_event(event, now),
-            Event::Engine(report) => self.engine_report(report, now),
+            Event::Engine { report, asked } => self.engine_report(report, asked, now),
             Event::Ordered { order, accepted } => self.ordered(order, accepted, now),
             Event::List { digest, list } => self.list(cx, digest, list),
             Event::Fetched { list, chunk, source, result } => {
@@ -135,6 +153,7 @@
                 let _ = reply.send(self.resumed(&attempt, now));
             }
             Event::Finished { attempt, fate } => self.finished(attempt, fate, now),
+            Event::Pause(pause) => std::thread::sleep(pause),
             Event::Drain => self.drain(now),
         }
         self.stop_if_drained(cx);
@@ -154,13 +173,14 @@
             self.attempts.tick(now);
             self.answers.tick(now);
             self.homes.tick(now);
-            self.node.tick(now);
+            let changes = self.node.tick(now);
+            self.changed(changes, now);
         }
         if self.settings.kind == EndpointKind::Plain {
             self.tick_plain(now);
         } else {
-            let turn = self.turn();
-            self.decide(rollout::Event::Turn(turn), now);
+            self.notice_pause(now);
+            self.aim_again(now);
             self.decide(rollout::Event::InFlight(self.attempts.running()), now);
             self.decide(rollout::Event::Tick, now);
         }
@@ -172,7 +192,7 @@
     pub(crate) fn tick_plain(&mut self, now: Instant) {
         if now >= self.reported + RETRY {
             self.reported = now;
-            self.read_engine();
+            self.read_engine(now);
         }
     }
 
@@ -180,7 +200,7 @@
         if self.draining.is_none() {
             self.draining = Some(now + self.node.identity.settings.drain.0);
             self.node.trail.record(Change::Draining, "planned stop");
-            self.node.state(MemberState::Leaving, self.endpoint.serving().cloned());
+            self.state();
         }
     }
 
@@ -201,7 +221,11 @@
 
     pub(crate) fn node_event(&mut self, event: NodeEvent, now: Instant) {
         let changes = self.node.handle(event, now);
-        if changes.any() {
+        self.changed(changes, now);
+    }
+
+    fn changed(&mut self, changes: Changes, now: Instant) {
+        if changes.manifest || changes.vms {
             self.retarget(now);
         }
         if changes.vms {
@@ -210,5 +234,20 @@
         if let Some((revision, at)) = self.node.vms_confirmed() {
             self.homes.confirm(revision, at);
         }
+        if changes.joined {
+            self.decide(rollout::Event::Fresh, now);
+        }
+        if self.node.members.has_rival() {
+            self.decide(rollout::Event::Rival, now);
+        }
+    }
+}
+
+/// Attempts that are accepted beyond the stated slots, since entries may choose an endpoint at the
+/// same moment. An engine keeps them waiting; a plain service need not, so it gets none.
+fn spare_slots(settings: &AgentSettings) -> usize {
+    match settings.kind {
+        EndpointKind::Model => (settings.slots / 2).max(MIN_SPARE),
+        EndpointKind::Plain => 0,
     }
 }
--- a/components/entry/src/attempt.rs
+++ b/components/entry/src/attempt.rs
@@ -154,6 +154,7 @@
             .header(header::INCARNATION, grant.choice.incarnation.to_string())
             .header(header::STAMP, grant.stamp.to_string())
             .header(header::DEADLINE, left.as_millis().to_string())
+            .header(header::PRIORITY, grant.priority.to_string())
             .header(header::WORKSPACE, grant.workspace.as_str())
             .header(header::METHOD, &call.ask.method)
             .header(header::PATH, &call.ask.path);
--- a/components/entry/src/binding.rs
+++ b/components/entry/src/binding.rs
@@ -11,6 +11,7 @@
 use crate::{
     core::Core,
     event::{Ask, Binding, Decision, Event, Grant, Refusal},
+    queue::URGENT,
     refusal,
 };
 
@@ -113,6 +114,7 @@
             workspace,
             repeatable: false,
             bound: true,
+            priority: URGENT,
             choice: Choice { vm, incarnation: state.incarnation, release },
         })
     }
--- a/components/entry/src/event.rs
+++ b/components/entry/src/event.rs
@@ -108,6 +108,8 @@
     pub(crate) control: SocketAddr,
     /// The caller's workspace.
     pub(crate) workspace: WorkspaceId,
+    /// Its priority at the engine; the lowest goes first.
+    pub(crate) priority: u8,
     /// Whether the call may be run again when its outcome is unknown.
     pub(crate) repeatable: bool,
     /// Whether a key binds the call to this endpoint.
--- a/components/entry/src/queue.rs
+++ b/components/entry/src/queue.rs
@@ -24,6 +24,11 @@
 /// Most requests that wait for one certain endpoint or release.
 const MAX_PARKED: usize = 64;
 
+/// Priority of requests that should not wait at the engine.
+pub(crate) const URGENT: u8 = 0;
+/// Priority of requests of a workspace that has more of them waiting.
+const NORMAL: u8 = 1;
+
 /// A request that waits for an endpoint.
 pub(crate) struct Waiting {
     pub(crate) ask: Ask,
@@ -226,6 +231,13 @@
         self.running.insert(grant.attempt, running);
     }
 
+    /// Requests that were tried before, and those of workspaces with none waiting, go first.
+    fn priority(&self, waiting: &Waiting) -> u8 {
+        let line = self.lines.get(&waiting.ask.service);
+        let behind = line.is_some_and(|line| line.queue.waiting(&waiting.workspace) > 0);
+        if behind && waiting.ask.tried.is_empty() { NORMAL } else { URGENT }
+    }
+
     fn grant(&mut self, waiting: &Waiting, choice: Choice) -> Option<Grant> {
         let ask = &waiting.ask;
         let vm = self.pools.vm(&choice.vm)?;
@@ -238,6 +250,7 @@
             workspace: waiting.workspace.clone(),
             repeatable: service.repeatable(&ask.method, &ask.path),
             bound: false,
+            priority: self.priority(waiting),
             choice,
         })
     }
--- a/components/routing/src/router.rs
+++ b/components/routing/src/router.rs
@@ -15,6 +15,9 @@
     subset::Placed,
 };
 
+/// Part of the endpoints that must serve a current release before others are left behind.
+const MOST: f64 = 0.75;
+
 /// Bounds of routing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RouterSettings {
@@ -51,6 +54,13 @@
     pub older: HashSet<ReleaseId>,
 }
 
+impl Wanted {
+    fn allows(&self, release: Option<&ReleaseId>, older: bool) -> bool {
+        let Some(release) = release else { return self.current.is_empty() };
+        self.current.contains(release) || (older && self.older.contains(release))
+    }
+}
+
 /// What is known of one endpoint.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Known {
@@ -251,9 +261,10 @@
 
     /// Endpoints that may get the request now.
     fn usable(&self, need: &Need<'_>, now: Instant) -> Vec<Usable> {
+        let older = self.older_serve(need.service, now);
         let all = self.known.iter().filter(|(vm, _)| !need.avoid.contains(vm));
         let mut usable: Vec<Usable> =
-            all.filter_map(|(vm, known)| self.judge(vm, known, need, now)).collect();
+            all.filter_map(|(vm, known)| self.judge(vm, known, need, older, now)).collect();
         // If all of them are cold, they are as good as warm.
         let warmest = usable.iter().map(|u| u.warmth).fold(0.0, f64::max);
         for endpoint in &mut usable {
@@ -263,13 +274,20 @@
         usable
     }
 
-    fn judge(&self, vm: &VmId, known: &Known, need: &Need<'_>, now: Instant) -> Option<Usable> {
+    fn judge(
+        &self,
+        vm: &VmId,
+        known: &Known,
+        need: &Need<'_>,
+        older: bool,
+        now: Instant,
+    ) -> Option<Usable> {
         let state = known.state.as_ref()?;
         let serving = state.serving.as_ref().filter(|s| s.service == *need.service)?;
         let service = self.services.get(need.service)?;
         let fresh = now.saturating_duration_since(known.seen) <= self.settings.stale;
         let right = need.release.is_none() || serving.release.as_ref() == need.release;
-        let wanted = self.is_wanted(service, serving.release.as_ref(), now);
+        let wanted = service.wanted.allows(serving.release.as_ref(), older);
         let healthy = known.health.allows(known.in_flight, now);
         if !(state.accepting && fresh && right && wanted && healthy) {
             return None;
@@ -284,15 +302,22 @@
         })
     }
 
-    fn is_wanted(&self, service: &Service, release: Option<&ReleaseId>, now: Instant) -> bool {
-        let Some(release) = release else { return service.wanted.current.is_empty() };
-        if service.wanted.current.contains(release) {
+    /// Whether endpoints with an older release of the same model may be used. Once most endpoints
+    /// serve a current release and no more follow, the others are left behind.
+    fn older_serve(&self, id: &ServiceId, now: Instant) -> bool {
+        let Some(service) = self.services.get(id) else { return false };
+        let moving = |at: Instant| now.saturating_duration_since(at) <= self.settings.patience;
+        if service.progress.is_some_and(moving) {
             return true;
         }
-        let moving = service
-            .progress
-            .is_some_and(|at| now.saturating_duration_since(at) <= self.settings.patience);
-        moving && service.wanted.older.contains(release)
+        let states = self.known.values().filter_map(|known| known.state.as_ref());
+        let serving = states.filter_map(|s| s.serving.as_ref()).filter(|s| s.service == *id);
+        let (mut current, mut all) = (0.0, 0.0);
+        for release in serving.filter_map(|s| s.release.as_ref()) {
+            all += 1.0;
+            current += f64::from(u8::from(service.wanted.current.contains(release)));
+        }
+        current < all * MOST
     }
 
     /// Most attempts of this entry at an endpoint.
--- a/components/standins/src/engine.rs
+++ b/components/standins/src/engine.rs
@@ -13,7 +13,7 @@
 use serde_json::{Value, json};
 use tiny_http::{Method, Request, Response};
 
-use crate::answers::token;
+use crate::{answers::token, slots::Slots};
 
 /// Longest wait for a connection's next bytes.
 const IDLE: Duration = Duration::from_secs(60);
@@ -85,7 +85,7 @@
     /// Grows with each crash; what belongs to an older one is broken.
     epoch: u64,
     down_until: Option<Instant>,
-    busy: usize,
+    slots: Slots,
     loads: Vec<(Instant, usize)>,
     answers: HashMap<String, Answer>,
     counts: EngineCounts,
@@ -101,10 +101,24 @@
     prompt: String,
     tokens: usize,
     stream: bool,
+    priority: u8,
+}
+
+/// What a release does to the engine when it is activated.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Flaw {
+    /// The engine refuses it.
+    Refused,
+    /// The engine crashes at once.
+    Crashes,
+    /// The engine serves it and crashes after this time.
+    CrashesAfter(Duration),
 }
 
 struct Shared {
     settings: EngineSettings,
+    /// Releases that do not work here.
+    flaws: Mutex<HashMap<String, Flaw>>,
     state: Mutex<State>,
     changed: Condvar,
 }
@@ -121,8 +135,12 @@
     pub fn start(settings: EngineSettings) -> anyhow::Result<Engine> {
         let listener = Listener::bind(([127, 0, 0, 1], 0).into(), IDLE, LIMIT)?;
         let addr = listener.addr();
-        let shared =
-            Arc::new(Shared { settings, state: Mutex::default(), changed: Condvar::new() });
+        let shared = Arc::new(Shared {
+            settings,
+            flaws: Mutex::default(),
+            state: Mutex::default(),
+            changed: Condvar::new(),
+        });
         let stop = Latch::default();
         let served = shared.clone();
         listener.serve(stop.clone(), move |request| served.answer(request));
@@ -151,7 +169,13 @@
 
     /// Requests that it generates answers to now.
     pub fn busy(&self) -> usize {
-        self.shared.lock().busy
+        self.shared.lock().slots.busy
+    }
+
+    /// Makes a release fail when it is activated.
+    pub fn set_flaw(&self, release: &str, flaw: Flaw) {
+        let mut flaws = self.shared.flaws.lock().expect("no holder panics");
+        flaws.insert(release.to_owned(), flaw);
     }
 
     /// Crashes it: all that it held is gone and all that it ran breaks off.
@@ -208,7 +232,7 @@
     fn report(&self, request: Request) {
         let mut state = self.lock();
         let now = Instant::now();
-        let busy = state.busy;
+        let busy = state.slots.busy;
         state.loads.push((now, busy));
         let lag = self.settings.load_lag;
         let old = state.loads.iter().rev().find(|(at, _)| now.duration_since(*at) >= lag);
@@ -222,7 +246,23 @@
         respond_json(request, &body);
     }
 
-    fn order(&self, mut request: Request) {
+    fn flaw(&self, release: &str) -> Option<Flaw> {
+        self.flaws.lock().expect("no holder panics").get(release).copied()
+    }
+
+    /// Crashes after `wait`, unless it crashed meanwhile.
+    fn crash_later(self: &Arc<Shared>, wait: Duration) {
+        let engine = self.clone();
+        let epoch = self.lock().epoch;
+        std::thread::spawn(move || {
+            std::thread::sleep(wait);
+            if engine.lock().epoch == epoch {
+                engine.crash();
+            }
+        });
+    }
+
+    fn order(self: &Arc<Shared>, mut request: Request) {
         let body = read_body(&mut request, BODY).unwrap_or_default();
         let Ok(order) = serde_json::from_slice::<Value>(&body) else {
             refuse(request, 400, "order is not JSON", "not-run");
@@ -238,6 +278,27 @@
             return;
         }
         state.fence = state.fence.max(fence);
+        let activates = order["order"] == "activate" && state.prepared.as_ref() == Some(&release);
+        match self.flaw(&release).filter(|_| activates) {
+            Some(Flaw::Refused) => {
+                state.prepared = None;
+                drop(state);
+                refuse(request, 409, "the release does not fit this engine", "not-run");
+                return;
+            }
+            Some(Flaw::Crashes) => {
+                drop(state);
+                self.crash();
+                abort(request);
+                return;
+            }
+            Some(Flaw::CrashesAfter(wait)) => {
+                drop(state);
+                self.crash_later(wait);
+                state = self.lock();
+            }
+            None => {}
+        }
         let accepted = self.apply(&mut state, &order, release);
         drop(state);
         if accepted {
@@ -309,6 +370,7 @@
         let id = header(&request, proto::header::ATTEMPT).unwrap_or("none").to_owned();
         let name = header(&request, proto::header::REQUEST_ID).unwrap_or(&id).to_owned();
         let stream = call["stream"].as_bool().unwrap_or(false);
+        let priority = header(&request, proto::header::PRIORITY).and_then(|v| v.parse().ok());
         let (release, epoch) = {
             let mut state = self.lock();
             let Some(release) = state.serving.clone() else {
@@ -327,14 +389,22 @@
             return;
         }
         let engine = self.clone();
-        let job = Job { id: id.clone(), name, release, prompt: prompt.to_owned(), tokens, stream };
+        let job = Job {
+            id: id.clone(),
+            name,
+            release,
+            prompt: prompt.to_owned(),
+            tokens,
+            stream,
+            priority: priority.unwrap_or(u8::MAX),
+        };
         std::thread::spawn(move || engine.generate(&job, epoch));
         self.send(request, &id, 0);
     }
 
     fn generate(&self, job: &Job, epoch: u64) {
-        let Job { id, name, release, prompt, tokens, stream } = job;
-        if !self.take_slot(epoch) {
+        let Job { id, name, release, prompt, tokens, stream, priority } = job;
+        if !self.take_slot(*priority, epoch) {
             return;
         }
         let mut text = String::new();
@@ -353,7 +423,7 @@
         if state.epoch != epoch {
             return;
         }
-        state.busy -= 1;
+        state.slots.busy -= 1;
         if let Some(answer) = state.answers.get_mut(id) {
             answer.bytes.extend_from_slice(last.as_bytes());
             answer.done = true;
@@ -361,14 +431,17 @@
         self.changed.notify_all();
     }
 
-    fn take_slot(&self, epoch: u64) -> bool {
+    fn take_slot(&self, priority: u8, epoch: u64) -> bool {
         let mut state = self.lock();
-        while state.epoch == epoch && state.busy >= self.settings.slots {
-            state = self.changed.wait(state).expect("no holder panics");
+        if state.epoch != epoch {
+            return false;
         }
-        if state.epoch == epoch {
-            state.busy += 1;
+        let ticket = state.slots.join(priority);
+        while state.epoch == epoch && !state.slots.take(ticket, self.settings.slots) {
+            state = self.changed.wait(state).expect("no holder panics");
         }
+        // The next in turn may find a free slot too.
+        self.changed.notify_all();
         state.epoch == epoch
     }
 
@@ -378,7 +451,7 @@
             return false;
         }
         let Some(answer) = state.answers.get_mut(id).filter(|a| !a.broken) else {
-            state.busy -= 1;
+            state.slots.busy -= 1;
             self.changed.notify_all();
             return false;
         };
--- a/components/testbed/src/bed.rs
+++ b/components/testbed/src/bed.rs
@@ -7,6 +7,7 @@
 
 use agent::Agent;
 use anyhow::{Context, bail};
+use audit::Entry as AuditEntry;
 use base::{ByteRate, ByteSize, Digest, Permille, Rate, Revision, Timeout, VmId};
 use entry::Entry;
 use manifest::{
@@ -17,10 +18,11 @@
 use proto::{PeerClient, Status};
 use settings::{
     AgentSettings, EndpointKind, EntrySettings, Fencing, PeerKey, PlatformSettings, RoutingPolicy,
-    Settings,
+    Settings, Strategy,
 };
 use standins::{
-    BlobService, Engine, EngineSettings, PlainService, ValueService, manifest_value, vms_value,
+    BlobService, Engine, EngineCounts, EngineSettings, PlainService, ValueService, manifest_value,
+    vms_value,
 };
 use tokio::runtime::Runtime;
 
@@ -49,6 +51,8 @@
     pub origin: ByteRate,
     /// Chunk memory of each agent.
     pub memory: ByteSize,
+    /// How weights spread.
+    pub strategy: Strategy,
     /// Engines.
     pub engine: EngineSettings,
     /// Time of a call to a plain service.
@@ -77,6 +81,7 @@
             link: ByteRate(50_000_000),
             origin: ByteRate(100_000_000),
             memory: ByteSize(256 << 20),
+            strategy: AgentSettings::default().strategy,
             engine: EngineSettings::default(),
             work: Duration::from_millis(5),
             handover: Duration::from_secs(240),
@@ -165,6 +170,7 @@
             fencing: if self.settings.engine.fencing { Fencing::Checked } else { Fencing::Ignored },
             link: self.settings.link,
             memory: self.settings.memory,
+            strategy: self.settings.strategy,
             slots: self.settings.engine.slots,
             ..AgentSettings::default()
         };
@@ -303,6 +309,7 @@
             replicas,
             floor,
             canary: 1,
+            soak: Timeout(Duration::from_millis(300)),
             order: 0,
             regions: Vec::new(),
             avoid: Vec::new(),
@@ -333,12 +340,30 @@
         Ok(start.elapsed())
     }
 
+    /// Ends an agent without a farewell and takes its engine down with it; returns what the engine
+    /// counted. The VM list is not published.
+    pub fn kill_agent(&mut self, vm: &VmId) -> Option<EngineCounts> {
+        let at = self.agents.iter().position(|slot| slot.vm.id == *vm)?;
+        let slot = self.agents.remove(at);
+        // An agent without requests in progress stops at once and tells nobody.
+        if let Some(agent) = &slot.agent {
+            agent.drain();
+        }
+        slot.engine.map(|engine| engine.counts())
+    }
+
     /// Asks a process for its state.
     pub fn status(&self, control: SocketAddr) -> anyhow::Result<Status> {
         let ask = |client| async move { PeerClient::status(&client).await };
         self.peers.ask(control, ask).context("status")
     }
 
+    /// The audit trail of a process, oldest entry first.
+    pub fn audit(&self, control: SocketAddr) -> anyhow::Result<Vec<AuditEntry>> {
+        let ask = |client| async move { PeerClient::audit(&client, 0).await };
+        Ok(self.peers.ask(control, ask).context("audit")?.entries)
+    }
+
     /// Address of an entry for callers.
     pub fn callers(&self, entry: usize) -> SocketAddr {
         self.entries[entry].1.callers()
--- a/examples/bench/main.rs
+++ b/examples/bench/main.rs
@@ -3,8 +3,10 @@
 //! Each run prints its settings and seed, a line for each result, and a last line that sums it up.
 
 mod control;
+mod faults;
 mod report;
 mod requests;
+mod rollout;
 
 use std::process::ExitCode;
 
@@ -15,10 +17,21 @@
   control   Slopes of control: bytes, processor time and memory
   requests  Requests under overload: --overload 3 [--rollout] [--faults] [--poison]
             [--policy p2c|random|round-robin] [--skew F] [--seconds N]
+  rollout   Time until all VMs serve a new version, and bytes read from the origin
 
 Options:
   --seed K     Seed of all that is random
   --json FILE  Write the results as JSON too
+
+Options of rollout:
+  --vms N         VMs, or --sizes N,N,... for several runs
+  --strategy S    tree, rarest or origin
+  --copies C      Copies that are read from the origin at once
+  --percent P     Most that is read from the origin, in hundredths of a copy
+  --zones Z       Availability zones
+  --memory SIZE   Chunk memory of each agent
+  --faults        Corrupt chunks, kill and replace VMs, stall a link, pause a process
+  --no-baseline   Do not measure the baseline, in which all VMs read from the origin
 ";
 
 fn main() -> ExitCode {
@@ -30,6 +43,7 @@
     let result = match command.as_str() {
         "control" => control::run(parser),
         "requests" => requests::run(parser),
+        "rollout" => rollout::run(parser),
         other => return usage(&format!("command {other:?} does not exist")),
     };
     match result {
