--- a/components/agent/src/attempt.rs
+++ b/components/agent/src/attempt.rs
@@ -88,7 +88,13 @@
     };
     let method = get(name::METHOD)?.to_owned();
     let path = get(name::PATH)?.to_owned();
-    let passed = [name::CONTENT_TYPE, name::IDEMPOTENCY_KEY, name::ATTEMPT, name::REQUEST_ID];
+    let passed = [
+        name::CONTENT_TYPE,
+        name::IDEMPOTENCY_KEY,
+        name::ATTEMPT,
+        name::REQUEST_ID,
+        name::PRIORITY,
+    ];
     let headers = passed.into_iter().filter_map(|key| Some((key, get(key)?.to_owned()))).collect();
     let body = read_body(request, BODY)?;
     Some(Call { offer, method, path, headers, body })
--- a/components/agent/src/core.rs
+++ b/components/agent/src/core.rs
@@ -31,6 +31,8 @@
 const TICK: Duration = Duration::from_millis(20);
 /// Time between gossip calls.
 const GOSSIP_EVERY: Duration = Duration::from_millis(200);
+/// Least number of attempts that an agent beside an engine accepts beyond its slots.
+const MIN_SPARE: usize = 2;
 /// Pause before something that failed is tried again.
 const RETRY: Duration = Duration::from_millis(300);
 
@@ -98,7 +100,8 @@
         shared: Shared,
     ) -> Option<Self> {
         let now = cx.now();
-        let slots = AttemptsSettings { slots: settings.slots, ..AttemptsSettings::default() };
+        let slots = settings.slots + spare_slots(&settings);
+        let slots = AttemptsSettings { slots, ..AttemptsSettings::default() };
         after!(TICK, [cx], tick());
         Some(Core {
             endpoint: Endpoint::new(Fence(node.identity.incarnation.0), now),
@@ -239,3 +242,12 @@
         }
     }
 }
+
+/// Attempts that are accepted beyond the stated slots, since entries may choose an endpoint at the
+/// same moment. An engine keeps them waiting; a plain service need not, so it gets none.
+fn spare_slots(settings: &AgentSettings) -> usize {
+    match settings.kind {
+        EndpointKind::Model => (settings.slots / 2).max(MIN_SPARE),
+        EndpointKind::Plain => 0,
+    }
+}
