--- a/components/attempts/src/table.rs
+++ b/components/attempts/src/table.rs
@@ -1,7 +1,7 @@
 //! The table of attempts of one run of an agent.
 
 use std::{
-    collections::HashMap,
+    collections::BTreeMap,
     time::{Duration, Instant},
 };
 
@@ -52,12 +52,12 @@
 }
 
 /// Attempts of one run of an agent.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Attempts {
     settings: AttemptsSettings,
     incarnation: Incarnation,
     /// Records with the time after which they may be dropped; running ones are never dropped.
-    table: HashMap<AttemptId, (Record, Instant)>,
+    table: BTreeMap<AttemptId, (Record, Instant)>,
     /// Number of records that are running.
     running: usize,
 }
@@ -65,7 +65,7 @@
 impl Attempts {
     /// An empty table for this run of the agent.
     pub fn new(incarnation: Incarnation, settings: AttemptsSettings) -> Attempts {
-        Attempts { settings, incarnation, table: HashMap::new(), running: 0 }
+        Attempts { settings, incarnation, table: BTreeMap::new(), running: 0 }
     }
 
     /// Attempts at the endpoint now.
--- a/components/gossip/src/documents.rs
+++ b/components/gossip/src/documents.rs
@@ -21,7 +21,7 @@
 }
 
 /// The documents of a process.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Documents {
     manifest: Manifest,
     /// Text of `manifest` as published; empty before the first.
--- a/components/gossip/src/members.rs
+++ b/components/gossip/src/members.rs
@@ -33,7 +33,7 @@
 }
 
 /// What this process knows of the others.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Members {
     settings: MembersSettings,
     me: Member,
--- a/components/rollout/src/endpoint.rs
+++ b/components/rollout/src/endpoint.rs
@@ -90,7 +90,7 @@
 const PAUSE: Duration = Duration::from_secs(2);
 
 /// Drives one endpoint.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Endpoint {
     phase: Phase,
     target: Option<Target>,
--- a/components/settings/src/load/tests.rs
+++ b/components/settings/src/load/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 const GOOD: &str = "
--- /dev/null
+++ b/components/spec/src/key.rs
@@ -0,0 +1,63 @@
+//! Keys that tell worlds apart.
+
+use std::{
+    collections::hash_map::DefaultHasher,
+    fmt::{Debug, Write},
+    hash::Hasher,
+    time::{Duration, Instant},
+};
+
+/// Names a world: equal for worlds that behave alike, and of different worlds equal with a
+/// probability of 2⁻¹²⁸.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub(crate) struct Key(u64, u64);
+
+/// How derived `Debug` output begins for an `Instant`.
+const INSTANT: &str = "Instant { tv_sec: ";
+const NANOS: &str = ", tv_nsec: ";
+const NANOS_PER_SECOND: i128 = 1_000_000_000;
+
+impl Key {
+    /// The key of `world` at `now`.
+    ///
+    /// It covers the derived `Debug` text of the world, and so every field. Times in it count
+    /// relative to `now`, as the cores only compare and subtract them; those that lie further back
+    /// than `horizon` count as equal, which is sound if no core looks back further.
+    pub(crate) fn of(world: &impl Debug, now: Instant, horizon: Duration) -> Key {
+        let text = relative(&format!("{world:?}"), now, horizon);
+        Key(hash(1, &text), hash(2, &text))
+    }
+}
+
+fn hash(seed: u8, text: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    hasher.write_u8(seed);
+    hasher.write(text.as_bytes());
+    hasher.finish()
+}
+
+fn relative(text: &str, now: Instant, horizon: Duration) -> String {
+    let oldest = -(horizon.as_nanos() as i128);
+    let now = format!("{now:?}");
+    let now = now.strip_prefix(INSTANT).and_then(nanos).expect("instants print their parts").0;
+    let mut parts = text.split(INSTANT);
+    let mut out = parts.next().unwrap_or_default().to_owned();
+    for part in parts {
+        let (at, rest) = nanos(part).expect("instants print their parts");
+        write!(out, "{}", (at - now).max(oldest)).expect("text takes all that is written");
+        out.push_str(rest);
+    }
+    out
+}
+
+/// Nanoseconds of an instant, and the text after it.
+fn nanos(text: &str) -> Option<(i128, &str)> {
+    let (seconds, rest) = text.split_once(NANOS)?;
+    let (nanos, rest) = rest.split_once(" }")?;
+    let seconds: i128 = seconds.parse().ok()?;
+    let nanos: i128 = nanos.parse().ok()?;
+    Some((seconds * NANOS_PER_SECOND + nanos, rest))
+}
+
+#[cfg(test)]
+mod tests;
