--- a/components/proto/src/peer.rs
+++ b/components/proto/src/peer.rs
@@ -1,10 +1,12 @@
 //! The JSON-RPC interface of every process.
 
 use audit::Page;
+use base::VmId;
 use jsonrpsee::{core::RpcResult, proc_macros::rpc};
 
 use crate::{
-    Announcement, AttemptRef, DocumentReply, DocumentRequest, EndpointState, Fate, Gossip, Status,
+    Announcement, AttemptRef, CrashRecord, DocumentReply, DocumentRequest, EndpointState, Fate,
+    Gossip, Status,
 };
 
 /// Calls that processes make to each other, and operators to processes.
@@ -18,6 +20,10 @@
     #[method(name = "document")]
     async fn document(&self, request: DocumentRequest) -> RpcResult<DocumentReply>;
 
+    /// Asks whether the sender's peer `vm` answers the receiver.
+    #[method(name = "probe")]
+    async fn probe(&self, vm: VmId) -> RpcResult<bool>;
+
     /// Tells a peer which chunks the sender can give.
     #[method(name = "announce")]
     async fn announce(&self, announcement: Announcement) -> RpcResult<()>;
@@ -34,6 +40,10 @@
     #[method(name = "fate")]
     async fn fate(&self, attempt: AttemptRef) -> RpcResult<Fate>;
 
+    /// Exchanges the newest crash records between entries.
+    #[method(name = "crashes")]
+    async fn crashes(&self, records: Vec<CrashRecord>) -> RpcResult<Vec<CrashRecord>>;
+
     /// The state of the process, for operators.
     #[method(name = "status")]
     async fn status(&self) -> RpcResult<Status>;
--- a/components/spec/src/attempt.rs
+++ b/components/spec/src/attempt.rs
@@ -70,6 +70,9 @@
 /// One step of time, and the longest way of a message; a quarter of the retention.
 pub const UNIT: Duration = Duration::from_secs(150);
 
+/// Longer than any exploration lasts.
+const HORIZON: Duration = Duration::from_secs(86_400);
+
 /// A world of this specification.
 #[derive(Debug, Clone)]
 pub struct World {
@@ -92,6 +95,8 @@
     agent: usize,
     run: Incarnation,
     made: Instant,
+    /// The agent's clock when the attempt was made.
+    stamp: Duration,
     entry: Entry,
     endpoint: Endpoint,
     /// Times that the endpoint ran it.
@@ -147,7 +152,8 @@
         steps,
         broken,
         now: |world| world.now,
-        horizon: AttemptsSettings::default().retention,
+        // Agents' clocks count from their start.
+        horizon: HORIZON,
     }
 }
 
@@ -174,12 +180,13 @@
 impl World {
     /// No attempt was made yet.
     pub fn new(settings: Settings) -> World {
+        let now = Instant::now();
         let agent = || Agent {
             run: Incarnation(1),
-            table: Attempts::new(Incarnation(1), AttemptsSettings::default()),
+            table: Attempts::new(Incarnation(1), AttemptsSettings::default(), now),
         };
         World {
-            now: Instant::now(),
+            now,
             agents: (0..settings.agents).map(|_| agent()).collect(),
             attempts: Vec::new(),
             wire: Vec::new(),
--- a/components/spec/src/attempt/agent.rs
+++ b/components/spec/src/attempt/agent.rs
@@ -37,7 +37,7 @@
     fn restart(&mut self, agent: usize) {
         self.settings.restarts -= 1;
         let run = self.agents[agent].run.next();
-        let table = Attempts::new(run, AttemptsSettings::default());
+        let table = Attempts::new(run, AttemptsSettings::default(), self.now);
         self.agents[agent] = Agent { run, table };
     }
 
@@ -68,8 +68,8 @@
                 .into(),
             Body::Cancel => vec![self.step(label.to_owned(), |w| w.cancel(message))],
             _ => vec![self.step(label.to_owned(), |w| {
-                let reference = w.reference(message);
-                let fate = w.agents[w.attempts[index].agent].table.fate(&reference);
+                let reference = w.reference(index);
+                let fate = w.agents[w.attempts[index].agent].table.fate(&reference, w.now);
                 w.send(index, Body::Told(fate));
             })],
         }
@@ -90,6 +90,8 @@
             incarnation: self.run_of(index),
             release: None,
             deadline: AttemptsSettings::default().deadline,
+            stamp: self.attempts[index].stamp,
+            key: None,
         };
         let now = self.now;
         let agent = &mut self.agents[self.attempts[index].agent];
@@ -107,7 +109,7 @@
 
     fn cancel(&mut self, message: &Message) {
         let index = message.attempt;
-        let reference = self.reference(message);
+        let reference = self.reference(index);
         let now = self.now;
         let agent = &mut self.agents[self.attempts[index].agent];
         let before = agent.table.clone();
@@ -119,12 +121,11 @@
         self.send(index, Body::Settled(fate));
     }
 
-    fn reference(&self, message: &Message) -> AttemptRef {
-        let age = message.sent.duration_since(self.attempts[message.attempt].made);
+    fn reference(&self, index: usize) -> AttemptRef {
         AttemptRef {
-            attempt: id(message.attempt),
-            incarnation: self.run_of(message.attempt),
-            age_ms: age.as_millis() as u64,
+            attempt: id(index),
+            incarnation: self.run_of(index),
+            stamp: self.attempts[index].stamp.as_millis() as u64,
         }
     }
 }
--- a/components/spec/src/attempt/entry.rs
+++ b/components/spec/src/attempt/entry.rs
@@ -51,10 +51,12 @@
     }
 
     fn make(&mut self, agent: usize, run: Incarnation) {
+        let stamp = self.agents[agent].table.clock(self.now);
         self.attempts.push(Attempt {
             agent,
             run,
             made: self.now,
+            stamp,
             entry: Entry::Open,
             endpoint: Endpoint::Idle,
             runs: 0,
--- a/components/spec/src/key/tests.rs
+++ b/components/spec/src/key/tests.rs
@@ -18,3 +18,12 @@
     let now = Instant::now();
     assert_ne!(Key::of(&(1, 2), now, HORIZON), Key::of(&(1, 3), now, HORIZON));
 }
+
+#[test]
+fn keys_tell_the_order_of_close_times() {
+    let now = Instant::now();
+    let soon = now + Duration::from_micros(1);
+    assert_ne!(Key::of(&(now, soon), soon, HORIZON), Key::of(&(soon, now), soon, HORIZON));
+    let sooner = now + Duration::from_micros(2);
+    assert_eq!(Key::of(&(now, soon), soon, HORIZON), Key::of(&(now, sooner), sooner, HORIZON));
+}
--- a/components/testbed/src/bed.rs
+++ b/components/testbed/src/bed.rs
@@ -7,6 +7,7 @@
 
 use agent::Agent;
 use anyhow::{Context, bail};
+use audit::Entry as AuditEntry;
 use base::{ByteRate, ByteSize, Digest, Permille, Rate, Revision, Timeout, VmId};
 use entry::Entry;
 use manifest::{
@@ -52,6 +53,8 @@
     pub engine: EngineSettings,
     /// Time of a call to a plain service.
     pub work: Duration,
+    /// Time after a start for which an agent does not vouch for callers' idempotency keys.
+    pub handover: Duration,
     /// Requests a second that the workspace may make.
     pub rate: Rate,
     /// Seed of all that is random in the stand-ins.
@@ -72,6 +75,7 @@
             memory: ByteSize(256 << 20),
             engine: EngineSettings::default(),
             work: Duration::from_millis(5),
+            handover: Duration::from_secs(240),
             rate: Rate(100_000.0),
             seed: 1,
             verbose: false,
@@ -172,6 +176,7 @@
             kind: EndpointKind::Plain,
             service: Some(id("orders")),
             link: self.settings.link,
+            handover: Timeout(self.settings.handover),
             ..AgentSettings::default()
         };
         let (vm, agent) = self.start_agent(name, place, Role::Plain(service), options)?;
@@ -287,6 +292,7 @@
             replicas,
             floor,
             canary: 1,
+            soak: Timeout(Duration::from_millis(300)),
             order: 0,
             regions: Vec::new(),
             avoid: Vec::new(),
@@ -323,6 +329,12 @@
         self.peers.ask(control, ask).context("status")
     }
 
+    /// The audit trail of a process, oldest entry first.
+    pub fn audit(&self, control: SocketAddr) -> anyhow::Result<Vec<AuditEntry>> {
+        let ask = |client| async move { PeerClient::audit(&client, 0).await };
+        Ok(self.peers.ask(control, ask).context("audit")?.entries)
+    }
+
     /// Address of an entry for callers.
     pub fn callers(&self, entry: usize) -> SocketAddr {
         self.entries[entry].1.callers()
