--- a/components/agent/src/core.rs
+++ b/components/agent/src/core.rs
@@ -144,6 +144,8 @@
             Event::Offer { offer, reply } => {
                 let attempt = offer.attempt;
                 let opened = self.offered(offer, now);
+                // A switch must not begin before the endpoint knows of the request.
+                self.decide(rollout::Event::InFlight(self.attempts.running()), now);
                 if reply.send(opened).is_err() {
                     self.finished(attempt, Fate::NotRun, now);
                 }
--- a/components/gossip/src/history.rs
+++ b/components/gossip/src/history.rs
@@ -19,7 +19,7 @@
 }
 
 /// Changes in order; each begins at the revision that the one before it leads to.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct History<D> {
     steps: VecDeque<Step<D>>,
     /// Sum over `steps`; at most `KEPT_BYTES`.
