--- a/components/manifest/src/check.rs
+++ b/components/manifest/src/check.rs
@@ -119,15 +119,16 @@
 
 /// Reads JSON with its own parser, which is much faster than that of YAML.
 fn read(text: &[u8]) -> Result<Manifest, Problem> {
-    let problem = |path: String, what: String| Problem::new(path, what);
     if text.first() == Some(&b'{') {
         let mut json = serde_json::Deserializer::from_slice(text);
-        return serde_path_to_error::deserialize(&mut json)
-            .map_err(|err| problem(err.path().to_string(), err.into_inner().to_string()));
+        return serde_path_to_error::deserialize(&mut json).map_err(problem);
     }
     let yaml = serde_norway::Deserializer::from_slice(text);
-    serde_path_to_error::deserialize(yaml)
-        .map_err(|err| problem(err.path().to_string(), err.into_inner().to_string()))
+    serde_path_to_error::deserialize(yaml).map_err(problem)
+}
+
+fn problem<E: std::fmt::Display>(err: serde_path_to_error::Error<E>) -> Problem {
+    Problem::of_parser(err.path().to_string(), &err.into_inner().to_string())
 }
 
 fn unique<'a>(found: &mut Vec<Problem>, list: &str, ids: impl Iterator<Item = &'a str>) {
--- a/components/node/src/node.rs
+++ b/components/node/src/node.rs
@@ -9,10 +9,12 @@
 use audit::{Change, Trail};
 use base::{Incarnation, ReleaseId, VmId};
 use gossip::{Documents, Joining, Members, MembersSettings, Picker, Taken};
+use metrics::{counter, gauge};
 use net::{Latch, Peers};
 use proto::{DocumentKind, DocumentReply, DocumentRequest, MemberState, Verdict};
 use settings::Settings;
 use slog::{Logger, warn};
+use telemetry::names;
 
 use crate::{
     Changes, NodeEvent,
@@ -155,6 +157,7 @@
         match taken {
             Taken::Old | Taken::Mismatch => Changes::default(),
             Taken::Refused { digest, why } => {
+                counter!(names::REFUSED).increment(1);
                 warn!(self.log, "document refused"; "kind" => ?kind, "why" => &why);
                 let change = Change::ManifestRefused { digest: digest.to_string() };
                 self.trail.record(change, why);
@@ -164,12 +167,14 @@
                 self.burst.documents();
                 match kind {
                     DocumentKind::Manifest => {
+                        gauge!(names::MANIFEST).set(revision.0 as f64);
                         self.trail.set_revision(revision);
                         self.trail.record(Change::ManifestAccepted { manifest: revision }, cause);
                         self.manifest_watcher.set_have(revision);
                         Changes { manifest: true, ..Changes::default() }
                     }
                     DocumentKind::Vms => {
+                        gauge!(names::VMS).set(revision.0 as f64);
                         self.trail.record(Change::VmsAccepted { vms: revision }, cause);
                         self.vms_watcher.set_have(revision);
                         self.listed(now);
--- a/components/node/src/talk.rs
+++ b/components/node/src/talk.rs
@@ -7,8 +7,10 @@
 
 use base::VmId;
 use gossip::{JOIN_PEERS, Joining};
+use metrics::counter;
 use net::{Reply, answer_call};
 use proto::{DocumentRequest, Gossip, PeerClient};
+use telemetry::names;
 
 use crate::{Changes, Node, NodeEvent};
 
@@ -143,6 +145,8 @@
         if let Some(joining) = &mut self.joining {
             joining.heard(&to, reply.as_ref().map(|r| (r.manifest, r.vms)));
         }
+        let result = if reply.is_some() { "replied" } else { "missed" };
+        counter!(names::GOSSIP, "result" => result).increment(1);
         match reply {
             Some(gossip) => self.learn(&to, gossip, now),
             None => self.ask_others(to, now),
