--- a/components/entry/src/caller.rs
+++ b/components/entry/src/caller.rs
@@ -56,7 +56,8 @@
                 Decision::Refuse(refusal) => return sink.refuse(&for_key(&call.ask, refusal)),
             };
             if sink.is_abandoned() {
-                self.mailbox.send(Event::Ended { vm: grant.choice.vm, failed: false });
+                let (vm, attempt) = (grant.choice.vm, grant.attempt);
+                self.mailbox.send(Event::Ended { vm, attempt });
                 return;
             }
             match self.attempter.run(&call, &grant, &mut sink) {
--- a/components/standins/src/engine.rs
+++ b/components/standins/src/engine.rs
@@ -290,7 +290,7 @@
             Some(Flaw::Crashes) => {
                 drop(state);
                 self.crash();
-                abort(request);
+                request.abort();
                 return;
             }
             Some(Flaw::CrashesAfter(wait)) => {
