Quarantine on better evidence and let suspects wait for news

An oversized body that was not read reset the connection before its error arrived. A request whose first attempt may have run was refused as not run when a later one was refused.

Change: a fingerprint is quarantined at its third crash, or at its second if it was alone at one. A suspect waits 300 ms, so that entries know each other's crashes before they run it, and runs on endpoints whose suspects belong to this entry. A queued request that enters quarantine is refused at once. Unread bodies are taken in for 2 s after the answer. Refusals take earlier attempts into account.

--- a/components/agent/src/answer.rs
+++ b/components/agent/src/answer.rs
@@ -6,7 +6,7 @@
 };
 
 use base::ReleaseId;
-use proto::Fate;
+use proto::{Crash, Fate};
 
 /// Bytes that the endpoint may be ahead of the reader.
 const WINDOW: usize = 1 << 20;
@@ -32,8 +32,8 @@
 pub(crate) enum Ending {
     /// The endpoint answered to the end.
     Whole,
-    /// There is no more of it; `crash` numbers the crash of the endpoint that ended it.
-    Failed { crash: Option<u64>, fate: Fate },
+    /// There is no more of it; `crash` is the one of the endpoint that ended it.
+    Failed { crash: Option<Crash>, fate: Fate },
 }
 
 /// What a reader gets next.
--- a/components/agent/src/answers.rs
+++ b/components/agent/src/answers.rs
@@ -2,14 +2,14 @@
 
 use std::{
     collections::HashMap,
-    sync::{Arc, Mutex},
+    sync::{Arc, Mutex, atomic::Ordering},
     time::{Duration, Instant},
 };
 
 use attempts::{Homes, KeyUse, Offer};
 use base::{AttemptId, VmId};
 use manifest::{Role, VmState};
-use proto::{AttemptRef, Fate, RefusalReason, Reservation};
+use proto::{AttemptRef, Crash, Fate, RefusalReason, Reservation};
 use settings::EndpointKind;
 
 use crate::{
@@ -82,16 +82,19 @@
     count: u64,
     /// Whether the endpoint has not served since the last one.
     down: bool,
+    /// Whether only one attempt was in progress at the last one.
+    alone: bool,
 }
 
 impl Crashes {
-    /// The endpoint was found crashed; returns the number of this crash.
-    fn seen(&mut self) -> u64 {
+    /// The endpoint was found crashed while `running` attempts were in progress.
+    fn seen(&mut self, running: usize) -> Crash {
         if !self.down {
             self.down = true;
             self.count += 1;
+            self.alone = running <= 1;
         }
-        self.count
+        Crash { number: self.count, alone: self.alone }
     }
 
     /// The endpoint serves.
@@ -101,13 +104,14 @@
 }
 
 impl Shared {
-    /// The number of the crash that just ended an attempt, if the endpoint crashed.
-    pub(crate) fn crash(&self) -> Option<u64> {
+    /// The crash that just ended an attempt, if the endpoint crashed.
+    pub(crate) fn crash(&self) -> Option<Crash> {
+        let running = self.running.load(Ordering::SeqCst);
         let crashed = match self.kind {
             EndpointKind::Model => self.engine.has_crashed(),
             EndpointKind::Plain => self.engine.is_down(),
         };
-        crashed.then(|| self.crashes.lock().expect("no holder panics").seen())
+        crashed.then(|| self.crashes.lock().expect("no holder panics").seen(running))
     }
 }
 
@@ -123,6 +127,7 @@
         let accepting = self.accepting();
         match self.attempts.offer(&offer, accepting, self.endpoint.serving(), now) {
             Ok(()) => {
+                self.shared.running.store(self.attempts.running(), Ordering::SeqCst);
                 let plain = self.settings.kind == EndpointKind::Plain;
                 Ok(self.answers.add(&offer, plain, now))
             }
--- a/components/agent/src/core.rs
+++ b/components/agent/src/core.rs
@@ -2,7 +2,10 @@
 
 use std::{
     collections::VecDeque,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -45,6 +48,8 @@
     pub(crate) mailbox: Mailbox<Event>,
     pub(crate) kind: EndpointKind,
     pub(crate) crashes: SharedCrashes,
+    /// Attempts in progress.
+    pub(crate) running: Arc<AtomicUsize>,
 }
 
 impl Shared {
@@ -160,6 +165,7 @@
         self.attempts.finish(attempt, fate, now);
         self.answers.ended(attempt, now);
         let in_flight = self.attempts.running();
+        self.shared.running.store(in_flight, Ordering::SeqCst);
         self.decide(rollout::Event::InFlight(in_flight), now);
     }
 
--- a/components/agent/src/process.rs
+++ b/components/agent/src/process.rs
@@ -59,6 +59,7 @@
             mailbox: mailbox.clone(),
             kind: options.kind,
             crashes: Arc::default(),
+            running: Arc::default(),
         };
         let calls = mailbox.clone();
         let deliver = move |call| calls.send(Event::Peer(call));
--- a/components/entry/src/admission.rs
+++ b/components/entry/src/admission.rs
@@ -11,6 +11,7 @@
 use crate::{
     core::{Core, Waiting},
     event::{Ask, Decision, Failure, Grant, Refusal},
+    refusal,
 };
 
 /// Most requests that wait for an endpoint.
@@ -46,8 +47,7 @@
             return Err(not_run(404, &message, None));
         }
         if self.ledger.verdict(&ask.fingerprint) == Verdict::Quarantined {
-            let message = "requests like this one crashed endpoints; change it";
-            return Err(not_run(422, message, None));
+            return Err(refusal::quarantined());
         }
         let entries = self.live_entries();
         let part = 1.0 / entries.max(1) as f64;
@@ -80,6 +80,11 @@
                 decide(&waiting.reply, Decision::Refuse(refusal));
                 continue;
             }
+            if self.ledger.verdict(&waiting.ask.fingerprint) == Verdict::Quarantined {
+                self.in_flight -= 1;
+                decide(&waiting.reply, Decision::Refuse(refusal::quarantined()));
+                continue;
+            }
             if now < waiting.not_before {
                 self.queue.push_back(waiting);
                 continue;
@@ -119,7 +124,7 @@
         now: Instant,
     ) {
         self.router.finished(&last.vm, last.fault, now);
-        self.suspect(&ask, last, now);
+        self.suspect(last, now);
         match self.retry(&ask, last, now) {
             Ok((workspace, not_before)) => {
                 self.queue.push_back(Waiting { ask, workspace, reply, not_before });
@@ -149,8 +154,7 @@
         let workspace = manifest.workspace_of(&ask.key).map(|w| w.id.clone());
         let workspace = workspace.ok_or_else(|| refuse(401, "the key is not known any more"))?;
         if self.ledger.verdict(&ask.fingerprint) == Verdict::Quarantined {
-            let message = "requests like this one crashed endpoints; change it";
-            return Err(refuse(422, message));
+            return Err(refusal::quarantined());
         }
         let nth = ask.tried.len() as u32;
         let backoff = self.retries.take(nth, &mut self.rng);
--- a/components/entry/src/attempt.rs
+++ b/components/entry/src/attempt.rs
@@ -5,10 +5,11 @@
     time::{Duration, Instant},
 };
 
-use base::{AttemptId, ReleaseId};
+use base::{AttemptId, Digest, ReleaseId};
 use net::Peers;
 use proto::{
-    AttemptRef, CrashId, Fate, Frame, FrameError, Outcome, PeerClient, RefusalReason, header,
+    AttemptRef, Crash, CrashId, CrashRecord, Fate, Frame, FrameError, Outcome, PeerClient,
+    RefusalReason, header,
 };
 use settings::PeerKey;
 use ureq::{Body, http::Response};
@@ -95,6 +96,7 @@
     /// Failed connections since the last frame.
     failures: u32,
     deadline: Instant,
+    fingerprint: Digest,
 }
 
 /// Why a connection gave no more frames.
@@ -115,6 +117,7 @@
             offset: 0,
             failures: 0,
             deadline: call.ask.deadline,
+            fingerprint: call.ask.fingerprint,
         };
         let mut source = match self.send(call, grant) {
             Err(err) if refused(&err) => return track.failed(Outcome::NotRun, None),
@@ -274,21 +277,22 @@
         granted.is_some() && stated.is_some() && granted != stated
     }
 
-    fn failed(&self, outcome: Outcome, crash: Option<u64>) -> End {
+    fn failed(&self, outcome: Outcome, crash: Option<Crash>) -> End {
         self.failure(outcome, crash, true)
     }
 
-    fn failure(&self, outcome: Outcome, crash: Option<u64>, fault: bool) -> End {
+    fn failure(&self, outcome: Outcome, crash: Option<Crash>, fault: bool) -> End {
         let choice = &self.grant.choice;
         // A call under a key may have run before, even if this attempt did not.
         let outcome = match outcome {
             Outcome::NotRun if self.grant.bound && fault => Outcome::Unknown,
             outcome => outcome,
         };
-        let crash = crash.map(|number| CrashId {
-            vm: choice.vm.clone(),
-            incarnation: choice.incarnation,
-            number,
+        let crash = crash.map(|Crash { number, alone }| CrashRecord {
+            fingerprint: self.fingerprint,
+            crash: CrashId { vm: choice.vm.clone(), incarnation: choice.incarnation, number },
+            alone,
+            age_ms: 0,
         });
         End::Failed(Failure { vm: choice.vm.clone(), outcome, crash, fault })
     }
--- a/components/entry/src/caller.rs
+++ b/components/entry/src/caller.rs
@@ -49,11 +49,15 @@
 
     fn serve(&self, request: Request, mut call: Call) {
         let mut sink = CallerSink::new(request);
+        // Whether an earlier attempt may have run.
+        let mut ran = false;
         let mut decision = self.ask(|reply| Event::Arrived { ask: call.ask.clone(), reply });
         loop {
             let grant = match decision {
                 Decision::Go(grant) => grant,
-                Decision::Refuse(refusal) => return sink.refuse(&for_key(&call.ask, refusal)),
+                Decision::Refuse(refusal) => {
+                    return sink.refuse(&truthful(&call.ask, ran, refusal));
+                }
             };
             if sink.is_abandoned() {
                 self.mailbox.send(Event::Ended { vm: grant.choice.vm, failed: false });
@@ -77,11 +81,12 @@
                     return;
                 }
                 End::Failed(last) if !may_repeat(&grant, &last) || !sink.may_restart() => {
-                    sink.refuse(&refusal::lost(&last));
-                    self.mailbox.send(Event::Lost { ask: call.ask, last });
+                    sink.refuse(&truthful(&call.ask, ran, refusal::lost(&last)));
+                    self.mailbox.send(Event::Lost { last });
                     return;
                 }
                 End::Failed(last) => {
+                    ran |= last.outcome != Outcome::NotRun;
                     call.ask.tried.push(last.vm.clone());
                     call.ask.release = sink.release().cloned();
                     let ask = call.ask.clone();
@@ -130,8 +135,12 @@
     }
 }
 
-/// A refusal that came before the key was looked at does not tell whether the key was used.
-fn for_key(ask: &Ask, refusal: Refusal) -> Refusal {
+/// The refusal of a request with earlier attempts, or earlier calls under its key: if one of them may
+/// have run, the request is not said to be not run.
+fn truthful(ask: &Ask, ran: bool, refusal: Refusal) -> Refusal {
+    if ran && refusal.outcome == Outcome::NotRun {
+        return Refusal { outcome: Outcome::Unknown, ..refusal };
+    }
     if ask.binding.is_none() || !matches!(refusal.status, 422 | 429 | 503) {
         return refusal;
     }
--- a/components/entry/src/core.rs
+++ b/components/entry/src/core.rs
@@ -112,7 +112,7 @@
             Event::Arrived { ask, reply } => self.arrived(ask, reply, now),
             Event::Again { ask, last, reply } => self.again(ask, &last, reply, now),
             Event::Bound(bound) => self.bound(*bound, now),
-            Event::Lost { ask, last } => self.lost(&ask, &last, now),
+            Event::Lost { last } => self.lost(&last, now),
             Event::Answered { vm, fingerprint } => {
                 self.ledger.answered(&fingerprint);
                 self.retries.succeeded();
--- a/components/entry/src/event.rs
+++ b/components/entry/src/event.rs
@@ -6,7 +6,7 @@
 use crossbeam_channel::Sender;
 use net::PeerCall;
 use node::NodeEvent;
-use proto::{CrashId, CrashRecord, EndpointState, Outcome, Reservation};
+use proto::{CrashRecord, EndpointState, Outcome, Reservation};
 use routing::Choice;
 
 use crate::binding::Bound;
@@ -26,7 +26,7 @@
     /// An attempt answered its request, whole.
     Answered { vm: VmId, fingerprint: Digest },
     /// An attempt was lost, and its request with it.
-    Lost { ask: Ask, last: Failure },
+    Lost { last: Failure },
     /// The endpoint that knows a request's key stated its state, or did not.
     Bound(Box<Bound>),
     /// An attempt ended, and its request with it.
@@ -77,7 +77,7 @@
     /// Whether the attempt ran.
     pub(crate) outcome: Outcome,
     /// The crash of the endpoint that ended it, if one did.
-    pub(crate) crash: Option<CrashId>,
+    pub(crate) crash: Option<CrashRecord>,
     /// Whether the endpoint is at fault, and not only full.
     pub(crate) fault: bool,
 }
--- a/components/entry/src/refusal.rs
+++ b/components/entry/src/refusal.rs
@@ -22,6 +22,11 @@
     refusal(503, message, Outcome::NotRun, Some(RETRY_SECONDS))
 }
 
+/// The request crashed too many endpoints.
+pub(crate) fn quarantined() -> Refusal {
+    bad(422, "requests like this one crashed endpoints; change it")
+}
+
 /// The attempt was lost, and the request may not be run again.
 pub(crate) fn lost(failure: &Failure) -> Refusal {
     match failure.outcome {
--- a/components/entry/src/suspects.rs
+++ b/components/entry/src/suspects.rs
@@ -7,7 +7,7 @@
 };
 
 use audit::Change;
-use base::{Digest, VmId};
+use base::{Digest, VmId, highest};
 use manifest::{Role, Vm, VmState};
 use proto::{CrashRecord, PeerClient};
 use quarantine::{Noted, Verdict};
@@ -29,14 +29,28 @@
 /// Of how many endpoints one may be set apart.
 const ENDPOINTS_PER_LANE: usize = 4;
 
-/// Endpoints that get no other work from this entry, and whether a suspect runs there.
+/// Time that a suspect waits before it runs, in which other entries tell their crashes.
+const SETTLE: Duration = Duration::from_millis(300);
+
+/// Endpoints that are set apart for suspects.
 #[derive(Debug, Default)]
-pub(crate) struct Lanes(HashMap<VmId, bool>);
+pub(crate) struct Lanes {
+    /// Endpoints that get no other work from this entry, and whether a suspect runs there.
+    open: HashMap<VmId, bool>,
+    /// Suspects that wait, and since when.
+    waiting: HashMap<Digest, Instant>,
+}
 
 impl Lanes {
     /// A suspect that ran on `vm` ended.
     pub(crate) fn finished(&mut self, vm: &VmId) {
-        self.0.remove(vm);
+        self.open.remove(vm);
+    }
+
+    /// Whether a suspect has waited long enough.
+    fn has_settled(&mut self, fingerprint: Digest, now: Instant) -> bool {
+        let since = *self.waiting.entry(fingerprint).or_insert(now);
+        now >= since + SETTLE
     }
 }
 
@@ -55,17 +69,16 @@
 
 impl Core {
     /// An attempt of a request was lost; it becomes a suspect if the endpoint crashed.
-    pub(crate) fn suspect(&mut self, ask: &Ask, last: &Failure, now: Instant) {
+    pub(crate) fn suspect(&mut self, last: &Failure, now: Instant) {
         self.lanes.finished(&last.vm);
-        if let Some(crash) = last.crash.clone() {
-            let record = CrashRecord { fingerprint: ask.fingerprint, crash, age_ms: 0 };
+        if let Some(record) = last.crash.clone() {
             self.learn_crashes(&[record], now);
         }
     }
 
     /// An attempt was lost, and its request with it.
-    pub(crate) fn lost(&mut self, ask: &Ask, last: &Failure, now: Instant) {
-        self.suspect(ask, last, now);
+    pub(crate) fn lost(&mut self, last: &Failure, now: Instant) {
+        self.suspect(last, now);
         self.ended(&last.vm, last.fault, now);
     }
 
@@ -127,9 +140,14 @@
     pub(crate) fn choose(&mut self, ask: &Ask, now: Instant) -> Option<Choice> {
         let mut avoid = self.unsure();
         if self.ledger.verdict(&ask.fingerprint) == Verdict::Suspect {
-            return self.choose_apart(ask, avoid, now);
+            if !self.lanes.has_settled(ask.fingerprint, now) {
+                return None;
+            }
+            let foreign = [avoid.clone(), self.foreign()].concat();
+            let apart = if self.pick(ask, &foreign, now).is_some() { foreign } else { avoid };
+            return self.choose_apart(ask, apart, now);
         }
-        avoid.extend(self.lanes.0.keys().cloned());
+        avoid.extend(self.lanes.open.keys().cloned());
         self.pick(ask, &avoid, now)
     }
 
@@ -146,37 +164,53 @@
         let endpoints: Vec<(VmId, bool)> =
             self.router.endpoints().map(|(vm, known)| (vm.clone(), known.in_flight > 0)).collect();
         let busy = endpoints.iter().filter(|(_, busy)| *busy).map(|(vm, _)| vm.clone());
-        let occupied = self.lanes.0.iter().filter(|(_, runs)| **runs).map(|(vm, _)| vm.clone());
+        let occupied = self.lanes.open.iter().filter(|(_, runs)| **runs).map(|(vm, _)| vm.clone());
         let not_idle: Vec<VmId> = avoid.iter().cloned().chain(busy).chain(occupied).collect();
         if let Some(choice) = self.pick(ask, &not_idle, now) {
-            let reserved = self.lanes.0.contains_key(&choice.vm);
+            let reserved = self.lanes.open.contains_key(&choice.vm);
             if reserved || self.may_open(endpoints.len()) {
-                self.lanes.0.insert(choice.vm.clone(), true);
+                self.lanes.open.insert(choice.vm.clone(), true);
+                self.lanes.waiting.remove(&ask.fingerprint);
                 return Some(choice);
             }
         }
         if self.may_open(endpoints.len()) {
-            let taken: Vec<VmId> = avoid.into_iter().chain(self.lanes.0.keys().cloned()).collect();
+            let taken: Vec<VmId> =
+                avoid.into_iter().chain(self.lanes.open.keys().cloned()).collect();
             if let Some(choice) = self.pick(ask, &taken, now) {
                 // It gets no more work, and takes the suspect once it is idle.
-                self.lanes.0.insert(choice.vm, false);
+                self.lanes.open.insert(choice.vm, false);
             }
         }
         None
     }
 
+    /// Endpoints where other entries run their suspects.
+    fn foreign(&self) -> Vec<VmId> {
+        let me = &self.node.identity.settings.vm;
+        let vms = &self.node.documents.vms().vms;
+        let entry = |vm: &&Vm| vm.role == Role::Entry && vm.state == VmState::Live;
+        let entries: Vec<&VmId> = vms.iter().filter(entry).map(|vm| &vm.id).collect();
+        let owner =
+            |vm: &VmId| highest(vm.as_str().as_bytes(), entries.iter().copied(), VmId::as_str);
+        let endpoints = self.router.endpoints().map(|(vm, _)| vm);
+        endpoints.filter(|vm| owner(vm).is_some_and(|entry| entry != me)).cloned().collect()
+    }
+
     fn may_open(&self, endpoints: usize) -> bool {
-        self.lanes.0.len() < (endpoints / ENDPOINTS_PER_LANE).clamp(1, MAX_LANES)
+        self.lanes.open.len() < (endpoints / ENDPOINTS_PER_LANE).clamp(1, MAX_LANES)
     }
 
     /// Gives endpoints back that were set apart for suspects that no longer wait.
     pub(crate) fn close_lanes(&mut self) {
-        if self.lanes.0.values().all(|runs| *runs) {
+        let waits = |d: &Digest| self.queue.iter().any(|w| w.ask.fingerprint == *d);
+        self.lanes.waiting.retain(|fingerprint, _| waits(fingerprint));
+        if self.lanes.open.values().all(|runs| *runs) {
             return;
         }
         let suspect = |d: &Digest| self.ledger.verdict(d) == Verdict::Suspect;
         if !self.queue.iter().any(|waiting| suspect(&waiting.ask.fingerprint)) {
-            self.lanes.0.retain(|_, runs| *runs);
+            self.lanes.open.retain(|_, runs| *runs);
         }
     }
 
--- a/components/net/src/request.rs
+++ b/components/net/src/request.rs
@@ -16,6 +16,11 @@
     response::{Body, Broken},
 };
 
+/// Most bytes of an unread body that are taken in after the answer.
+const DISCARD_BYTES: usize = 16 << 20;
+/// Longest time for that.
+const DISCARD_TIME: Duration = Duration::from_secs(2);
+
 pub(crate) type Reply = oneshot::Sender<Result<http::Response<Body>, Broken>>;
 
 /// A request that waits for its answer.
@@ -82,7 +87,11 @@
 
     /// Answers with a body that is still being made; returns false if the caller is gone.
     pub(crate) fn send(self, answer: Result<http::Response<Body>, Broken>) -> bool {
-        self.reply.send(answer).is_ok()
+        let sent = self.reply.send(answer).is_ok();
+        if sent && !self.body.is_end_stream() {
+            self.io.spawn(discard(self.body));
+        }
+        sent
     }
 
     pub(crate) fn io(&self) -> (Handle, Duration) {
@@ -101,6 +110,21 @@
     }
 }
 
+/// Takes in a body that nobody reads, so that a caller that still sends gets its answer and not a
+/// reset connection.
+async fn discard(mut body: Incoming) {
+    let mut left = DISCARD_BYTES;
+    let read = async {
+        while let Some(Ok(frame)) = body.frame().await {
+            let length = frame.data_ref().map_or(0, Bytes::len);
+            let Some(rest) = left.checked_sub(length) else { return };
+            left = rest;
+        }
+    };
+    // What is left after this is not taken in.
+    let _ = tokio::time::timeout(DISCARD_TIME, read).await;
+}
+
 impl Read for Request {
     /// Reads from the body.
     fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
--- a/components/proto/src/crash.rs
+++ b/components/proto/src/crash.rs
@@ -15,6 +15,17 @@
     }
 }
 
+message! {
+    /// A crash of the endpoint beside an agent.
+    #[derive(Copy, Eq)]
+    pub struct Crash {
+        /// Counts the crashes that this run of the agent saw.
+        pub number: u64,
+        /// Whether only one attempt was in progress.
+        pub alone: bool,
+    }
+}
+
 message! {
     /// A request was in progress when an endpoint crashed.
     #[derive(Eq)]
@@ -23,6 +34,8 @@
         pub fingerprint: Digest,
         /// The crash.
         pub crash: CrashId,
+        /// Whether no other request was in progress.
+        pub alone: bool,
         /// Milliseconds since the crash.
         pub age_ms: u64,
     }
--- a/components/proto/src/frame.rs
+++ b/components/proto/src/frame.rs
@@ -5,7 +5,7 @@
 use base::{AttemptId, ReleaseId, message};
 use base64::{Engine as _, engine::general_purpose::STANDARD};
 
-use crate::{Fate, RefusalReason};
+use crate::{Crash, Fate, RefusalReason};
 
 /// Longest accepted line, in bytes.
 const MAX_LINE_BYTES: u64 = 1 << 20;
@@ -49,7 +49,7 @@
         /// The endpoint failed while it answered.
         Failed {
             /// The crash of the endpoint that ended it, as far as the agent can tell.
-            crash: Option<u64>,
+            crash: Option<Crash>,
             /// Whether it ran.
             fate: Fate,
         },
--- a/components/proto/src/lib.rs
+++ b/components/proto/src/lib.rs
@@ -13,7 +13,7 @@
 mod status;
 
 pub use attempt::{AttemptRef, Fate, MIN_RETRY_AFTER, Outcome, RefusalReason};
-pub use crash::{CrashId, CrashRecord};
+pub use crash::{Crash, CrashId, CrashRecord};
 pub use frame::{Frame, FrameError};
 pub use member::{
     Announcement, DocumentKind, DocumentReply, DocumentRequest, EndpointState, Gossip, Load,
--- a/components/quarantine/src/ledger.rs
+++ b/components/quarantine/src/ledger.rs
@@ -13,6 +13,8 @@
 pub struct LedgerSettings {
     /// Crashes after which a fingerprint is quarantined.
     pub crashes: usize,
+    /// The same if it was alone at the endpoint at one of them.
+    pub alone: usize,
     /// Time that a fingerprint stays in the ledger after its last crash.
     pub expiry: Duration,
     /// Most fingerprints.
@@ -21,7 +23,7 @@
 
 impl Default for LedgerSettings {
     fn default() -> LedgerSettings {
-        LedgerSettings { crashes: 2, expiry: Duration::from_secs(600), limit: 4096 }
+        LedgerSettings { crashes: 3, alone: 2, expiry: Duration::from_secs(600), limit: 4096 }
     }
 }
 
@@ -49,8 +51,8 @@
 
 #[derive(Debug, Clone, Default)]
 struct Case {
-    /// Distinct crashes with their times.
-    crashes: Vec<(CrashId, Instant)>,
+    /// Distinct crashes with their times, and whether the request was alone.
+    crashes: Vec<(CrashId, Instant, bool)>,
     /// Crashes, of the first ones, that the request has since been answered after.
     answered: usize,
 }
@@ -64,12 +66,22 @@
 
 impl Case {
     fn last(&self) -> Option<Instant> {
-        self.crashes.iter().map(|(_, at)| *at).max()
+        self.crashes.iter().map(|(_, at, _)| *at).max()
     }
 
     fn counted(&self) -> usize {
         self.crashes.len() - self.answered
     }
+
+    fn verdict(&self, settings: &LedgerSettings) -> Verdict {
+        let alone = self.crashes[self.answered..].iter().any(|(_, _, alone)| *alone);
+        let limit = if alone { settings.alone } else { settings.crashes };
+        match self.counted() {
+            0 => Verdict::Clear,
+            count if count < limit => Verdict::Suspect,
+            _ => Verdict::Quarantined,
+        }
+    }
 }
 
 impl Ledger {
@@ -89,11 +101,15 @@
             self.drop_oldest();
         }
         let case = self.cases.entry(record.fingerprint).or_default();
-        if case.crashes.iter().any(|(crash, _)| *crash == record.crash) {
+        if case.crashes.iter().any(|(crash, _, _)| *crash == record.crash) {
             return Noted::Known;
         }
-        case.crashes.push((record.crash.clone(), now.checked_sub(age).unwrap_or(now)));
-        if case.counted() == self.settings.crashes { Noted::Quarantined } else { Noted::New }
+        let before = case.verdict(&self.settings);
+        let at = now.checked_sub(age).unwrap_or(now);
+        case.crashes.push((record.crash.clone(), at, record.alone));
+        let after = case.verdict(&self.settings);
+        let enters = after == Verdict::Quarantined && before != after;
+        if enters { Noted::Quarantined } else { Noted::New }
     }
 
     fn drop_oldest(&mut self) {
@@ -106,9 +122,8 @@
     /// A request was answered, so that it did not cause the crashes so far. One in quarantine stays
     /// there.
     pub fn answered(&mut self, fingerprint: &Digest) {
-        let quarantine = self.settings.crashes;
         if let Some(case) = self.cases.get_mut(fingerprint)
-            && case.counted() < quarantine
+            && case.verdict(&self.settings) != Verdict::Quarantined
         {
             case.answered = case.crashes.len();
         }
@@ -116,20 +131,17 @@
 
     /// How a request is to be treated.
     pub fn verdict(&self, fingerprint: &Digest) -> Verdict {
-        match self.cases.get(fingerprint).map_or(0, Case::counted) {
-            0 => Verdict::Clear,
-            count if count < self.settings.crashes => Verdict::Suspect,
-            _ => Verdict::Quarantined,
-        }
+        self.cases.get(fingerprint).map_or(Verdict::Clear, |case| case.verdict(&self.settings))
     }
 
     /// The newest records, at most `limit`.
     pub fn records(&self, limit: usize, now: Instant) -> Vec<CrashRecord> {
         let age = |at: Instant| now.saturating_duration_since(at).as_millis() as u64;
         let all = self.cases.iter().flat_map(|(fingerprint, case)| {
-            case.crashes.iter().map(move |(crash, at)| CrashRecord {
+            case.crashes.iter().map(move |(crash, at, alone)| CrashRecord {
                 fingerprint: *fingerprint,
                 crash: crash.clone(),
+                alone: *alone,
                 age_ms: age(*at),
             })
         });
--- a/components/quarantine/src/ledger/tests.rs
+++ b/components/quarantine/src/ledger/tests.rs
@@ -3,7 +3,7 @@
 fn record(request: &[u8], number: u64) -> CrashRecord {
     let vm = "model-0".parse().unwrap();
     let crash = CrashId { vm, incarnation: base::Incarnation(1), number };
-    CrashRecord { fingerprint: Digest::of(request), crash, age_ms: 0 }
+    CrashRecord { fingerprint: Digest::of(request), crash, alone: false, age_ms: 0 }
 }
 
 #[test]
@@ -13,7 +13,9 @@
     let poison = Digest::of(b"poison");
     assert_eq!(ledger.note(&record(b"poison", 1), now), Noted::New);
     assert_eq!(ledger.verdict(&poison), Verdict::Suspect);
-    assert_eq!(ledger.note(&record(b"poison", 2), now), Noted::Quarantined);
+    assert_eq!(ledger.note(&record(b"poison", 2), now), Noted::New);
+    assert_eq!(ledger.verdict(&poison), Verdict::Suspect);
+    assert_eq!(ledger.note(&record(b"poison", 3), now), Noted::Quarantined);
     assert_eq!(ledger.verdict(&poison), Verdict::Quarantined);
     assert_eq!(ledger.tick(now + Duration::from_secs(599)), []);
     assert_eq!(ledger.tick(now + Duration::from_secs(600)), [poison]);
@@ -56,8 +58,18 @@
         ledger.answered(&common);
         assert_eq!(ledger.verdict(&common), Verdict::Clear);
     }
-    ledger.note(&record(b"hello", 10), now);
-    ledger.note(&record(b"hello", 11), now);
+    for number in 10..13 {
+        ledger.note(&record(b"hello", number), now);
+    }
     ledger.answered(&common);
     assert_eq!(ledger.verdict(&common), Verdict::Quarantined);
 }
+
+#[test]
+fn a_request_that_was_alone_at_a_crash_is_quarantined_sooner() {
+    let now = Instant::now();
+    let mut ledger = Ledger::new(LedgerSettings::default());
+    let alone = |number| CrashRecord { alone: true, ..record(b"poison", number) };
+    assert_eq!(ledger.note(&alone(1), now), Noted::New, "once may be the endpoint's fault");
+    assert_eq!(ledger.note(&record(b"poison", 2), now), Noted::Quarantined);
+}
--- a/components/standins/src/engine.rs
+++ b/components/standins/src/engine.rs
@@ -289,7 +289,7 @@
             Some(Flaw::Crashes) => {
                 drop(state);
                 self.crash();
-                abort(request);
+                request.abort();
                 return;
             }
             Some(Flaw::CrashesAfter(wait)) => {
--- a/components/testbed/tests/poison.rs
+++ b/components/testbed/tests/poison.rs
@@ -55,7 +55,8 @@
     let whole = Answer::Whole { release: "base@v1".into() };
     for thread in threads {
         for answer in thread.join().unwrap() {
-            assert_eq!(answer, whole);
+            let quarantined = bed.status(bed.entries[0].1.control()).unwrap().quarantined;
+            assert_eq!(answer, whole, "quarantined: {quarantined:?}");
         }
     }
     for (_, entry) in &bed.entries {
