--- a/components/agent/src/core.rs
+++ b/components/agent/src/core.rs
@@ -34,6 +34,8 @@
 const TICK: Duration = Duration::from_millis(20);
 /// Time between gossip calls.
 const GOSSIP_EVERY: Duration = Duration::from_millis(200);
+/// Least number of attempts that an agent beside an engine accepts beyond its slots.
+const MIN_SPARE: usize = 2;
 /// Pause before something that failed is tried again.
 const RETRY: Duration = Duration::from_millis(300);
 
@@ -103,7 +105,8 @@
         shared: Shared,
     ) -> Option<Self> {
         let now = cx.now();
-        let slots = AttemptsSettings { slots: settings.slots, ..AttemptsSettings::default() };
+        let slots = settings.slots + spare_slots(&settings);
+        let slots = AttemptsSettings { slots, ..AttemptsSettings::default() };
         after!(TICK, [cx], tick());
         Some(Core {
             endpoint: Endpoint::new(Fence(node.identity.incarnation.0), now),
@@ -146,6 +149,8 @@
             Event::Offer { offer, reply } => {
                 let attempt = offer.attempt;
                 let opened = self.offered(offer, now);
+                // A switch must not begin before the endpoint knows of the request.
+                self.decide(rollout::Event::InFlight(self.attempts.running()), now);
                 if reply.send(opened).is_err() {
                     self.finished(attempt, Fate::NotRun, now);
                 }
@@ -245,3 +250,12 @@
         }
     }
 }
+
+/// Attempts that are accepted beyond the stated slots, since entries may choose an endpoint at the
+/// same moment. An engine keeps them waiting; a plain service need not, so it gets none.
+fn spare_slots(settings: &AgentSettings) -> usize {
+    match settings.kind {
+        EndpointKind::Model => (settings.slots / 2).max(MIN_SPARE),
+        EndpointKind::Plain => 0,
+    }
+}
--- a/components/attempts/src/keys.rs
+++ b/components/attempts/src/keys.rs
@@ -1,7 +1,7 @@
 //! Idempotency keys that were used at this endpoint.
 
 use std::{
-    collections::HashMap,
+    collections::BTreeMap,
     time::{Duration, Instant},
 };
 
@@ -54,18 +54,18 @@
 }
 
 /// Keys by workspace, each with the one attempt that may run under it.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Keys {
     settings: KeySettings,
-    bound: HashMap<Name, Bound>,
+    bound: BTreeMap<Name, Bound>,
     /// Keys of the attempts that run.
-    running: HashMap<AttemptId, Name>,
+    running: BTreeMap<AttemptId, Name>,
 }
 
 impl Keys {
     /// No keys.
     pub fn new(settings: KeySettings) -> Keys {
-        Keys { settings, bound: HashMap::new(), running: HashMap::new() }
+        Keys { settings, bound: BTreeMap::new(), running: BTreeMap::new() }
     }
 
     /// Keys that are remembered.
--- a/components/entry/src/attempt.rs
+++ b/components/entry/src/attempt.rs
@@ -157,6 +157,7 @@
             .header(header::INCARNATION, grant.choice.incarnation.to_string())
             .header(header::STAMP, grant.stamp.to_string())
             .header(header::DEADLINE, left.as_millis().to_string())
+            .header(header::PRIORITY, grant.priority.to_string())
             .header(header::WORKSPACE, grant.workspace.as_str())
             .header(header::METHOD, &call.ask.method)
             .header(header::PATH, &call.ask.path);
@@ -294,7 +295,13 @@
             alone,
             age_ms: 0,
         });
-        End::Failed(Failure { vm: choice.vm.clone(), outcome, crash, fault })
+        End::Failed(Failure {
+            attempt: self.grant.attempt,
+            vm: choice.vm.clone(),
+            outcome,
+            crash,
+            fault,
+        })
     }
 
     fn refused(&self, reason: &RefusalReason, fate: Fate) -> Result<End, Break> {
--- a/components/entry/src/caller.rs
+++ b/components/entry/src/caller.rs
@@ -60,7 +60,8 @@
                 }
             };
             if sink.is_abandoned() {
-                self.mailbox.send(Event::Ended { vm: grant.choice.vm, failed: false });
+                let (vm, attempt) = (grant.choice.vm, grant.attempt);
+                self.mailbox.send(Event::Ended { vm, attempt });
                 return;
             }
             match self.attempter.run(&call, &grant, &mut sink) {
@@ -68,16 +69,19 @@
                     // A stopping entry ends once no request is in progress, so the answer goes first.
                     sink.finish();
                     let fingerprint = call.ask.fingerprint;
-                    self.mailbox.send(Event::Answered { vm: grant.choice.vm, fingerprint });
+                    let (vm, attempt) = (grant.choice.vm, grant.attempt);
+                    self.mailbox.send(Event::Answered { vm, attempt, fingerprint });
                     return;
                 }
                 End::CallerGone => {
-                    self.mailbox.send(Event::Ended { vm: grant.choice.vm, failed: false });
+                    let (vm, attempt) = (grant.choice.vm, grant.attempt);
+                    self.mailbox.send(Event::Ended { vm, attempt });
                     return;
                 }
                 End::Refused(refusal) => {
                     sink.refuse(&refusal);
-                    self.mailbox.send(Event::Ended { vm: grant.choice.vm, failed: false });
+                    let (vm, attempt) = (grant.choice.vm, grant.attempt);
+                    self.mailbox.send(Event::Ended { vm, attempt });
                     return;
                 }
                 End::Failed(last) if !may_repeat(&grant, &last) || !sink.may_restart() => {
@@ -110,7 +114,7 @@
                 };
                 let key = serde_json::json!({ "key": reservation.to_string() });
                 text(request, 200, &key.to_string());
-                self.mailbox.send(Event::Ended { vm, failed: false });
+                self.mailbox.send(Event::Ended { vm, attempt: grant.attempt });
             }
         }
     }
--- a/components/entry/src/suspects.rs
+++ b/components/entry/src/suspects.rs
@@ -11,7 +11,7 @@
 use manifest::{Role, Vm, VmState};
 use proto::{CrashRecord, PeerClient};
 use quarantine::{Noted, Verdict};
-use routing::Choice;
+use routing::{Choice, Need};
 
 use crate::{
     core::Core,
@@ -32,13 +32,16 @@
 /// Time that a suspect waits before it runs, in which other entries tell their crashes.
 const SETTLE: Duration = Duration::from_millis(300);
 
+/// Time after which a suspect that is not looked at no longer waits.
+const GONE: Duration = Duration::from_secs(1);
+
 /// Endpoints that are set apart for suspects.
 #[derive(Debug, Default)]
 pub(crate) struct Lanes {
     /// Endpoints that get no other work from this entry, and whether a suspect runs there.
     open: HashMap<VmId, bool>,
-    /// Suspects that wait, and since when.
-    waiting: HashMap<Digest, Instant>,
+    /// Suspects that wait: since when, and when they were last looked at.
+    waiting: HashMap<Digest, (Instant, Instant)>,
 }
 
 impl Lanes {
@@ -49,8 +52,9 @@
 
     /// Whether a suspect has waited long enough.
     fn has_settled(&mut self, fingerprint: Digest, now: Instant) -> bool {
-        let since = *self.waiting.entry(fingerprint).or_insert(now);
-        now >= since + SETTLE
+        let (since, seen) = self.waiting.entry(fingerprint).or_insert((now, now));
+        *seen = now;
+        now >= *since + SETTLE
     }
 }
 
@@ -79,7 +83,7 @@
     /// An attempt was lost, and its request with it.
     pub(crate) fn lost(&mut self, last: &Failure, now: Instant) {
         self.suspect(last, now);
-        self.ended(&last.vm, last.fault, now);
+        self.ended(last.attempt, &last.vm, last.end(), false, now);
     }
 
     /// Takes in crash records, and passes those on that are news.
@@ -153,11 +157,9 @@
 
     /// Picks an endpoint that was not tried, or else any, but none of `avoid`.
     fn pick(&mut self, ask: &Ask, avoid: &[VmId], now: Instant) -> Option<Choice> {
-        let untried = [avoid, &ask.tried].concat();
-        let release = ask.release.as_ref();
-        self.router
-            .pick(&ask.service, release, &untried, now)
-            .or_else(|| self.router.pick(&ask.service, release, avoid, now))
+        let need =
+            Need { service: &ask.service, release: ask.release.as_ref(), avoid, tried: &ask.tried };
+        self.router.pick(&need, now)
     }
 
     fn choose_apart(&mut self, ask: &Ask, avoid: Vec<VmId>, now: Instant) -> Option<Choice> {
@@ -202,14 +204,13 @@
     }
 
     /// Gives endpoints back that were set apart for suspects that no longer wait.
-    pub(crate) fn close_lanes(&mut self) {
-        let waits = |d: &Digest| self.queue.iter().any(|w| w.ask.fingerprint == *d);
-        self.lanes.waiting.retain(|fingerprint, _| waits(fingerprint));
+    pub(crate) fn close_lanes(&mut self, now: Instant) {
+        let left = |seen: Instant| now.saturating_duration_since(seen) > GONE;
+        self.lanes.waiting.retain(|_, (_, seen)| !left(*seen));
         if self.lanes.open.values().all(|runs| *runs) {
             return;
         }
-        let suspect = |d: &Digest| self.ledger.verdict(d) == Verdict::Suspect;
-        if !self.queue.iter().any(|waiting| suspect(&waiting.ask.fingerprint)) {
+        if !self.has_suspects() {
             self.lanes.open.retain(|_, runs| *runs);
         }
     }
--- a/components/gossip/src/joining.rs
+++ b/components/gossip/src/joining.rs
@@ -12,7 +12,7 @@
 const JOIN_LIMIT: Duration = Duration::from_secs(3);
 
 /// Questions to peers that are on their way.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Joining {
     until: Instant,
     /// Peers that have not replied.
--- a/components/proto/src/peer.rs
+++ b/components/proto/src/peer.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     Announcement, AttemptRef, CrashRecord, DocumentReply, DocumentRequest, EndpointState, Fate,
-    Gossip, Status,
+    Gossip, Status, UsageNews,
 };
 
 /// Calls that processes make to each other, and operators to processes.
@@ -28,6 +28,10 @@
     #[method(name = "announce")]
     async fn announce(&self, announcement: Announcement) -> RpcResult<()>;
 
+    /// Gives an entry a part of the sender's sums of usage.
+    #[method(name = "usage")]
+    async fn usage(&self, news: UsageNews) -> RpcResult<()>;
+
     /// Asks an agent about its endpoint.
     #[method(name = "endpoint")]
     async fn endpoint(&self) -> RpcResult<EndpointState>;
--- a/components/rollout/src/endpoint.rs
+++ b/components/rollout/src/endpoint.rs
@@ -17,7 +17,7 @@
 const FENCE_GAP: u64 = 1024;
 
 /// Drives one endpoint.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Endpoint {
     phase: Phase,
     target: Option<Target>,
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -7,5 +7,5 @@
 pub use error::SettingsError;
 pub use model::{
     AgentSettings, BadStrategy, EndpointKind, EntrySettings, Fencing, PeerKey, PlatformSettings,
-    Settings, Strategy,
+    RoutingPolicy, Settings, Strategy,
 };
--- a/components/standins/src/engine.rs
+++ b/components/standins/src/engine.rs
@@ -14,7 +14,7 @@
 };
 use serde_json::{Value, json};
 
-use crate::answers::token;
+use crate::{answers::token, slots::Slots};
 
 /// Longest wait for a connection's next bytes.
 const IDLE: Duration = Duration::from_secs(60);
@@ -86,7 +86,7 @@
     /// Grows with each crash; what belongs to an older one is broken.
     epoch: u64,
     down_until: Option<Instant>,
-    busy: usize,
+    slots: Slots,
     loads: Vec<(Instant, usize)>,
     answers: HashMap<String, Answer>,
     counts: EngineCounts,
@@ -102,6 +102,7 @@
     prompt: String,
     tokens: usize,
     stream: bool,
+    priority: u8,
 }
 
 /// What a release does to the engine when it is activated.
@@ -169,7 +170,7 @@
 
     /// Requests that it generates answers to now.
     pub fn busy(&self) -> usize {
-        self.shared.lock().busy
+        self.shared.lock().slots.busy
     }
 
     /// Makes a release fail when it is activated.
@@ -232,7 +233,7 @@
     fn report(&self, request: Request) {
         let mut state = self.lock();
         let now = Instant::now();
-        let busy = state.busy;
+        let busy = state.slots.busy;
         state.loads.push((now, busy));
         let lag = self.settings.load_lag;
         let old = state.loads.iter().rev().find(|(at, _)| now.duration_since(*at) >= lag);
@@ -370,6 +371,7 @@
         let id = header(&request, proto::header::ATTEMPT).unwrap_or("none").to_owned();
         let name = header(&request, proto::header::REQUEST_ID).unwrap_or(&id).to_owned();
         let stream = call["stream"].as_bool().unwrap_or(false);
+        let priority = header(&request, proto::header::PRIORITY).and_then(|v| v.parse().ok());
         let (release, epoch) = {
             let mut state = self.lock();
             let Some(release) = state.serving.clone() else {
@@ -388,14 +390,22 @@
             return;
         }
         let engine = self.clone();
-        let job = Job { id: id.clone(), name, release, prompt: prompt.to_owned(), tokens, stream };
+        let job = Job {
+            id: id.clone(),
+            name,
+            release,
+            prompt: prompt.to_owned(),
+            tokens,
+            stream,
+            priority: priority.unwrap_or(u8::MAX),
+        };
         std::thread::spawn(move || engine.generate(&job, epoch));
         self.send(request, &id, 0);
     }
 
     fn generate(&self, job: &Job, epoch: u64) {
-        let Job { id, name, release, prompt, tokens, stream } = job;
-        if !self.take_slot(epoch) {
+        let Job { id, name, release, prompt, tokens, stream, priority } = job;
+        if !self.take_slot(*priority, epoch) {
             return;
         }
         let mut text = String::new();
@@ -414,7 +424,7 @@
         if state.epoch != epoch {
             return;
         }
-        state.busy -= 1;
+        state.slots.busy -= 1;
         if let Some(answer) = state.answers.get_mut(id) {
             answer.bytes.extend_from_slice(last.as_bytes());
             answer.done = true;
@@ -422,14 +432,17 @@
         self.changed.notify_all();
     }
 
-    fn take_slot(&self, epoch: u64) -> bool {
+    fn take_slot(&self, priority: u8, epoch: u64) -> bool {
         let mut state = self.lock();
-        while state.epoch == epoch && state.busy >= self.settings.slots {
-            state = self.changed.wait(state).expect("no holder panics");
+        if state.epoch != epoch {
+            return false;
         }
-        if state.epoch == epoch {
-            state.busy += 1;
+        let ticket = state.slots.join(priority);
+        while state.epoch == epoch && !state.slots.take(ticket, self.settings.slots) {
+            state = self.changed.wait(state).expect("no holder panics");
         }
+        // The next in turn may find a free slot too.
+        self.changed.notify_all();
         state.epoch == epoch
     }
 
@@ -439,7 +452,7 @@
             return false;
         }
         let Some(answer) = state.answers.get_mut(id).filter(|a| !a.broken) else {
-            state.busy -= 1;
+            state.slots.busy -= 1;
             self.changed.notify_all();
             return false;
         };
--- a/components/standins/src/lib.rs
+++ b/components/standins/src/lib.rs
@@ -7,6 +7,7 @@
 mod engine;
 mod plain;
 mod relay;
+mod slots;
 mod values;
 
 pub use answers::expected;
