--- a/components/agent/src/run.rs
+++ b/components/agent/src/run.rs
@@ -7,7 +7,7 @@
 };
 
 use base::AttemptId;
-use proto::{Fate, header as name};
+use proto::{Fate, Outcome, header as name};
 use settings::EndpointKind;
 use ureq::{Body, http::Response};
 
@@ -125,6 +125,9 @@
     }
 
     fn read(&mut self, response: Response<Body>) -> Result<Ending, Break> {
+        if self.is_refusal(&response) {
+            return Ok(Ending::Failed { crash: None, fate: Fate::NotRun });
+        }
         let head = head_of(&response);
         let wanted = &self.call.offer.release;
         if wanted.is_some() && head.release.is_some() && head.release != *wanted {
@@ -151,6 +154,13 @@
         }
     }
 
+    /// Whether the engine states that it did not run the call, as one that lost its weights does.
+    fn is_refusal(&self, response: &Response<Body>) -> bool {
+        let outcome = response.headers().get(name::OUTCOME);
+        let not_run = outcome.is_some_and(|v| v.as_bytes() == Outcome::NotRun.as_str().as_bytes());
+        self.shared.kind == EndpointKind::Model && not_run && self.answer.length() == 0
+    }
+
     fn fail(&self) -> Ending {
         if Instant::now() >= self.deadline || !self.answer.wanted(Instant::now()) {
             return self.give_up();
--- a/components/entry/src/admission.rs
+++ b/components/entry/src/admission.rs
@@ -12,6 +12,7 @@
     core::Core,
     event::{Ask, Decision, Refusal},
     queue::Waiting,
+    refusal,
 };
 
 impl Core {
@@ -42,8 +43,7 @@
             return Err(not_run(404, &message, None));
         }
         if self.ledger.verdict(&ask.fingerprint) == Verdict::Quarantined {
-            let message = "requests like this one crashed endpoints; change it";
-            return Err(not_run(422, message, None));
+            return Err(refusal::quarantined());
         }
         let rate = Rate(claim.rate.0 * self.parts.rate(&claim.id));
         self.admission.admit(&claim.id, rate, now).map_err(|over| {
--- a/components/entry/src/core.rs
+++ b/components/entry/src/core.rs
@@ -134,7 +134,7 @@
             Event::Arrived { ask, reply } => self.arrived(ask, reply, now),
             Event::Again { ask, last, reply } => self.again(ask, &last, reply, now),
             Event::Bound(bound) => self.bound(*bound, now),
-            Event::Lost { ask, last } => self.lost(&ask, &last, now),
+            Event::Lost { last } => self.lost(&last, now),
             Event::Answered { vm, attempt, fingerprint } => {
                 self.ledger.answered(&fingerprint);
                 self.ended(attempt, &vm, AttemptEnd::Fine, true, now);
@@ -172,7 +172,7 @@
         self.ask_next(now);
         self.exchange_usage(now);
         self.tell_crashes(now);
-        self.close_lanes();
+        self.close_lanes(now);
         self.tick_lines(now);
         self.stop_if_drained(cx);
         after!(TICK, [cx], tick());
--- a/components/entry/src/retry.rs
+++ b/components/entry/src/retry.rs
@@ -12,6 +12,7 @@
     core::Core,
     event::{Ask, Decision, Failure, Refusal},
     queue::Waiting,
+    refusal,
 };
 
 impl Core {
@@ -25,7 +26,7 @@
     ) {
         self.attempt_ended(&last.vm, last.end(), now);
         self.left(last.attempt, false, now);
-        self.suspect(&ask, last, now);
+        self.suspect(last, now);
         match self.retry(&ask, last, now) {
             Ok((backoff, workspace)) => {
                 self.delays += 1;
@@ -54,8 +55,7 @@
         let workspace = self.claims.by_key(&ask.key).map(|claim| claim.id.clone());
         let workspace = workspace.ok_or_else(|| refuse(401, "the key is not known any more"))?;
         if self.ledger.verdict(&ask.fingerprint) == Verdict::Quarantined {
-            let message = "requests like this one crashed endpoints; change it";
-            return Err(refuse(422, message));
+            return Err(Refusal { outcome, ..refusal::quarantined() });
         }
         let service_time = self.line(&ask.service, now).pace.service_time();
         let nth = ask.tried.len() as u32;
