--- a/components/agent/src/core.rs
+++ b/components/agent/src/core.rs
@@ -6,20 +6,22 @@
     time::{Duration, Instant},
 };
 
-use attempts::{Attempts, AttemptsSettings};
+use attempts::{Attempts, AttemptsSettings, Homes};
 use audit::Change;
-use base::{ByteSize, Digest, Fence, ReleaseId};
+use base::{AttemptId, ByteSize, Digest, Fence, ReleaseId};
 use bytes::Bytes;
 use chunks::{Link, Pool};
 use manifest::ChunkList;
 use net::{Mailbox, Workers};
 use node::{Changes, Node, NodeEvent, wall_clock_ms};
 use placement::{Inputs, Placement};
+use proto::Fate;
 use rollout::Endpoint;
 use settings::{AgentSettings, EndpointKind};
 use stakker::{CX, after, stop};
 
 use crate::{
+    answers::{Answers, SharedCrashes, homes},
     engine::{Engine, EngineReport},
     event::Event,
     loading::Loading,
@@ -29,6 +31,8 @@
 const TICK: Duration = Duration::from_millis(20);
 /// Time between gossip calls.
 const GOSSIP_EVERY: Duration = Duration::from_millis(200);
+/// Least number of attempts that an agent beside an engine accepts beyond its slots.
+const MIN_SPARE: usize = 2;
 /// Pause before something that failed is tried again.
 const RETRY: Duration = Duration::from_millis(300);
 
@@ -41,6 +45,8 @@
     pub(crate) workers: Workers,
     pub(crate) chunk_client: ureq::Agent,
     pub(crate) mailbox: Mailbox<Event>,
+    pub(crate) kind: EndpointKind,
+    pub(crate) crashes: SharedCrashes,
 }
 
 impl Shared {
@@ -62,6 +68,8 @@
     pub(crate) shared: Shared,
     pub(crate) endpoint: Endpoint,
     pub(crate) attempts: Attempts,
+    pub(crate) answers: Answers,
+    pub(crate) homes: Homes,
     pub(crate) placement: Placement,
     /// What `placement` was computed from.
     pub(crate) inputs: Inputs,
@@ -94,11 +102,14 @@
         shared: Shared,
     ) -> Option<Self> {
         let now = cx.now();
-        let slots = AttemptsSettings { slots: settings.slots, ..AttemptsSettings::default() };
+        let slots = settings.slots + spare_slots(&settings);
+        let slots = AttemptsSettings { slots, ..AttemptsSettings::default() };
         after!(TICK, [cx], tick());
         Some(Core {
             endpoint: Endpoint::new(Fence(node.identity.incarnation.0), now),
-            attempts: Attempts::new(node.identity.incarnation, slots),
+            attempts: Attempts::new(node.identity.incarnation, slots, now),
+            answers: Answers::default(),
+            homes: homes(node.identity.settings.vm.clone(), settings.handover.0, now),
             node,
             settings,
             shared,
@@ -134,28 +145,39 @@
                 self.staged(cx, release, digest, chunk, ok);
             }
             Event::Offer { offer, reply } => {
-                let accepting = self.accepting();
-                let serving = self.endpoint.serving();
-                let decision = self.attempts.offer(&offer, accepting, serving, now);
-                if reply.send(decision).is_err() {
-                    self.attempts.finish(offer.attempt, proto::Fate::NotRun, now);
+                let attempt = offer.attempt;
+                let opened = self.offered(offer, now);
+                // A switch must not begin before the endpoint knows of the request.
+                self.decide(rollout::Event::InFlight(self.attempts.running()), now);
+                if reply.send(opened).is_err() {
+                    self.finished(attempt, Fate::NotRun, now);
                 }
             }
-            Event::Finished { attempt, fate } => {
-                self.attempts.finish(attempt, fate, now);
-                let in_flight = self.attempts.running();
-                self.decide(rollout::Event::InFlight(in_flight), now);
+            Event::Resume { attempt, reply } => {
+                // The entry may be gone.
+                let _ = reply.send(self.resumed(&attempt, now));
             }
+            Event::Finished { attempt, fate } => self.finished(attempt, fate, now),
+            Event::Pause(pause) => std::thread::sleep(pause),
             Event::Drain => self.drain(now),
         }
         self.stop_if_drained(cx);
     }
 
+    fn finished(&mut self, attempt: AttemptId, fate: Fate, now: Instant) {
+        self.attempts.finish(attempt, fate, now);
+        self.answers.ended(attempt, now);
+        let in_flight = self.attempts.running();
+        self.decide(rollout::Event::InFlight(in_flight), now);
+    }
+
     pub(crate) fn tick(&mut self, cx: CX![]) {
         let now = cx.now();
-        self.attempts.tick(now);
         if now >= self.gossip_at {
             self.gossip_at = now + GOSSIP_EVERY;
+            self.attempts.tick(now);
+            self.answers.tick(now);
+            self.homes.tick(now);
             let changes = self.node.tick(now);
             self.changed(changes, now);
         }
@@ -211,6 +233,12 @@
         if changes.manifest || changes.vms {
             self.retarget(now);
         }
+        if changes.vms {
+            self.update_homes(now);
+        }
+        if let Some((revision, at)) = self.node.vms_confirmed() {
+            self.homes.confirm(revision, at);
+        }
         if changes.joined {
             self.decide(rollout::Event::Fresh, now);
         }
@@ -219,3 +247,12 @@
         }
     }
 }
+
+/// Attempts that are accepted beyond the stated slots, since entries may choose an endpoint at the
+/// same moment. An engine keeps them waiting; a plain service need not, so it gets none.
+fn spare_slots(settings: &AgentSettings) -> usize {
+    match settings.kind {
+        EndpointKind::Model => (settings.slots / 2).max(MIN_SPARE),
+        EndpointKind::Plain => 0,
+    }
+}
--- a/components/node/src/event.rs
+++ b/components/node/src/event.rs
@@ -1,6 +1,8 @@
 //! Events of the common part of a process.
 
-use base::VmId;
+use std::time::Instant;
+
+use base::{Revision, VmId};
 use proto::{DocumentKind, DocumentReply, Gossip};
 
 /// Something that happened to the common part.
@@ -15,6 +17,15 @@
         /// Where from, for the audit trail.
         cause: &'static str,
     },
+    /// The platform had no newer document than this revision.
+    Confirmed {
+        /// Which document.
+        kind: DocumentKind,
+        /// The revision.
+        revision: Revision,
+        /// When the platform was asked.
+        at: Instant,
+    },
     /// A peer that was asked for a document replied, or did not.
     Replied {
         /// The peer.
@@ -30,6 +41,8 @@
         to: VmId,
         /// Its reply, if it replied.
         reply: Option<Gossip>,
+        /// When it was asked.
+        at: Instant,
     },
     /// A peer tried to reach a VM that did not answer this process.
     Probed {
--- a/components/node/src/node.rs
+++ b/components/node/src/node.rs
@@ -7,7 +7,7 @@
 };
 
 use audit::{Change, Trail};
-use base::{Incarnation, ReleaseId, VmId};
+use base::{Incarnation, ReleaseId, Revision, VmId};
 use gossip::{Documents, Joining, Members, MembersSettings, Picker, Taken};
 use metrics::{counter, gauge};
 use net::{Latch, Peers};
@@ -65,6 +65,8 @@
     log: Logger,
     manifest_watcher: Watcher,
     vms_watcher: Watcher,
+    /// The revision of the VM list that was last known to be the newest, and when.
+    vms_confirmed: Option<(Revision, Instant)>,
     readers: Readers,
 }
 
@@ -103,6 +105,7 @@
             log,
             manifest_watcher,
             vms_watcher,
+            vms_confirmed: None,
             rng: fastrand::Rng::new(),
             send,
             identity,
@@ -116,9 +119,15 @@
                 let taken = self.documents.offer(kind, &text);
                 self.taken(kind, taken, cause, now)
             }
+            NodeEvent::Confirmed { kind, revision, at } => {
+                if kind == DocumentKind::Vms {
+                    self.confirm_vms(revision, at);
+                }
+                Changes::default()
+            }
             NodeEvent::Replied { from, kind, reply } => self.replied(&from, kind, reply, now),
-            NodeEvent::Gossiped { to, reply } => {
-                self.gossiped(to, reply, now);
+            NodeEvent::Gossiped { to, reply, at } => {
+                self.gossiped(to, reply, at, now);
                 Changes::default()
             }
             NodeEvent::Probed { vm, alive } => {
@@ -130,6 +139,27 @@
         changes
     }
 
+    /// The revision of the VM list that was last known to be the newest, and when.
+    pub fn vms_confirmed(&self) -> Option<(Revision, Instant)> {
+        self.vms_confirmed
+    }
+
+    pub(crate) fn confirm_vms(&mut self, revision: Revision, at: Instant) {
+        if revision == self.documents.vms().revision {
+            let newest =
+                self.vms_confirmed.is_none_or(|(known, when)| (known, when) < (revision, at));
+            if newest {
+                self.vms_confirmed = Some((revision, at));
+            }
+        }
+    }
+
+    /// Milliseconds since the VM list in force was last known to be the newest.
+    pub(crate) fn vms_age(&self) -> Option<u64> {
+        let (revision, at) = self.vms_confirmed?;
+        (revision == self.documents.vms().revision).then(|| at.elapsed().as_millis() as u64)
+    }
+
     fn replied(
         &mut self,
         from: &VmId,
@@ -141,7 +171,7 @@
         let Some(reply) = reply else { return Changes::default() };
         let taken = self.documents.offer_reply(kind, reply);
         if taken == Taken::Mismatch {
-            let whole = DocumentRequest { kind, have: base::Revision(0) };
+            let whole = DocumentRequest { kind, have: Revision(0) };
             self.fetch_document(from, whole, now);
         }
         self.taken(kind, taken, "peer", now)
--- a/components/node/src/talk.rs
+++ b/components/node/src/talk.rs
@@ -124,6 +124,7 @@
             incarnation: self.members.incarnation(),
             manifest: self.documents.manifest().revision,
             vms: self.documents.vms().revision,
+            vms_age_ms: self.vms_age(),
             members: self.members.news(to),
         }
     }
@@ -132,23 +133,33 @@
         let Some(control) = self.documents.vms().get(&to).map(|vm| vm.control) else { return };
         let message = self.message(&to);
         let send = self.send.clone();
+        let at = Instant::now();
         self.peers.call(
             control,
             move |client| async move { client.gossip(message).await },
             move |reply| {
-                send(NodeEvent::Gossiped { to, reply: reply.ok() });
+                send(NodeEvent::Gossiped { to, reply: reply.ok(), at });
             },
         );
     }
 
-    pub(crate) fn gossiped(&mut self, to: VmId, reply: Option<Gossip>, now: Instant) {
+    /// Takes in the reply to a gossip call that was made at `at`.
+    pub(crate) fn gossiped(&mut self, to: VmId, reply: Option<Gossip>, at: Instant, now: Instant) {
+        let result = if reply.is_some() { "replied" } else { "missed" };
+        counter!(names::GOSSIP, "result" => result).increment(1);
         if let Some(joining) = &mut self.joining {
             joining.heard(&to, reply.as_ref().map(|r| (r.manifest, r.vms)));
         }
         let result = if reply.is_some() { "replied" } else { "missed" };
         counter!(names::GOSSIP, "result" => result).increment(1);
         match reply {
-            Some(gossip) => self.learn(&to, gossip, now),
+            Some(gossip) => {
+                if let Some(age) = gossip.vms_age_ms {
+                    let then = at.checked_sub(Duration::from_millis(age)).unwrap_or(at);
+                    self.confirm_vms(gossip.vms, then);
+                }
+                self.learn(&to, gossip, now);
+            }
             None => self.ask_others(to, now),
         }
     }
--- a/components/node/src/watcher.rs
+++ b/components/node/src/watcher.rs
@@ -6,7 +6,7 @@
         Arc,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use base::Revision;
@@ -82,16 +82,25 @@
             }
             // A refused document is not asked for again; only a newer one is.
             let after = offered.max(Revision(self.have.load(Ordering::Relaxed)));
+            let at = Instant::now();
             match platform::watch(&client, *addr, name, after, WAIT) {
                 Ok(Some(watch)) => {
                     retry = FIRST_RETRY;
                     offered = watch.revision;
                     let cause = "platform";
-                    if !send(NodeEvent::Document { kind, text: watch.text, cause }) {
+                    let confirmed = NodeEvent::Confirmed { kind, revision: offered, at };
+                    if !send(NodeEvent::Document { kind, text: watch.text, cause })
+                        || !send(confirmed)
+                    {
+                        return;
+                    }
+                }
+                Ok(None) => {
+                    retry = FIRST_RETRY;
+                    if !send(NodeEvent::Confirmed { kind, revision: after, at }) {
                         return;
                     }
                 }
-                Ok(None) => retry = FIRST_RETRY,
                 Err(_) => {
                     // Between half of the pause and all of it, so that processes spread out.
                     std::thread::sleep(retry.mul_f64(0.5 + fastrand::f64() / 2.0));
--- a/components/proto/src/peer.rs
+++ b/components/proto/src/peer.rs
@@ -5,7 +5,8 @@
 use jsonrpsee::{core::RpcResult, proc_macros::rpc};
 
 use crate::{
-    Announcement, AttemptRef, DocumentReply, DocumentRequest, EndpointState, Fate, Gossip, Status,
+    Announcement, AttemptRef, CrashRecord, DocumentReply, DocumentRequest, EndpointState, Fate,
+    Gossip, Status, UsageNews,
 };
 
 /// Calls that processes make to each other, and operators to processes.
@@ -27,6 +28,10 @@
     #[method(name = "announce")]
     async fn announce(&self, announcement: Announcement) -> RpcResult<()>;
 
+    /// Gives an entry a part of the sender's sums of usage.
+    #[method(name = "usage")]
+    async fn usage(&self, news: UsageNews) -> RpcResult<()>;
+
     /// Asks an agent about its endpoint.
     #[method(name = "endpoint")]
     async fn endpoint(&self) -> RpcResult<EndpointState>;
@@ -39,6 +44,10 @@
     #[method(name = "fate")]
     async fn fate(&self, attempt: AttemptRef) -> RpcResult<Fate>;
 
+    /// Exchanges the newest crash records between entries.
+    #[method(name = "crashes")]
+    async fn crashes(&self, records: Vec<CrashRecord>) -> RpcResult<Vec<CrashRecord>>;
+
     /// The state of the process, for operators.
     #[method(name = "status")]
     async fn status(&self) -> RpcResult<Status>;
--- a/components/standins/src/engine.rs
+++ b/components/standins/src/engine.rs
@@ -9,11 +9,12 @@
 };
 
 use base::{ByteSize, Digest};
-use net::{Latch, Listener, StreamWriter, abort, header, query, read_body, refuse};
+use net::{
+    Latch, Listener, Method, Request, Response, StreamWriter, header, query, read_body, refuse,
+};
 use serde_json::{Value, json};
-use tiny_http::{Method, Request, Response};
 
-use crate::answers::token;
+use crate::{answers::token, slots::Slots};
 
 /// Longest wait for a connection's next bytes.
 const IDLE: Duration = Duration::from_secs(60);
@@ -56,6 +57,8 @@
 pub struct EngineCounts {
     /// Requests that ran, by attempt.
     pub runs: HashMap<String, u32>,
+    /// Requests that were cancelled before their end.
+    pub cancelled: u32,
     /// Crashes.
     pub crashes: u32,
     /// Activations of a release whose chunks were not all there.
@@ -70,6 +73,7 @@
     done: bool,
     broken: bool,
     release: String,
+    stream: bool,
 }
 
 #[derive(Default)]
@@ -82,12 +86,25 @@
     /// Grows with each crash; what belongs to an older one is broken.
     epoch: u64,
     down_until: Option<Instant>,
-    busy: usize,
+    slots: Slots,
     loads: Vec<(Instant, usize)>,
     answers: HashMap<String, Answer>,
     counts: EngineCounts,
 }
 
+/// An answer to generate.
+struct Job {
+    /// The attempt.
+    id: String,
+    /// Names the answer to the caller.
+    name: String,
+    release: String,
+    prompt: String,
+    tokens: usize,
+    stream: bool,
+    priority: u8,
+}
+
 /// What a release does to the engine when it is activated.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Flaw {
@@ -151,6 +168,11 @@
         self.shared.lock().prepared.clone()
     }
 
+    /// Requests that it generates answers to now.
+    pub fn busy(&self) -> usize {
+        self.shared.lock().slots.busy
+    }
+
     /// Makes a release fail when it is activated.
     pub fn set_flaw(&self, release: &str, flaw: Flaw) {
         let mut flaws = self.shared.flaws.lock().expect("no holder panics");
@@ -189,21 +211,21 @@
     fn answer(self: &Arc<Shared>, request: Request) {
         let down = self.lock().down_until.is_some_and(|until| Instant::now() < until);
         if down {
-            abort(request);
+            request.abort();
             return;
         }
         let url = request.url().to_owned();
         let path = url.split('?').next().unwrap_or_default();
         match (request.method().clone(), path) {
-            (Method::Get, "/v1/state") => self.report(request),
-            (Method::Post, "/v1/orders") => self.order(request),
-            (Method::Post, "/v1/chat/completions") => self.complete(request),
-            (Method::Put, _) => self.stage(request, path),
-            (Method::Get, _) => match path.strip_prefix("/v1/answers/") {
+            (Method::GET, "/v1/state") => self.report(request),
+            (Method::POST, "/v1/orders") => self.order(request),
+            (Method::POST, "/v1/chat/completions") => self.complete(request),
+            (Method::PUT, _) => self.stage(request, path),
+            (Method::GET, _) => match path.strip_prefix("/v1/answers/") {
                 Some(id) => self.resume(request, id, &url),
                 None => refuse(request, 404, "no such path", "not-run"),
             },
-            (Method::Delete, _) => self.cancel(request, path),
+            (Method::DELETE, _) => self.cancel(request, path),
             _ => refuse(request, 404, "no such path", "not-run"),
         }
     }
@@ -211,7 +233,7 @@
     fn report(&self, request: Request) {
         let mut state = self.lock();
         let now = Instant::now();
-        let busy = state.busy;
+        let busy = state.slots.busy;
         state.loads.push((now, busy));
         let lag = self.settings.load_lag;
         let old = state.loads.iter().rev().find(|(at, _)| now.duration_since(*at) >= lag);
@@ -268,7 +290,7 @@
             Some(Flaw::Crashes) => {
                 drop(state);
                 self.crash();
-                abort(request);
+                request.abort();
                 return;
             }
             Some(Flaw::CrashesAfter(wait)) => {
@@ -347,7 +369,9 @@
         let prompt = messages.last().and_then(|m| m["content"].as_str()).unwrap_or_default();
         let tokens = call["max_tokens"].as_u64().unwrap_or(16) as usize;
         let id = header(&request, proto::header::ATTEMPT).unwrap_or("none").to_owned();
+        let name = header(&request, proto::header::REQUEST_ID).unwrap_or(&id).to_owned();
         let stream = call["stream"].as_bool().unwrap_or(false);
+        let priority = header(&request, proto::header::PRIORITY).and_then(|v| v.parse().ok());
         let (release, epoch) = {
             let mut state = self.lock();
             let Some(release) = state.serving.clone() else {
@@ -356,51 +380,51 @@
                 return;
             };
             *state.counts.runs.entry(id.clone()).or_default() += 1;
-            let answer = Answer { release: release.clone(), ..Answer::default() };
+            let answer = Answer { release: release.clone(), stream, ..Answer::default() };
             state.answers.insert(id.clone(), answer);
             (release, state.epoch)
         };
         if prompt.contains(CRASH_MARK) {
             self.crash();
-            abort(request);
+            request.abort();
             return;
         }
         let engine = self.clone();
-        let (prompt, name) = (prompt.to_owned(), id.clone());
-        std::thread::spawn(move || {
-            engine.generate(&name, &release, &prompt, tokens, stream, epoch)
-        });
-        self.send(request, &id, 0, stream);
+        let job = Job {
+            id: id.clone(),
+            name,
+            release,
+            prompt: prompt.to_owned(),
+            tokens,
+            stream,
+            priority: priority.unwrap_or(u8::MAX),
+        };
+        std::thread::spawn(move || engine.generate(&job, epoch));
+        self.send(request, &id, 0);
     }
 
-    fn generate(
-        &self,
-        id: &str,
-        release: &str,
-        prompt: &str,
-        tokens: usize,
-        stream: bool,
-        epoch: u64,
-    ) {
-        if !self.take_slot(epoch) {
+    fn generate(&self, job: &Job, epoch: u64) {
+        let Job { id, name, release, prompt, tokens, stream, priority } = job;
+        if !self.take_slot(*priority, epoch) {
             return;
         }
         let mut text = String::new();
-        for n in 0..tokens {
+        for n in 0..*tokens {
             std::thread::sleep(self.settings.token_time);
             let token = token(release, prompt, n);
-            let piece = if stream { event(id, release, &token) } else { String::new() };
+            let piece = if *stream { event(name, release, &token) } else { String::new() };
             text.push_str(&token);
             if !self.append(id, piece.as_bytes(), epoch) {
                 return;
             }
         }
-        let last = if stream { "data: [DONE]\n\n".to_owned() } else { whole(id, release, &text) };
+        let last =
+            if *stream { "data: [DONE]\n\n".to_owned() } else { whole(name, release, &text) };
         let mut state = self.lock();
         if state.epoch != epoch {
             return;
         }
-        state.busy -= 1;
+        state.slots.busy -= 1;
         if let Some(answer) = state.answers.get_mut(id) {
             answer.bytes.extend_from_slice(last.as_bytes());
             answer.done = true;
@@ -408,14 +432,17 @@
         self.changed.notify_all();
     }
 
-    fn take_slot(&self, epoch: u64) -> bool {
+    fn take_slot(&self, priority: u8, epoch: u64) -> bool {
         let mut state = self.lock();
-        while state.epoch == epoch && state.busy >= self.settings.slots {
-            state = self.changed.wait(state).expect("no holder panics");
+        if state.epoch != epoch {
+            return false;
         }
-        if state.epoch == epoch {
-            state.busy += 1;
+        let ticket = state.slots.join(priority);
+        while state.epoch == epoch && !state.slots.take(ticket, self.settings.slots) {
+            state = self.changed.wait(state).expect("no holder panics");
         }
+        // The next in turn may find a free slot too.
+        self.changed.notify_all();
         state.epoch == epoch
     }
 
@@ -425,7 +452,7 @@
             return false;
         }
         let Some(answer) = state.answers.get_mut(id).filter(|a| !a.broken) else {
-            state.busy -= 1;
+            state.slots.busy -= 1;
             self.changed.notify_all();
             return false;
         };
@@ -437,7 +464,7 @@
     fn resume(&self, request: Request, id: &str, url: &str) {
         let offset = query(url, "offset").and_then(|v| v.parse().ok()).unwrap_or(0);
         if self.lock().answers.contains_key(id) {
-            self.send(request, id, offset, true);
+            self.send(request, id, offset);
         } else {
             refuse(request, 404, "no such answer", "unknown");
         }
@@ -445,19 +472,22 @@
 
     fn cancel(&self, request: Request, path: &str) {
         let id = path.strip_prefix("/v1/answers/").unwrap_or_default();
-        if let Some(answer) = self.lock().answers.get_mut(id) {
+        let mut state = self.lock();
+        if let Some(answer) = state.answers.get_mut(id).filter(|a| !a.broken && !a.done) {
             answer.broken = true;
+            state.counts.cancelled += 1;
         }
+        drop(state);
         self.changed.notify_all();
         respond_json(request, &json!({ "cancelled": true }));
     }
 
     /// Sends an answer from `offset` on, as it is generated.
-    fn send(&self, request: Request, id: &str, offset: usize, stream: bool) {
-        let (epoch, release) = {
+    fn send(&self, request: Request, id: &str, offset: usize) {
+        let (epoch, release, stream) = {
             let state = self.lock();
-            let release = state.answers.get(id).map(|a| a.release.clone()).unwrap_or_default();
-            (state.epoch, release)
+            let Some(answer) = state.answers.get(id) else { return request.abort() };
+            (state.epoch, answer.release.clone(), answer.stream)
         };
         let kind = if stream { "text/event-stream" } else { "application/json" };
         let headers = [("content-type", kind), (proto::header::RELEASE, release.as_str())];
@@ -514,6 +544,5 @@
 }
 
 fn respond_json(request: Request, body: &Value) {
-    // The sender may be gone.
-    let _ = request.respond(Response::from_string(body.to_string()));
+    request.respond(Response::from_string(body.to_string()));
 }
--- a/components/testbed/src/bed.rs
+++ b/components/testbed/src/bed.rs
@@ -17,10 +17,12 @@
 use net::Peers;
 use proto::{PeerClient, Status};
 use settings::{
-    AgentSettings, EndpointKind, EntrySettings, Fencing, PeerKey, PlatformSettings, Settings,
+    AgentSettings, EndpointKind, EntrySettings, Fencing, PeerKey, PlatformSettings, RoutingPolicy,
+    Settings, Strategy,
 };
 use standins::{
-    BlobService, Engine, EngineSettings, PlainService, ValueService, manifest_value, vms_value,
+    BlobService, Engine, EngineCounts, EngineSettings, PlainService, ValueService, manifest_value,
+    vms_value,
 };
 use tokio::runtime::Runtime;
 
@@ -49,12 +51,20 @@
     pub origin: ByteRate,
     /// Chunk memory of each agent.
     pub memory: ByteSize,
+    /// How weights spread.
+    pub strategy: Strategy,
     /// Engines.
     pub engine: EngineSettings,
     /// Time of a call to a plain service.
     pub work: Duration,
+    /// Time after a start for which an agent does not vouch for callers' idempotency keys.
+    pub handover: Duration,
     /// Requests a second that the workspace may make.
     pub rate: Rate,
+    /// How the entries pick endpoints.
+    pub policy: RoutingPolicy,
+    /// Endpoints that each entry uses for a service.
+    pub subset: usize,
     /// Seed of all that is random in the stand-ins.
     pub seed: u64,
     /// Whether logs go to standard error.
@@ -71,9 +81,13 @@
             link: ByteRate(50_000_000),
             origin: ByteRate(100_000_000),
             memory: ByteSize(256 << 20),
+            strategy: AgentSettings::default().strategy,
             engine: EngineSettings::default(),
             work: Duration::from_millis(5),
+            handover: Duration::from_secs(240),
             rate: Rate(100_000.0),
+            policy: RoutingPolicy::default(),
+            subset: EntrySettings::default().subset,
             seed: 1,
             verbose: false,
         }
@@ -156,6 +170,7 @@
             fencing: if self.settings.engine.fencing { Fencing::Checked } else { Fencing::Ignored },
             link: self.settings.link,
             memory: self.settings.memory,
+            strategy: self.settings.strategy,
             slots: self.settings.engine.slots,
             ..AgentSettings::default()
         };
@@ -173,6 +188,7 @@
             kind: EndpointKind::Plain,
             service: Some(id("orders")),
             link: self.settings.link,
+            handover: Timeout(self.settings.handover),
             ..AgentSettings::default()
         };
         let (vm, agent) = self.start_agent(name, place, Role::Plain(service), options)?;
@@ -196,7 +212,12 @@
     }
 
     fn add_entry(&mut self, name: &str, place: usize) -> anyhow::Result<()> {
-        let options = EntrySettings { callers: local(), ..EntrySettings::default() };
+        let options = EntrySettings {
+            callers: local(),
+            policy: self.settings.policy,
+            subset: self.settings.subset,
+            ..EntrySettings::default()
+        };
         let settings = Settings { entry: Some(options), ..self.process_settings(name, place) };
         let log = self.log(name, "entry");
         let entry = Entry::start(settings, self.runtime.handle(), telemetry::install(), log)?;
@@ -319,6 +340,18 @@
         Ok(start.elapsed())
     }
 
+    /// Ends an agent without a farewell and takes its engine down with it; returns what the engine
+    /// counted. The VM list is not published.
+    pub fn kill_agent(&mut self, vm: &VmId) -> Option<EngineCounts> {
+        let at = self.agents.iter().position(|slot| slot.vm.id == *vm)?;
+        let slot = self.agents.remove(at);
+        // An agent without requests in progress stops at once and tells nobody.
+        if let Some(agent) = &slot.agent {
+            agent.drain();
+        }
+        slot.engine.map(|engine| engine.counts())
+    }
+
     /// Asks a process for its state.
     pub fn status(&self, control: SocketAddr) -> anyhow::Result<Status> {
         let ask = |client| async move { PeerClient::status(&client).await };
--- a/examples/bench/fleet.rs
+++ b/examples/bench/fleet.rs
@@ -259,6 +259,7 @@
             incarnation: Incarnation(1_796_331_356_389),
             manifest: Revision(4_000_000),
             vms: Revision(4_000_000),
+            vms_age_ms: Some(12_345),
             members: members.news(&to),
         };
         most = most.max(serde_json::to_vec(&message).map_or(0, |text| text.len()));
