--- a/components/entry/src/core.rs
+++ b/components/entry/src/core.rs
@@ -11,7 +11,7 @@
 use limits::{Admission, Parts, RetryBudget, RetrySettings, Usage, UsageSettings};
 use net::Mailbox;
 use node::{Node, NodeEvent};
-use placement::{Placement, place};
+use placement::{Inputs, Placement, place};
 use proto::MemberState;
 use quarantine::{Ledger, LedgerSettings};
 use routing::{AttemptEnd, Router, RouterSettings};
@@ -43,6 +43,8 @@
     pub(crate) lanes: Lanes,
     pub(crate) rumours: Rumours,
     pub(crate) placement: Placement,
+    /// What `placement` was computed from.
+    pub(crate) inputs: Inputs,
     /// Clocks of agents, in milliseconds, as they stated them last.
     pub(crate) clocks: HashMap<VmId, u64>,
     pub(crate) claims: Claims,
@@ -91,6 +93,7 @@
             lanes: Lanes::default(),
             rumours: Rumours::new(now),
             placement: Placement::default(),
+            inputs: Inputs::default(),
             clocks: HashMap::new(),
             claims: Claims::default(),
             pools: Pools::default(),
@@ -199,7 +202,11 @@
         if !changes.manifest && !changes.vms {
             return;
         }
-        self.placement = place(self.node.documents.manifest(), self.node.documents.vms());
+        let inputs = Inputs::of(self.node.documents.manifest(), self.node.documents.vms());
+        if inputs != self.inputs {
+            self.inputs = inputs;
+            self.placement = place(self.node.documents.manifest(), self.node.documents.vms());
+        }
         self.claims = Claims::of(self.node.documents.manifest());
         let claims = &self.claims;
         self.admission.retain(|id| claims.by_id(id).is_some());
