Count requests, attempts, retries and orders

Cause: the names of metrics were declared and described to operators, but requests, attempts, retries, first bytes and orders were not counted.

Change: the entry counts each request once, by outcome; attempts, retries, the time to the first byte and its load; the agent counts orders.

Conclusion: only chunk bytes and errors are left to count.

--- a/components/agent/src/rollouts.rs
+++ b/components/agent/src/rollouts.rs
@@ -6,11 +6,13 @@
 use base::{Digest, ReleaseId, VmId};
 use chunks::Tree;
 use manifest::{Release, Rollout};
+use metrics::counter;
 use node::wall_clock_ms;
 use placement::{Inputs, place};
 use proto::{MemberState, Trialled, Verdict};
 use rollout::{Action, Order, OrderKind, Replica, Target, Turn};
 use settings::EndpointKind;
+use telemetry::names;
 
 use crate::{
     core::{Core, Shared},
@@ -261,6 +263,9 @@
             fence: order.fence,
             accepted,
         };
+        let result = if accepted { "true" } else { "false" };
+        let name = order.order.as_str();
+        counter!(names::ORDERS, "order" => name, "accepted" => result).increment(1);
         self.node.trail.record(change, "rollout");
         self.decide(rollout::Event::Ordered { order, accepted }, now);
     }
--- a/components/entry/src/caller.rs
+++ b/components/entry/src/caller.rs
@@ -13,6 +13,7 @@
 
 use crate::{
     attempt::{Attempter, Call, End},
+    counts,
     event::{Ask, Decision, Event, Failure, Grant, Refusal},
     refusal,
     request::{Wish, parse},
@@ -60,20 +61,24 @@
                 }
             };
             if sink.is_abandoned() {
+                counts::caller_gone();
                 let (vm, attempt) = (grant.choice.vm, grant.attempt);
                 self.mailbox.send(Event::Ended { vm, attempt });
                 return;
             }
+            counts::attempt();
             match self.attempter.run(&call, &grant, &mut sink) {
                 End::Answered => {
                     // A stopping entry ends once no request is in progress, so the answer goes first.
                     sink.finish();
+                    counts::answered();
                     let fingerprint = call.ask.fingerprint;
                     let (vm, attempt) = (grant.choice.vm, grant.attempt);
                     self.mailbox.send(Event::Answered { vm, attempt, fingerprint });
                     return;
                 }
                 End::CallerGone => {
+                    counts::caller_gone();
                     let (vm, attempt) = (grant.choice.vm, grant.attempt);
                     self.mailbox.send(Event::Ended { vm, attempt });
                     return;
--- a/components/entry/src/core.rs
+++ b/components/entry/src/core.rs
@@ -19,6 +19,7 @@
 
 use crate::{
     claims::Claims,
+    counts,
     event::Event,
     pools::Pools,
     queue::{Delayed, Lines, Running},
@@ -167,6 +168,8 @@
             self.gossip_at = now + GOSSIP_EVERY;
             self.node.tick(now);
             self.update_candidates(now);
+            let queued = self.lines.values().map(|line| line.queue.len()).sum();
+            counts::load(self.in_flight, queued);
             for digest in self.ledger.tick(now) {
                 let change = Change::Released { fingerprint: digest.to_string() };
                 self.node.trail.record(change, "expired");
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -6,6 +6,7 @@
 mod caller;
 mod claims;
 mod core;
+mod counts;
 mod endpoints;
 mod event;
 mod pools;
--- a/components/entry/src/retry.rs
+++ b/components/entry/src/retry.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     core::Core,
+    counts,
     event::{Ask, Decision, Failure, Refusal},
     queue::Waiting,
     refusal,
@@ -60,6 +61,7 @@
         let service_time = self.line(&ask.service, now).pace.service_time();
         let nth = ask.tried.len() as u32;
         let backoff = self.retries.take(nth, &mut self.rng);
+        counts::retry(backoff.is_some());
         let backoff = backoff.ok_or_else(|| refuse(503, "too many requests fail; retry in 1s"))?;
         if now + backoff + service_time > ask.deadline {
             return Err(refuse(503, "no time is left to try again; retry in 1s"));
--- a/components/entry/src/sink.rs
+++ b/components/entry/src/sink.rs
@@ -1,6 +1,6 @@
 //! Sends an answer to a caller.
 
-use std::io::Write;
+use std::{io::Write, time::Instant};
 
 use base::ReleaseId;
 use net::{Request, Response, StreamWriter};
@@ -8,6 +8,7 @@
 
 use crate::{
     attempt::{Head, Passed, Sink},
+    counts,
     event::Refusal,
 };
 
@@ -20,6 +21,7 @@
 
 /// Sends one answer.
 pub(crate) struct CallerSink {
+    arrived: Instant,
     request: Option<Request>,
     out: Option<StreamWriter>,
     head: Option<Head>,
@@ -33,8 +35,15 @@
 
 impl CallerSink {
     pub(crate) fn new(request: Request) -> CallerSink {
-        let (kept, sent) = (Vec::new(), 0);
-        CallerSink { request: Some(request), out: None, head: None, kept, sent, between: true }
+        CallerSink {
+            arrived: Instant::now(),
+            request: Some(request),
+            out: None,
+            head: None,
+            kept: Vec::new(),
+            sent: 0,
+            between: true,
+        }
     }
 
     /// Marks the answer whole.
@@ -69,6 +78,9 @@
     /// Answers with an error; a begun stream gets an error event and is then broken off.
     pub(crate) fn refuse(mut self, refusal: &Refusal) {
         let stream = self.is_stream();
+        if self.started() {
+            counts::ended(refusal.outcome.as_str());
+        }
         if let Some(request) = self.request.take() {
             refuse(request, refusal);
         } else if let Some(mut out) = self.out.take().filter(|_| stream) {
@@ -112,6 +124,9 @@
         if new.is_empty() {
             return Passed::Sent;
         }
+        if self.sent == 0 {
+            counts::first_byte(self.arrived.elapsed());
+        }
         let room = KEPT_BYTES.saturating_sub(self.kept.len());
         self.kept.extend_from_slice(&new[..new.len().min(room)]);
         self.sent += new.len() as u64;
@@ -140,6 +155,7 @@
 
 /// Answers a request with an error.
 pub(crate) fn refuse(request: Request, refusal: &Refusal) {
+    counts::ended(refusal.outcome.as_str());
     let response = Response::from_string(body(refusal))
         .with_status_code(refusal.status)
         .with_header(name::CONTENT_TYPE, "application/json")
--- a/components/testbed/tests/path.rs
+++ b/components/testbed/tests/path.rs
@@ -1,12 +1,19 @@
 //! The whole path: a rollout, a streamed answer, a call to a plain service, and refusals.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use base::ByteSize;
 use testbed::{Answer, Caller, Testbed, TestbedSettings, Weights};
 
 const TIMEOUT: Duration = Duration::from_secs(30);
 
+/// The metrics of all processes of the testbed, which share one recorder.
+fn metrics(entry: SocketAddr) -> String {
+    let client = net::single(TIMEOUT);
+    let mut response = client.get(format!("http://{entry}/metrics")).call().unwrap();
+    response.body_mut().read_to_string().unwrap()
+}
+
 #[test]
 fn a_rollout_serves_requests() {
     let settings = TestbedSettings { agents: 3, plain: 1, ..TestbedSettings::default() };
@@ -24,6 +31,16 @@
     assert_eq!(bed.agents[3].plain.as_ref().unwrap().runs()["two plates"], 1);
     let stranger = Caller::new("unknown").chat(entry, "hello", 10);
     assert_eq!(stranger, Answer::Refused { status: 401, outcome: "not-run".into() });
+    let page = metrics(entry);
+    for line in [
+        "carawaypaddle_requests_total{outcome=\"answered\"} 2",
+        "carawaypaddle_requests_total{outcome=\"not-run\"} 1",
+        "carawaypaddle_attempts_total 2",
+        "carawaypaddle_orders_total{order=\"activate\",accepted=\"true\"} 3",
+        "carawaypaddle_first_byte_seconds_count 2",
+    ] {
+        assert!(page.contains(line), "{line}: {page}");
+    }
     assert!(bed.origin.sent() <= 1 << 20);
     bed.stop();
 }
