Spread chunks among few neighbours, the rarest first

Cause: in rotated binary trees every VM talked to every other; takeover was measured from the start; each poll sorted all chunks; a stalled peer held a place in the window for 3s; every agent read the chunk lists from the configuration service; a VM that was ready told late ones nothing. Change: a plan over an evenly zoned ring with binomial trees per region and zone, whose neighbours grow with the logarithm of the fleet; strategies tree and rarest (default) beside the naive one; takeover on lack of progress, fast for an owner that does not answer; the origin budget is split without any exchange; peers that stall, fail, corrupt or are crowded are passed over; near sources first; chunk lists come from peers; ready VMs go on to announce.

--- a/components/agent/src/core.rs
+++ b/components/agent/src/core.rs
@@ -1,6 +1,7 @@
 //! The agent's actor: turns events into decisions of the cores and carries their actions out.
 
 use std::{
+    collections::HashMap,
     sync::{Arc, Mutex},
     time::{Duration, Instant},
 };
@@ -9,7 +10,7 @@
 use audit::Change;
 use base::{ByteSize, Digest, Fence};
 use bytes::Bytes;
-use chunks::{Link, Pool};
+use chunks::{Link, Place, Pool};
 use net::{Mailbox, Workers};
 use node::{Node, NodeEvent};
 use placement::Placement;
@@ -36,9 +37,14 @@
 pub(crate) struct Shared {
     pub(crate) pool: Arc<Mutex<Pool>>,
     pub(crate) link: Arc<Mutex<Link>>,
+    /// Chunk lists of the releases that are loaded or served, by digest.
+    pub(crate) lists: Arc<Mutex<HashMap<Digest, Bytes>>>,
     pub(crate) engine: Engine,
     pub(crate) workers: Workers,
-    pub(crate) chunk_client: ureq::Agent,
+    /// Reads chunks from peers.
+    pub(crate) peer_client: ureq::Agent,
+    /// Reads from the platform, which may queue reads for longer than peers do.
+    pub(crate) platform_client: ureq::Agent,
     pub(crate) mailbox: Mailbox<Event>,
 }
 
@@ -49,8 +55,15 @@
         std::thread::sleep(wait);
     }
 
+    /// Whether a peer that wants `size` bytes had better ask another.
+    pub(crate) fn is_crowded(&self, size: ByteSize) -> bool {
+        self.link.lock().expect("no holder panics").is_crowded(size, Instant::now())
+    }
+
+    /// A chunk, or a chunk list as it was published.
     pub(crate) fn held(&self, digest: &Digest) -> Option<Bytes> {
-        self.pool.lock().expect("no holder panics").get(digest)
+        let chunk = self.pool.lock().expect("no holder panics").get(digest);
+        chunk.or_else(|| self.lists.lock().expect("no holder panics").get(digest).cloned())
     }
 }
 
@@ -63,6 +76,10 @@
     pub(crate) attempts: Attempts,
     pub(crate) placement: Placement,
     pub(crate) loading: Option<Loading>,
+    /// The load that ended last, whose chunks peers still fetch.
+    pub(crate) seeding: Option<Loading>,
+    /// The VMs of this VM's rollout that are not thought gone.
+    pub(crate) places: Vec<Place>,
     /// The last statement of the endpoint.
     pub(crate) report: Option<EngineReport>,
     /// When the endpoint made it.
@@ -92,6 +109,8 @@
             shared,
             placement: Placement::default(),
             loading: None,
+            seeding: None,
+            places: Vec::new(),
             report: None,
             reported: now,
             reading: false,
@@ -109,7 +128,7 @@
             Event::Node(event) => self.node_event(event, now),
             Event::Engine(report) => self.engine_report(report, now),
             Event::Ordered { order, accepted } => self.ordered(order, accepted, now),
-            Event::List { digest, list } => self.list(cx, digest, list),
+            Event::List { digest, attempt, list } => self.list(cx, digest, attempt, list),
             Event::Fetched { list, chunk, source, result } => {
                 self.fetched(list, chunk, source, result, now);
             }
@@ -141,6 +160,7 @@
         if now >= self.gossip_at {
             self.gossip_at = now + GOSSIP_EVERY;
             self.node.tick(now);
+            self.update_plans(now);
         }
         if self.settings.kind == EndpointKind::Plain {
             self.tick_plain(now);
--- a/components/agent/src/data.rs
+++ b/components/agent/src/data.rs
@@ -3,7 +3,7 @@
 use base::{ByteSize, Digest};
 use net::{authorized, refuse};
 use settings::PeerKey;
-use tiny_http::{Method, Request, Response};
+use tiny_http::{Header, Method, Request, Response};
 
 use crate::{attempt, core::Shared};
 
@@ -21,12 +21,28 @@
     }
 }
 
+/// Seconds after which a peer may ask a crowded link again.
+const RETRY_AFTER: &str = "0.2";
+
+fn respond_busy(request: Request) {
+    let mut response = Response::from_string("the link is crowded; ask another");
+    if let Ok(header) = Header::from_bytes("retry-after", RETRY_AFTER) {
+        response.add_header(header);
+    }
+    // The peer may be gone.
+    let _ = request.respond(response.with_status_code(503));
+}
+
 fn blob(shared: &Shared, digest: &str, request: Request) {
     let digest = digest.parse::<Digest>().ok();
     let Some(chunk) = digest.and_then(|digest| shared.held(&digest)) else {
         refuse(request, 404, "the chunk is not held; ask another", "run");
         return;
     };
+    if shared.is_crowded(ByteSize(chunk.len() as u64)) {
+        respond_busy(request);
+        return;
+    }
     shared.pace(ByteSize(chunk.len() as u64));
     let length = chunk.len();
     let body = std::io::Cursor::new(chunk);
--- a/components/agent/src/event.rs
+++ b/components/agent/src/event.rs
@@ -26,7 +26,7 @@
     /// The answer to an order.
     Ordered { order: Order, accepted: bool },
     /// A chunk list was read, or could not be.
-    List { digest: Digest, list: Option<ChunkList> },
+    List { digest: Digest, attempt: u32, list: Option<ChunkList> },
     /// A fetch ended.
     Fetched { list: Digest, chunk: u32, source: Source, result: Result<Bytes, FetchError> },
     /// The engine took a chunk, or did not.
--- a/components/agent/src/loading.rs
+++ b/components/agent/src/loading.rs
@@ -6,7 +6,7 @@
 };
 
 use base::{Digest, ReleaseId, VmId};
-use chunks::{Transfer, TransferSettings, Tree};
+use chunks::{Place, Plan, Transfer, TransferSettings};
 use manifest::{ChunkList, Release};
 use rollout::Order;
 
@@ -63,17 +63,17 @@
         self.lists.values().flat_map(|list| list.digests.iter().copied()).collect()
     }
 
-    /// Starts the transfers among `members`.
+    /// Starts the transfers among the VMs at `places`.
     pub(crate) fn start(
         &mut self,
-        members: &[VmId],
+        places: &[Place],
         me: &VmId,
         settings: TransferSettings,
         now: Instant,
     ) {
         for (digest, list) in &self.lists {
-            let tree = Tree::new(digest, members, me);
-            let transfer = Transfer::new(list.clone(), tree, settings, now);
+            let plan = Plan::new(digest, places, me);
+            let transfer = Transfer::new(list.clone(), plan, settings, now);
             self.transfers.insert(*digest, transfer);
         }
     }
--- a/components/agent/src/process.rs
+++ b/components/agent/src/process.rs
@@ -28,8 +28,10 @@
 const DATA_IDLE: Duration = Duration::from_secs(30);
 /// Most requests in progress on the data address.
 const DATA_REQUESTS: usize = 512;
-/// Longest silence of a source of chunks.
-const CHUNK_TIMEOUT: Duration = Duration::from_secs(3);
+/// Longest silence of a peer that gives a chunk.
+const PEER_TIMEOUT: Duration = Duration::from_secs(3);
+/// Longest silence of the weight store and the origin, which queue reads.
+const PLATFORM_TIMEOUT: Duration = Duration::from_secs(30);
 /// Threads for calls that block.
 const WORKERS: usize = 16;
 
@@ -52,7 +54,9 @@
             link: Arc::new(Mutex::new(Link::new(options.link))),
             engine: Engine::new(options.endpoint),
             workers: Workers::start(WORKERS)?,
-            chunk_client: net::pooled(CHUNK_TIMEOUT),
+            lists: Arc::default(),
+            peer_client: net::pooled(PEER_TIMEOUT),
+            platform_client: net::pooled(PLATFORM_TIMEOUT),
             mailbox: mailbox.clone(),
         };
         let calls = mailbox.clone();
--- a/components/agent/src/report.rs
+++ b/components/agent/src/report.rs
@@ -15,10 +15,10 @@
             PeerCall::Gossip(gossip, reply) => answer_call(reply, self.node.gossip(gossip, now)),
             PeerCall::Document(request, reply) => answer_call(reply, self.node.document(&request)),
             PeerCall::Announce(announcement) => {
-                let loading = self.loading.as_mut();
-                let transfer = loading.and_then(|l| l.transfers.get_mut(&announcement.list));
-                if let Some(transfer) = transfer {
-                    transfer.offered(&announcement.from, &announcement.chunks);
+                for loading in [&mut self.loading, &mut self.seeding].into_iter().flatten() {
+                    if let Some(transfer) = loading.transfers.get_mut(&announcement.list) {
+                        transfer.offered(&announcement.from, &announcement.chunks, now);
+                    }
                 }
                 self.poll_transfers(now);
             }
--- a/components/agent/src/rollouts.rs
+++ b/components/agent/src/rollouts.rs
@@ -1,10 +1,11 @@
 //! The agent's part in rollouts: its target, its turn, and orders to the engine.
 
-use std::time::Instant;
+use std::{collections::HashSet, time::Instant};
 
 use audit::Change;
 use base::{Digest, VmId};
-use chunks::Tree;
+use chunks::{Place, Plan};
+use manifest::Vm;
 use placement::place;
 use proto::MemberState;
 use rollout::{Action, Order, OrderKind, Replica, Target, Turn};
@@ -35,19 +36,33 @@
             self.target_since = now;
         }
         self.decide(rollout::Event::Target(target), now);
-        self.update_trees();
+        self.update_plans(now);
     }
 
-    pub(crate) fn update_trees(&mut self) {
-        let members = self.rollout_vms();
+    /// Takes the VMs of the rollout that are not thought gone into the plans of all transfers.
+    pub(crate) fn update_plans(&mut self, now: Instant) {
+        let places = self.rollout_places();
+        if places == self.places {
+            return;
+        }
+        self.places = places;
         let me = &self.node.identity.settings.vm;
-        if let Some(loading) = &mut self.loading {
+        for loading in [&mut self.loading, &mut self.seeding].into_iter().flatten() {
             for (list, transfer) in &mut loading.transfers {
-                transfer.set_tree(Tree::new(list, &members, me));
+                transfer.set_plan(Plan::new(list, &self.places, me), now);
             }
         }
     }
 
+    fn rollout_places(&self) -> Vec<Place> {
+        let members: HashSet<VmId> = self.rollout_vms().into_iter().collect();
+        let listed = self.node.documents.vms().vms.iter();
+        let here = |vm: &&Vm| members.contains(&vm.id) && !self.node.members.is_gone(&vm.id);
+        let place =
+            |vm: &Vm| Place { vm: vm.id.clone(), zone: vm.zone.clone(), region: vm.region.clone() };
+        listed.filter(here).map(place).collect()
+    }
+
     /// The VMs of this VM's rollout, in placement order.
     pub(crate) fn rollout_vms(&self) -> Vec<VmId> {
         let target = self.endpoint.target();
@@ -76,7 +91,7 @@
         for action in self.endpoint.handle(event, now) {
             match action {
                 Action::ReadEngine => self.read_engine(),
-                Action::Order(order) => self.order(order),
+                Action::Order(order) => self.order(order, now),
                 Action::Load(release) => self.load(&release, now),
                 Action::Stop(release) => {
                     self.node.trail.record(Change::Superseded { release }, "target changed");
@@ -86,7 +101,7 @@
                     let seconds = now.duration_since(self.target_since).as_secs_f64();
                     let cause = format!("engine states it after {seconds:.2}s");
                     self.node.trail.record(Change::Ready { release }, cause);
-                    self.loading = None;
+                    self.seeding = self.loading.take().or(self.seeding.take());
                 }
             }
         }
@@ -121,8 +136,9 @@
         }
     }
 
-    pub(crate) fn order(&mut self, order: Order) {
+    pub(crate) fn order(&mut self, order: Order, now: Instant) {
         if order.order == OrderKind::Prepare {
+            self.update_plans(now);
             self.prepare(order);
             return;
         }
--- a/components/agent/src/weights.rs
+++ b/components/agent/src/weights.rs
@@ -1,10 +1,14 @@
 //! The agent's part in the spread of weights: chunk lists, fetches and hand-over to the engine.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::HashSet,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use base::{ByteSize, Digest, ReleaseId, VmId};
 use bytes::Bytes;
-use chunks::{Action as ChunkAction, FetchError, Source, TransferSettings};
+use chunks::{Action as ChunkAction, FetchError, OriginShare, Plan, Source, TransferSettings};
 use proto::{Announcement, PeerClient};
 use rollout::Order;
 use stakker::{CX, after};
@@ -17,6 +21,14 @@
 
 /// Pause before something that failed is tried again.
 const RETRY: Duration = Duration::from_millis(300);
+/// Largest chunk list, as of any value of the configuration service.
+const LIST_BYTES: ByteSize = ByteSize(manifest::MAX_VALUE_BYTES as u64);
+/// VMs of a rollout that read a chunk list from the configuration service.
+const LIST_READERS: usize = 2;
+/// Peers that are asked for a chunk list before the configuration service is.
+const LIST_ATTEMPTS: u32 = 20;
+/// Pause before a chunk list is asked for again; grows with each attempt.
+const LIST_RETRY: Duration = Duration::from_millis(30);
 
 impl Core {
     /// Reads the chunk lists of a release, which the order to prepare names.
@@ -29,30 +41,78 @@
             return;
         }
         let loading = Loading::new(release, order);
-        for digest in loading.missing_lists() {
-            self.read_list(digest);
-        }
+        let digests = loading.missing_lists();
         self.loading = Some(loading);
+        self.forget_lists();
+        for digest in digests {
+            self.read_list(digest, 0);
+        }
     }
 
-    pub(crate) fn read_list(&self, digest: Digest) {
-        let Shared { chunk_client, mailbox, workers, .. } = self.shared.clone();
-        let addrs = self.node.identity.settings.platform.config.clone();
-        workers.run(move || {
-            let name = format!("chunks/{digest}");
-            let read = |addr| platform::read_value(&chunk_client, addr, &name).ok();
-            let text = addrs.into_iter().find_map(read);
-            let list = text.and_then(|t| manifest::ChunkList::parse(&t, digest).ok());
-            mailbox.send(Event::List { digest, list });
+    /// Drops the chunk lists that are neither loaded nor served.
+    fn forget_lists(&self) {
+        let loads = [&self.loading, &self.seeding].into_iter().flatten();
+        let parts = loads.flat_map(|l| l.release.parts.iter().map(|part| part.chunks));
+        let kept: HashSet<Digest> = parts.collect();
+        let mut lists = self.shared.lists.lock().expect("no holder panics");
+        lists.retain(|digest, _| kept.contains(digest));
+    }
+
+    /// Reads a chunk list. A few VMs read it from the configuration service, the others from peers
+    /// along the list's plan, so that the service gets few reads however many VMs there are.
+    pub(crate) fn read_list(&self, digest: Digest, attempt: u32) {
+        let settings = &self.node.identity.settings;
+        let peer = self.list_peer(digest, attempt);
+        let key = settings.peer_key.clone();
+        let addrs = settings.platform.config.clone();
+        let shared = self.shared.clone();
+        self.shared.workers.run(move || {
+            let text = match peer {
+                Some(addr) => {
+                    let key = Some(key.expose());
+                    platform::fetch_blob(&shared.peer_client, addr, key, digest, LIST_BYTES).ok()
+                }
+                None => {
+                    let name = format!("chunks/{digest}");
+                    let read =
+                        |addr| platform::read_value(&shared.platform_client, addr, &name).ok();
+                    addrs.into_iter().find_map(read).map(Bytes::from)
+                }
+            };
+            let list = text.as_ref().and_then(|t| manifest::ChunkList::parse(t, digest).ok());
+            if let (Some(text), Some(_)) = (text, &list) {
+                shared.lists.lock().expect("no holder panics").insert(digest, text);
+            }
+            shared.mailbox.send(Event::List { digest, attempt, list });
         });
     }
 
-    pub(crate) fn list(&mut self, cx: CX![], digest: Digest, list: Option<manifest::ChunkList>) {
+    /// The peer to ask for a chunk list; `None` if the configuration service is to be asked.
+    fn list_peer(&self, digest: Digest, attempt: u32) -> Option<SocketAddr> {
+        let plan = Plan::new(&digest, &self.places, &self.node.identity.settings.vm);
+        let reader = plan.rank(0).is_none_or(|rank| rank < LIST_READERS);
+        if reader || attempt >= LIST_ATTEMPTS {
+            return None;
+        }
+        let neighbours = plan.neighbours();
+        let neighbour = || neighbours.get(attempt as usize % neighbours.len().max(1));
+        let vm = plan.parent(0).filter(|_| attempt.is_multiple_of(2)).or_else(neighbour)?;
+        self.node.documents.vms().get(vm).map(|vm| vm.data)
+    }
+
+    pub(crate) fn list(
+        &mut self,
+        cx: CX![],
+        digest: Digest,
+        attempt: u32,
+        list: Option<manifest::ChunkList>,
+    ) {
         let Some(loading) = &mut self.loading else { return };
         match list {
             Some(list) => loading.add_list(digest, list),
             None => {
-                after!(RETRY, [cx], retry_list(digest));
+                let wait = (LIST_RETRY * (attempt + 1)).min(RETRY);
+                after!(wait, [cx], retry_list(digest, attempt + 1));
                 return;
             }
         }
@@ -61,35 +121,45 @@
         }
     }
 
-    pub(crate) fn retry_list(&mut self, _: CX![], digest: Digest) {
+    pub(crate) fn retry_list(&mut self, _: CX![], digest: Digest, attempt: u32) {
         let wanted = self.loading.as_ref().is_some_and(|l| l.missing_lists().contains(&digest));
         if wanted {
-            self.read_list(digest);
+            self.read_list(digest, attempt);
         }
     }
 
     pub(crate) fn load(&mut self, release: &ReleaseId, now: Instant) {
-        let members = self.rollout_vms();
+        self.update_plans(now);
+        let settings = self.transfer_settings();
         let me = self.node.identity.settings.vm.clone();
         let Some(loading) = self.loading.as_mut().filter(|l| l.id() == release) else { return };
-        let settings =
-            TransferSettings { strategy: self.settings.strategy, ..TransferSettings::default() };
-        loading.start(&members, &me, settings, now);
+        loading.start(&self.places, &me, settings, now);
         for (list, chunk, digest) in loading.all_chunks() {
             let Some(bytes) = self.shared.held(&digest) else { continue };
             if let Some(transfer) = loading.transfers.get_mut(&list) {
-                transfer.held(chunk);
+                transfer.held(chunk, now);
             }
             stage(&self.shared, release.clone(), digest, bytes);
         }
         self.poll_transfers(now);
     }
 
+    fn transfer_settings(&self) -> TransferSettings {
+        let origin = self.node.documents.manifest().origin;
+        TransferSettings {
+            strategy: self.settings.strategy,
+            memory: self.settings.memory,
+            origin: OriginShare { copies: origin.copies, percent: origin.percent },
+            ..TransferSettings::default()
+        }
+    }
+
     pub(crate) fn poll_transfers(&mut self, now: Instant) {
-        let Some(loading) = &mut self.loading else { return };
         let mut actions = Vec::new();
-        for (list, transfer) in &mut loading.transfers {
-            actions.extend(transfer.poll(now).into_iter().map(|action| (*list, action)));
+        for loading in [&mut self.loading, &mut self.seeding].into_iter().flatten() {
+            for (list, transfer) in &mut loading.transfers {
+                actions.extend(transfer.poll(now).into_iter().map(|action| (*list, action)));
+            }
         }
         for (list, action) in actions {
             match action {
@@ -106,7 +176,7 @@
         let from = self.node.identity.settings.vm.clone();
         let announcement = Announcement { from, list, chunks };
         let call = move |client| async move { PeerClient::announce(&client, announcement).await };
-        // A lost announcement is made up for by the receiver's patience.
+        // A lost announcement is made up for by the receiver's search.
         self.node.peers.call(vm.control, call, |_| {});
     }
 
@@ -126,8 +196,9 @@
         let key = matches!(source, Source::Peer(_)).then(|| settings.peer_key.clone());
         let shared = self.shared.clone();
         self.shared.workers.run(move || {
+            let client = if key.is_some() { &shared.peer_client } else { &shared.platform_client };
             let key = key.as_ref().map(settings::PeerKey::expose);
-            let result = platform::fetch_blob(&shared.chunk_client, addr, key, digest, size);
+            let result = platform::fetch_blob(client, addr, key, digest, size);
             if let Ok(bytes) = &result {
                 shared.pace(ByteSize(bytes.len() as u64));
             }
@@ -156,7 +227,7 @@
                 let mut pool = self.shared.pool.lock().expect("no holder panics");
                 pool.insert(digest, bytes.clone());
                 drop(pool);
-                transfer.held(chunk);
+                transfer.held(chunk, now);
                 stage(&self.shared, release, digest, bytes);
             }
             (Err(error), _) => transfer.failed(chunk, &source, error, now),
--- /dev/null
+++ b/components/chunks/src/budget/tests.rs
@@ -0,0 +1,30 @@
+use base::{Digest, VmId};
+
+use super::*;
+use crate::Place;
+
+#[test]
+fn the_parts_of_all_vms_add_up_to_the_budget() {
+    let place = |i: usize| Place {
+        vm: format!("vm-{i}").parse().unwrap(),
+        zone: format!("zone-{}", i % 3).parse().unwrap(),
+        region: "region".parse().unwrap(),
+    };
+    for (vms, chunks, copies, percent) in
+        [(64, 128, 1, 150), (5, 7, 1, 110), (50, 9, 1, 150), (4, 64, 3, 300), (3, 10, 4, 400)]
+    {
+        let places: Vec<Place> = (0..vms).map(place).collect();
+        let sum: usize = places
+            .iter()
+            .map(|place| {
+                let me: &VmId = &place.vm;
+                let plan = Plan::new(&Digest::of(b"list"), &places, me);
+                let mut budget = Budget::default();
+                budget.set(&plan, chunks, OriginShare { copies, percent });
+                budget.limit
+            })
+            .sum();
+        assert!(sum * 100 <= percent as usize * chunks, "{vms} {chunks} {copies} {percent}: {sum}");
+        assert!(sum >= chunks);
+    }
+}
--- a/components/chunks/src/lib.rs
+++ b/components/chunks/src/lib.rs
@@ -1,11 +1,18 @@
 //! Moves chunks: what is held, what is fetched from where, and how fast.
 
+mod budget;
+mod flights;
 mod link;
+mod news;
+mod peers;
+mod plan;
 mod pool;
+mod queue;
+mod settings;
 mod transfer;
-mod tree;
 
 pub use link::Link;
+pub use plan::{Place, Plan, Reach};
 pub use pool::Pool;
-pub use transfer::{Action, FetchError, Source, Transfer, TransferSettings};
-pub use tree::Tree;
+pub use settings::{OriginShare, TransferSettings};
+pub use transfer::{Action, FetchError, Source, Transfer};
--- a/components/chunks/src/link.rs
+++ b/components/chunks/src/link.rs
@@ -6,6 +6,10 @@
 
 /// Longest burst that an idle link has saved up.
 const MAX_BURST: Duration = Duration::from_millis(50);
+/// Longest queue before senders are sent elsewhere.
+const MAX_QUEUE: Duration = Duration::from_millis(500);
+/// Transfers that may always wait.
+const MIN_QUEUED: u32 = 4;
 
 /// Reserves time on a link.
 #[derive(Debug)]
@@ -29,6 +33,12 @@
         self.free_at = Some(end);
         end.saturating_duration_since(now)
     }
+
+    /// Whether so much is reserved that another `size` bytes had better come from elsewhere.
+    pub fn is_crowded(&self, size: ByteSize, now: Instant) -> bool {
+        let bound = MAX_QUEUE.max(self.rate.time_for(size) * MIN_QUEUED);
+        self.free_at.is_some_and(|at| at.saturating_duration_since(now) > bound)
+    }
 }
 
 #[cfg(test)]
--- a/components/chunks/src/transfer.rs
+++ b/components/chunks/src/transfer.rs
@@ -1,42 +1,24 @@
 //! Decides which chunk of a list is fetched next, and from where.
 
+mod poll;
+
 use std::{
-    collections::HashMap,
+    collections::BTreeSet,
     time::{Duration, Instant},
 };
 
 use base::{Digest, VmId};
 use manifest::ChunkList;
-use settings::Strategy;
-
-use crate::Tree;
-
-/// Bounds of a transfer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct TransferSettings {
-    /// How chunks spread.
-    pub strategy: Strategy,
-    /// Fetches in progress at a time.
-    pub window: usize,
-    /// Wait for an announcement before ancestors are asked without one.
-    pub patience: Duration,
-    /// Wait, per position in a chunk's tree, before a VM reads it from the origin itself.
-    pub takeover: Duration,
-    /// Delay before a failed source is asked for the same chunk again.
-    pub backoff: Duration,
-}
 
-impl Default for TransferSettings {
-    fn default() -> TransferSettings {
-        TransferSettings {
-            strategy: Strategy::Tree,
-            window: 8,
-            patience: Duration::from_millis(1500),
-            takeover: Duration::from_secs(4),
-            backoff: Duration::from_millis(300),
-        }
-    }
-}
+use crate::{
+    Plan, Reach, TransferSettings,
+    budget::Budget,
+    flights::Flights,
+    news::News,
+    peers::{PeerSet, Peers},
+    queue::{Key, Queue},
+    settings::Strategy,
+};
 
 /// Where a chunk comes from.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -78,15 +60,15 @@
     Announce {
         /// The VM.
         to: VmId,
-        /// Positions in the list.
+        /// Positions in the list; none to ask the VM what it has.
         chunks: Vec<u32>,
     },
 }
 
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum State {
     Missing,
-    Fetching(Source),
+    Fetching,
     Held,
 }
 
@@ -94,55 +76,88 @@
 struct Chunk {
     state: State,
     /// Peers that announced it.
-    offers: Vec<VmId>,
+    holders: PeerSet,
+    /// When the first of them did.
+    seen: Option<Instant>,
     /// No fetch starts before.
     not_before: Instant,
     /// Failed fetches so far.
     failures: u32,
+    /// Its place in the queue while it is there.
+    queued: Option<Key>,
 }
 
 /// The transfer of one chunk list to this VM.
 #[derive(Debug)]
 pub struct Transfer {
     list: ChunkList,
-    tree: Tree,
+    plan: Plan,
+    neighbours: Vec<VmId>,
     settings: TransferSettings,
     chunks: Vec<Chunk>,
-    started: Instant,
-    /// Number of chunks in state `Fetching`.
-    fetching: usize,
+    queue: Queue,
+    flights: Flights,
+    peers: Peers,
+    news: News,
+    budget: Budget,
+    /// Chunks that this VM reads from outside without waiting, until it holds them.
+    duties: BTreeSet<u32>,
     /// Number of chunks in state `Held`.
     held: usize,
+    /// No chunk before it is missing.
+    lowest: usize,
+    /// When a chunk came or was announced last.
+    progress: Instant,
+    /// When a chunk was announced last.
+    heard: Instant,
+    /// Chunks that nobody announced are looked at again then.
+    search_at: Instant,
     /// The store is not asked before, as it lacked a chunk or limits reads.
     store_after: Instant,
-    /// Announcements that are not yet sent.
-    news: HashMap<VmId, Vec<u32>>,
-    /// Corrupted chunks that each source gave.
-    blamed: HashMap<Source, u32>,
 }
 
 /// The store is asked again after it lacked a chunk.
 const STORE_RECHECK: Duration = Duration::from_secs(10);
-/// A peer that gave this many corrupted chunks is asked last.
-const MAX_BLAME: u32 = 3;
+/// Reads from outside of one chunk that may fail before other VMs have to read it.
+const MAX_FAILURES: u32 = 3;
+/// Parts of the memory for chunks by which a large model advances.
+const MEMORY_PARTS: u64 = 4;
 
 impl Transfer {
-    /// Starts the transfer of `list` along `tree`.
-    pub fn new(list: ChunkList, tree: Tree, settings: TransferSettings, now: Instant) -> Transfer {
-        let chunk =
-            || Chunk { state: State::Missing, offers: Vec::new(), not_before: now, failures: 0 };
-        Transfer {
-            chunks: list.digests.iter().map(|_| chunk()).collect(),
-            list,
-            tree,
-            settings,
-            started: now,
-            fetching: 0,
+    /// Starts the transfer of `list` by `plan`.
+    pub fn new(list: ChunkList, plan: Plan, settings: TransferSettings, now: Instant) -> Transfer {
+        let chunk = || Chunk {
+            state: State::Missing,
+            holders: 0,
+            seen: None,
+            not_before: now,
+            failures: 0,
+            queued: None,
+        };
+        let copies = settings.origin.copies as usize;
+        let all = 0..list.digests.len() as u32;
+        let duties = all.clone().filter(|&c| plan.rank(c).is_some_and(|rank| rank < copies));
+        let mut transfer = Transfer {
+            duties: duties.collect(),
+            chunks: all.map(|_| chunk()).collect(),
+            neighbours: Vec::new(),
+            queue: Queue::default(),
+            flights: Flights::default(),
+            peers: Peers::default(),
+            news: News::default(),
+            budget: Budget::default(),
             held: 0,
+            lowest: 0,
+            progress: now,
+            heard: now,
+            search_at: now,
             store_after: now,
-            news: HashMap::new(),
-            blamed: HashMap::new(),
-        }
+            list,
+            plan,
+            settings,
+        };
+        transfer.greet(now);
+        transfer
     }
 
     /// Whether all chunks are held.
@@ -155,130 +170,254 @@
         (self.held, self.chunks.len())
     }
 
-    /// Replaces the trees after the set of VMs changed.
-    pub fn set_tree(&mut self, tree: Tree) {
-        if self.tree == tree {
+    /// Replaces the plan after the set of VMs changed.
+    pub fn set_plan(&mut self, plan: Plan, now: Instant) {
+        if self.plan == plan || plan.position().is_none() {
             return;
         }
-        self.tree = tree;
-        for chunk in 0..self.chunks.len() as u32 {
-            if self.chunks[chunk as usize].state == State::Held {
-                self.announce(chunk);
+        self.plan = plan;
+        let moves = self.peers.retain(&self.plan);
+        for chunk in &mut self.chunks {
+            chunk.holders = moves.apply(chunk.holders);
+        }
+        for index in 0..self.chunks.len() as u32 {
+            self.requeue(index, now);
+        }
+        self.progress = now;
+        self.heard = now;
+        self.greet(now);
+    }
+
+    /// Takes the neighbours and the budget from the plan, and exchanges with new neighbours what
+    /// either has.
+    fn greet(&mut self, now: Instant) {
+        self.budget.set(&self.plan, self.chunks.len(), self.settings.origin);
+        let neighbours = self.plan.neighbours();
+        if self.settings.strategy != Strategy::Origin {
+            let held = self.all_held();
+            for vm in neighbours.iter().filter(|vm| !self.neighbours.contains(vm)) {
+                self.news.set(vm, held.clone(), now);
             }
         }
+        self.neighbours = neighbours;
     }
 
-    /// A peer announced chunks.
-    pub fn offered(&mut self, from: &VmId, chunks: &[u32]) {
+    fn all_held(&self) -> Vec<u32> {
+        let held = |i: &u32| self.chunks[*i as usize].state == State::Held;
+        (0..self.chunks.len() as u32).filter(held).collect()
+    }
+
+    /// A peer announced chunks; none if it asks what this VM has.
+    pub fn offered(&mut self, from: &VmId, chunks: &[u32], now: Instant) {
+        if self.plan.reach(from).is_none() {
+            return;
+        }
+        if chunks.is_empty() && self.held > 0 {
+            self.news.set(from, self.all_held(), now);
+        }
+        let Some(slot) = self.peers.slot(from, &self.plan, now) else { return };
         for &index in chunks {
             let Some(chunk) = self.chunks.get_mut(index as usize) else { continue };
-            if chunk.state != State::Held && !chunk.offers.contains(from) {
-                chunk.offers.push(from.clone());
+            if chunk.holders & (1 << slot) != 0 {
+                continue;
+            }
+            chunk.holders |= 1 << slot;
+            if chunk.state != State::Held {
+                chunk.seen.get_or_insert(now);
+                self.progress = now;
+                self.heard = now;
+                self.requeue(index, now);
             }
         }
     }
 
-    /// A chunk is held already, for instance from another version.
-    pub fn held(&mut self, index: u32) {
-        let chunk = &mut self.chunks[index as usize];
-        if chunk.state == State::Held {
+    /// A chunk is held now: it was fetched, or was in memory already.
+    pub fn held(&mut self, index: u32, now: Instant) {
+        if self.chunks[index as usize].state == State::Held {
             return;
         }
-        if matches!(chunk.state, State::Fetching(_)) {
-            self.fetching -= 1;
+        if let Some(flight) = self.flights.remove(index) {
+            self.flights.learn(&flight, now);
+            if let Source::Peer(vm) = &flight.source {
+                self.peers.succeeded(vm);
+            }
         }
-        chunk.state = State::Held;
-        chunk.offers = Vec::new();
+        self.chunks[index as usize].state = State::Held;
+        self.unqueue(index);
+        self.duties.remove(&index);
         self.held += 1;
-        self.announce(index);
+        self.progress = now;
+        while self.chunks.get(self.lowest).is_some_and(|c| c.state == State::Held) {
+            self.lowest += 1;
+        }
+        self.announce(index, now);
     }
 
     /// A fetch failed.
     pub fn failed(&mut self, index: u32, source: &Source, error: FetchError, now: Instant) {
-        let chunk = &mut self.chunks[index as usize];
-        if chunk.state != State::Fetching(source.clone()) {
+        match source {
+            Source::Peer(vm) => self.peer_failed(index, vm, error, now),
+            Source::Store => self.store_failed(error, now),
+            Source::Origin if error != FetchError::Corrupted => self.budget.give_back(),
+            Source::Origin => {}
+        }
+        if !self.flights.contains(index, source) {
+            self.requeue(index, now);
             return;
         }
+        self.flights.remove(index);
+        let at_once = error == FetchError::Corrupted
+            || (*source == Source::Store && error != FetchError::Failed);
+        let chunk = &mut self.chunks[index as usize];
         chunk.state = State::Missing;
         chunk.failures += 1;
-        self.fetching -= 1;
-        if let Source::Peer(vm) = source {
-            chunk.offers.retain(|offer| offer != vm);
+        if !at_once && !matches!(source, Source::Peer(_)) {
+            let wait = match error {
+                FetchError::Limited(wait) => wait,
+                _ => self.settings.backoff,
+            };
+            chunk.not_before = now + wait;
         }
-        chunk.not_before = now + self.settings.backoff;
-        match error {
-            FetchError::Missing if *source == Source::Store => {
-                self.store_after = now + STORE_RECHECK;
-                chunk.not_before = now;
-            }
-            FetchError::Missing => {}
-            FetchError::Limited(wait) if *source == Source::Store => self.store_after = now + wait,
-            FetchError::Limited(wait) => chunk.not_before = now + wait,
-            FetchError::Corrupted => {
-                *self.blamed.entry(source.clone()).or_default() += 1;
-                chunk.not_before = now;
-            }
-            FetchError::Failed => {}
+        if chunk.holders != 0 || chunk.failures >= MAX_FAILURES {
+            self.duties.remove(&index);
         }
+        self.requeue(index, now);
     }
 
-    /// Decides what to do now.
-    pub fn poll(&mut self, now: Instant) -> Vec<Action> {
-        let mut actions: Vec<Action> =
-            self.news.drain().map(|(to, chunks)| Action::Announce { to, chunks }).collect();
-        for index in self.candidates() {
-            if self.fetching >= self.settings.window {
-                break;
+    fn peer_failed(&mut self, index: u32, vm: &VmId, error: FetchError, now: Instant) {
+        let lost = match error {
+            FetchError::Missing => {
+                self.peers.succeeded(vm);
+                true
+            }
+            FetchError::Limited(wait) => {
+                self.peers.succeeded(vm);
+                self.peers.limited(vm, wait, now);
+                false
+            }
+            FetchError::Corrupted => {
+                self.peers.corrupted(vm);
+                true
+            }
+            FetchError::Failed => {
+                self.peers.failed(vm, self.settings.backoff, now);
+                true
             }
-            let Some(source) = self.source(index, now) else { continue };
-            self.chunks[index as usize].state = State::Fetching(source.clone());
-            self.fetching += 1;
-            let digest = self.list.digests[index as usize];
-            actions.push(Action::Fetch { chunk: index, digest, source });
+        };
+        if let Some(slot) = self.peers.find(vm).filter(|_| lost) {
+            self.chunks[index as usize].holders &= !(1 << slot);
         }
-        actions
     }
 
-    /// Missing chunks, those first that this VM passes on to the most others.
-    fn candidates(&self) -> Vec<u32> {
-        let missing = |i: &u32| self.chunks[*i as usize].state == State::Missing;
-        let mut all: Vec<u32> = (0..self.chunks.len() as u32).filter(missing).collect();
-        all.sort_by_key(|&i| self.tree.depth_order(i));
-        all
+    fn store_failed(&mut self, error: FetchError, now: Instant) {
+        let wait = match error {
+            FetchError::Missing | FetchError::Corrupted => STORE_RECHECK,
+            FetchError::Limited(wait) => wait,
+            FetchError::Failed => self.settings.backoff,
+        };
+        self.store_after = self.store_after.max(now + wait);
     }
 
-    fn source(&self, index: u32, now: Instant) -> Option<Source> {
+    /// Puts a chunk at its place in the queue, if a peer has it that may be asked.
+    fn requeue(&mut self, index: u32, now: Instant) {
+        self.unqueue(index);
         let chunk = &self.chunks[index as usize];
-        if now < chunk.not_before {
-            return None;
+        if chunk.state != State::Missing || chunk.holders == 0 || self.is_read_anyway(index) {
+            return;
         }
-        if self.settings.strategy == Strategy::Origin {
-            return Some(Source::Origin);
+        let until = match self.near_enough(index, now) {
+            Ok(_) => chunk.not_before,
+            Err(until) => until.max(chunk.not_before),
+        };
+        if now < until {
+            self.queue.wait(until, index);
+            return;
         }
-        let trusted = |vm: &&VmId| self.blame(vm) < MAX_BLAME;
-        if let Some(vm) = chunk.offers.iter().find(trusted) {
-            return Some(Source::Peer(vm.clone()));
+        let key = Key {
+            part: self.part(index),
+            copies: match self.settings.strategy {
+                Strategy::Rarest => chunk.holders.count_ones(),
+                Strategy::Tree | Strategy::Origin => 0,
+            },
+            salt: self.salt(index),
+            chunk: index,
+        };
+        self.chunks[index as usize].queued = Some(key);
+        self.queue.insert(key);
+    }
+
+    fn unqueue(&mut self, index: u32) {
+        if let Some(key) = self.chunks[index as usize].queued.take() {
+            self.queue.remove(key);
         }
-        let waited = now.saturating_duration_since(self.started);
-        let position = self.tree.depth_order(index)?;
-        if waited >= self.settings.takeover * position as u32 {
-            return Some(if now >= self.store_after { Source::Store } else { Source::Origin });
+    }
+
+    /// Whether this VM reads a chunk from outside even if peers have it, to save time.
+    fn is_read_anyway(&self, index: u32) -> bool {
+        self.settings.origin.copies > 1 && self.duties.contains(&index)
+    }
+
+    /// The holders of a chunk that are near enough by now, or when more of them will be.
+    fn near_enough(&self, index: u32, now: Instant) -> Result<PeerSet, Instant> {
+        let chunk = &self.chunks[index as usize];
+        let seen = chunk.seen.unwrap_or(now);
+        let patience = self.settings.patience;
+        let duty = self.plan.duty(index);
+        let able = chunk.holders & !self.peers.failing(now);
+        for (reach, from) in [
+            (Reach::Zone, seen),
+            (Reach::Region, seen + patience),
+            (Reach::Across, seen + 2 * patience),
+        ] {
+            let near = able & self.peers.within(reach);
+            if near != 0 && (now >= from || duty >= reach) {
+                return Ok(near);
+            }
+            if near != 0 {
+                return Err(from);
+            }
         }
-        if waited < self.settings.patience {
-            return None;
+        Err(now + self.settings.backoff)
+    }
+
+    /// The part of the list that a chunk belongs to, where memory is short.
+    fn part(&self, index: u32) -> u32 {
+        let chunk_size = self.list.chunk_size.0.max(1);
+        if self.list.digests.len() as u64 * chunk_size <= self.settings.memory.0 {
+            return 0;
         }
-        let ancestors = self.tree.ancestors(index);
-        let asked = chunk.failures as usize % ancestors.len().max(1);
-        ancestors.get(asked).map(|vm| Source::Peer((*vm).clone()))
+        let each = (self.settings.memory.0 / chunk_size / MEMORY_PARTS).max(1);
+        (u64::from(index) / each) as u32
     }
 
-    fn blame(&self, vm: &VmId) -> u32 {
-        self.blamed.get(&Source::Peer(vm.clone())).copied().unwrap_or(0)
+    /// Whether a chunk is not too far ahead of the others for the memory.
+    fn in_reach(&self, index: u32) -> bool {
+        self.part(index) <= self.part(self.lowest as u32) + 1
     }
 
-    fn announce(&mut self, index: u32) {
-        for vm in self.tree.children(index) {
-            self.news.entry(vm.clone()).or_default().push(index);
+    fn salt(&self, index: u32) -> u32 {
+        let me = self.plan.position().unwrap_or(0) as u32;
+        (index.wrapping_add(me.wrapping_mul(0x9e37_79b9))).wrapping_mul(0x85eb_ca6b).rotate_left(13)
+    }
+
+    fn announce(&mut self, index: u32, now: Instant) {
+        if self.settings.strategy == Strategy::Origin {
+            return;
+        }
+        let holders = self.chunks[index as usize].holders;
+        let peers = &self.peers;
+        let lacks = |vm: &VmId| peers.find(vm).is_none_or(|slot| holders & (1 << slot) == 0);
+        for vm in self.plan.children(index) {
+            if lacks(vm) {
+                self.news.add(vm, index, self.settings.announce, now);
+            }
+        }
+        if self.settings.strategy == Strategy::Rarest {
+            for vm in &self.neighbours {
+                if lacks(vm) {
+                    self.news.add(vm, index, self.settings.gossip, now);
+                }
+            }
         }
     }
 }
--- /dev/null
+++ b/components/chunks/src/transfer/tests/single.rs
@@ -0,0 +1,111 @@
+//! Decisions of a single transfer.
+
+use super::{super::*, fixture::*};
+
+const MEMBERS: [usize; 4] = [0, 1, 2, 3];
+
+fn transfer(me: usize, now: Instant) -> Transfer {
+    Transfer::new(list(), plan(me, &MEMBERS), TransferSettings::default(), now)
+}
+
+fn fetches(actions: &[Action]) -> Vec<(u32, Source)> {
+    let fetch = |action: &Action| match action {
+        Action::Fetch { chunk, source, .. } => Some((*chunk, source.clone())),
+        Action::Announce { .. } => None,
+    };
+    actions.iter().filter_map(fetch).collect()
+}
+
+/// A chunk that `me` does not own, and a peer of the same zone.
+fn foreign(me: usize) -> (u32, VmId) {
+    let plan = plan(me, &MEMBERS);
+    let chunk = (0..CHUNKS).find(|&c| plan.rank(c) != Some(0)).unwrap();
+    (chunk, vm((me + 2) % 4))
+}
+
+#[test]
+fn the_store_is_asked_before_the_origin_and_its_delay_is_kept() {
+    let now = Instant::now();
+    let mut transfer = transfer(0, now);
+    let asked = fetches(&transfer.poll(now));
+    assert!(asked.iter().all(|(_, source)| *source == Source::Store));
+    let (chunk, _) = asked[0].clone();
+    let wait = Duration::from_secs(7);
+    transfer.failed(chunk, &Source::Store, FetchError::Limited(wait), now);
+    let again = fetches(&transfer.poll(now));
+    assert!(again.contains(&(chunk, Source::Origin)), "{again:?}");
+    transfer.held(chunk, now);
+    let early = fetches(&transfer.poll(now + wait - Duration::from_millis(1)));
+    assert!(early.iter().all(|(_, source)| *source != Source::Store));
+    let (next, _) = early[0];
+    transfer.held(next, now + wait);
+    let late = fetches(&transfer.poll(now + wait));
+    assert!(late.iter().any(|(_, source)| *source == Source::Store));
+}
+
+#[test]
+fn a_corrupted_chunk_is_fetched_elsewhere_and_its_source_remembered() {
+    let now = Instant::now();
+    let mut transfer = transfer(0, now);
+    let (chunk, near) = foreign(0);
+    transfer.offered(&near, &[chunk], now);
+    assert!(fetches(&transfer.poll(now)).contains(&(chunk, Source::Peer(near.clone()))));
+    transfer.failed(chunk, &Source::Peer(near.clone()), FetchError::Corrupted, now);
+    transfer.offered(&vm(1), &[chunk], now);
+    let later = now + transfer.settings.patience * 2;
+    assert!(fetches(&transfer.poll(later)).contains(&(chunk, Source::Peer(vm(1)))));
+}
+
+#[test]
+fn duplicate_late_and_foreign_announcements_do_no_harm() {
+    let now = Instant::now();
+    let mut transfer = transfer(0, now);
+    let (chunk, near) = foreign(0);
+    transfer.offered(&near, &[chunk, chunk, 9999], now);
+    transfer.offered(&near, &[chunk], now);
+    transfer.offered(&vm(99), &[chunk], now);
+    let asked = fetches(&transfer.poll(now));
+    assert_eq!(asked.iter().filter(|(c, _)| *c == chunk).count(), 1);
+    transfer.held(chunk, now);
+    transfer.held(chunk, now);
+    transfer.offered(&near, &[chunk], now);
+    transfer.failed(chunk, &Source::Peer(near), FetchError::Failed, now);
+    assert_eq!(transfer.progress().0, 1);
+}
+
+#[test]
+fn a_chunk_waits_for_a_near_source_before_a_far_one() {
+    let now = Instant::now();
+    let plan = plan(0, &MEMBERS);
+    let chunk = (0..CHUNKS).find(|&c| plan.duty(c) == Reach::Zone).unwrap();
+    let mut transfer = transfer(0, now);
+    transfer.offered(&vm(1), &[chunk], now);
+    assert!(!fetches(&transfer.poll(now)).iter().any(|(c, _)| *c == chunk));
+    transfer.offered(&vm(2), &[chunk], now);
+    assert!(fetches(&transfer.poll(now)).contains(&(chunk, Source::Peer(vm(2)))));
+}
+
+#[test]
+fn a_vm_that_asks_is_told_what_is_held() {
+    let now = Instant::now();
+    let mut transfer = transfer(0, now);
+    transfer.poll(now);
+    transfer.held(3, now);
+    transfer.held(5, now);
+    transfer.offered(&vm(2), &[], now);
+    let told = Action::Announce { to: vm(2), chunks: vec![3, 5] };
+    assert!(transfer.poll(now).contains(&told));
+}
+
+#[test]
+fn a_poll_without_news_does_not_grow_with_the_list() {
+    let now = Instant::now();
+    let list = ChunkList::of(&vec![7; 10_000], base::ByteSize(1));
+    let mut transfer = Transfer::new(list, plan(0, &MEMBERS), TransferSettings::default(), now);
+    let all: Vec<u32> = (0..10_000).collect();
+    transfer.offered(&vm(2), &all, now);
+    let first = fetches(&transfer.poll(now)).len();
+    assert!(first <= transfer.settings.window + transfer.settings.outside);
+    assert!(transfer.queue.first(usize::MAX).len() > 9_000);
+    assert!(fetches(&transfer.poll(now)).is_empty());
+}
--- a/components/settings/src/model.rs
+++ b/components/settings/src/model.rs
@@ -115,7 +115,7 @@
             link: ByteRate(200_000_000),
             memory: ByteSize(128 << 20),
             slots: 64,
-            strategy: Strategy::Tree,
+            strategy: Strategy::Rarest,
         }
     }
 }
--- a/examples/bench/control.rs
+++ b/examples/bench/control.rs
@@ -2,8 +2,8 @@
 
 use std::{path::PathBuf, time::Instant};
 
-use base::{Digest, VmId};
-use chunks::Tree;
+use base::Digest;
+use chunks::{Place, Plan};
 use lexopt::Arg;
 
 use crate::report::Report;
@@ -22,8 +22,8 @@
     }
     let mut report = Report::default();
     for size in SIZES {
-        let micros = tree_micros(size);
-        report.line("tree", &[("vms", size.into()), ("micros", micros.into())]);
+        let micros = plan_micros(size);
+        report.line("plan", &[("vms", size.into()), ("micros", micros.into())]);
     }
     if let Some(file) = json {
         report.write_json(&file)?;
@@ -31,16 +31,20 @@
     Ok(true)
 }
 
-/// Time to compute the trees of one chunk list over `size` VMs.
-fn tree_micros(size: usize) -> f64 {
+/// Time to compute the plan of one chunk list over `size` VMs.
+fn plan_micros(size: usize) -> f64 {
     const ROUNDS: u32 = 50;
-    let members: Vec<VmId> =
-        (0..size).map(|i| format!("vm-{i}").parse().expect("a well-formed id")).collect();
+    let place = |i: usize| Place {
+        vm: format!("vm-{i}").parse().expect("a well-formed id"),
+        zone: format!("zone-{}", i % 19).parse().expect("a well-formed id"),
+        region: format!("region-{}", i % 19 % 8).parse().expect("a well-formed id"),
+    };
+    let places: Vec<Place> = (0..size).map(place).collect();
     let list = Digest::of(b"list");
     let start = Instant::now();
     for _ in 0..ROUNDS {
-        let tree = Tree::new(&list, &members, &members[0]);
-        assert!(tree.depth_order(0).is_some());
+        let plan = Plan::new(&list, &places, &places[0].vm);
+        assert!(plan.rank(0).is_some());
     }
     start.elapsed().as_secs_f64() * 1e6 / f64::from(ROUNDS)
 }
