--- a/components/agent/src/core.rs
+++ b/components/agent/src/core.rs
@@ -1,25 +1,26 @@
 //! The agent's actor: turns events into decisions of the cores and carries their actions out.
 
 use std::{
-    collections::HashMap,
+    collections::VecDeque,
     sync::{Arc, Mutex},
     time::{Duration, Instant},
 };
 
-use attempts::{Attempts, AttemptsSettings};
+use attempts::{Attempts, AttemptsSettings, Homes};
 use audit::Change;
-use base::{ByteSize, Digest, Fence};
+use base::{AttemptId, ByteSize, Digest, Fence, ReleaseId};
 use bytes::Bytes;
 use chunks::{Link, Place, Pool};
 use net::{Mailbox, Workers};
-use node::{Node, NodeEvent};
+use node::{Changes, Node, NodeEvent, wall_clock_ms};
 use placement::Placement;
-use proto::MemberState;
+use proto::Fate;
 use rollout::Endpoint;
 use settings::{AgentSettings, EndpointKind};
 use stakker::{CX, after, stop};
 
 use crate::{
+    answers::{Answers, SharedCrashes, homes},
     engine::{Engine, EngineReport},
     event::Event,
     loading::Loading,
@@ -29,6 +30,10 @@
 const TICK: Duration = Duration::from_millis(20);
 /// Time between gossip calls.
 const GOSSIP_EVERY: Duration = Duration::from_millis(200);
+/// Least number of attempts that an agent beside an engine accepts beyond its slots.
+const MIN_SPARE: usize = 2;
+/// Chunk lists that are kept.
+const KEPT_LISTS: usize = 4;
 /// Pause before something that failed is tried again.
 const RETRY: Duration = Duration::from_millis(300);
 
@@ -37,8 +42,9 @@
 pub(crate) struct Shared {
     pub(crate) pool: Arc<Mutex<Pool>>,
     pub(crate) link: Arc<Mutex<Link>>,
-    /// Chunk lists of the releases that are loaded or served, by digest.
-    pub(crate) lists: Arc<Mutex<HashMap<Digest, Bytes>>>,
+    /// Chunk lists that were read last, newest last; at most `KEPT_LISTS`. Peers get them from here,
+    /// and an engine can be loaded again with them while the configuration service is down.
+    pub(crate) lists: Arc<Mutex<VecDeque<(Digest, Bytes)>>>,
     pub(crate) engine: Engine,
     pub(crate) workers: Workers,
     /// Reads chunks from peers.
@@ -46,6 +52,8 @@
     /// Reads from the platform, which may queue reads for longer than peers do.
     pub(crate) platform_client: ureq::Agent,
     pub(crate) mailbox: Mailbox<Event>,
+    pub(crate) kind: EndpointKind,
+    pub(crate) crashes: SharedCrashes,
 }
 
 impl Shared {
@@ -63,7 +71,24 @@
     /// A chunk, or a chunk list as it was published.
     pub(crate) fn held(&self, digest: &Digest) -> Option<Bytes> {
         let chunk = self.pool.lock().expect("no holder panics").get(digest);
-        chunk.or_else(|| self.lists.lock().expect("no holder panics").get(digest).cloned())
+        chunk.or_else(|| self.list(digest))
+    }
+
+    /// A chunk list as it was published.
+    pub(crate) fn list(&self, digest: &Digest) -> Option<Bytes> {
+        let lists = self.lists.lock().expect("no holder panics");
+        lists.iter().find(|(kept, _)| kept == digest).map(|(_, text)| text.clone())
+    }
+
+    pub(crate) fn keep_list(&self, digest: Digest, text: Bytes) {
+        let mut lists = self.lists.lock().expect("no holder panics");
+        if lists.iter().any(|(kept, _)| *kept == digest) {
+            return;
+        }
+        if lists.len() == KEPT_LISTS {
+            lists.pop_front();
+        }
+        lists.push_back((digest, text));
     }
 }
 
@@ -74,6 +99,8 @@
     pub(crate) shared: Shared,
     pub(crate) endpoint: Endpoint,
     pub(crate) attempts: Attempts,
+    pub(crate) answers: Answers,
+    pub(crate) homes: Homes,
     pub(crate) placement: Placement,
     pub(crate) loading: Option<Loading>,
     /// The load that ended last, whose chunks peers still fetch.
@@ -88,6 +115,12 @@
     pub(crate) draining: Option<Instant>,
     pub(crate) gossip_at: Instant,
     pub(crate) target_since: Instant,
+    /// When targets and turns are looked at next.
+    pub(crate) aim_at: Instant,
+    /// The release that was seen halted last.
+    pub(crate) halted: Option<ReleaseId>,
+    /// When the process ran last, by the wall clock and by the clock of the runtime.
+    pub(crate) ran_at: (u64, Instant),
     pub(crate) origin_bytes: u64,
 }
 
@@ -99,11 +132,14 @@
         shared: Shared,
     ) -> Option<Self> {
         let now = cx.now();
-        let slots = AttemptsSettings { slots: settings.slots, ..AttemptsSettings::default() };
+        let slots = settings.slots + spare_slots(&settings);
+        let slots = AttemptsSettings { slots, ..AttemptsSettings::default() };
         after!(TICK, [cx], tick());
         Some(Core {
             endpoint: Endpoint::new(Fence(node.identity.incarnation.0), now),
-            attempts: Attempts::new(node.identity.incarnation, slots),
+            attempts: Attempts::new(node.identity.incarnation, slots, now),
+            answers: Answers::default(),
+            homes: homes(node.identity.settings.vm.clone(), settings.handover.0, now),
             node,
             settings,
             shared,
@@ -117,6 +153,9 @@
             draining: None,
             gossip_at: now,
             target_since: now,
+            aim_at: now,
+            halted: None,
+            ran_at: (wall_clock_ms(), now),
             origin_bytes: 0,
         })
     }
@@ -126,7 +165,7 @@
         match event {
             Event::Peer(call) => self.answer(call, now),
             Event::Node(event) => self.node_event(event, now),
-            Event::Engine(report) => self.engine_report(report, now),
+            Event::Engine { report, asked } => self.engine_report(report, asked, now),
             Event::Ordered { order, accepted } => self.ordered(order, accepted, now),
             Event::List { digest, attempt, list } => self.list(cx, digest, attempt, list),
             Event::Fetched { list, chunk, source, result } => {
@@ -136,37 +175,48 @@
                 self.staged(cx, release, digest, chunk, ok);
             }
             Event::Offer { offer, reply } => {
-                let accepting = self.accepting();
-                let serving = self.endpoint.serving();
-                let decision = self.attempts.offer(&offer, accepting, serving, now);
-                if reply.send(decision).is_err() {
-                    self.attempts.finish(offer.attempt, proto::Fate::NotRun, now);
+                let attempt = offer.attempt;
+                let opened = self.offered(offer, now);
+                // A switch must not begin before the endpoint knows of the request.
+                self.decide(rollout::Event::InFlight(self.attempts.running()), now);
+                if reply.send(opened).is_err() {
+                    self.finished(attempt, Fate::NotRun, now);
                 }
             }
-            Event::Finished { attempt, fate } => {
-                self.attempts.finish(attempt, fate, now);
-                let in_flight = self.attempts.running();
-                self.decide(rollout::Event::InFlight(in_flight), now);
+            Event::Resume { attempt, reply } => {
+                // The entry may be gone.
+                let _ = reply.send(self.resumed(&attempt, now));
             }
+            Event::Finished { attempt, fate } => self.finished(attempt, fate, now),
             Event::Pause(pause) => std::thread::sleep(pause),
             Event::Drain => self.drain(now),
         }
         self.stop_if_drained(cx);
     }
 
+    fn finished(&mut self, attempt: AttemptId, fate: Fate, now: Instant) {
+        self.attempts.finish(attempt, fate, now);
+        self.answers.ended(attempt, now);
+        let in_flight = self.attempts.running();
+        self.decide(rollout::Event::InFlight(in_flight), now);
+    }
+
     pub(crate) fn tick(&mut self, cx: CX![]) {
         let now = cx.now();
-        self.attempts.tick(now);
         if now >= self.gossip_at {
             self.gossip_at = now + GOSSIP_EVERY;
-            self.node.tick(now);
+            self.attempts.tick(now);
+            self.answers.tick(now);
+            self.homes.tick(now);
+            let changes = self.node.tick(now);
+            self.changed(changes, now);
             self.update_plans(now);
         }
         if self.settings.kind == EndpointKind::Plain {
             self.tick_plain(now);
         } else {
-            let turn = self.turn();
-            self.decide(rollout::Event::Turn(turn), now);
+            self.notice_pause(now);
+            self.aim_again(now);
             self.decide(rollout::Event::InFlight(self.attempts.running()), now);
             self.decide(rollout::Event::Tick, now);
         }
@@ -178,7 +228,7 @@
     pub(crate) fn tick_plain(&mut self, now: Instant) {
         if now >= self.reported + RETRY {
             self.reported = now;
-            self.read_engine();
+            self.read_engine(now);
         }
     }
 
@@ -186,7 +236,7 @@
         if self.draining.is_none() {
             self.draining = Some(now + self.node.identity.settings.drain.0);
             self.node.trail.record(Change::Draining, "planned stop");
-            self.node.state(MemberState::Leaving, self.endpoint.serving().cloned());
+            self.state();
         }
     }
 
@@ -207,8 +257,33 @@
 
     pub(crate) fn node_event(&mut self, event: NodeEvent, now: Instant) {
         let changes = self.node.handle(event, now);
-        if changes.any() {
+        self.changed(changes, now);
+    }
+
+    fn changed(&mut self, changes: Changes, now: Instant) {
+        if changes.manifest || changes.vms {
             self.retarget(now);
         }
+        if changes.vms {
+            self.update_homes(now);
+        }
+        if let Some((revision, at)) = self.node.vms_confirmed() {
+            self.homes.confirm(revision, at);
+        }
+        if changes.joined {
+            self.decide(rollout::Event::Fresh, now);
+        }
+        if self.node.members.has_rival() {
+            self.decide(rollout::Event::Rival, now);
+        }
+    }
+}
+
+/// Attempts that are accepted beyond the stated slots, since entries may choose an endpoint at the
+/// same moment. An engine keeps them waiting; a plain service need not, so it gets none.
+fn spare_slots(settings: &AgentSettings) -> usize {
+    match settings.kind {
+        EndpointKind::Model => (settings.slots / 2).max(MIN_SPARE),
+        EndpointKind::Plain => 0,
     }
 }
--- a/components/agent/src/data.rs
+++ b/components/agent/src/data.rs
@@ -1,9 +1,8 @@
 //! The data address: chunks for peers and attempts from entries.
 
 use base::{ByteSize, Digest};
-use net::{authorized, refuse};
+use net::{Method, Request, Response, authorized, refuse};
 use settings::PeerKey;
-use tiny_http::{Header, Method, Request, Response};
 
 use crate::{attempt, core::Shared};
 
@@ -15,8 +14,14 @@
     }
     let url = request.url().to_owned();
     match (request.method(), url.strip_prefix("/v1/blobs/")) {
-        (Method::Get, Some(digest)) => blob(shared, digest, request),
-        (Method::Post, None) if url == "/v1/attempts" => attempt::handle(shared, request),
+        (&Method::GET, Some(digest)) => blob(shared, digest, request),
+        (&Method::GET, None) if url == "/healthz" => text(request, "ok\n"),
+        (&Method::GET, None) if url == "/metrics" => text(request, &telemetry::install().render()),
+        (&Method::POST, None) if url == "/v1/attempts" => attempt::offered(shared, request),
+        (&Method::GET, None) => match url.strip_prefix("/v1/attempts/") {
+            Some(id) => attempt::resumed(shared, request, id),
+            None => refuse(request, 404, "no such path; update the peer", "not-run"),
+        },
         _ => refuse(request, 404, "no such path; update the peer", "not-run"),
     }
 }
@@ -25,12 +30,13 @@
 const RETRY_AFTER: &str = "0.2";
 
 fn respond_busy(request: Request) {
-    let mut response = Response::from_string("the link is crowded; ask another");
-    if let Ok(header) = Header::from_bytes("retry-after", RETRY_AFTER) {
-        response.add_header(header);
-    }
-    // The peer may be gone.
-    let _ = request.respond(response.with_status_code(503));
+    let response = Response::from_string("the link is crowded; ask another");
+    let response = response.with_status_code(503);
+    request.respond(response.with_header("retry-after", RETRY_AFTER));
+}
+
+fn text(request: Request, text: &str) {
+    request.respond(Response::from_string(text));
 }
 
 fn blob(shared: &Shared, digest: &str, request: Request) {
@@ -44,9 +50,5 @@
         return;
     }
     shared.pace(ByteSize(chunk.len() as u64));
-    let length = chunk.len();
-    let body = std::io::Cursor::new(chunk);
-    let response = Response::new(200.into(), Vec::new(), body, Some(length), None);
-    // The peer may be gone.
-    let _ = request.respond(response);
+    request.respond(Response::from_data(chunk));
 }
--- a/components/agent/src/event.rs
+++ b/components/agent/src/event.rs
@@ -1,6 +1,9 @@
 //! Events of the agent's actor.
 
-use std::time::Duration;
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use attempts::Offer;
 use base::{AttemptId, Digest, ReleaseId};
@@ -10,10 +13,10 @@
 use manifest::ChunkList;
 use net::PeerCall;
 use node::NodeEvent;
-use proto::{Fate, RefusalReason};
+use proto::{AttemptRef, Fate, RefusalReason};
 use rollout::Order;
 
-use crate::engine::EngineReport;
+use crate::{answer::Answer, engine::EngineReport};
 
 /// Something that happened to the agent.
 pub(crate) enum Event {
@@ -22,7 +25,12 @@
     /// An event of the common part.
     Node(NodeEvent),
     /// The endpoint stated its state, or could not be asked.
-    Engine(Option<EngineReport>),
+    Engine {
+        /// Its statement.
+        report: Option<EngineReport>,
+        /// When it was asked.
+        asked: Instant,
+    },
     /// The answer to an order.
     Ordered { order: Order, accepted: bool },
     /// A chunk list was read, or could not be.
@@ -32,7 +40,9 @@
     /// The engine took a chunk, or did not.
     Staged { release: ReleaseId, digest: Digest, chunk: Bytes, ok: bool },
     /// An entry offers an attempt.
-    Offer { offer: Offer, reply: Sender<Result<(), RefusalReason>> },
+    Offer { offer: Offer, reply: Sender<Opened> },
+    /// An entry asks for the rest of an answer.
+    Resume { attempt: AttemptRef, reply: Sender<Opened> },
     /// An attempt that was started has ended.
     Finished { attempt: AttemptId, fate: Fate },
     /// The core stands still, as on a VM that is paused.
@@ -40,3 +50,14 @@
     /// A planned stop begins.
     Drain,
 }
+
+/// The answer that an entry may read, or why there is none.
+pub(crate) type Opened = Result<Arc<Answer>, Refused>;
+
+/// Why an entry gets no answer.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct Refused {
+    pub(crate) reason: RefusalReason,
+    /// Whether the attempt ran.
+    pub(crate) fate: Fate,
+}
--- a/components/agent/src/report.rs
+++ b/components/agent/src/report.rs
@@ -13,6 +13,7 @@
     pub(crate) fn answer(&mut self, call: PeerCall, now: Instant) {
         match call {
             PeerCall::Gossip(gossip, reply) => answer_call(reply, self.node.gossip(gossip, now)),
+            PeerCall::Probe(vm, reply) => self.node.probe(&vm, reply),
             PeerCall::Document(request, reply) => answer_call(reply, self.node.document(&request)),
             PeerCall::Announce(announcement) => {
                 for loading in [&mut self.loading, &mut self.seeding].into_iter().flatten() {
@@ -22,17 +23,21 @@
                 }
                 self.poll_transfers(now);
             }
-            PeerCall::Endpoint(reply) => answer_call(reply, self.endpoint_state()),
+            PeerCall::Endpoint(reply) => answer_call(reply, self.endpoint_state(now)),
             PeerCall::Cancel(attempt, reply) => {
-                answer_call(reply, self.attempts.cancel(&attempt, now));
+                answer_call(reply, self.cancelled(&attempt, now));
             }
-            PeerCall::Fate(attempt, reply) => answer_call(reply, self.attempts.fate(&attempt)),
+            PeerCall::Fate(attempt, reply) => {
+                answer_call(reply, self.attempts.fate(&attempt, now));
+            }
+            // Only entries serve these; a dropped reply says so.
+            PeerCall::Crashes(..) | PeerCall::Usage(_) => {}
             PeerCall::Status(reply) => answer_call(reply, self.status(now)),
             PeerCall::Audit(from, reply) => answer_call(reply, self.node.trail.page(from)),
         }
     }
 
-    pub(crate) fn endpoint_state(&self) -> EndpointState {
+    pub(crate) fn endpoint_state(&self, now: Instant) -> EndpointState {
         let settings = &self.node.identity.settings;
         EndpointState {
             vm: settings.vm.clone(),
@@ -40,6 +45,7 @@
             serving: self.serving(),
             accepting: self.accepting(),
             load: Load { busy: self.attempts.running() as u32, slots: self.settings.slots as u32 },
+            clock: self.attempts.clock(now).as_millis() as u64,
         }
     }
 
@@ -103,5 +109,6 @@
         Phase::Settled => "ready",
         Phase::Loading | Phase::Waiting => "loading",
         Phase::Draining | Phase::Switching => "switching",
+        Phase::Superseded => "superseded",
     }
 }
--- a/components/agent/src/weights.rs
+++ b/components/agent/src/weights.rs
@@ -1,7 +1,6 @@
 //! The agent's part in the spread of weights: chunk lists, fetches and hand-over to the engine.
 
 use std::{
-    collections::HashSet,
     net::SocketAddr,
     time::{Duration, Instant},
 };
@@ -9,6 +8,7 @@
 use base::{ByteSize, Digest, ReleaseId, VmId};
 use bytes::Bytes;
 use chunks::{Action as ChunkAction, FetchError, OriginShare, Plan, Source, TransferSettings};
+use manifest::ChunkList;
 use proto::{Announcement, PeerClient};
 use rollout::Order;
 use stakker::{CX, after};
@@ -34,33 +34,23 @@
     /// Reads the chunk lists of a release, which the order to prepare names.
     pub(crate) fn prepare(&mut self, order: Order) {
         let manifest = self.node.documents.manifest();
-        let target = self.endpoint.target();
-        let rollout = target.and_then(|t| manifest.rollout(&t.rollout));
-        let Some(release) = rollout.and_then(|r| manifest.release(r)) else { return };
-        if release.id != order.release {
-            return;
-        }
+        let Some(release) = manifest.release_named(&order.release) else { return };
         let loading = Loading::new(release, order);
         let digests = loading.missing_lists();
         self.loading = Some(loading);
-        self.forget_lists();
         for digest in digests {
             self.read_list(digest, 0);
         }
     }
 
-    /// Drops the chunk lists that are neither loaded nor served.
-    fn forget_lists(&self) {
-        let loads = [&self.loading, &self.seeding].into_iter().flatten();
-        let parts = loads.flat_map(|l| l.release.parts.iter().map(|part| part.chunks));
-        let kept: HashSet<Digest> = parts.collect();
-        let mut lists = self.shared.lists.lock().expect("no holder panics");
-        lists.retain(|digest, _| kept.contains(digest));
-    }
-
     /// Reads a chunk list. A few VMs read it from the configuration service, the others from peers
     /// along the list's plan, so that the service gets few reads however many VMs there are.
     pub(crate) fn read_list(&self, digest: Digest, attempt: u32) {
+        if let Some(text) = self.shared.list(&digest) {
+            let list = ChunkList::parse(&text, digest).ok();
+            self.shared.mailbox.send(Event::List { digest, attempt, list });
+            return;
+        }
         let settings = &self.node.identity.settings;
         let peer = self.list_peer(digest, attempt);
         let key = settings.peer_key.clone();
@@ -79,9 +69,9 @@
                     addrs.into_iter().find_map(read).map(Bytes::from)
                 }
             };
-            let list = text.as_ref().and_then(|t| manifest::ChunkList::parse(t, digest).ok());
+            let list = text.as_ref().and_then(|t| ChunkList::parse(t, digest).ok());
             if let (Some(text), Some(_)) = (text, &list) {
-                shared.lists.lock().expect("no holder panics").insert(digest, text);
+                shared.keep_list(digest, text);
             }
             shared.mailbox.send(Event::List { digest, attempt, list });
         });
@@ -105,7 +95,7 @@
         cx: CX![],
         digest: Digest,
         attempt: u32,
-        list: Option<manifest::ChunkList>,
+        list: Option<ChunkList>,
     ) {
         let Some(loading) = &mut self.loading else { return };
         match list {
@@ -117,7 +107,7 @@
             }
         }
         if let Some((order, chunks)) = loading.take_order() {
-            self.send_order(order, chunks);
+            self.send_order(order, chunks, cx.now());
         }
     }
 
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -2,11 +2,21 @@
 
 mod admission;
 mod attempt;
+mod binding;
 mod caller;
+mod claims;
 mod core;
 mod endpoints;
 mod event;
+mod pools;
 mod process;
+mod queue;
+mod refusal;
 mod report;
+mod request;
+mod retry;
+mod shares;
+mod sink;
+mod suspects;
 
 pub use process::Entry;
--- a/components/net/src/rpc.rs
+++ b/components/net/src/rpc.rs
@@ -3,14 +3,15 @@
 use std::{net::SocketAddr, time::Duration};
 
 use audit::Page;
+use base::VmId;
 use jsonrpsee::{
     core::{RpcResult, async_trait},
     server::{Server, ServerConfig, ServerHandle},
     types::ErrorObjectOwned,
 };
 use proto::{
-    Announcement, AttemptRef, DocumentReply, DocumentRequest, EndpointState, Fate, Gossip,
-    PeerServer, Status,
+    Announcement, AttemptRef, CrashRecord, DocumentReply, DocumentRequest, EndpointState, Fate,
+    Gossip, PeerServer, Status, UsageNews,
 };
 use settings::PeerKey;
 use subtle::ConstantTimeEq;
@@ -41,14 +42,20 @@
     Gossip(Gossip, Reply<Gossip>),
     /// Asks for a newer document.
     Document(DocumentRequest, Reply<DocumentReply>),
+    /// Asks whether another process answers this one.
+    Probe(VmId, Reply<bool>),
     /// Chunks that a peer can give.
     Announce(Announcement),
+    /// A part of an entry's sums of usage.
+    Usage(UsageNews),
     /// Asks about the endpoint.
     Endpoint(Reply<EndpointState>),
     /// Makes an attempt final.
     Cancel(AttemptRef, Reply<Fate>),
     /// Asks what became of an attempt.
     Fate(AttemptRef, Reply<Fate>),
+    /// Tells the newest crash records and asks for others.
+    Crashes(Vec<CrashRecord>, Reply<Vec<CrashRecord>>),
     /// Asks for the state of the process.
     Status(Reply<Status>),
     /// Asks for the audit trail from a position on.
@@ -131,7 +138,7 @@
         }
         match tokio::time::timeout(REPLY_TIMEOUT, answer).await {
             Ok(Ok(value)) => Ok(value),
-            Ok(Err(_)) => Err(unavailable("this process does not serve the call; ask an agent")),
+            Ok(Err(_)) => Err(unavailable("this process does not serve the call; ask another")),
             Err(_) => Err(unavailable("the process is too busy to reply; retry later")),
         }
     }
@@ -151,6 +158,10 @@
         self.ask(|reply| PeerCall::Document(request, reply)).await
     }
 
+    async fn probe(&self, vm: VmId) -> RpcResult<bool> {
+        self.ask(|reply| PeerCall::Probe(vm, reply)).await
+    }
+
     async fn announce(&self, announcement: Announcement) -> RpcResult<()> {
         if (self.deliver)(PeerCall::Announce(announcement)) {
             Ok(())
@@ -159,6 +170,14 @@
         }
     }
 
+    async fn usage(&self, news: UsageNews) -> RpcResult<()> {
+        if (self.deliver)(PeerCall::Usage(news)) {
+            Ok(())
+        } else {
+            Err(unavailable("the process stops; ask another"))
+        }
+    }
+
     async fn endpoint(&self) -> RpcResult<EndpointState> {
         self.ask(PeerCall::Endpoint).await
     }
@@ -171,6 +190,10 @@
         self.ask(|reply| PeerCall::Fate(attempt, reply)).await
     }
 
+    async fn crashes(&self, records: Vec<CrashRecord>) -> RpcResult<Vec<CrashRecord>> {
+        self.ask(|reply| PeerCall::Crashes(records, reply)).await
+    }
+
     async fn status(&self) -> RpcResult<Status> {
         self.ask(PeerCall::Status).await
     }
--- a/components/settings/src/model.rs
+++ b/components/settings/src/model.rs
@@ -5,6 +5,8 @@
 use base::{ByteRate, ByteSize, Region, ServiceId, Timeout, VmId, Zone};
 use serde::Deserialize;
 
+use crate::SettingsError;
+
 /// The settings of one process.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -68,6 +70,8 @@
     pub deadline: Timeout,
     /// Endpoints that this entry keeps in use for each service.
     pub subset: usize,
+    /// How an endpoint of the subset is picked.
+    pub policy: RoutingPolicy,
 }
 
 impl Default for EntrySettings {
@@ -79,6 +83,7 @@
             idle: Timeout(Duration::from_secs(30)),
             deadline: Timeout(Duration::from_secs(120)),
             subset: 16,
+            policy: RoutingPolicy::default(),
         }
     }
 }
@@ -101,6 +106,10 @@
     pub memory: ByteSize,
     /// Most requests in progress at the endpoint.
     pub slots: usize,
+    /// Time after a start, or after a change of the VM list, for which a caller's idempotency key
+    /// that is not known here counts as perhaps used elsewhere. Less than the default weakens what
+    /// is promised.
+    pub handover: Timeout,
     /// How weights spread; the same on all VMs.
     pub strategy: Strategy,
 }
@@ -115,6 +124,7 @@
             link: ByteRate(200_000_000),
             memory: ByteSize(128 << 20),
             slots: 64,
+            handover: Timeout(Duration::from_secs(240)),
             strategy: Strategy::Rarest,
         }
     }
@@ -180,6 +190,40 @@
     Ignored,
 }
 
+/// The ways to pick an endpoint.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum RoutingPolicy {
+    /// The less loaded of two random endpoints, in the own zone first.
+    #[default]
+    P2c,
+    /// A random endpoint; for comparisons.
+    Random,
+    /// Each endpoint in turn; for comparisons.
+    RoundRobin,
+}
+
+impl RoutingPolicy {
+    /// The name in settings.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            RoutingPolicy::P2c => "p2c",
+            RoutingPolicy::Random => "random",
+            RoutingPolicy::RoundRobin => "round-robin",
+        }
+    }
+}
+
+impl std::str::FromStr for RoutingPolicy {
+    type Err = SettingsError;
+
+    fn from_str(s: &str) -> Result<RoutingPolicy, SettingsError> {
+        let all = [RoutingPolicy::P2c, RoutingPolicy::Random, RoutingPolicy::RoundRobin];
+        let found = all.into_iter().find(|policy| policy.as_str() == s);
+        found.ok_or_else(|| SettingsError::Policy(s.to_owned()))
+    }
+}
+
 /// The secret of the fleet; never printed.
 #[derive(Clone, PartialEq, Eq, Deserialize)]
 #[serde(transparent)]
--- a/components/testbed/src/bed.rs
+++ b/components/testbed/src/bed.rs
@@ -7,6 +7,7 @@
 
 use agent::Agent;
 use anyhow::{Context, bail};
+use audit::Entry as AuditEntry;
 use base::{ByteRate, ByteSize, Digest, Permille, Rate, Revision, Timeout, VmId};
 use entry::Entry;
 use manifest::{
@@ -16,8 +17,8 @@
 use net::Peers;
 use proto::{PeerClient, Status};
 use settings::{
-    AgentSettings, EndpointKind, EntrySettings, Fencing, PeerKey, PlatformSettings, Settings,
-    Strategy,
+    AgentSettings, EndpointKind, EntrySettings, Fencing, PeerKey, PlatformSettings, RoutingPolicy,
+    Settings, Strategy,
 };
 use standins::{
     BlobService, Engine, EngineCounts, EngineSettings, PlainService, ValueService, manifest_value,
@@ -56,8 +57,14 @@
     pub engine: EngineSettings,
     /// Time of a call to a plain service.
     pub work: Duration,
+    /// Time after a start for which an agent does not vouch for callers' idempotency keys.
+    pub handover: Duration,
     /// Requests a second that the workspace may make.
     pub rate: Rate,
+    /// How the entries pick endpoints.
+    pub policy: RoutingPolicy,
+    /// Endpoints that each entry uses for a service.
+    pub subset: usize,
     /// Seed of all that is random in the stand-ins.
     pub seed: u64,
     /// Whether logs go to standard error.
@@ -77,7 +84,10 @@
             strategy: AgentSettings::default().strategy,
             engine: EngineSettings::default(),
             work: Duration::from_millis(5),
+            handover: Duration::from_secs(240),
             rate: Rate(100_000.0),
+            policy: RoutingPolicy::default(),
+            subset: EntrySettings::default().subset,
             seed: 1,
             verbose: false,
         }
@@ -178,6 +188,7 @@
             kind: EndpointKind::Plain,
             service: Some(id("orders")),
             link: self.settings.link,
+            handover: Timeout(self.settings.handover),
             ..AgentSettings::default()
         };
         let (vm, agent) = self.start_agent(name, place, Role::Plain(service), options)?;
@@ -201,7 +212,12 @@
     }
 
     fn add_entry(&mut self, name: &str, place: usize) -> anyhow::Result<()> {
-        let options = EntrySettings { callers: local(), ..EntrySettings::default() };
+        let options = EntrySettings {
+            callers: local(),
+            policy: self.settings.policy,
+            subset: self.settings.subset,
+            ..EntrySettings::default()
+        };
         let settings = Settings { entry: Some(options), ..self.process_settings(name, place) };
         let log = self.log(name, "entry");
         let entry = Entry::start(settings, self.runtime.handle(), telemetry::install(), log)?;
@@ -293,6 +309,7 @@
             replicas,
             floor,
             canary: 1,
+            soak: Timeout(Duration::from_millis(300)),
             order: 0,
             regions: Vec::new(),
             avoid: Vec::new(),
@@ -341,6 +358,12 @@
         self.peers.ask(control, ask).context("status")
     }
 
+    /// The audit trail of a process, oldest entry first.
+    pub fn audit(&self, control: SocketAddr) -> anyhow::Result<Vec<AuditEntry>> {
+        let ask = |client| async move { PeerClient::audit(&client, 0).await };
+        Ok(self.peers.ask(control, ask).context("audit")?.entries)
+    }
+
     /// Address of an entry for callers.
     pub fn callers(&self, entry: usize) -> SocketAddr {
         self.entries[entry].1.callers()
--- a/examples/bench/main.rs
+++ b/examples/bench/main.rs
@@ -5,6 +5,7 @@
 mod control;
 mod faults;
 mod report;
+mod requests;
 mod rollout;
 
 use std::process::ExitCode;
@@ -14,6 +15,8 @@
 
 Commands:
   control   Slopes of control: bytes, processor time and memory
+  requests  Requests under overload: --overload 3 [--rollout] [--faults] [--poison]
+            [--policy p2c|random|round-robin] [--skew F] [--seconds N]
   rollout   Time until all VMs serve a new version, and bytes read from the origin
 
 Options:
@@ -39,6 +42,7 @@
     };
     let result = match command.as_str() {
         "control" => control::run(parser),
+        "requests" => requests::run(parser),
         "rollout" => rollout::run(parser),
         other => return usage(&format!("command {other:?} does not exist")),
     };
