Take late chunks over from owners that do not answer

Cause: a chunk whose owner was lost waited until all others had come, and the owner was asked only once whether it answers. Change: once 7 of 8 chunks are known, the rest count as late and are searched for; the owner is asked every second time; an owner that answers gets time in proportion to the pace so far.

--- a/components/chunks/src/transfer.rs
+++ b/components/chunks/src/transfer.rs
@@ -110,6 +110,11 @@
     progress: Instant,
     /// When a chunk was announced last.
     heard: Instant,
+    started: Instant,
+    /// Chunks that are held or were announced.
+    seen: usize,
+    /// When most chunks were seen, if they are.
+    most_seen: Option<Instant>,
     /// Chunks that nobody announced are looked at again then.
     search_at: Instant,
     /// The store is not asked before, as it lacked a chunk or limits reads.
@@ -120,6 +125,8 @@
 const STORE_RECHECK: Duration = Duration::from_secs(10);
 /// Reads from outside of one chunk that may fail before other VMs have to read it.
 const MAX_FAILURES: u32 = 3;
+/// Part of the chunks after which the others count as late.
+const MOST: (usize, usize) = (7, 8);
 /// Parts of the memory for chunks by which a large model advances.
 const MEMORY_PARTS: u64 = 4;
 
@@ -150,6 +157,9 @@
             lowest: 0,
             progress: now,
             heard: now,
+            started: now,
+            seen: 0,
+            most_seen: None,
             search_at: now,
             store_after: now,
             list,
@@ -185,6 +195,7 @@
         }
         self.progress = now;
         self.heard = now;
+        self.most_seen = self.most_seen.map(|_| now);
         self.greet(now);
     }
 
@@ -223,9 +234,10 @@
             }
             chunk.holders |= 1 << slot;
             if chunk.state != State::Held {
-                chunk.seen.get_or_insert(now);
+                let first = chunk.seen.replace(chunk.seen.unwrap_or(now)).is_none();
                 self.progress = now;
                 self.heard = now;
+                self.count_seen(first, now);
                 self.requeue(index, now);
             }
         }
@@ -242,7 +254,10 @@
                 self.peers.succeeded(vm);
             }
         }
-        self.chunks[index as usize].state = State::Held;
+        let chunk = &mut self.chunks[index as usize];
+        chunk.state = State::Held;
+        let first = chunk.seen.replace(now).is_none();
+        self.count_seen(first, now);
         self.unqueue(index);
         self.duties.remove(&index);
         self.held += 1;
@@ -253,6 +268,13 @@
         self.announce(index, now);
     }
 
+    fn count_seen(&mut self, first: bool, now: Instant) {
+        self.seen += usize::from(first);
+        if self.seen * MOST.1 >= self.chunks.len() * MOST.0 {
+            self.most_seen.get_or_insert(now);
+        }
+    }
+
     /// A fetch failed.
     pub fn failed(&mut self, index: u32, source: &Source, error: FetchError, now: Instant) {
         match source {
--- a/components/chunks/src/transfer/poll.rs
+++ b/components/chunks/src/transfer/poll.rs
@@ -11,6 +11,8 @@
 const LOOK_AHEAD: usize = 4;
 /// Time until a chunk is looked at again whose holders are all busy.
 const BUSY: Duration = Duration::from_millis(50);
+/// Part of the time so far that an owner which answers may take for its last chunks.
+const PACE_PART: u32 = 4;
 /// Time between searches for chunks that nobody announced.
 const SEARCH_EVERY: Duration = Duration::from_millis(200);
 
@@ -141,15 +143,16 @@
         self.peers.best(near, load, self.settings.per_peer, salt, now).cloned()
     }
 
-    /// Without news, asks peers for chunks that nobody announced or whose holders fail. Without
-    /// progress, reads them from outside in place of their owners, one VM after the other.
+    /// Without news, or once most chunks are known, asks peers for chunks that nobody announced or
+    /// whose holders fail. Without progress, reads them from outside in place of their owners, one VM after the other.
     fn search(&mut self, actions: &mut Vec<Action>, now: Instant) {
-        let silent = now.saturating_duration_since(self.heard);
+        let late = self.most_seen.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        let silent = late.max(now.saturating_duration_since(self.heard));
         if silent < self.settings.patience || now < self.search_at {
             return;
         }
         self.search_at = now + SEARCH_EVERY;
-        let idle = now.saturating_duration_since(self.progress);
+        let idle = late.max(now.saturating_duration_since(self.progress));
         let failing = self.peers.failing(now);
         for index in self.lowest as u32..self.chunks.len() as u32 {
             let asks = self.flights.peer_count() < self.settings.window;
@@ -162,14 +165,8 @@
             if !wanted || now < chunk.not_before || !self.in_reach(index) {
                 continue;
             }
-            let wait = match self.plan.turn(index) {
-                None | Some(0) => self.settings.patience,
-                Some(turn) if self.plan.owner(index).is_some_and(|vm| self.peers.is_lost(vm)) => {
-                    self.settings.takeover * turn as u32
-                }
-                Some(turn) => self.settings.slow_takeover * turn as u32,
-            };
-            if reads && idle >= wait && self.read_outside(index, actions, now) {
+            if reads && idle >= self.takeover(index, now) && self.read_outside(index, actions, now)
+            {
                 continue;
             }
             if let Some(vm) = self.guess(index, failing).filter(|_| asks) {
@@ -180,13 +177,27 @@
         }
     }
 
+    /// How long this VM waits before it reads a chunk that nobody announced from outside.
+    fn takeover(&self, index: u32, now: Instant) -> Duration {
+        let lost = self.plan.owner(index).is_some_and(|vm| self.peers.is_lost(vm));
+        match self.plan.turn(index) {
+            None | Some(0) => self.settings.patience,
+            Some(turn) if lost => self.settings.takeover * turn as u32,
+            Some(turn) => {
+                // An owner that answers gets time in proportion to the pace so far.
+                let pace = now.saturating_duration_since(self.started) / PACE_PART;
+                self.settings.slow_takeover.max(pace) * turn as u32
+            }
+        }
+    }
+
     /// A peer that may have a chunk: its parent, its owner, then one neighbour after the other.
     fn guess(&self, index: u32, failing: PeerSet) -> Option<VmId> {
         let able = |vm: &&VmId| self.peers.find(vm).is_none_or(|slot| failing & (1 << slot) == 0);
         let failures = self.chunks[index as usize].failures as usize;
         let first = match failures {
             0 => self.plan.parent(index),
-            1 => self.plan.owner(index).filter(|_| self.plan.rank(index) != Some(0)),
+            n if n % 2 == 1 => self.plan.owner(index).filter(|_| self.plan.rank(index) != Some(0)),
             _ => None,
         };
         if let Some(vm) = first.filter(able) {
