--- a/components/agent/src/core.rs
+++ b/components/agent/src/core.rs
@@ -2,7 +2,10 @@
 
 use std::{
     collections::VecDeque,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -13,7 +16,7 @@
 use chunks::{Link, Place, Pool};
 use net::{Mailbox, Workers};
 use node::{Changes, Node, NodeEvent, wall_clock_ms};
-use placement::Placement;
+use placement::{Inputs, Placement};
 use proto::Fate;
 use rollout::Endpoint;
 use settings::{AgentSettings, EndpointKind};
@@ -54,6 +57,8 @@
     pub(crate) mailbox: Mailbox<Event>,
     pub(crate) kind: EndpointKind,
     pub(crate) crashes: SharedCrashes,
+    /// Attempts in progress.
+    pub(crate) running: Arc<AtomicUsize>,
 }
 
 impl Shared {
@@ -102,6 +107,8 @@
     pub(crate) answers: Answers,
     pub(crate) homes: Homes,
     pub(crate) placement: Placement,
+    /// What `placement` was computed from.
+    pub(crate) inputs: Inputs,
     pub(crate) loading: Option<Loading>,
     /// The load that ended last, whose chunks peers still fetch.
     pub(crate) seeding: Option<Loading>,
@@ -144,6 +151,7 @@
             settings,
             shared,
             placement: Placement::default(),
+            inputs: Inputs::default(),
             loading: None,
             seeding: None,
             places: Vec::new(),
@@ -198,6 +206,7 @@
         self.attempts.finish(attempt, fate, now);
         self.answers.ended(attempt, now);
         let in_flight = self.attempts.running();
+        self.shared.running.store(in_flight, Ordering::SeqCst);
         self.decide(rollout::Event::InFlight(in_flight), now);
     }
 
--- a/components/agent/src/rollouts.rs
+++ b/components/agent/src/rollouts.rs
@@ -10,7 +10,7 @@
 use chunks::{Place, Plan};
 use manifest::{Release, Rollout, Vm};
 use node::wall_clock_ms;
-use placement::place;
+use placement::{Inputs, place};
 use proto::{MemberState, Trialled, Verdict};
 use rollout::{Action, Order, OrderKind, Replica, Target, Turn};
 use settings::EndpointKind;
@@ -37,7 +37,11 @@
         if documents.manifest().revision.0 == 0 || !listed {
             return;
         }
-        self.placement = place(documents.manifest(), documents.vms());
+        let inputs = Inputs::of(documents.manifest(), documents.vms());
+        if inputs != self.inputs {
+            self.inputs = inputs;
+            self.placement = place(documents.manifest(), documents.vms());
+        }
         let group = self.placement.rollout_of(me).map(|id| self.placement.vms_of(id).to_vec());
         self.node.set_group(&group.unwrap_or_default());
         self.aim(now);
--- a/components/node/src/talk.rs
+++ b/components/node/src/talk.rs
@@ -150,6 +150,8 @@
         if let Some(joining) = &mut self.joining {
             joining.heard(&to, reply.as_ref().map(|r| (r.manifest, r.vms)));
         }
+        let result = if reply.is_some() { "replied" } else { "missed" };
+        counter!(names::GOSSIP, "result" => result).increment(1);
         match reply {
             Some(gossip) => {
                 if let Some(age) = gossip.vms_age_ms {
