--- a/components/agent/src/core.rs
+++ b/components/agent/src/core.rs
@@ -13,8 +13,7 @@
 use audit::Change;
 use base::{AttemptId, ByteSize, Digest, Fence, ReleaseId};
 use bytes::Bytes;
-use chunks::{Link, Pool};
-use manifest::ChunkList;
+use chunks::{Link, Place, Pool};
 use net::{Mailbox, Workers};
 use node::{Changes, Node, NodeEvent, wall_clock_ms};
 use placement::{Inputs, Placement};
@@ -36,6 +35,8 @@
 const GOSSIP_EVERY: Duration = Duration::from_millis(200);
 /// Least number of attempts that an agent beside an engine accepts beyond its slots.
 const MIN_SPARE: usize = 2;
+/// Chunk lists that are kept.
+const KEPT_LISTS: usize = 4;
 /// Pause before something that failed is tried again.
 const RETRY: Duration = Duration::from_millis(300);
 
@@ -44,9 +45,15 @@
 pub(crate) struct Shared {
     pub(crate) pool: Arc<Mutex<Pool>>,
     pub(crate) link: Arc<Mutex<Link>>,
+    /// Chunk lists that were read last, newest last; at most `KEPT_LISTS`. Peers get them from here,
+    /// and an engine can be loaded again with them while the configuration service is down.
+    pub(crate) lists: Arc<Mutex<VecDeque<(Digest, Bytes)>>>,
     pub(crate) engine: Engine,
     pub(crate) workers: Workers,
-    pub(crate) chunk_client: ureq::Agent,
+    /// Reads chunks from peers.
+    pub(crate) peer_client: ureq::Agent,
+    /// Reads from the platform, which may queue reads for longer than peers do.
+    pub(crate) platform_client: ureq::Agent,
     pub(crate) mailbox: Mailbox<Event>,
     pub(crate) kind: EndpointKind,
     pub(crate) crashes: SharedCrashes,
@@ -61,8 +68,32 @@
         std::thread::sleep(wait);
     }
 
+    /// Whether a peer that wants `size` bytes had better ask another.
+    pub(crate) fn is_crowded(&self, size: ByteSize) -> bool {
+        self.link.lock().expect("no holder panics").is_crowded(size, Instant::now())
+    }
+
+    /// A chunk, or a chunk list as it was published.
     pub(crate) fn held(&self, digest: &Digest) -> Option<Bytes> {
-        self.pool.lock().expect("no holder panics").get(digest)
+        let chunk = self.pool.lock().expect("no holder panics").get(digest);
+        chunk.or_else(|| self.list(digest))
+    }
+
+    /// A chunk list as it was published.
+    pub(crate) fn list(&self, digest: &Digest) -> Option<Bytes> {
+        let lists = self.lists.lock().expect("no holder panics");
+        lists.iter().find(|(kept, _)| kept == digest).map(|(_, text)| text.clone())
+    }
+
+    pub(crate) fn keep_list(&self, digest: Digest, text: Bytes) {
+        let mut lists = self.lists.lock().expect("no holder panics");
+        if lists.iter().any(|(kept, _)| *kept == digest) {
+            return;
+        }
+        if lists.len() == KEPT_LISTS {
+            lists.pop_front();
+        }
+        lists.push_back((digest, text));
     }
 }
 
@@ -79,9 +110,10 @@
     /// What `placement` was computed from.
     pub(crate) inputs: Inputs,
     pub(crate) loading: Option<Loading>,
-    /// Chunk lists that were read last, newest last; at most `KEPT_LISTS`. An engine can be loaded
-    /// again with them while the configuration service is down.
-    pub(crate) lists: VecDeque<(Digest, Arc<ChunkList>)>,
+    /// The load that ended last, whose chunks peers still fetch.
+    pub(crate) seeding: Option<Loading>,
+    /// The VMs of this VM's rollout that are not thought gone.
+    pub(crate) places: Vec<Place>,
     /// The last statement of the endpoint.
     pub(crate) report: Option<EngineReport>,
     /// When the endpoint made it.
@@ -121,7 +153,8 @@
             placement: Placement::default(),
             inputs: Inputs::default(),
             loading: None,
-            lists: VecDeque::new(),
+            seeding: None,
+            places: Vec::new(),
             report: None,
             reported: now,
             reading: false,
@@ -142,7 +175,7 @@
             Event::Node(event) => self.node_event(event, now),
             Event::Engine { report, asked } => self.engine_report(report, asked, now),
             Event::Ordered { order, accepted } => self.ordered(order, accepted, now),
-            Event::List { digest, list } => self.list(cx, digest, list),
+            Event::List { digest, attempt, list } => self.list(cx, digest, attempt, list),
             Event::Fetched { list, chunk, source, result } => {
                 self.fetched(list, chunk, source, result, now);
             }
@@ -186,6 +219,7 @@
             self.homes.tick(now);
             let changes = self.node.tick(now);
             self.changed(changes, now);
+            self.update_plans(now);
         }
         if self.settings.kind == EndpointKind::Plain {
             self.tick_plain(now);
--- a/components/agent/src/rollouts.rs
+++ b/components/agent/src/rollouts.rs
@@ -1,12 +1,20 @@
 //! The agent's part in rollouts: its target, its turn, and orders to the engine.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::HashSet,
+    time::{Duration, Instant},
+};
 
 use audit::Change;
 use base::{Digest, ReleaseId, VmId};
+<<<<<<< HEAD
 use chunks::Tree;
 use manifest::{Release, Rollout};
 use metrics::counter;
+=======
+use chunks::{Place, Plan};
+use manifest::{Release, Rollout, Vm};
+>>>>>>> dist
 use node::wall_clock_ms;
 use placement::{Inputs, place};
 use proto::{MemberState, Trialled, Verdict};
@@ -44,19 +52,33 @@
         let group = self.placement.rollout_of(me).map(|id| self.placement.vms_of(id).to_vec());
         self.node.set_group(&group.unwrap_or_default());
         self.aim(now);
-        self.update_trees();
+        self.update_plans(now);
     }
 
-    pub(crate) fn update_trees(&mut self) {
-        let members = self.rollout_vms();
+    /// Takes the VMs of the rollout that are not thought gone into the plans of all transfers.
+    pub(crate) fn update_plans(&mut self, now: Instant) {
+        let places = self.rollout_places();
+        if places == self.places {
+            return;
+        }
+        self.places = places;
         let me = &self.node.identity.settings.vm;
-        if let Some(loading) = &mut self.loading {
+        for loading in [&mut self.loading, &mut self.seeding].into_iter().flatten() {
             for (list, transfer) in &mut loading.transfers {
-                transfer.set_tree(Tree::new(list, &members, me));
+                transfer.set_plan(Plan::new(list, &self.places, me), now);
             }
         }
     }
 
+    fn rollout_places(&self) -> Vec<Place> {
+        let members: HashSet<VmId> = self.rollout_vms().into_iter().collect();
+        let listed = self.node.documents.vms().vms.iter();
+        let here = |vm: &&Vm| members.contains(&vm.id) && !self.node.members.is_gone(&vm.id);
+        let place =
+            |vm: &Vm| Place { vm: vm.id.clone(), zone: vm.zone.clone(), region: vm.region.clone() };
+        listed.filter(here).map(place).collect()
+    }
+
     /// The VMs of this VM's rollout, in placement order.
     pub(crate) fn rollout_vms(&self) -> Vec<VmId> {
         let target = self.endpoint.target();
@@ -134,7 +156,7 @@
         if self.endpoint.target() != target.as_ref() {
             self.target_since = now;
             self.decide(rollout::Event::Target(target), now);
-            self.update_trees();
+            self.update_plans(now);
         }
     }
 
@@ -179,7 +201,7 @@
                     let seconds = now.duration_since(self.target_since).as_secs_f64();
                     let cause = format!("engine states it after {seconds:.2}s");
                     self.node.trail.record(Change::Ready { release }, cause);
-                    self.loading = None;
+                    self.seeding = self.loading.take().or(self.seeding.take());
                 }
             }
         }
@@ -238,6 +260,7 @@
 
     pub(crate) fn order(&mut self, order: Order, now: Instant) {
         if order.order == OrderKind::Prepare {
+            self.update_plans(now);
             self.prepare(order);
             return;
         }
