Give up a release that waits for its turn as superseded

Cause: a release that was loaded and waited, or drained, when the target changed was dropped without an entry in the audit trail, and its load was not stopped. Change: every phase before the switch stops the load; a test on the core; the loopback test uses a slower link so that the change falls into the load.

--- a/components/rollout/src/endpoint.rs
+++ b/components/rollout/src/endpoint.rs
@@ -142,13 +142,13 @@
     }
 
     fn step_down(&mut self, seen: Fence) -> Vec<Action> {
-        let stop = self.loading().map(Action::Stop);
+        let stop = self.underway().map(Action::Stop);
         self.phase = Phase::Superseded;
         stop.into_iter().chain([Action::StepDown(seen)]).collect()
     }
 
     fn lose(&mut self, now: Instant) -> Vec<Action> {
-        let stop = self.loading().map(Action::Stop);
+        let stop = self.underway().map(Action::Stop);
         self.phase = Phase::Unknown;
         self.engine = None;
         self.prepared_at = None;
@@ -157,6 +157,12 @@
         stop.into_iter().collect()
     }
 
+    /// The release that is on its way to be served and can still be given up.
+    fn underway(&self) -> Option<ReleaseId> {
+        let underway = matches!(self.phase, Phase::Loading | Phase::Waiting | Phase::Draining);
+        self.target.as_ref().filter(|_| underway).map(|t| t.release.clone())
+    }
+
     fn loading(&self) -> Option<ReleaseId> {
         let loading = matches!(self.phase, Phase::Loading);
         self.target.as_ref().filter(|_| loading).map(|t| t.release.clone())
@@ -166,7 +172,7 @@
         if self.target == target {
             return Vec::new();
         }
-        let mut actions: Vec<Action> = self.loading().map(Action::Stop).into_iter().collect();
+        let mut actions: Vec<Action> = self.underway().map(Action::Stop).into_iter().collect();
         self.target = target;
         self.turn = false;
         // An order that is on its way is awaited first.
--- a/components/rollout/src/endpoint/tests.rs
+++ b/components/rollout/src/endpoint/tests.rs
@@ -160,6 +160,17 @@
     assert_eq!(kinds(&again), [OrderKind::Abort]);
 }
 
+#[test]
+fn a_release_that_waits_for_its_turn_is_given_up_too() {
+    let now = Instant::now();
+    let mut endpoint = loading(Some("m@v1"), "m@v2", now);
+    endpoint.handle(Event::Staged(release("m@v2")), now);
+    assert_eq!(endpoint.phase(), &Phase::Waiting);
+    let actions = endpoint.handle(target("m@v3"), now);
+    assert_eq!(actions[0], Action::Stop(release("m@v2")));
+    assert_eq!(kinds(&actions), [OrderKind::Abort, OrderKind::Prepare]);
+}
+
 #[test]
 fn an_engine_that_restarts_during_a_load_is_prepared_again() {
     let now = Instant::now();
--- a/components/testbed/tests/versions.rs
+++ b/components/testbed/tests/versions.rs
@@ -32,7 +32,7 @@
 
 #[test]
 fn a_superseded_rollout_stops_and_leaves_nothing_half_loaded() {
-    let link = ByteRate(500_000);
+    let link = ByteRate(200_000);
     let mut bed = fleet(3, TestbedSettings { link, ..TestbedSettings::default() });
     bed.roll_out("v1", 3, 1);
     bed.wait_until("loading", TIMEOUT, |bed| prepared(bed) == 3).unwrap();
