Go on trying a first release, and measure how fast a manifest spreads

Cause: a release that failed where nothing else served was halted, and its VMs then served nothing until the next manifest. Change: a release is halted only where other VMs serve another; a VM without a way back tries again.

--- a/components/agent/src/core.rs
+++ b/components/agent/src/core.rs
@@ -29,7 +29,7 @@
 
 /// Time between looks at transfers, turns and timers.
 const TICK: Duration = Duration::from_millis(20);
-/// Time between gossip calls.
+/// Time between looks at whether gossip is due.
 const GOSSIP_EVERY: Duration = Duration::from_millis(200);
 /// Least number of attempts that an agent beside an engine accepts beyond its slots.
 const MIN_SPARE: usize = 2;
--- a/components/agent/src/rollouts.rs
+++ b/components/agent/src/rollouts.rs
@@ -102,21 +102,19 @@
         let failed = |v: Verdict| v.outcome == Trialled::Failed;
         let give_up = halted || self.endpoint.verdict(&release.id).is_some_and(failed);
         let aimed = match give_up && self.endpoint.serving() != Some(&release.id) {
-            true => self.fallback(&release.id, &replicas),
-            false => Some(release.id.clone()),
+            true => self.fallback(&release.id, &replicas).unwrap_or_else(|| release.id.clone()),
+            false => release.id.clone(),
         };
         let turn = Turn { canary: rollout.canary, floor: rollout.floor };
-        let turn = match &aimed {
-            Some(aimed) if *aimed != release.id => true,
-            _ => position.is_some_and(|me| rollout::my_turn(turn, &release.id, &replicas, me)),
-        };
+        let mine = |me| rollout::my_turn(turn, &release.id, &replicas, me);
+        let turn = aimed != release.id || position.is_some_and(mine);
         let (id, soak) = (rollout.id.clone(), rollout.soak.0);
         if halted && self.halted.as_ref() != Some(&release.id) {
             self.halted = Some(release.id.clone());
             let change = Change::Halted { release: release.id.clone() };
             self.node.trail.record(change, format!("it failed on the first VMs of {id}"));
         }
-        self.target(aimed.map(|release| Target { rollout: id, release, soak }), now);
+        self.target(Some(Target { rollout: id, release: aimed, soak }), now);
         self.decide(rollout::Event::Turn(turn), now);
     }
 
--- a/components/entry/src/core.rs
+++ b/components/entry/src/core.rs
@@ -27,7 +27,7 @@
 
 /// Time between looks at the queue.
 const TICK: Duration = Duration::from_millis(20);
-/// Time between gossip calls.
+/// Time between looks at whether gossip is due.
 const GOSSIP_EVERY: Duration = Duration::from_millis(200);
 /// Time without a turn after which what is known of endpoints must be asked again.
 const PAUSE: Duration = Duration::from_secs(1);
--- a/components/rollout/src/turn.rs
+++ b/components/rollout/src/turn.rs
@@ -85,8 +85,12 @@
 }
 
 /// Whether `release` is given up: it failed on most canaries, and on more VMs than it passed on.
-/// Without canaries the first failure counts.
+/// Without canaries the first failure counts. Where nothing else serves there is nothing to spare,
+/// and VMs go on trying.
 pub fn halted(canary: usize, release: &ReleaseId, replicas: &[Replica]) -> bool {
+    if !replicas.iter().any(|r| r.serves_other(release)) {
+        return false;
+    }
     let count = |outcome| replicas.iter().filter(|r| r.outcome(release) == Some(outcome)).count();
     let (failed, passed) = (count(Trialled::Failed), count(Trialled::Passed));
     2 * failed > canary.min(replicas.len()) && failed > passed
--- a/components/rollout/src/turn/tests.rs
+++ b/components/rollout/src/turn/tests.rs
@@ -75,6 +75,10 @@
     assert_eq!(open(turn, &replicas), [0, 1, 2]);
     replicas[1] = replica(V2, None);
     assert_eq!(open(turn, &replicas), [0, 1, 2]);
+    replicas[0] = replica("", Some(Trialled::Failed));
+    replicas[1] = replica("", Some(Trialled::Failed));
+    assert!(!halted(1, &release(V2), &replicas));
+    assert_eq!(open(turn, &replicas), [0, 1, 2]);
 }
 
 /// Changes by which the news of a VM may be late.
--- a/examples/bench/fleet.rs
+++ b/examples/bench/fleet.rs
@@ -19,7 +19,7 @@
 use placement::{Inputs, Placement, place};
 use proto::{DocumentKind, DocumentReply, DocumentRequest, Gossip, MemberState, Trialled, Verdict};
 
-use crate::report::Report;
+use crate::{report::Report, spread};
 
 /// VMs with a model engine.
 const AGENTS: usize = 12_000;
@@ -45,6 +45,7 @@
     }
     documents(&mut report)?;
     gossip(&mut report);
+    spread::measure(&mut report)?;
     if let Some(file) = json {
         report.write_json(&file)?;
     }
--- a/examples/bench/main.rs
+++ b/examples/bench/main.rs
@@ -8,6 +8,7 @@
 mod report;
 mod requests;
 mod rollout;
+mod spread;
 
 use std::process::ExitCode;
 
