Recheck the endpoint before work is accepted after a pause

Cause: an offer that was delivered first after a pause was judged by what the agent knew before it; a plain service's last good report counted however old it was.

Change: the agent rechecks before each offer; statements of plain services count for 2 s.

--- a/components/agent/src/core.rs
+++ b/components/agent/src/core.rs
@@ -36,6 +36,8 @@
 const GOSSIP_EVERY: Duration = Duration::from_millis(200);
 /// Least number of attempts that an agent beside an engine accepts beyond its slots.
 const MIN_SPARE: usize = 2;
+/// Age after which what a plain service stated no longer counts.
+pub(crate) const STALE: Duration = Duration::from_secs(2);
 /// Pause before something that failed is tried again.
 const RETRY: Duration = Duration::from_millis(300);
 
@@ -151,6 +153,7 @@
             }
             Event::Offer { offer, reply } => {
                 let attempt = offer.attempt;
+                self.recheck(now);
                 let opened = self.offered(offer, now);
                 // A switch must not begin before the endpoint knows of the request.
                 self.decide(rollout::Event::InFlight(self.attempts.running()), now);
@@ -200,7 +203,17 @@
         after!(TICK, [cx], tick());
     }
 
+    /// Drops what is known of the endpoint if it is from before a pause, before work is accepted.
+    fn recheck(&mut self, now: Instant) {
+        if self.settings.kind == EndpointKind::Model {
+            self.decide(rollout::Event::Tick, now);
+        } else if now.saturating_duration_since(self.reported) > STALE {
+            self.report = None;
+        }
+    }
+
     pub(crate) fn tick_plain(&mut self, now: Instant) {
+        self.recheck(now);
         if now >= self.reported + RETRY {
             self.reported = now;
             self.read_engine(now);
--- a/components/agent/src/rollouts.rs
+++ b/components/agent/src/rollouts.rs
@@ -13,7 +13,7 @@
 use settings::EndpointKind;
 
 use crate::{
-    core::{Core, Shared},
+    core::{Core, STALE, Shared},
     engine::EngineReport,
     event::Event,
 };
@@ -222,7 +222,8 @@
         if report.as_ref().is_some_and(|report| plain || report.serves()) {
             self.shared.crashes.lock().expect("no holder panics").serves();
         }
-        self.report = report;
+        let fresh = now.saturating_duration_since(asked) <= STALE;
+        self.report = report.filter(|_| fresh);
         if self.settings.kind == EndpointKind::Model {
             self.decide(
                 match view {
--- /dev/null
+++ b/tests/common/fleet.rs
@@ -0,0 +1,139 @@
+//! One entry before two engines and one plain service, as real processes.
+
+use std::{
+    net::SocketAddr,
+    thread::JoinHandle,
+    time::{Duration, Instant},
+};
+
+use base::{ByteRate, ByteSize, Revision};
+use manifest::{Role, Vm, VmList, VmState};
+use standins::{BlobService, Engine, EngineSettings, PlainService, ValueService, vms_value};
+use testbed::{Answer, CALLER_KEY, Caller, Weights, publish};
+
+use crate::common::{Platform, Process, settings};
+
+const TIMEOUT: Duration = Duration::from_secs(30);
+/// Time of a call to the plain service.
+const WORK: Duration = Duration::from_millis(1500);
+/// Tokens of an answer that takes about a second and a half.
+const TOKENS: usize = 300;
+
+/// One entry before two engines and one plain service.
+pub struct Fleet {
+    _platform: (ValueService, BlobService, BlobService),
+    /// Engines of the first agents.
+    pub engines: Vec<Engine>,
+    /// The service of the last agent.
+    pub plain: PlainService,
+    /// Two beside engines, one beside the plain service.
+    pub agents: Vec<Process>,
+    /// The entry.
+    pub entry: Process,
+}
+
+impl Fleet {
+    /// Starts all, and waits until all endpoints are in use.
+    pub fn start(name: &str) -> Fleet {
+        let config = ValueService::start().unwrap();
+        let origin = BlobService::start(ByteRate(100_000_000), 1).unwrap();
+        let store = BlobService::start(ByteRate(100_000_000), 1).unwrap();
+        let platform =
+            Platform { config: config.addr(), store: store.addr(), origin: origin.addr() };
+        let weights = Weights::generate("v1", ByteSize(256 << 10), ByteSize(64 << 10), 1);
+        publish(&weights, &config, &origin);
+        let engines: Vec<Engine> =
+            (0..2).map(|_| Engine::start(EngineSettings::default()).unwrap()).collect();
+        let plain = PlainService::start(WORK).unwrap();
+        let process = |command: &str, vm: &str, section: &str| {
+            Process::start(command, &format!("{name}-{vm}"), &settings(vm, &platform, section))
+        };
+        let model = |n: usize| {
+            let section = format!("agent:\n  endpoint: {}\n", engines[n].addr());
+            process("agent", &format!("model-{n}"), &section)
+        };
+        let section =
+            format!("agent:\n  endpoint: {}\n  kind: plain\n  service: orders\n", plain.addr());
+        let agents = vec![model(0), model(1), process("agent", "plain-0", &section)];
+        let entry = process("entry", "entry-0", "entry:\n  callers: 127.0.0.1:0\n");
+        let orders = Role::Plain("orders".parse().unwrap());
+        let vms = vec![
+            vm("model-0", Role::Model, &agents[0]),
+            vm("model-1", Role::Model, &agents[1]),
+            vm("plain-0", orders, &agents[2]),
+            vm("entry-0", Role::Entry, &entry),
+        ];
+        config.publish("vms", 1, vms_value(&VmList { revision: Revision(1), vms }));
+        config.publish("manifest", 1, manifest(&weights));
+        let _platform = (config, store, origin);
+        let fleet = Fleet { _platform, engines, plain, agents, entry };
+        let caller = Caller::default();
+        wait_until("all endpoints", || {
+            let both = fleet.engines.iter().all(|e| e.serving().is_some());
+            both && matches!(caller.chat(fleet.callers(), "hi", 1), Answer::Whole { .. })
+        });
+        wait_until("the service", || caller.order(fleet.callers(), None, "hi") == order());
+        fleet
+    }
+
+    /// Address for callers.
+    pub fn callers(&self) -> SocketAddr {
+        self.entry.addr("callers")
+    }
+
+    /// Sends streams and orders that take a while, and waits until all of them run.
+    pub fn load(&self, count: usize) -> Vec<JoinHandle<(Answer, Answer)>> {
+        let at = self.callers();
+        let chat = move |n: usize| {
+            let prompt = format!("stream {n}");
+            let answer = Caller::default().chat(at, &prompt, TOKENS);
+            (answer, Answer::Whole { release: "base@v1".into() })
+        };
+        let call =
+            move |n: usize| (Caller::default().order(at, None, &format!("order {n}")), order());
+        let mut threads = Vec::new();
+        for n in 0..count {
+            threads.push(std::thread::spawn(move || chat(n)));
+            threads.push(std::thread::spawn(move || call(n)));
+        }
+        wait_until("the load", || {
+            let busy: usize = self.engines.iter().map(Engine::busy).sum();
+            let orders = self.plain.runs().keys().filter(|key| key.starts_with("order")).count();
+            busy == count && orders == count
+        });
+        threads
+    }
+}
+
+/// The answer to an order.
+pub fn order() -> Answer {
+    Answer::Whole { release: String::new() }
+}
+
+fn vm(name: &str, role: Role, process: &Process) -> Vm {
+    let (zone, region) = ("zone-0".parse().unwrap(), "region-0".parse().unwrap());
+    let control = process.addr("control");
+    let data = if role == Role::Entry { control } else { process.addr("data") };
+    Vm { id: name.parse().unwrap(), zone, region, role, state: VmState::Live, control, data }
+}
+
+fn manifest(weights: &Weights) -> String {
+    let key = base::Digest::of(CALLER_KEY.as_bytes());
+    format!(
+        "revision: 1\nworkspaces:\n  - {{ id: counter, share: 100%, requests: 1000/s, keys: ['{key}'] }}\n\
+         services:\n  - {{ id: assistant, kind: model }}\n  - {{ id: orders, kind: plain, \
+         unrepeatable: [{{ method: POST, path: /orders }}] }}\nmodels:\n  - id: base\n    \
+         versions:\n      - {{ id: v1, size: {}, chunks: '{}' }}\nrollouts:\n  - {{ id: main, \
+         service: assistant, workspace: counter, model: {{ id: base, version: v1 }}, replicas: 2 }}\n",
+        weights.version.size, weights.version.chunks
+    )
+}
+
+/// Waits until `done` holds.
+pub fn wait_until(what: &str, mut done: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !done() {
+        assert!(start.elapsed() < TIMEOUT, "{what}: not within {TIMEOUT:?}");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,5 +1,8 @@
 //! Real processes of the binary, ended when the test ends.
 
+#[allow(dead_code, reason = "not every test file uses it")]
+pub mod fleet;
+
 use std::{
     io::{BufRead, BufReader},
     net::SocketAddr,
