Count a crash once, and only for attempts that were there

A statement of the engine that was read before a crash and arrived after it ended the crash, so the next attempt that failed named a second one, alone. Attempts that came while the engine was down counted as present at its crash.

Ruled out: two entries' suspects at one endpoint; the suspects ran on endpoints of their own entry.

Change: a crash ends only with a statement asked for after it; an attempt made after it did not cause it; the agent accepts nothing once it saw a crash.

--- a/components/agent/src/answers.rs
+++ b/components/agent/src/answers.rs
@@ -15,7 +15,7 @@
 use crate::{
     answer::Answer,
     core::{Core, Shared},
-    event::{Opened, Refused},
+    event::{Event, Opened, Refused},
 };
 
 /// Time that an ended answer is kept for an entry that lost its connection.
@@ -80,38 +80,50 @@
 #[derive(Debug, Default)]
 pub(crate) struct Crashes {
     count: u64,
-    /// Whether the endpoint has not served since the last one.
-    down: bool,
+    /// When the last one was seen, if the endpoint has not served since.
+    down: Option<Instant>,
     /// Whether only one attempt was in progress at the last one.
     alone: bool,
 }
 
 impl Crashes {
     /// The endpoint was found crashed while `running` attempts were in progress.
-    fn seen(&mut self, running: usize) -> Crash {
-        if !self.down {
-            self.down = true;
-            self.count += 1;
-            self.alone = running <= 1;
+    ///
+    /// Returns the crash unless the attempt that saw it was made only after it.
+    fn seen(&mut self, made: Instant, running: usize, now: Instant) -> Option<Crash> {
+        match self.down {
+            Some(at) if made > at => return None,
+            Some(_) => {}
+            None => {
+                self.down = Some(now);
+                self.count += 1;
+                self.alone = running <= 1;
+            }
         }
-        Crash { number: self.count, alone: self.alone }
+        Some(Crash { number: self.count, alone: self.alone })
     }
 
-    /// The endpoint serves.
-    pub(crate) fn serves(&mut self) {
-        self.down = false;
+    /// The endpoint served when it was asked at `asked`.
+    pub(crate) fn serves(&mut self, asked: Instant) {
+        self.down = self.down.filter(|at| asked <= *at);
     }
 }
 
 impl Shared {
-    /// The crash that just ended an attempt, if the endpoint crashed.
-    pub(crate) fn crash(&self) -> Option<Crash> {
+    /// The crash that just ended an attempt that was made at `made`, if the endpoint crashed.
+    pub(crate) fn crash(&self, made: Instant) -> Option<Crash> {
         let running = self.running.load(Ordering::SeqCst);
         let crashed = match self.kind {
             EndpointKind::Model => self.engine.has_crashed(),
             EndpointKind::Plain => self.engine.is_down(),
         };
-        crashed.then(|| self.crashes.lock().expect("no holder panics").seen(running))
+        if !crashed {
+            return None;
+        }
+        let now = Instant::now();
+        // No more work is accepted until the endpoint is seen to serve again.
+        self.mailbox.send(Event::Engine { report: None, asked: now });
+        self.crashes.lock().expect("no holder panics").seen(made, running, now)
     }
 }
 
@@ -212,3 +224,6 @@
     let settings = attempts::HomesSettings { handover, ..attempts::HomesSettings::default() };
     Homes::new(me, settings, now)
 }
+
+#[cfg(test)]
+mod tests;
--- a/components/agent/src/rollouts.rs
+++ b/components/agent/src/rollouts.rs
@@ -220,7 +220,7 @@
         let view = report.as_ref().map(EngineReport::view);
         let plain = self.settings.kind == EndpointKind::Plain;
         if report.as_ref().is_some_and(|report| plain || report.serves()) {
-            self.shared.crashes.lock().expect("no holder panics").serves();
+            self.shared.crashes.lock().expect("no holder panics").serves(asked);
         }
         let fresh = now.saturating_duration_since(asked) <= STALE;
         self.report = report.filter(|_| fresh);
--- a/components/agent/src/run.rs
+++ b/components/agent/src/run.rs
@@ -30,6 +30,7 @@
     shared: &'a Shared,
     call: &'a Call,
     answer: &'a Answer,
+    made: Instant,
     deadline: Instant,
     /// Failed connections since the last byte.
     failures: u32,
@@ -46,9 +47,11 @@
 /// Starts the attempt on a thread of its own, so that it lives longer than the entry's connection.
 pub(crate) fn start(shared: &Shared, call: Call, answer: Arc<Answer>) {
     let shared = shared.clone();
-    let deadline = Instant::now() + call.offer.deadline;
+    let made = Instant::now();
+    let deadline = made + call.offer.deadline;
     std::thread::spawn(move || {
-        let mut run = Run { shared: &shared, call: &call, answer: &answer, deadline, failures: 0 };
+        let mut run =
+            Run { shared: &shared, call: &call, answer: &answer, made, deadline, failures: 0 };
         let ending = run.run();
         answer.end(ending);
         let fate = match ending {
@@ -165,7 +168,7 @@
         if Instant::now() >= self.deadline || !self.answer.wanted(Instant::now()) {
             return self.give_up();
         }
-        Ending::Failed { crash: self.shared.crash(), fate: Fate::Unknown }
+        Ending::Failed { crash: self.shared.crash(self.made), fate: Fate::Unknown }
     }
 
     /// Ends an attempt that nobody waits for, or that answers from another release.
--- a/components/entry/src/suspects.rs
+++ b/components/entry/src/suspects.rs
@@ -21,7 +21,7 @@
 /// Most crash records in one message.
 pub(crate) const MAX_RECORDS: usize = 64;
 /// Entries that are told of a new crash at once; each tells as many.
-const FANOUT: usize = 3;
+const FANOUT: usize = 8;
 /// Time between exchanges of all records with one entry.
 const EXCHANGE_EVERY: Duration = Duration::from_secs(5);
 /// Most endpoints that are set apart for suspects.
@@ -30,7 +30,7 @@
 const ENDPOINTS_PER_LANE: usize = 4;
 
 /// Time that a suspect waits before it runs, in which other entries tell their crashes.
-const SETTLE: Duration = Duration::from_millis(300);
+const SETTLE: Duration = Duration::from_millis(500);
 
 /// Time after which a suspect that is not looked at no longer waits.
 const GONE: Duration = Duration::from_secs(1);
--- a/components/testbed/tests/streams.rs
+++ b/components/testbed/tests/streams.rs
@@ -13,6 +13,8 @@
 use testbed::{AgentSlot, Answer, CALLER_KEY, Caller, Relay, Testbed, TestbedSettings, Weights};
 
 const TIMEOUT: Duration = Duration::from_secs(30);
+/// Time in which an engine is freed once its caller left; agents wait 10 s for an entry that is lost.
+const PROMPT: Duration = Duration::from_secs(5);
 /// Tokens of an answer that takes about two seconds.
 const TOKENS: usize = 400;
 
@@ -64,10 +66,10 @@
     std::thread::spawn(move || Caller::default().chat(entry, prompt, TOKENS))
 }
 
-/// Sends a streamed request and gives the open connection.
-fn open(entry: SocketAddr, tokens: usize) -> TcpStream {
+/// Sends a request and gives the open connection.
+fn open(entry: SocketAddr, tokens: usize, stream: bool) -> TcpStream {
     let body = format!(
-        r#"{{"stream":true,"max_tokens":{tokens},"messages":[{{"role":"user","content":"x"}}]}}"#
+        r#"{{"stream":{stream},"max_tokens":{tokens},"messages":[{{"role":"user","content":"x"}}]}}"#
     );
     let mut stream = TcpStream::connect(entry).unwrap();
     let length = body.len();
@@ -149,11 +151,11 @@
 #[test]
 fn a_caller_that_leaves_frees_the_engine() {
     let mut bed = start(1);
-    let mut stream = open(bed.callers(0), 4000);
+    let mut stream = open(bed.callers(0), 4000, true);
     stream.read_exact(&mut [0; 400]).unwrap();
     assert_eq!(busy(&bed), 1);
     drop(stream);
-    bed.wait_until("a free engine", TIMEOUT, |bed| busy(bed) == 0).unwrap();
+    bed.wait_until("a free engine", PROMPT, |bed| busy(bed) == 0).unwrap();
     bed.wait_until("no request", TIMEOUT, |bed| in_flight(bed) == 0).unwrap();
     let counts = engines(&bed).next().unwrap().counts();
     assert_eq!(counts.cancelled, 1);
@@ -161,6 +163,17 @@
     bed.stop();
 }
 
+#[test]
+fn a_caller_that_leaves_before_the_first_byte_frees_the_engine() {
+    let mut bed = start(1);
+    let stream = open(bed.callers(0), 4000, false);
+    bed.wait_until("the run", TIMEOUT, |bed| busy(bed) == 1).unwrap();
+    drop(stream);
+    bed.wait_until("a free engine", PROMPT, |bed| busy(bed) == 0).unwrap();
+    bed.wait_until("no request", TIMEOUT, |bed| in_flight(bed) == 0).unwrap();
+    bed.stop();
+}
+
 #[test]
 fn a_slow_answer_in_one_piece_is_not_taken_for_silence() {
     let engine =
