--- a/components/agent/src/rollouts.rs
+++ b/components/agent/src/rollouts.rs
@@ -7,14 +7,9 @@
 
 use audit::Change;
 use base::{Digest, ReleaseId, VmId};
-<<<<<<< HEAD
-use chunks::Tree;
-use manifest::{Release, Rollout};
-use metrics::counter;
-=======
 use chunks::{Place, Plan};
 use manifest::{Release, Rollout, Vm};
->>>>>>> dist
+use metrics::counter;
 use node::wall_clock_ms;
 use placement::{Inputs, place};
 use proto::{MemberState, Trialled, Verdict};
@@ -23,7 +18,7 @@
 use telemetry::names;
 
 use crate::{
-    core::{Core, Shared},
+    core::{Core, STALE, Shared},
     engine::EngineReport,
     event::Event,
 };
@@ -242,9 +237,10 @@
         let view = report.as_ref().map(EngineReport::view);
         let plain = self.settings.kind == EndpointKind::Plain;
         if report.as_ref().is_some_and(|report| plain || report.serves()) {
-            self.shared.crashes.lock().expect("no holder panics").serves();
+            self.shared.crashes.lock().expect("no holder panics").serves(asked);
         }
-        self.report = report;
+        let fresh = now.saturating_duration_since(asked) <= STALE;
+        self.report = report.filter(|_| fresh);
         if self.settings.kind == EndpointKind::Model {
             self.decide(
                 match view {
