--- a/components/gossip/src/joining.rs
+++ b/components/gossip/src/joining.rs
@@ -17,7 +17,8 @@
     until: Instant,
     /// Peers that have not replied.
     asked: Vec<VmId>,
-    replies: usize,
+    /// Peers that replied, each once.
+    replied: Vec<VmId>,
     /// The highest revisions of manifest and VM list in the replies.
     newest: (Revision, Revision),
 }
@@ -26,21 +27,23 @@
     /// Begins with the peers `asked`; without any it ends at once.
     pub fn new(asked: Vec<VmId>, now: Instant) -> Joining {
         let newest = (Revision(0), Revision(0));
-        Joining { until: now + JOIN_LIMIT, asked, replies: 0, newest }
+        Joining { until: now + JOIN_LIMIT, asked, replied: Vec::new(), newest }
     }
 
     /// A peer replied, or could not be reached. Calls of others count too: any peer's word is good.
     pub fn heard(&mut self, from: &VmId, revisions: Option<(Revision, Revision)>) {
         self.asked.retain(|vm| vm != from);
         if let Some((manifest, vms)) = revisions {
-            self.replies += 1;
+            if !self.replied.contains(from) {
+                self.replied.push(from.clone());
+            }
             self.newest = (self.newest.0.max(manifest), self.newest.1.max(vms));
         }
     }
 
     /// Whether enough replied and the documents that they have are in force here, or the time is up.
     pub fn is_over(&self, manifest: Revision, vms: Revision, now: Instant) -> bool {
-        let enough = self.replies >= JOIN_REPLIES || self.asked.is_empty();
+        let enough = self.replied.len() >= JOIN_REPLIES || self.asked.is_empty();
         let newest = manifest >= self.newest.0 && vms >= self.newest.1;
         (enough && newest) || now >= self.until
     }
--- a/components/spec/src/attempt/entry.rs
+++ b/components/spec/src/attempt/entry.rs
@@ -7,13 +7,11 @@
         let mut steps = Vec::new();
         for (i, attempt) in self.attempts.iter().enumerate() {
             let age = self.now.duration_since(attempt.made);
-            if attempt.entry == Entry::Open {
-                if age <= self.settings.patience {
-                    steps.push(self.step(format!("the entry cancels attempt {i}"), |w| {
-                        w.attempts[i].entry = Entry::Settling;
-                        w.send(i, Body::Cancel);
-                    }));
-                }
+            if attempt.entry == Entry::Open && age <= self.settings.patience {
+                steps.push(self.step(format!("the entry cancels attempt {i}"), |w| {
+                    w.attempts[i].entry = Entry::Settling;
+                    w.send(i, Body::Cancel);
+                }));
             }
             if self.settings.queries > 0 {
                 steps.push(self.step(format!("the entry asks what became of attempt {i}"), |w| {
