--- a/components/agent/src/attempt.rs
+++ b/components/agent/src/attempt.rs
@@ -5,9 +5,8 @@
 use attempts::{KeyUse, Offer};
 use base::{AttemptId, ByteSize};
 use crossbeam_channel::{Sender, bounded};
-use net::{StreamWriter, header, query, read_body, refuse};
+use net::{Request, StreamWriter, header, query, read_body, refuse};
 use proto::{AttemptRef, Fate, Frame, RefusalReason, header as name};
-use tiny_http::Request;
 
 use crate::{
     answer::{Answer, Ending, Position, Step},
@@ -89,7 +88,13 @@
     };
     let method = get(name::METHOD)?.to_owned();
     let path = get(name::PATH)?.to_owned();
-    let passed = [name::CONTENT_TYPE, name::IDEMPOTENCY_KEY, name::ATTEMPT, name::REQUEST_ID];
+    let passed = [
+        name::CONTENT_TYPE,
+        name::IDEMPOTENCY_KEY,
+        name::ATTEMPT,
+        name::REQUEST_ID,
+        name::PRIORITY,
+    ];
     let headers = passed.into_iter().filter_map(|key| Some((key, get(key)?.to_owned()))).collect();
     let body = read_body(request, BODY)?;
     Some(Call { offer, method, path, headers, body })
--- a/components/agent/src/core.rs
+++ b/components/agent/src/core.rs
@@ -2,7 +2,10 @@
 
 use std::{
     collections::VecDeque,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -14,7 +17,7 @@
 use manifest::ChunkList;
 use net::{Mailbox, Workers};
 use node::{Changes, Node, NodeEvent, wall_clock_ms};
-use placement::Placement;
+use placement::{Inputs, Placement};
 use proto::Fate;
 use rollout::Endpoint;
 use settings::{AgentSettings, EndpointKind};
@@ -31,6 +34,8 @@
 const TICK: Duration = Duration::from_millis(20);
 /// Time between gossip calls.
 const GOSSIP_EVERY: Duration = Duration::from_millis(200);
+/// Least number of attempts that an agent beside an engine accepts beyond its slots.
+const MIN_SPARE: usize = 2;
 /// Pause before something that failed is tried again.
 const RETRY: Duration = Duration::from_millis(300);
 
@@ -45,6 +50,8 @@
     pub(crate) mailbox: Mailbox<Event>,
     pub(crate) kind: EndpointKind,
     pub(crate) crashes: SharedCrashes,
+    /// Attempts in progress.
+    pub(crate) running: Arc<AtomicUsize>,
 }
 
 impl Shared {
@@ -69,6 +76,8 @@
     pub(crate) answers: Answers,
     pub(crate) homes: Homes,
     pub(crate) placement: Placement,
+    /// What `placement` was computed from.
+    pub(crate) inputs: Inputs,
     pub(crate) loading: Option<Loading>,
     /// Chunk lists that were read last, newest last; at most `KEPT_LISTS`. An engine can be loaded
     /// again with them while the configuration service is down.
@@ -98,7 +107,8 @@
         shared: Shared,
     ) -> Option<Self> {
         let now = cx.now();
-        let slots = AttemptsSettings { slots: settings.slots, ..AttemptsSettings::default() };
+        let slots = settings.slots + spare_slots(&settings);
+        let slots = AttemptsSettings { slots, ..AttemptsSettings::default() };
         after!(TICK, [cx], tick());
         Some(Core {
             endpoint: Endpoint::new(Fence(node.identity.incarnation.0), now),
@@ -109,6 +119,7 @@
             settings,
             shared,
             placement: Placement::default(),
+            inputs: Inputs::default(),
             loading: None,
             lists: VecDeque::new(),
             report: None,
@@ -152,6 +163,7 @@
                 let _ = reply.send(self.resumed(&attempt, now));
             }
             Event::Finished { attempt, fate } => self.finished(attempt, fate, now),
+            Event::Pause(pause) => std::thread::sleep(pause),
             Event::Drain => self.drain(now),
         }
         self.stop_if_drained(cx);
@@ -161,6 +173,7 @@
         self.attempts.finish(attempt, fate, now);
         self.answers.ended(attempt, now);
         let in_flight = self.attempts.running();
+        self.shared.running.store(in_flight, Ordering::SeqCst);
         self.decide(rollout::Event::InFlight(in_flight), now);
     }
 
@@ -240,3 +253,12 @@
         }
     }
 }
+
+/// Attempts that are accepted beyond the stated slots, since entries may choose an endpoint at the
+/// same moment. An engine keeps them waiting; a plain service need not, so it gets none.
+fn spare_slots(settings: &AgentSettings) -> usize {
+    match settings.kind {
+        EndpointKind::Model => (settings.slots / 2).max(MIN_SPARE),
+        EndpointKind::Plain => 0,
+    }
+}
--- a/components/agent/src/process.rs
+++ b/components/agent/src/process.rs
@@ -59,6 +59,7 @@
             mailbox: mailbox.clone(),
             kind: options.kind,
             crashes: Arc::default(),
+            running: Arc::default(),
         };
         let calls = mailbox.clone();
         let deliver = move |call| calls.send(Event::Peer(call));
@@ -106,6 +107,11 @@
         self.mailbox.send(Event::Drain);
     }
 
+    /// Makes the core stand still for a while, as on a VM that is paused; for tests of failures.
+    pub fn pause(&self, pause: Duration) {
+        self.mailbox.send(Event::Pause(pause));
+    }
+
     /// Waits until the agent has stopped.
     pub fn wait(&self) {
         let thread = self.thread.lock().expect("no holder panics").take();
--- a/components/agent/src/report.rs
+++ b/components/agent/src/report.rs
@@ -30,8 +30,8 @@
             PeerCall::Fate(attempt, reply) => {
                 answer_call(reply, self.attempts.fate(&attempt, now));
             }
-            // Only entries serve this; the dropped reply says so.
-            PeerCall::Crashes(..) => {}
+            // Only entries serve these; a dropped reply says so.
+            PeerCall::Crashes(..) | PeerCall::Usage(_) => {}
             PeerCall::Status(reply) => answer_call(reply, self.status(now)),
             PeerCall::Audit(from, reply) => answer_call(reply, self.node.trail.page(from)),
         }
--- a/components/entry/src/core.rs
+++ b/components/entry/src/core.rs
@@ -6,20 +6,22 @@
 };
 
 use audit::Change;
-use base::{ReleaseId, RolloutId, VmId, WorkspaceId};
-use crossbeam_channel::Sender;
+use base::{AttemptId, ReleaseId, RolloutId, VmId};
 use fastrand::Rng;
-use limits::{Admission, RetryBudget, RetrySettings};
+use limits::{Admission, Parts, RetryBudget, RetrySettings, Usage, UsageSettings};
 use net::Mailbox;
 use node::{Node, NodeEvent};
-use placement::{Placement, place};
+use placement::{Inputs, Placement, place};
 use proto::MemberState;
 use quarantine::{Ledger, LedgerSettings};
-use routing::{Router, RouterSettings};
+use routing::{AttemptEnd, Router, RouterSettings};
 use stakker::{CX, after, stop};
 
 use crate::{
-    event::{Ask, Decision, Event},
+    claims::Claims,
+    event::Event,
+    pools::Pools,
+    queue::{Delayed, Lines, Running},
     suspects::{Lanes, Rumours},
 };
 
@@ -27,21 +29,9 @@
 const TICK: Duration = Duration::from_millis(20);
 /// Time between gossip calls.
 const GOSSIP_EVERY: Duration = Duration::from_millis(200);
-/// Time between questions to each endpoint's agent.
-const ASK_EVERY: Duration = Duration::from_millis(500);
-
 /// Time without a turn after which what is known of endpoints must be asked again.
 const PAUSE: Duration = Duration::from_secs(1);
 
-/// A request that waits for an endpoint.
-pub(crate) struct Waiting {
-    pub(crate) ask: Ask,
-    pub(crate) workspace: WorkspaceId,
-    pub(crate) reply: Sender<Decision>,
-    /// No endpoint is chosen before.
-    pub(crate) not_before: Instant,
-}
-
 /// The actor.
 pub(crate) struct Core {
     pub(crate) node: Node,
@@ -53,9 +43,20 @@
     pub(crate) lanes: Lanes,
     pub(crate) rumours: Rumours,
     pub(crate) placement: Placement,
+    /// What `placement` was computed from.
+    pub(crate) inputs: Inputs,
     /// Clocks of agents, in milliseconds, as they stated them last.
     pub(crate) clocks: HashMap<VmId, u64>,
-    pub(crate) queue: VecDeque<Waiting>,
+    pub(crate) claims: Claims,
+    pub(crate) pools: Pools,
+    pub(crate) usage: Usage,
+    pub(crate) parts: Parts,
+    pub(crate) lines: Lines,
+    pub(crate) delayed: Delayed,
+    /// Counts the requests that were delayed.
+    pub(crate) delays: u64,
+    pub(crate) running: HashMap<AttemptId, Running>,
+    /// Requests that wait or run.
     pub(crate) in_flight: usize,
     pub(crate) draining: Option<Instant>,
     /// When this process last acted.
@@ -63,7 +64,12 @@
     /// When this process last noticed that it had been paused; what it knew before may be wrong.
     pub(crate) woke: Instant,
     pub(crate) gossip_at: Instant,
+    /// When the next agent is asked about its endpoint.
     pub(crate) ask_at: Instant,
+    /// Agents in the order in which they are asked.
+    pub(crate) order: VecDeque<VmId>,
+    /// When each agent was asked last.
+    pub(crate) asked: HashMap<VmId, Instant>,
     /// Since when each rollout's release is wanted.
     pub(crate) since: Vec<(RolloutId, ReleaseId, Instant)>,
     pub(crate) rng: Rng,
@@ -72,26 +78,39 @@
 impl Core {
     pub(crate) fn init(cx: CX![], node: Node, mailbox: Mailbox<Event>) -> Option<Self> {
         let now = cx.now();
-        let zone = node.identity.settings.zone.clone();
+        let settings = &node.identity.settings;
+        let (zone, me) = (settings.zone.clone(), settings.vm.clone());
+        let policy = settings.entry.as_ref().map(|entry| entry.policy).unwrap_or_default();
+        let routing = RouterSettings { policy, ..RouterSettings::default() };
         after!(TICK, [cx], tick());
         Some(Core {
             node,
             mailbox,
-            router: Router::new(zone, RouterSettings::default(), Rng::new()),
+            router: Router::new(zone, routing, Rng::new()),
             admission: Admission::default(),
             retries: RetryBudget::new(RetrySettings::default()),
             ledger: Ledger::new(LedgerSettings::default()),
             lanes: Lanes::default(),
             rumours: Rumours::new(now),
             placement: Placement::default(),
+            inputs: Inputs::default(),
             clocks: HashMap::new(),
-            queue: VecDeque::new(),
+            claims: Claims::default(),
+            pools: Pools::default(),
+            usage: Usage::new(me, UsageSettings::default(), now),
+            parts: Parts::even(1),
+            lines: Lines::new(),
+            delayed: Delayed::new(),
+            delays: 0,
+            running: HashMap::new(),
             in_flight: 0,
             draining: None,
             acted: now,
             woke: now,
             gossip_at: now,
             ask_at: now,
+            order: VecDeque::new(),
+            asked: HashMap::new(),
             since: Vec::new(),
             rng: Rng::new(),
         })
@@ -104,21 +123,28 @@
             Event::Peer(call) => self.answer(call, now),
             Event::Node(event) => self.node_event(event, now),
             Event::Endpoint { vm, state: Some(state) } if state.vm == vm => {
+                let service = state.serving.as_ref().map(|serving| serving.service.clone());
                 self.clocks.insert(vm, state.clock);
                 self.router.observe(state, now);
-                self.serve_queue(now);
+                if let Some(service) = service {
+                    self.serve(&service, now);
+                }
+            }
+            Event::Endpoint { vm, .. } => {
+                self.router.missed(&vm);
+                self.node.members.missed(&vm, now);
             }
-            Event::Endpoint { vm, .. } => self.node.members.missed(&vm, now),
             Event::Arrived { ask, reply } => self.arrived(ask, reply, now),
             Event::Again { ask, last, reply } => self.again(ask, &last, reply, now),
             Event::Bound(bound) => self.bound(*bound, now),
-            Event::Lost { ask, last } => self.lost(&ask, &last, now),
-            Event::Answered { vm, fingerprint } => {
+            Event::Lost { last } => self.lost(&last, now),
+            Event::Answered { vm, attempt, fingerprint } => {
                 self.ledger.answered(&fingerprint);
-                self.retries.succeeded();
-                self.ended(&vm, false, now);
+                self.ended(attempt, &vm, AttemptEnd::Fine, true, now);
+            }
+            Event::Ended { vm, attempt } => {
+                self.ended(attempt, &vm, AttemptEnd::Fine, false, now);
             }
-            Event::Ended { vm, failed } => self.ended(&vm, failed, now),
             Event::Crashes(records) => self.learn_crashes(&records, now),
             Event::Drain => self.drain(now),
         }
@@ -129,7 +155,7 @@
     pub(crate) fn notice_pause(&mut self, now: Instant) {
         if now.saturating_duration_since(self.acted) > PAUSE {
             self.woke = now;
-            self.ask_endpoints();
+            self.ask_endpoints(now);
         }
         self.acted = now;
     }
@@ -146,13 +172,11 @@
                 self.node.trail.record(change, "expired");
             }
         }
-        if now >= self.ask_at {
-            self.ask_at = now + ASK_EVERY;
-            self.ask_endpoints();
-        }
+        self.ask_next(now);
+        self.exchange_usage(now);
         self.tell_crashes(now);
-        self.close_lanes();
-        self.serve_queue(now);
+        self.close_lanes(now);
+        self.tick_lines(now);
         self.stop_if_drained(cx);
         after!(TICK, [cx], tick());
     }
@@ -167,7 +191,7 @@
 
     pub(crate) fn stop_if_drained(&mut self, cx: CX![]) {
         let Some(until) = self.draining else { return };
-        let idle = self.in_flight == 0 && self.queue.is_empty();
+        let idle = self.in_flight == 0 && self.is_idle();
         if idle || cx.now() >= until {
             stop!(cx);
         }
@@ -178,11 +202,21 @@
         if !changes.manifest && !changes.vms {
             return;
         }
-        self.placement = place(self.node.documents.manifest(), self.node.documents.vms());
-        self.admission.set_manifest(self.node.documents.manifest());
+        let inputs = Inputs::of(self.node.documents.manifest(), self.node.documents.vms());
+        if inputs != self.inputs {
+            self.inputs = inputs;
+            self.placement = place(self.node.documents.manifest(), self.node.documents.vms());
+        }
+        self.claims = Claims::of(self.node.documents.manifest());
+        let claims = &self.claims;
+        self.admission.retain(|id| claims.by_id(id).is_some());
+        self.usage.retain(|id| claims.by_id(id).is_some());
+        for line in self.lines.values_mut() {
+            line.queue.retain(|id| claims.by_id(id).is_some());
+        }
         let vms = self.node.documents.vms();
         self.clocks.retain(|vm, _| vms.get(vm).is_some());
         self.note_releases(now);
-        self.update_candidates(now);
+        self.update_pools(now);
     }
 }
--- a/components/proto/src/header.rs
+++ b/components/proto/src/header.rs
@@ -28,3 +28,5 @@
 pub const CONTENT_TYPE: &str = "content-type";
 /// Whether a refused request ran: `not-run`, `run` or `unknown`.
 pub const OUTCOME: &str = "x-outcome";
+/// The request's priority at the engine; the lowest number goes first.
+pub const PRIORITY: &str = "x-priority";
--- a/components/proto/src/lib.rs
+++ b/components/proto/src/lib.rs
@@ -11,9 +11,10 @@
 mod peer;
 mod reservation;
 mod status;
+mod usage;
 
 pub use attempt::{AttemptRef, Fate, MIN_RETRY_AFTER, Outcome, RefusalReason};
-pub use crash::{CrashId, CrashRecord};
+pub use crash::{Crash, CrashId, CrashRecord};
 pub use frame::{Frame, FrameError};
 pub use member::{
     Announcement, DocumentKind, DocumentReply, DocumentRequest, EndpointState, Gossip, Load,
@@ -22,3 +23,4 @@
 pub use peer::{PeerClient, PeerServer};
 pub use reservation::{BadReservation, Reservation};
 pub use status::{EndpointRow, RolloutRow, Status};
+pub use usage::{FlowRow, UsageNews};
--- a/components/standins/src/engine.rs
+++ b/components/standins/src/engine.rs
@@ -9,11 +9,12 @@
 };
 
 use base::{ByteSize, Digest};
-use net::{Latch, Listener, StreamWriter, abort, header, query, read_body, refuse};
+use net::{
+    Latch, Listener, Method, Request, Response, StreamWriter, header, query, read_body, refuse,
+};
 use serde_json::{Value, json};
-use tiny_http::{Method, Request, Response};
 
-use crate::answers::token;
+use crate::{answers::token, slots::Slots};
 
 /// Longest wait for a connection's next bytes.
 const IDLE: Duration = Duration::from_secs(60);
@@ -85,7 +86,7 @@
     /// Grows with each crash; what belongs to an older one is broken.
     epoch: u64,
     down_until: Option<Instant>,
-    busy: usize,
+    slots: Slots,
     loads: Vec<(Instant, usize)>,
     answers: HashMap<String, Answer>,
     counts: EngineCounts,
@@ -101,6 +102,7 @@
     prompt: String,
     tokens: usize,
     stream: bool,
+    priority: u8,
 }
 
 /// What a release does to the engine when it is activated.
@@ -168,7 +170,7 @@
 
     /// Requests that it generates answers to now.
     pub fn busy(&self) -> usize {
-        self.shared.lock().busy
+        self.shared.lock().slots.busy
     }
 
     /// Makes a release fail when it is activated.
@@ -209,21 +211,21 @@
     fn answer(self: &Arc<Shared>, request: Request) {
         let down = self.lock().down_until.is_some_and(|until| Instant::now() < until);
         if down {
-            abort(request);
+            request.abort();
             return;
         }
         let url = request.url().to_owned();
         let path = url.split('?').next().unwrap_or_default();
         match (request.method().clone(), path) {
-            (Method::Get, "/v1/state") => self.report(request),
-            (Method::Post, "/v1/orders") => self.order(request),
-            (Method::Post, "/v1/chat/completions") => self.complete(request),
-            (Method::Put, _) => self.stage(request, path),
-            (Method::Get, _) => match path.strip_prefix("/v1/answers/") {
+            (Method::GET, "/v1/state") => self.report(request),
+            (Method::POST, "/v1/orders") => self.order(request),
+            (Method::POST, "/v1/chat/completions") => self.complete(request),
+            (Method::PUT, _) => self.stage(request, path),
+            (Method::GET, _) => match path.strip_prefix("/v1/answers/") {
                 Some(id) => self.resume(request, id, &url),
                 None => refuse(request, 404, "no such path", "not-run"),
             },
-            (Method::Delete, _) => self.cancel(request, path),
+            (Method::DELETE, _) => self.cancel(request, path),
             _ => refuse(request, 404, "no such path", "not-run"),
         }
     }
@@ -231,7 +233,7 @@
     fn report(&self, request: Request) {
         let mut state = self.lock();
         let now = Instant::now();
-        let busy = state.busy;
+        let busy = state.slots.busy;
         state.loads.push((now, busy));
         let lag = self.settings.load_lag;
         let old = state.loads.iter().rev().find(|(at, _)| now.duration_since(*at) >= lag);
@@ -288,7 +290,7 @@
             Some(Flaw::Crashes) => {
                 drop(state);
                 self.crash();
-                abort(request);
+                request.abort();
                 return;
             }
             Some(Flaw::CrashesAfter(wait)) => {
@@ -369,6 +371,7 @@
         let id = header(&request, proto::header::ATTEMPT).unwrap_or("none").to_owned();
         let name = header(&request, proto::header::REQUEST_ID).unwrap_or(&id).to_owned();
         let stream = call["stream"].as_bool().unwrap_or(false);
+        let priority = header(&request, proto::header::PRIORITY).and_then(|v| v.parse().ok());
         let (release, epoch) = {
             let mut state = self.lock();
             let Some(release) = state.serving.clone() else {
@@ -383,18 +386,26 @@
         };
         if prompt.contains(CRASH_MARK) {
             self.crash();
-            abort(request);
+            request.abort();
             return;
         }
         let engine = self.clone();
-        let job = Job { id: id.clone(), name, release, prompt: prompt.to_owned(), tokens, stream };
+        let job = Job {
+            id: id.clone(),
+            name,
+            release,
+            prompt: prompt.to_owned(),
+            tokens,
+            stream,
+            priority: priority.unwrap_or(u8::MAX),
+        };
         std::thread::spawn(move || engine.generate(&job, epoch));
         self.send(request, &id, 0);
     }
 
     fn generate(&self, job: &Job, epoch: u64) {
-        let Job { id, name, release, prompt, tokens, stream } = job;
-        if !self.take_slot(epoch) {
+        let Job { id, name, release, prompt, tokens, stream, priority } = job;
+        if !self.take_slot(*priority, epoch) {
             return;
         }
         let mut text = String::new();
@@ -413,7 +424,7 @@
         if state.epoch != epoch {
             return;
         }
-        state.busy -= 1;
+        state.slots.busy -= 1;
         if let Some(answer) = state.answers.get_mut(id) {
             answer.bytes.extend_from_slice(last.as_bytes());
             answer.done = true;
@@ -421,14 +432,17 @@
         self.changed.notify_all();
     }
 
-    fn take_slot(&self, epoch: u64) -> bool {
+    fn take_slot(&self, priority: u8, epoch: u64) -> bool {
         let mut state = self.lock();
-        while state.epoch == epoch && state.busy >= self.settings.slots {
-            state = self.changed.wait(state).expect("no holder panics");
+        if state.epoch != epoch {
+            return false;
         }
-        if state.epoch == epoch {
-            state.busy += 1;
+        let ticket = state.slots.join(priority);
+        while state.epoch == epoch && !state.slots.take(ticket, self.settings.slots) {
+            state = self.changed.wait(state).expect("no holder panics");
         }
+        // The next in turn may find a free slot too.
+        self.changed.notify_all();
         state.epoch == epoch
     }
 
@@ -438,7 +452,7 @@
             return false;
         }
         let Some(answer) = state.answers.get_mut(id).filter(|a| !a.broken) else {
-            state.busy -= 1;
+            state.slots.busy -= 1;
             self.changed.notify_all();
             return false;
         };
@@ -472,7 +486,7 @@
     fn send(&self, request: Request, id: &str, offset: usize) {
         let (epoch, release, stream) = {
             let state = self.lock();
-            let Some(answer) = state.answers.get(id) else { return abort(request) };
+            let Some(answer) = state.answers.get(id) else { return request.abort() };
             (state.epoch, answer.release.clone(), answer.stream)
         };
         let kind = if stream { "text/event-stream" } else { "application/json" };
@@ -530,6 +544,5 @@
 }
 
 fn respond_json(request: Request, body: &Value) {
-    // The sender may be gone.
-    let _ = request.respond(Response::from_string(body.to_string()));
+    request.respond(Response::from_string(body.to_string()));
 }
