--- a/components/base/src/ids.rs
+++ b/components/base/src/ids.rs
@@ -93,7 +93,7 @@
     type Err = BadId;
 
     fn from_str(s: &str) -> Result<Self, BadId> {
-        if s.len() != 32 {
+        if s.len() != 32 || !s.bytes().all(|b| b.is_ascii_hexdigit()) {
             return Err(BadId(s.chars().take(MAX_ID_BYTES).collect()));
         }
         u128::from_str_radix(s, 16).map(AttemptId).map_err(|_| BadId(s.to_owned()))
--- /dev/null
+++ b/components/manifest/tests/hostile.rs
@@ -0,0 +1,118 @@
+//! Hostile documents: no panic, a clear error, and deltas against whole copies.
+
+use base::Digest;
+use manifest::{ChunkList, Manifest, VmList};
+use quickcheck::{Arbitrary, Gen};
+
+const CASES: u64 = 400;
+
+fn example() -> Vec<u8> {
+    std::fs::read(concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/manifest/today.yaml"))
+        .or_else(|_| first_example())
+        .unwrap()
+}
+
+fn first_example() -> std::io::Result<Vec<u8>> {
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/manifest");
+    let mut files: Vec<_> = std::fs::read_dir(folder)?.map(|f| f.unwrap().path()).collect();
+    files.sort();
+    std::fs::read(&files[0])
+}
+
+/// Changes, cuts, doubles or inserts some bytes.
+fn damage(text: &[u8], g: &mut Gen) -> Vec<u8> {
+    let mut text = text.to_vec();
+    for _ in 0..1 + usize::arbitrary(g) % 4 {
+        let at = usize::arbitrary(g) % (text.len() + 1);
+        match u8::arbitrary(g) % 4 {
+            0 => text.truncate(at),
+            1 => text.insert(at, u8::arbitrary(g)),
+            2 if at < text.len() => text[at] = u8::arbitrary(g),
+            _ => {
+                let piece = text[at..(at + 40).min(text.len())].to_vec();
+                text.splice(at..at, piece);
+            }
+        }
+    }
+    text
+}
+
+#[test]
+fn a_damaged_manifest_is_refused_with_reasons_or_is_good() {
+    let example = example();
+    assert!(Manifest::parse(&example).is_ok());
+    for seed in 0..CASES {
+        let mut g = Gen::from_size_and_seed(20, seed);
+        match Manifest::parse(&damage(&example, &mut g)) {
+            Ok(manifest) => assert!(manifest.problems().is_empty(), "seed {seed}"),
+            Err(err) => {
+                assert!(!err.problems.is_empty() && !err.to_string().is_empty(), "seed {seed}");
+            }
+        }
+    }
+}
+
+#[test]
+fn noise_is_refused() {
+    for seed in 0..CASES {
+        let mut g = Gen::from_size_and_seed(400, seed);
+        let noise = Vec::<u8>::arbitrary(&mut g);
+        assert!(Manifest::parse(&noise).is_err(), "seed {seed}");
+        assert!(VmList::parse(&noise).is_err(), "seed {seed}");
+        assert!(ChunkList::parse(&noise, Digest::of(&noise)).is_err(), "seed {seed}");
+    }
+}
+
+#[test]
+fn deep_nesting_and_aliases_are_refused() {
+    let deep = format!("{}{}", "[".repeat(20_000), "]".repeat(20_000));
+    assert!(Manifest::parse(deep.as_bytes()).is_err());
+    assert!(VmList::parse(deep.as_bytes()).is_err());
+    let mut bomb = String::from("a0: &a0 [x, x, x, x, x, x, x, x, x]\n");
+    for i in 1..30 {
+        let last = format!("*a{}", i - 1);
+        let list = vec![last; 9].join(", ");
+        bomb.push_str(&format!("a{i}: &a{i} [{list}]\n"));
+    }
+    assert!(Manifest::parse(bomb.as_bytes()).is_err());
+}
+
+#[test]
+fn a_delta_leads_to_the_whole_copy() {
+    let whole = Manifest::parse(&example()).unwrap();
+    for seed in 0..CASES {
+        let mut g = Gen::from_size_and_seed(20, seed);
+        let mut next = whole.clone();
+        next.revision = next.revision.next();
+        for _ in 0..1 + usize::arbitrary(&mut g) % 4 {
+            change(&mut next, &mut g);
+        }
+        next.sort();
+        let mut base = whole.clone();
+        base.sort();
+        let delta = base.delta(&next, Digest::of(next.to_text().as_bytes()));
+        assert_eq!(base.with(&delta).to_text(), next.to_text(), "seed {seed}");
+    }
+}
+
+fn change(manifest: &mut Manifest, g: &mut Gen) {
+    let pick = |len: usize, g: &mut Gen| usize::arbitrary(g) % len;
+    match u8::arbitrary(g) % 5 {
+        0 if !manifest.rollouts.is_empty() => {
+            let at = pick(manifest.rollouts.len(), g);
+            manifest.rollouts.remove(at);
+        }
+        1 if !manifest.rollouts.is_empty() => {
+            let at = pick(manifest.rollouts.len(), g);
+            let mut added = manifest.rollouts[at].clone();
+            added.id = format!("added-{}", u64::arbitrary(g)).parse().unwrap();
+            manifest.rollouts.push(added);
+        }
+        2 if !manifest.workspaces.is_empty() => {
+            let at = pick(manifest.workspaces.len(), g);
+            manifest.workspaces[at].queue += 1;
+        }
+        3 => manifest.origin.percent += 1,
+        _ => manifest.services.reverse(),
+    }
+}
--- /dev/null
+++ b/components/placement/tests/differential.rs
@@ -0,0 +1,153 @@
+//! Placement against naive versions.
+
+use std::collections::HashSet;
+
+use base::{Permille, Rate, Revision, RolloutId};
+use manifest::{
+    Manifest, Model, Role, Rollout, Version, VersionRef, Vm, VmList, VmState, Workspace,
+};
+use placement::{Claim, fill, place};
+use quickcheck::{Arbitrary, Gen};
+
+const CASES: u64 = 300;
+
+fn below(g: &mut Gen, n: usize) -> usize {
+    usize::arbitrary(g) % n.max(1)
+}
+
+/// Gives single units to the claim with the lowest ratio of units to weight.
+fn by_units(units: usize, claims: &[Claim]) -> Vec<usize> {
+    let mut given = vec![0; claims.len()];
+    for _ in 0..units {
+        let open = (0..claims.len()).filter(|&i| given[i] < claims[i].demand);
+        let ratio = |i: usize| (given[i] + 1) as f64 / f64::from(claims[i].weight.max(1));
+        let Some(next) = open.min_by(|&a, &b| ratio(a).total_cmp(&ratio(b))) else { break };
+        given[next] += 1;
+    }
+    given
+}
+
+#[test]
+fn fill_follows_exact_water_filling() {
+    for seed in 0..CASES {
+        let mut g = Gen::from_size_and_seed(20, seed);
+        let claims: Vec<Claim> = (0..1 + below(&mut g, 6))
+            .map(|_| Claim { weight: 1 + below(&mut g, 500) as u32, demand: below(&mut g, 60) })
+            .collect();
+        let units = below(&mut g, 150);
+        let (fast, naive) = (fill(units, &claims), by_units(units, &claims));
+        let demand: usize = claims.iter().map(|c| c.demand).sum();
+        assert_eq!(fast.iter().sum::<usize>(), units.min(demand), "seed {seed}");
+        for (i, claim) in claims.iter().enumerate() {
+            assert!(fast[i] <= claim.demand, "seed {seed}");
+            let gap = fast[i].abs_diff(naive[i]);
+            assert!(gap <= claims.len(), "seed {seed}: {fast:?} and {naive:?} for {claims:?}");
+        }
+    }
+}
+
+fn fleet(g: &mut Gen) -> (Manifest, VmList) {
+    let workspaces = 1 + below(g, 3);
+    let version = Version {
+        id: "v1".parse().unwrap(),
+        size: base::ByteSize(1),
+        chunks: base::Digest::of(b"list"),
+    };
+    let model = VersionRef { id: "base".parse().unwrap(), version: version.id.clone() };
+    let rollout: Rollout = serde_json::from_str(
+        r#"{"id":"r","service":"assistant","workspace":"w",
+            "model":{"id":"base","version":"v1"},"replicas":1}"#,
+    )
+    .unwrap();
+    let rollouts = (0..1 + below(g, 5)).map(|i| Rollout {
+        id: format!("rollout-{i}").parse().unwrap(),
+        service: "assistant".parse().unwrap(),
+        workspace: format!("workspace-{}", below(g, workspaces)).parse().unwrap(),
+        model: model.clone(),
+        replicas: 1 + below(g, 20),
+        order: below(g, 3) as u32,
+        ..rollout.clone()
+    });
+    let rollouts = rollouts.collect();
+    let share = Permille(1000 / workspaces as u32);
+    let workspace = |i| Workspace {
+        id: format!("workspace-{i}").parse().unwrap(),
+        share,
+        requests: Rate(1.0),
+        queue: 1,
+        keys: Vec::new(),
+    };
+    let manifest = Manifest {
+        revision: Revision(1),
+        workspaces: (0..workspaces).map(workspace).collect(),
+        models: vec![Model { id: "base".parse().unwrap(), versions: vec![version] }],
+        rollouts,
+        ..Manifest::default()
+    };
+    let zones = 1 + below(g, 4);
+    let vms = (0..below(g, 50)).map(|i| Vm {
+        id: format!("vm-{i}").parse().unwrap(),
+        zone: format!("zone-{}", i % zones).parse().unwrap(),
+        region: "region".parse().unwrap(),
+        role: Role::Model,
+        state: if below(g, 8) == 0 { VmState::Leaving } else { VmState::Live },
+        control: ([127, 0, 0, 1], 1).into(),
+        data: ([127, 0, 0, 1], 2).into(),
+    });
+    (manifest, VmList { revision: Revision(1), vms: vms.collect() })
+}
+
+/// VMs that each rollout gets: the workspaces' parts, given to their rollouts in order.
+fn naive_counts(manifest: &Manifest, live: usize) -> Vec<(RolloutId, usize)> {
+    let mut rollouts: Vec<&Rollout> = manifest.rollouts.iter().collect();
+    rollouts.sort_by_key(|r| (r.order, r.id.clone()));
+    let demand = |w: &Workspace| -> usize {
+        rollouts.iter().filter(|r| r.workspace == w.id).map(|r| r.replicas).sum()
+    };
+    let claims: Vec<Claim> = manifest
+        .workspaces
+        .iter()
+        .map(|w| Claim { weight: w.share.0, demand: demand(w) })
+        .collect();
+    let parts = fill(live, &claims);
+    let mut counts = Vec::new();
+    for (workspace, mut part) in manifest.workspaces.iter().zip(parts) {
+        for rollout in rollouts.iter().filter(|r| r.workspace == workspace.id) {
+            let count = part.min(rollout.replicas);
+            part -= count;
+            counts.push((rollout.id.clone(), count));
+        }
+    }
+    counts
+}
+
+#[test]
+fn place_gives_each_rollout_its_count_of_distinct_live_vms() {
+    for seed in 0..CASES {
+        let mut g = Gen::from_size_and_seed(20, seed);
+        let (manifest, vms) = fleet(&mut g);
+        let live: HashSet<_> = vms.live_models().map(|vm| &vm.id).collect();
+        let placement = place(&manifest, &vms);
+        let mut taken = HashSet::new();
+        for (rollout, count) in naive_counts(&manifest, live.len()) {
+            let chosen = placement.vms_of(&rollout);
+            assert_eq!(chosen.len(), count, "seed {seed}: {rollout}");
+            for vm in chosen {
+                assert!(live.contains(vm) && taken.insert(vm.clone()), "seed {seed}: {vm}");
+                assert_eq!(placement.rollout_of(vm), Some(&rollout), "seed {seed}");
+            }
+        }
+    }
+}
+
+#[test]
+fn place_depends_on_the_sets_only() {
+    for seed in 0..CASES {
+        let mut g = Gen::from_size_and_seed(20, seed);
+        let (mut manifest, mut vms) = fleet(&mut g);
+        let before = place(&manifest, &vms);
+        vms.vms.reverse();
+        manifest.rollouts.reverse();
+        assert_eq!(place(&manifest, &vms), before, "seed {seed}");
+    }
+}
