Cause link and source failures on loopback, and count what is fetched

Cause: the failures of the spread were caused in memory only; two relays stood for faulty links; the metrics of chunks were named but not counted. One relay in the testbed. Counters of chunk bytes and errors. Sources and actions in a file of their own. Conclusion: each failure of the spread is caused at its edge as well as in the decisions.

--- a/components/agent/src/weights.rs
+++ b/components/agent/src/weights.rs
@@ -9,9 +9,11 @@
 use bytes::Bytes;
 use chunks::{Action as ChunkAction, FetchError, OriginShare, Plan, Source, TransferSettings};
 use manifest::ChunkList;
+use metrics::counter;
 use proto::{Announcement, PeerClient};
 use rollout::Order;
 use stakker::{CX, after};
+use telemetry::names;
 
 use crate::{
     core::{Core, Shared},
@@ -205,9 +207,7 @@
         result: Result<Bytes, FetchError>,
         now: Instant,
     ) {
-        if let (Source::Origin, Ok(bytes)) = (&source, &result) {
-            self.origin_bytes += bytes.len() as u64;
-        }
+        self.count(&source, &result);
         let Some(loading) = &mut self.loading else { return };
         let digest = loading.chunk(&list, chunk).map(|(digest, _)| digest);
         let release = loading.id().clone();
@@ -226,6 +226,19 @@
         self.poll_transfers(now);
     }
 
+    fn count(&mut self, source: &Source, result: &Result<Bytes, FetchError>) {
+        match result {
+            Ok(bytes) => {
+                let size = bytes.len() as u64;
+                counter!(names::CHUNK_BYTES, "source" => source.kind()).increment(size);
+                if *source == Source::Origin {
+                    self.origin_bytes += size;
+                }
+            }
+            Err(error) => counter!(names::CHUNK_ERRORS, "error" => error.kind()).increment(1),
+        }
+    }
+
     pub(crate) fn staged(
         &mut self,
         cx: CX![],
--- a/components/chunks/src/lib.rs
+++ b/components/chunks/src/lib.rs
@@ -9,10 +9,12 @@
 mod pool;
 mod queue;
 mod settings;
+mod source;
 mod transfer;
 
 pub use link::Link;
 pub use plan::{Place, Plan, Reach};
 pub use pool::Pool;
 pub use settings::{OriginShare, TransferSettings};
-pub use transfer::{Action, FetchError, Source, Transfer};
+pub use source::{Action, FetchError, Source};
+pub use transfer::Transfer;
--- a/components/chunks/src/transfer.rs
+++ b/components/chunks/src/transfer.rs
@@ -7,11 +7,11 @@
     time::{Duration, Instant},
 };
 
-use base::{Digest, VmId};
+use base::VmId;
 use manifest::ChunkList;
 
 use crate::{
-    Plan, Reach, TransferSettings,
+    FetchError, Plan, Reach, Source, TransferSettings,
     budget::Budget,
     flights::Flights,
     news::News,
@@ -20,51 +20,6 @@
     settings::Strategy,
 };
 
-/// Where a chunk comes from.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-pub enum Source {
-    /// Another agent.
-    Peer(VmId),
-    /// The weight store.
-    Store,
-    /// The origin.
-    Origin,
-}
-
-/// Why a fetch failed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum FetchError {
-    /// The source does not have the chunk.
-    Missing,
-    /// The source asks to wait.
-    Limited(Duration),
-    /// The bytes did not match the digest.
-    Corrupted,
-    /// The connection failed or stalled.
-    Failed,
-}
-
-/// What the process is to do.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Action {
-    /// Fetch a chunk.
-    Fetch {
-        /// Position in the list.
-        chunk: u32,
-        /// Its digest.
-        digest: Digest,
-        /// Where from.
-        source: Source,
-    },
-    /// Tell a VM which chunks it can fetch here.
-    Announce {
-        /// The VM.
-        to: VmId,
-        /// Positions in the list; none to ask the VM what it has.
-        chunks: Vec<u32>,
-    },
-}
-
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum State {
     Missing,
--- a/components/chunks/src/transfer/poll.rs
+++ b/components/chunks/src/transfer/poll.rs
@@ -4,8 +4,8 @@
 
 use base::VmId;
 
-use super::{Action, Source, State, Transfer};
-use crate::{news::News, peers::PeerSet, settings::Strategy};
+use super::{State, Transfer};
+use crate::{Action, Source, news::News, peers::PeerSet, settings::Strategy};
 
 /// Chunks at the head of the queue that are looked at, for each fetch that may start.
 const LOOK_AHEAD: usize = 4;
--- a/components/chunks/src/transfer/tests/fixture.rs
+++ b/components/chunks/src/transfer/tests/fixture.rs
@@ -2,8 +2,10 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use base::Digest;
+
 use super::super::*;
-use crate::Place;
+use crate::{Action, Place};
 
 pub(super) const CHUNKS: u32 = 32;
 /// Time between looks at the transfers.
--- a/components/chunks/src/transfer/tests/single.rs
+++ b/components/chunks/src/transfer/tests/single.rs
@@ -1,6 +1,7 @@
 //! Decisions of a single transfer.
 
 use super::{super::*, fixture::*};
+use crate::Action;
 
 const MEMBERS: [usize; 4] = [0, 1, 2, 3];
 
--- a/components/standins/src/blobs.rs
+++ b/components/standins/src/blobs.rs
@@ -28,6 +28,8 @@
     pub stalled: f64,
     /// How long a stalled read takes.
     pub stall: Duration,
+    /// Refuses all reads and asks to wait so long.
+    pub busy: Option<Duration>,
 }
 
 struct Shared {
@@ -101,6 +103,12 @@
 
 fn answer(shared: &Shared, request: Request) {
     shared.reads.fetch_add(1, Ordering::Relaxed);
+    let busy = shared.faults.lock().expect("no holder panics").0.busy;
+    if let Some(wait) = busy {
+        let response = Response::from_string("reads are limited").with_status_code(429);
+        request.respond(response.with_header("retry-after", &wait.as_secs_f64().to_string()));
+        return;
+    }
     let digest = request.url().strip_prefix("/v1/blobs/").and_then(|d| d.parse::<Digest>().ok());
     let blob = digest.and_then(|d| shared.blobs.lock().expect("no holder panics").get(&d).cloned());
     let Some(blob) = blob else {
--- a/components/standins/src/lib.rs
+++ b/components/standins/src/lib.rs
@@ -6,7 +6,6 @@
 mod blobs;
 mod engine;
 mod plain;
-mod relay;
 mod slots;
 mod values;
 
@@ -14,5 +13,4 @@
 pub use blobs::{BlobFaults, BlobService};
 pub use engine::{Engine, EngineCounts, EngineSettings, Flaw};
 pub use plain::PlainService;
-pub use relay::Relay;
 pub use values::{ValueService, manifest_value, vms_value};
--- a/components/standins/src/values.rs
+++ b/components/standins/src/values.rs
@@ -25,6 +25,8 @@
     changed: Condvar,
     down: AtomicBool,
     reads: AtomicU64,
+    /// Reads and watches of each value.
+    reads_of: Mutex<HashMap<String, u64>>,
 }
 
 /// The stand-in.
@@ -68,6 +70,12 @@
     pub fn reads(&self) -> u64 {
         self.shared.reads.load(Ordering::Relaxed)
     }
+
+    /// Reads and watches of one value so far.
+    pub fn reads_of(&self, name: &str) -> u64 {
+        let reads_of = self.shared.reads_of.lock().expect("no holder panics");
+        reads_of.get(name).copied().unwrap_or(0)
+    }
 }
 
 impl Drop for ValueService {
@@ -81,6 +89,9 @@
     let url = request.url().to_owned();
     let path = url.split('?').next().unwrap_or_default();
     let name = path.strip_prefix("/v1/values/").unwrap_or_default();
+    let mut reads_of = shared.reads_of.lock().expect("no holder panics");
+    *reads_of.entry(name.to_owned()).or_default() += 1;
+    drop(reads_of);
     let number = |key| query(&url, key).and_then(|v| v.parse::<u64>().ok());
     let until = Instant::now() + Duration::from_secs(number("wait").unwrap_or(0).min(30));
     match wait_for(shared, name, number("after"), until) {
--- a/components/testbed/src/relay.rs
+++ b/components/testbed/src/relay.rs
@@ -1,4 +1,5 @@
-//! A TCP relay that loses track of connections: what is sent on them vanishes, while new ones work.
+//! A TCP relay that stands for a faulty link. It can lose track of connections, so that what is sent
+//! on them vanishes while new ones work; it can stall, and it can corrupt answers.
 
 use std::{
     io::{ErrorKind, Read, Write},
@@ -10,10 +11,13 @@
     time::Duration,
 };
 
+use base::ByteSize;
 use net::Latch;
 
 /// Longest wait before the state of the relay is looked at again.
 const POLL: Duration = Duration::from_millis(20);
+/// Longest wait for bytes before the state of the relay is looked at again.
+const READ_POLL: Duration = Duration::from_millis(200);
 /// Bytes that are passed on at once.
 const PIECE_BYTES: usize = 16 << 10;
 
@@ -25,6 +29,12 @@
     lost: AtomicU64,
     /// Whether new connections are closed at once.
     closed: AtomicBool,
+    /// Whether nothing is passed on for now.
+    stalled: AtomicBool,
+    /// One byte in so many of the answers is flipped; 0 for none.
+    corrupt_every: AtomicU64,
+    /// Bytes of answers so far.
+    answered: AtomicU64,
     stop: Latch,
 }
 
@@ -65,6 +75,35 @@
     pub fn set_closed(&self, closed: bool) {
         self.state.closed.store(closed, Ordering::SeqCst);
     }
+
+    /// Stops passing bytes on, in both directions, or goes on.
+    pub fn stall(&self, stalled: bool) {
+        self.state.stalled.store(stalled, Ordering::SeqCst);
+    }
+
+    /// Flips one byte in each `every` bytes of the answers.
+    pub fn corrupt(&self, every: ByteSize) {
+        self.state.corrupt_every.store(every.0, Ordering::SeqCst);
+    }
+}
+
+impl State {
+    fn wait_while_stalled(&self) {
+        while self.stalled.load(Ordering::SeqCst) && !self.stop.is_closed() {
+            std::thread::sleep(POLL);
+        }
+    }
+
+    /// Flips the last byte of a piece of an answer, if one is due.
+    fn flip(&self, piece: &mut [u8]) {
+        let count = piece.len() as u64;
+        let before = self.answered.fetch_add(count, Ordering::SeqCst);
+        let due = |every: u64| before / every != (before + count) / every;
+        let every = self.corrupt_every.load(Ordering::SeqCst);
+        if let Some(last) = piece.last_mut().filter(|_| every > 0 && due(every)) {
+            *last ^= 0xff;
+        }
+    }
 }
 
 impl Drop for Relay {
@@ -84,20 +123,24 @@
             continue;
         }
         let Ok(far) = TcpStream::connect(target) else { continue };
-        for (from, to) in [(&near, &far), (&far, &near)] {
+        for (from, to, answers) in [(&near, &far, false), (&far, &near, true)] {
             let (Ok(from), Ok(to)) = (from.try_clone(), to.try_clone()) else { continue };
             let state = state.clone();
-            std::thread::spawn(move || pass(from, to, number, &state));
+            std::thread::spawn(move || pass(from, to, answers, number, &state));
         }
     }
 }
 
-fn pass(mut from: TcpStream, mut to: TcpStream, number: u64, state: &State) {
-    let set = from.set_nonblocking(false).and_then(|()| from.set_read_timeout(Some(POLL)));
+fn pass(mut from: TcpStream, mut to: TcpStream, answers: bool, number: u64, state: &State) {
+    let set = from.set_nonblocking(false).and_then(|()| from.set_read_timeout(Some(READ_POLL)));
     set.expect("the socket is open");
     let mut buffer = vec![0; PIECE_BYTES];
     while !state.stop.is_closed() {
         let read = from.read(&mut buffer);
+        state.wait_while_stalled();
+        if let (Ok(n), true) = (&read, answers) {
+            state.flip(&mut buffer[..*n]);
+        }
         let lost = state.lost.load(Ordering::SeqCst) >= number;
         match read {
             Ok(n) if n > 0 && lost => {}
--- a/examples/bench/faults.rs
+++ b/examples/bench/faults.rs
@@ -1,9 +1,10 @@
 //! The faults of `bench rollout --faults`.
 
-use base::{ByteSize, VmId};
-use standins::{BlobFaults, Relay};
 use std::time::Duration;
-use testbed::Testbed;
+
+use base::{ByteSize, VmId};
+use standins::BlobFaults;
+use testbed::{Relay, Testbed};
 
 /// Part of the chunks that arrive corrupted.
 const CORRUPTED: f64 = 0.01;
