Back a slow peer off once, and forgive it when it delivers

Cause: fetches that stalled together doubled a peer's backoff each, up to 8s, so that on a busy machine good peers were left out for long; a chunk that came late did not count in their favour. Change: failures during a backoff count once; at most 4s; a late chunk ends the backoff.

--- a/components/agent/src/weights.rs
+++ b/components/agent/src/weights.rs
@@ -217,7 +217,7 @@
                 let mut pool = self.shared.pool.lock().expect("no holder panics");
                 pool.insert(digest, bytes.clone());
                 drop(pool);
-                transfer.held(chunk, now);
+                transfer.fetched(chunk, &source, now);
                 stage(&self.shared, release, digest, bytes);
             }
             (Err(error), _) => transfer.failed(chunk, &source, error, now),
--- a/components/chunks/src/peers.rs
+++ b/components/chunks/src/peers.rs
@@ -12,7 +12,7 @@
 /// A peer that gave this many corrupted chunks is asked last.
 const MAX_BLAME: u32 = 3;
 /// Longest time that a peer which failed is not asked.
-const MAX_BACKOFF: Duration = Duration::from_secs(8);
+const MAX_BACKOFF: Duration = Duration::from_secs(4);
 
 /// A set of peers, by slot.
 pub(crate) type PeerSet = u64;
@@ -119,9 +119,13 @@
     }
 
     /// A peer answered.
-    pub(crate) fn succeeded(&mut self, vm: &VmId) {
+    pub(crate) fn succeeded(&mut self, vm: &VmId, now: Instant) {
         if let Some(slot) = self.find(vm) {
-            self.slots[slot].failures = 0;
+            let peer = &mut self.slots[slot];
+            if peer.failures > 0 {
+                peer.free_at = now;
+            }
+            peer.failures = 0;
         }
     }
 
@@ -129,6 +133,10 @@
     pub(crate) fn failed(&mut self, vm: &VmId, backoff: Duration, now: Instant) {
         if let Some(slot) = self.find(vm) {
             let peer = &mut self.slots[slot];
+            if peer.failures > 0 && now < peer.free_at {
+                // Fetches that fail together count once.
+                return;
+            }
             let wait = backoff * 2u32.saturating_pow(peer.failures.min(8));
             peer.failures += 1;
             peer.free_at = now + wait.min(MAX_BACKOFF);
--- a/components/chunks/src/transfer.rs
+++ b/components/chunks/src/transfer.rs
@@ -198,6 +198,14 @@
         }
     }
 
+    /// A chunk was fetched, perhaps later than it was waited for.
+    pub fn fetched(&mut self, index: u32, source: &Source, now: Instant) {
+        if let Source::Peer(vm) = source {
+            self.peers.succeeded(vm, now);
+        }
+        self.held(index, now);
+    }
+
     /// A chunk is held now: it was fetched, or was in memory already.
     pub fn held(&mut self, index: u32, now: Instant) {
         if self.chunks[index as usize].state == State::Held {
@@ -205,9 +213,6 @@
         }
         if let Some(flight) = self.flights.remove(index) {
             self.flights.learn(&flight, now);
-            if let Source::Peer(vm) = &flight.source {
-                self.peers.succeeded(vm);
-            }
         }
         let chunk = &mut self.chunks[index as usize];
         chunk.state = State::Held;
@@ -264,11 +269,11 @@
     fn peer_failed(&mut self, index: u32, vm: &VmId, error: FetchError, now: Instant) {
         let lost = match error {
             FetchError::Missing => {
-                self.peers.succeeded(vm);
+                self.peers.succeeded(vm, now);
                 true
             }
             FetchError::Limited(wait) => {
-                self.peers.succeeded(vm);
+                self.peers.succeeded(vm, now);
                 self.peers.limited(vm, wait, now);
                 false
             }
--- a/components/chunks/src/transfer/tests/fixture.rs
+++ b/components/chunks/src/transfer/tests/fixture.rs
@@ -201,7 +201,7 @@
                 let transfer = self.transfers.get_mut(&to).unwrap();
                 match result {
                     Ok(()) => {
-                        transfer.held(chunk, self.now);
+                        transfer.fetched(chunk, &source, self.now);
                         let pool = self.pools.get_mut(&to).unwrap();
                         pool.push(chunk);
                         if pool.len() > self.memory {
--- a/components/chunks/src/transfer/tests/single.rs
+++ b/components/chunks/src/transfer/tests/single.rs
@@ -110,3 +110,23 @@
     assert!(transfer.queue.first(usize::MAX).len() > 9_000);
     assert!(fetches(&transfer.poll(now)).is_empty());
 }
+
+#[test]
+fn a_peer_that_gives_its_chunk_late_is_asked_again_at_once() {
+    let now = Instant::now();
+    let mut transfer = transfer(0, now);
+    let plan = plan(0, &MEMBERS);
+    let mut foreign = (0..CHUNKS).filter(|&c| plan.rank(c) != Some(0));
+    let mut next = || foreign.next().unwrap();
+    let (first, second, third) = (next(), next(), next());
+    let near = Source::Peer(vm(2));
+    transfer.offered(&vm(2), &[first], now);
+    assert!(fetches(&transfer.poll(now)).contains(&(first, near.clone())));
+    let later = now + transfer.settings.stall * 4;
+    transfer.poll(later);
+    transfer.offered(&vm(2), &[second], later);
+    assert!(!fetches(&transfer.poll(later)).contains(&(second, near.clone())));
+    transfer.fetched(first, &near, later);
+    transfer.offered(&vm(2), &[third], later);
+    assert!(fetches(&transfer.poll(later)).contains(&(third, near)));
+}
--- a/examples/bench/rollout.rs
+++ b/examples/bench/rollout.rs
@@ -68,6 +68,10 @@
     seconds: f64,
     bound_ratio: f64,
     origin_copies: f64,
+    /// Seconds until the origin sent the first chunk.
+    first: f64,
+    /// Seconds until the origin sent a whole copy.
+    copied: f64,
     /// Seconds until half of the VMs were ready.
     half: f64,
     /// Processors in use on average, for all processes and stand-ins.
@@ -93,6 +97,8 @@
             ("zones", options.zones.into()),
             ("seed", options.seed.into()),
             ("bound", bound(COPY).into()),
+            ("first", outcome.first.into()),
+            ("copied", outcome.copied.into()),
             ("half", outcome.half.into()),
             ("cores", outcome.cores.into()),
             ("vms", vms.into()),
@@ -173,7 +179,7 @@
     bed.roll_out("v1", vms, 0);
     let limit = if options.strategy == Strategy::Origin { vms as u32 } else { MAX_RATIO };
     let limit = Duration::from_secs_f64(bound(copy)) * limit + SETTLE;
-    let mut half = None;
+    let (mut first, mut copied, mut half) = (None, None, None);
     let mut ready = 0;
     while ready < vms && start.elapsed() < limit {
         std::thread::sleep(Duration::from_millis(10));
@@ -181,9 +187,10 @@
             faults.step(&mut bed, start.elapsed().as_secs_f64() / bound(copy))?;
         }
         ready = bed.serving("base@v1");
-        if ready * 2 >= vms && half.is_none() {
-            half = Some(start.elapsed().as_secs_f64());
-        }
+        let seconds = start.elapsed().as_secs_f64();
+        note(&mut first, bed.origin.sent() > 0, seconds);
+        note(&mut copied, bed.origin.sent() >= copy.0, seconds);
+        note(&mut half, ready * 2 >= vms, seconds);
     }
     let seconds = start.elapsed().as_secs_f64();
     let cores = (cpu_seconds() - cpu) / seconds;
@@ -195,12 +202,21 @@
         seconds,
         bound_ratio: seconds / bound(copy),
         origin_copies: sent as f64 / copy.0 as f64,
+        first: first.unwrap_or(seconds),
+        copied: copied.unwrap_or(seconds),
         half: half.unwrap_or(seconds),
         cores,
         mixed,
     })
 }
 
+/// Keeps the time at which something was true first.
+fn note(at: &mut Option<f64>, now: bool, seconds: f64) {
+    if now {
+        at.get_or_insert(seconds);
+    }
+}
+
 fn mixed(bed: &Testbed) -> usize {
     let engines = bed.agents.iter().filter_map(|slot| slot.engine.as_ref());
     let wrong = |engine: &standins::Engine| {
