--- a/components/chunks/src/transfer/tests/single.rs
+++ b/components/chunks/src/transfer/tests/single.rs
@@ -114,8 +114,10 @@
 #[test]
 fn a_peer_that_gives_its_chunk_late_is_asked_again_at_once() {
     let now = Instant::now();
-    let mut transfer = transfer(0, now);
     let plan = plan(0, &MEMBERS);
+    let patience = Duration::from_secs(60);
+    let settings = TransferSettings { patience, ..TransferSettings::default() };
+    let mut transfer = Transfer::new(list(), plan.clone(), settings, now);
     let mut foreign = (0..CHUNKS).filter(|&c| plan.rank(c) != Some(0));
     let mut next = || foreign.next().unwrap();
     let (first, second, third) = (next(), next(), next());
