Let frequent changes of the plan not put takeovers off

Cause: each change of the plan counted as progress, so with VMs that come and go, or suspicions that are refuted, no VM took over from an owner that is lost. Change: a change only makes a VM search its peers first; the clock of progress runs on.

--- a/components/chunks/src/transfer.rs
+++ b/components/chunks/src/transfer.rs
@@ -66,6 +66,9 @@
     /// When a chunk was announced last.
     heard: Instant,
     started: Instant,
+    /// When the plan changed last. Its owners search their peers first, but plans that change often do
+    /// not put a takeover off for ever.
+    planned: Instant,
     /// Chunks that are held or were announced.
     seen: usize,
     /// When most chunks were seen, if they are.
@@ -113,6 +116,7 @@
             progress: now,
             heard: now,
             started: now,
+            planned: now,
             seen: 0,
             most_seen: None,
             search_at: now,
@@ -148,9 +152,7 @@
         for index in 0..self.chunks.len() as u32 {
             self.requeue(index, now);
         }
-        self.progress = now;
-        self.heard = now;
-        self.most_seen = self.most_seen.map(|_| now);
+        self.planned = now;
         self.greet(now);
     }
 
--- a/components/chunks/src/transfer/poll.rs
+++ b/components/chunks/src/transfer/poll.rs
@@ -165,8 +165,9 @@
             if !wanted || now < chunk.not_before || !self.in_reach(index) {
                 continue;
             }
-            if reads && idle >= self.takeover(index, now) && self.read_outside(index, actions, now)
-            {
+            let searched = now >= self.planned + self.settings.patience;
+            let due = searched && idle >= self.takeover(index, now);
+            if reads && due && self.read_outside(index, actions, now) {
                 continue;
             }
             if let Some(vm) = self.guess(index, failing).filter(|_| asks) {
--- a/components/chunks/src/transfer/tests/faults.rs
+++ b/components/chunks/src/transfer/tests/faults.rs
@@ -172,3 +172,19 @@
         assert_eq!(net.origin_reads, CHUNKS * 3);
     });
 }
+
+#[test]
+fn plans_that_change_often_do_not_put_a_takeover_off() {
+    each_strategy(|settings| {
+        let mut net = Net::new(&MEMBERS, settings);
+        net.fates.insert(owner(0), Fate::Stalled);
+        for round in 0..12 {
+            let gone = 1 + (owner(0) + 1 + round % 2) % 7;
+            let some: Vec<usize> = MEMBERS.into_iter().filter(|&i| i != gone).collect();
+            net.run_for(Duration::from_secs(1));
+            net.learn(if round % 2 == 0 { &some } else { &MEMBERS });
+        }
+        net.run(Duration::from_secs(1));
+        assert!(net.origin_reads <= CHUNKS * 3 / 2, "{}", net.origin_reads);
+    });
+}
