--- a/components/entry/src/admission.rs
+++ b/components/entry/src/admission.rs
@@ -14,6 +14,9 @@
     queue::Waiting,
 };
 
+/// Part of the time before a deadline that the expected wait may take.
+const WAIT_PART: f64 = 0.8;
+
 impl Core {
     pub(crate) fn arrived(&mut self, mut ask: Ask, reply: Sender<Decision>, now: Instant) {
         let admitted = self.check_binding(&mut ask).and_then(|()| self.admit(&ask, now));
@@ -69,9 +72,9 @@
         let (service, deadline) = (ask.service.clone(), ask.deadline);
         let line = self.line(&service, now);
         let cost = line.pace.service_time();
-        let start_by = deadline.checked_sub(cost).unwrap_or(now);
+        let start_by = deadline.checked_sub(line.pace.safe_time()).unwrap_or(now);
         if let Some(wait) = line.wait(&workspace, weight)
-            && now + wait > start_by
+            && now + wait.div_f64(WAIT_PART) > start_by
         {
             let message = "the deadline cannot be met, so many requests wait";
             return self.refuse(&reply, later(503, message, wait));
--- a/components/entry/src/queue.rs
+++ b/components/entry/src/queue.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use base::{AttemptId, ServiceId, WorkspaceId};
+use base::{AttemptId, ServiceId, VmId, WorkspaceId};
 use crossbeam_channel::Sender;
 use limits::{Entrant, FairQueue, Pace};
 use quarantine::Verdict;
@@ -162,9 +162,10 @@
         let key = (service.clone(), waiting.workspace.clone());
         let share = self.claims.by_id(&waiting.workspace).map_or(0.0, |claim| claim.share);
         let weight = self.parts.weight(&key, share);
-        let start_by = waiting.ask.deadline;
         let workspace = waiting.workspace.clone();
+        let deadline = waiting.ask.deadline;
         let line = self.line(&service, now);
+        let start_by = deadline.checked_sub(line.pace.safe_time()).unwrap_or(now);
         if line.queue.is_empty() {
             line.pace.waits(now);
         }
@@ -256,13 +257,14 @@
     }
 
     /// An attempt ended; `answered` if its caller got the whole answer.
-    pub(crate) fn left(&mut self, attempt: AttemptId, answered: bool, now: Instant) {
+    pub(crate) fn left(&mut self, attempt: AttemptId, vm: &VmId, answered: bool, now: Instant) {
         let Some(running) = self.running.remove(&attempt) else { return };
         let took = now.saturating_duration_since(running.since);
         let line = self.line(&running.service, now);
         line.pace.ended(answered.then_some(took), now);
         line.queue.settle(&running.workspace, running.charged, took);
         if answered {
+            self.router.answered(vm, took);
             self.usage.served(&(running.service.clone(), running.workspace), now);
         }
         self.serve(&running.service, now);
--- a/components/entry/src/retry.rs
+++ b/components/entry/src/retry.rs
@@ -24,7 +24,7 @@
         now: Instant,
     ) {
         self.attempt_ended(&last.vm, last.end(), now);
-        self.left(last.attempt, false, now);
+        self.left(last.attempt, &last.vm, false, now);
         self.suspect(&ask, last, now);
         match self.retry(&ask, last, now) {
             Ok((backoff, workspace)) => {
@@ -57,7 +57,7 @@
             let message = "requests like this one crashed endpoints; change it";
             return Err(refuse(422, message));
         }
-        let service_time = self.line(&ask.service, now).pace.service_time();
+        let service_time = self.line(&ask.service, now).pace.safe_time();
         let nth = ask.tried.len() as u32;
         let backoff = self.retries.take(nth, &mut self.rng);
         let backoff = backoff.ok_or_else(|| refuse(503, "too many requests fail; retry in 1s"))?;
@@ -82,7 +82,7 @@
         }
         self.lanes.finished(vm);
         self.attempt_ended(vm, end, now);
-        self.left(attempt, answered, now);
+        self.left(attempt, vm, answered, now);
     }
 
     fn attempt_ended(&mut self, vm: &VmId, end: AttemptEnd, now: Instant) {
--- a/components/limits/src/pace.rs
+++ b/components/limits/src/pace.rs
@@ -5,12 +5,17 @@
 /// Weight of the newest request in the mean.
 const NEWEST: f64 = 0.1;
 
+/// Mean distances above the mean that few requests exceed.
+const SPREADS: f64 = 6.0;
+
 /// Requests of one service at endpoints, and the time that they take there.
 #[derive(Debug, Clone, Copy)]
 pub struct Pace {
     in_flight: u32,
     /// Mean seconds at an endpoint; `None` before the first answer.
     mean: Option<f64>,
+    /// Mean distance of the times from the mean, in seconds.
+    spread: f64,
     /// When a request last started or ended, or began to wait with none before it.
     progress: Instant,
 }
@@ -18,7 +23,7 @@
 impl Pace {
     /// No request yet.
     pub fn new(now: Instant) -> Pace {
-        Pace { in_flight: 0, mean: None, progress: now }
+        Pace { in_flight: 0, mean: None, spread: 0.0, progress: now }
     }
 
     /// Requests at endpoints.
@@ -45,6 +50,7 @@
             let took = took.as_secs_f64();
             let mean = self.mean.unwrap_or(took);
             self.mean = Some(mean + NEWEST * (took - mean));
+            self.spread += NEWEST * ((took - mean).abs() - self.spread);
         }
     }
 
@@ -53,6 +59,11 @@
         Duration::from_secs_f64(self.mean.unwrap_or(0.0))
     }
 
+    /// Time at an endpoint that few requests exceed.
+    pub fn safe_time(&self) -> Duration {
+        Duration::from_secs_f64(self.mean.unwrap_or(0.0) + SPREADS * self.spread)
+    }
+
     /// Requests a second that pass while the endpoints stay as busy as now; `None` if unknown.
     pub fn rate(&self) -> Option<f64> {
         let mean = self.mean.filter(|mean| *mean > 0.0)?;
--- a/components/routing/src/router.rs
+++ b/components/routing/src/router.rs
@@ -7,7 +7,7 @@
 
 use base::{Incarnation, ReleaseId, ServiceId, VmId, Zone};
 use fastrand::Rng;
-use proto::{EndpointState, Load};
+use proto::EndpointState;
 use settings::RoutingPolicy;
 
 use crate::{
@@ -15,6 +15,8 @@
     subset::Placed,
 };
 
+/// Weight of the newest value in a mean.
+const NEWEST: f64 = 0.2;
 /// Part of the endpoints that must serve a current release before others are left behind.
 const MOST: f64 = 0.75;
 
@@ -72,8 +74,10 @@
     pub seen: Instant,
     /// Attempts of this entry in progress.
     pub in_flight: u32,
-    /// Attempts of the other entries, as far as is known.
-    others: u32,
+    /// Attempts of the other entries: the mean of the last reports, since each is late.
+    others: f64,
+    /// Mean seconds that answers took; `None` before the first.
+    time: Option<f64>,
     /// When `others` was learnt.
     load_seen: Instant,
     health: Health,
@@ -194,7 +198,8 @@
             self.note_progress(&state, now);
         }
         let Some(known) = self.known.get_mut(&state.vm) else { return };
-        known.others = state.load.busy.saturating_sub(known.in_flight);
+        let others = f64::from(state.load.busy.saturating_sub(known.in_flight));
+        known.others = if changed { others } else { blend(known.others, others) };
         known.load_seen = now;
         known.seen = now;
         known.state = Some(state);
@@ -296,7 +301,9 @@
             vm: vm.clone(),
             local: known.zone == self.zone,
             in_flight: known.in_flight,
-            load: Load { busy: known.others + known.in_flight, slots: state.load.slots },
+            busy: known.others + f64::from(known.in_flight),
+            slots: state.load.slots.max(1),
+            time: known.time,
             allowed: self.allowed(service.part, known, state.load.slots, now),
             warmth: known.health.warmth(&self.settings.health, now),
         })
@@ -323,17 +330,20 @@
     /// Most attempts of this entry at an endpoint.
     fn allowed(&self, part: SlotPart, known: &Known, slots: u32, now: Instant) -> u32 {
         let own = ((f64::from(slots) * part.part).floor() as u32).clamp(1, slots.max(1));
+        if self.settings.policy != RoutingPolicy::P2c {
+            return slots;
+        }
         if !part.lent {
             return ((f64::from(slots) * part.part).ceil() as u32).clamp(1, slots.max(1));
         }
         let age = now.saturating_duration_since(known.load_seen);
-        let others = if age <= self.settings.fresh { known.others } else { 0 };
-        own.max(slots.saturating_sub(others))
+        let others = if age <= self.settings.fresh { known.others } else { 0.0 };
+        own.max(slots.saturating_sub(others as u32))
     }
 
     /// Keeps the endpoints of the own zone if one of them has a free slot.
     fn prefer_local(&self, usable: &mut Vec<Usable>) {
-        if usable.iter().any(|u| u.local && u.pressure() < 1.0) {
+        if usable.iter().any(|u| u.local && u.load() < 1.0) {
             usable.retain(|u| u.local);
         }
     }
@@ -345,7 +355,12 @@
             return first;
         }
         let second = (first + 1 + self.rng.usize(..usable.len() - 1)) % usable.len();
-        if usable[first].pressure() <= usable[second].pressure() { first } else { second }
+        let times = (usable[first].time, usable[second].time);
+        let (a, b) = match times {
+            (Some(a), Some(b)) => (a, b),
+            _ => (1.0, 1.0),
+        };
+        if usable[first].load() * a <= usable[second].load() * b { first } else { second }
     }
 
     /// An attempt was sent to an endpoint.
@@ -355,6 +370,14 @@
         }
     }
 
+    /// An endpoint answered after `took`.
+    pub fn answered(&mut self, vm: &VmId, took: Duration) {
+        if let Some(known) = self.known.get_mut(vm) {
+            let took = took.as_secs_f64();
+            known.time = Some(known.time.map_or(took, |time| blend(time, took)));
+        }
+    }
+
     /// An attempt at an endpoint ended. Returns whether its agent should be asked at once.
     pub fn finished(&mut self, vm: &VmId, end: AttemptEnd, now: Instant) -> bool {
         let Some(known) = self.known.get_mut(vm) else { return false };
@@ -364,7 +387,7 @@
             AttemptEnd::Fine => false,
             AttemptEnd::Full => {
                 let slots = known.state.as_ref().map_or(0, |s| s.load.slots);
-                known.others = slots.saturating_sub(known.in_flight);
+                known.others = f64::from(slots.saturating_sub(known.in_flight));
                 known.load_seen = now;
                 false
             }
@@ -381,31 +404,40 @@
     vm: VmId,
     local: bool,
     in_flight: u32,
-    load: Load,
+    /// Requests of all entries there.
+    busy: f64,
+    slots: u32,
     allowed: u32,
     /// Above 0, at most 1.
     warmth: f64,
+    time: Option<f64>,
 }
 
 impl Usable {
-    /// Requests for each slot that is warm.
-    fn pressure(&self) -> f64 {
-        f64::from(self.load.busy) / (f64::from(self.load.slots.max(1)) * self.warmth)
+    /// Requests for each slot that is warm, if one more comes.
+    fn load(&self) -> f64 {
+        (self.busy + 1.0) / (f64::from(self.slots) * self.warmth)
     }
 
     fn has_room(&self) -> bool {
-        let warm = (f64::from(self.load.slots) * self.warmth).ceil() as u32;
+        let warm = (f64::from(self.slots) * self.warmth).ceil() as u32;
         self.in_flight < self.allowed.min(warm.max(1))
     }
 }
 
+/// The mean after one more value.
+fn blend(mean: f64, value: f64) -> f64 {
+    mean + NEWEST * (value - mean)
+}
+
 fn unseen(zone: Zone, now: Instant) -> Known {
     Known {
         zone,
         state: None,
         seen: now,
         in_flight: 0,
-        others: 0,
+        others: 0.0,
+        time: None,
         load_seen: now,
         health: Health::new(now),
     }
--- a/examples/bench/requests.rs
+++ b/examples/bench/requests.rs
@@ -35,6 +35,8 @@
 const PEAK_LOADS: [f64; 3] = [0.9, 1.0, 1.15];
 /// Part of the overload that is not judged: queues and shares settle.
 const SETTLE: Duration = Duration::from_secs(3);
+/// Seconds at the beginning of a step that are not judged.
+const STEP_SETTLE: f64 = 1.0;
 /// Time between two poison requests.
 const POISON_EVERY: Duration = Duration::from_millis(250);
 /// Shares of the workspaces, in thousandths.
@@ -53,9 +55,11 @@
     let capacity = options.capacity();
     let mut peak = Counts::default();
     for (load, run) in PEAK_LOADS.into_iter().zip(1..) {
-        let counts = targets.offer(capacity * load, options.step, 0.0, options.seed * 10 + run);
-        report.line("step", &counts.pairs(load, options.step));
-        if counts.goodput(options.step) > peak.goodput(options.step) {
+        let counts =
+            targets.offer(capacity * load, options.step, STEP_SETTLE, options.seed * 10 + run);
+        let judged = options.step - Duration::from_secs_f64(STEP_SETTLE);
+        report.line("step", &counts.pairs(load, judged));
+        if counts.goodput(judged) > peak.goodput(judged) {
             peak = counts;
         }
     }
@@ -73,14 +77,14 @@
     if let Some(poison) = poison {
         counts.add_poison(poison.stop());
     }
-    report.line("overload", &counts.pairs(options.overload, options.time));
+    let judged = options.time.saturating_sub(SETTLE);
+    report.line("overload", &counts.pairs(options.overload, judged));
     for (index, row) in counts.workspaces.iter().enumerate() {
         report.line("workspace", &row.pairs(index, SHARES[index]));
     }
     counts.count_runs(&bed);
-    let judged = options.time.saturating_sub(SETTLE);
-    let goodput = counts.judged_answered as f64 / judged.as_secs_f64();
-    let ratio = goodput / peak.goodput(options.step).max(0.001);
+    let ratio = counts.goodput(judged)
+        / peak.goodput(options.step - Duration::from_secs_f64(STEP_SETTLE)).max(0.001);
     let share = share_error(&counts.workspaces, &SHARES);
     let attempts = Counters::read().ratio_since(&before);
     report.line("attempts", &Counters::read().pairs_since(&counters));
--- a/examples/bench/requests/counts.rs
+++ b/examples/bench/requests/counts.rs
@@ -20,8 +20,10 @@
     pub workspace: usize,
     pub kind: Kind,
     pub text: String,
-    pub judged: bool,
-    pub in_time: bool,
+    /// Whether it was sent in the judged part of the load.
+    pub sent: bool,
+    /// Whether it was answered in the judged part of the load.
+    pub good: bool,
     pub took: Duration,
     pub answer: Answer,
 }
@@ -55,10 +57,8 @@
     pub crossed: u64,
     pub doubled: u64,
     pub crashes: u64,
-    /// Answered while the load ran.
-    pub good: u64,
     /// Answered while the judged part of the load ran.
-    pub judged_answered: u64,
+    pub good: u64,
     pub workspaces: Vec<Row>,
     latency: Histogram<u64>,
     refusal: Histogram<u64>,
@@ -85,7 +85,6 @@
             doubled: 0,
             crashes: 0,
             good: 0,
-            judged_answered: 0,
             workspaces: vec![Row::default(); workspaces],
             latency: Histogram::new(3).expect("three digits are valid"),
             refusal: Histogram::new(3).expect("three digits are valid"),
@@ -96,20 +95,16 @@
     /// Takes in a request with its answer.
     pub fn add(&mut self, sample: Sample) {
         self.sent += 1;
-        let judged = sample.judged && sample.kind == Kind::Chat;
-        if judged {
-            self.workspaces[sample.workspace].sent += 1;
-        }
+        let chat = sample.kind == Kind::Chat;
+        let row = &mut self.workspaces[sample.workspace];
+        row.sent += u64::from(sample.sent && chat);
         let micros = sample.took.as_micros() as u64;
         match &sample.answer {
             Answer::Whole { .. } => {
                 self.answered += 1;
-                self.good += u64::from(sample.in_time);
-                self.judged_answered += u64::from(sample.in_time && sample.judged);
-                if judged {
-                    self.workspaces[sample.workspace].answered += 1;
-                }
-                if sample.kind == Kind::Chat {
+                self.good += u64::from(sample.good);
+                row.answered += u64::from(sample.good && chat);
+                if chat {
                     self.latency.record(micros).expect("the histogram grows");
                 }
             }
@@ -153,7 +148,7 @@
         self.harmed += ran;
     }
 
-    /// Requests a second that were answered while the load ran.
+    /// Requests a second that were answered in the judged part, which took `time`.
     pub fn goodput(&self, time: Duration) -> f64 {
         self.good as f64 / time.as_secs_f64()
     }
--- a/examples/bench/requests/load.rs
+++ b/examples/bench/requests/load.rs
@@ -84,8 +84,8 @@
                 workspace,
                 kind,
                 text: format!("request {number} of run {}", self.seed),
-                judged: at.as_secs_f64() >= self.settle,
-                end: start + self.time,
+                sent: at.as_secs_f64() >= self.settle,
+                window: (start + Duration::from_secs_f64(self.settle), start + self.time),
             };
             let counts = counts.clone();
             let thread = std::thread::Builder::new().stack_size(STACK_BYTES);
@@ -108,9 +108,9 @@
     kind: Kind,
     text: String,
     /// Whether it was sent after the settling time.
-    judged: bool,
-    /// End of the load; later answers do not count as goodput.
-    end: Instant,
+    sent: bool,
+    /// Answers within count as goodput.
+    window: (Instant, Instant),
 }
 
 impl Call {
@@ -120,12 +120,13 @@
             Kind::Chat => self.caller.chat(self.entry, &self.text, self.tokens),
             Kind::Order => self.caller.order(self.entry, None, &self.text),
         };
+        let now = Instant::now();
         let sample = Sample {
             workspace: self.workspace,
             kind: self.kind,
             text: self.text,
-            judged: self.judged,
-            in_time: Instant::now() <= self.end,
+            sent: self.sent,
+            good: self.window.0 <= now && now <= self.window.1,
             took: start.elapsed(),
             answer,
         };
--- a/examples/bench/requests/options.rs
+++ b/examples/bench/requests/options.rs
@@ -43,7 +43,7 @@
             tokens: 10,
             token_time: Duration::from_millis(20),
             overload: 3.0,
-            step: Duration::from_secs(3),
+            step: Duration::from_secs(4),
             time: Duration::from_secs(12),
             deadline: Duration::from_secs(2),
             skew: 0.0,
