--- a/components/entry/src/retry.rs
+++ b/components/entry/src/retry.rs
@@ -26,7 +26,7 @@
         now: Instant,
     ) {
         self.attempt_ended(&last.vm, last.end(), now);
-        self.left(last.attempt, false, now);
+        self.left(last.attempt, &last.vm, false, now);
         self.suspect(last, now);
         match self.retry(&ask, last, now) {
             Ok((backoff, workspace)) => {
@@ -58,7 +58,7 @@
         if self.ledger.verdict(&ask.fingerprint) == Verdict::Quarantined {
             return Err(Refusal { outcome, ..refusal::quarantined() });
         }
-        let service_time = self.line(&ask.service, now).pace.service_time();
+        let service_time = self.line(&ask.service, now).pace.safe_time();
         let nth = ask.tried.len() as u32;
         let backoff = self.retries.take(nth, &mut self.rng);
         counts::retry(backoff.is_some());
@@ -84,7 +84,7 @@
         }
         self.lanes.finished(vm);
         self.attempt_ended(vm, end, now);
-        self.left(attempt, answered, now);
+        self.left(attempt, vm, answered, now);
     }
 
     fn attempt_ended(&mut self, vm: &VmId, end: AttemptEnd, now: Instant) {
