Test agents that wake late, and call a release ready once

Cause: no loopback test paused an agent, and an endpoint that never stopped serving was called ready again whenever a statement of its engine changed. Change: two tests pause an agent in a load, replace it and wake it, with fencing checked and ignored; ready is recorded at the first statement only. Conclusion: the woken agent records paused and stepped_down and gives no order.

--- a/components/rollout/src/endpoint.rs
+++ b/components/rollout/src/endpoint.rs
@@ -36,6 +36,8 @@
     prepared_at: Option<Instant>,
     /// No order is given before.
     retry_at: Instant,
+    /// The release that was called ready last and serves since.
+    ready: Option<ReleaseId>,
     trial: Trial,
     in_flight: usize,
     turn: bool,
@@ -57,6 +59,7 @@
             known_since: now,
             prepared_at: None,
             retry_at: now,
+            ready: None,
             trial: Trial::default(),
             in_flight: 0,
             turn: false,
@@ -195,6 +198,9 @@
         if self.phase == Phase::Loading && !self.prepare_shows(asked) {
             view.prepared = self.engine.as_ref().and_then(|e| e.prepared.clone());
         }
+        if view.serving != self.ready {
+            self.ready = None;
+        }
         let changed = self.engine.as_ref() != Some(&view);
         self.engine = Some(view);
         self.judge(now);
@@ -256,7 +262,10 @@
             }
             Some(release) if engine.serving.as_ref() == Some(&release) => {
                 self.phase = Phase::Settled;
-                actions.push(Action::Ready(release));
+                if self.ready.as_ref() != Some(&release) {
+                    self.ready = Some(release.clone());
+                    actions.push(Action::Ready(release));
+                }
             }
             Some(release) => {
                 self.phase = Phase::Loading;
@@ -294,6 +303,7 @@
             return Vec::new();
         }
         self.phase = Phase::Switching;
+        self.ready = None;
         self.read_at = now + READ_EVERY;
         match (self.target.clone(), self.serving().cloned()) {
             (Some(target), _) => {
--- a/components/rollout/src/endpoint/tests.rs
+++ b/components/rollout/src/endpoint/tests.rs
@@ -75,6 +75,24 @@
     assert!(endpoint.accepting());
 }
 
+#[test]
+fn an_endpoint_that_never_stopped_is_not_ready_again() {
+    let now = Instant::now();
+    let mut endpoint = fresh(10, now);
+    endpoint.handle(target("m@v1"), now);
+    let ready = [Action::Ready(release("m@v1"))];
+    assert_eq!(endpoint.handle(view(Some("m@v1"), None, now), now), ready);
+    assert_eq!(endpoint.handle(stated(Some("m@v1"), None, 51, now), now), []);
+    let orders = endpoint.handle(target("m@v2"), now);
+    endpoint.handle(answered(&orders[0], true), now);
+    let actions = endpoint.handle(target("m@v1"), now);
+    assert_eq!((actions.len(), kinds(&actions)), (2, vec![OrderKind::Abort]));
+    endpoint.handle(Event::EngineLost, now);
+    endpoint.handle(view(None, None, now), now);
+    endpoint.handle(Event::EngineLost, now);
+    assert_eq!(endpoint.handle(view(Some("m@v1"), None, now), now), ready);
+}
+
 #[test]
 fn nothing_is_ordered_before_peers_confirm() {
     let now = Instant::now();
--- a/components/testbed/tests/versions.rs
+++ b/components/testbed/tests/versions.rs
@@ -40,14 +40,19 @@
     bed.roll_out("v2", 3, 1);
     bed.wait_until("v2", TIMEOUT, |bed| bed.serving("base@v2") == 3).unwrap();
     assert_eq!((prepared(&bed), partial(&bed)), (0, 0));
-    for slot in &bed.agents {
-        let trail = bed.audit(slot.vm.control).unwrap();
-        let at = |wanted: &dyn Fn(&Change) -> bool| trail.iter().position(|e| wanted(&e.change));
-        let superseded =
-            at(&|c| matches!(c, Change::Superseded { release } if release.as_str() == "base@v1"));
-        let ready =
-            at(&|c| matches!(c, Change::Ready { release } if release.as_str() == "base@v2"));
-        assert!(superseded.unwrap() < ready.unwrap());
+    let position = |bed: &Testbed, slot: usize, wanted: &dyn Fn(&Change) -> bool| {
+        let trail = bed.audit(bed.agents[slot].vm.control).unwrap();
+        trail.iter().position(|entry| wanted(&entry.change))
+    };
+    let superseded =
+        |c: &Change| matches!(c, Change::Superseded { release } if release.as_str() == "base@v1");
+    let ready =
+        |c: &Change| matches!(c, Change::Ready { release } if release.as_str() == "base@v2");
+    for slot in 0..3 {
+        // The entry follows the engine's own statement a moment later.
+        bed.wait_until("ready", TIMEOUT, |bed| position(bed, slot, &ready).is_some()).unwrap();
+        assert!(position(&bed, slot, &superseded) < position(&bed, slot, &ready));
+        assert!(position(&bed, slot, &superseded).is_some());
     }
     bed.manifest.rollouts.clear();
     bed.publish_manifest();
@@ -115,6 +120,51 @@
     bed.stop();
 }
 
+/// The first agent is paused in the middle of a load, replaced, and wakes when the engine serves
+/// another version.
+fn agent_that_wakes_late_does_no_harm(fencing: bool) {
+    let engine = EngineSettings { fencing, ..EngineSettings::default() };
+    let link = ByteRate(400_000);
+    let mut bed = fleet(2, TestbedSettings { engine, link, ..TestbedSettings::default() });
+    bed.roll_out("v1", 2, 1);
+    // The answer to the order has come before the pause, so that later entries are of later orders.
+    let ordered = |change: &Change| matches!(change, Change::Order { .. });
+    bed.wait_until("loading", TIMEOUT, |bed| {
+        let trail = bed.audit(bed.agents[0].vm.control).unwrap();
+        trail.iter().any(|entry| ordered(&entry.change))
+    })
+    .unwrap();
+    bed.agents[0].agent.as_ref().unwrap().pause(Duration::from_secs(12));
+    let setting = if fencing { Fencing::Checked } else { Fencing::Ignored };
+    let old = second_agent(&mut bed, setting);
+    bed.roll_out("v2", 2, 1);
+    bed.wait_until("v2", TIMEOUT, |bed| bed.serving("base@v2") == 2).unwrap();
+    let trail = |bed: &Testbed| bed.audit(old.control()).unwrap_or_default();
+    let stepped_down = |bed: &Testbed| {
+        trail(bed).iter().any(|entry| matches!(entry.change, Change::SteppedDown { .. }))
+    };
+    bed.wait_until("step down", TIMEOUT, stepped_down).unwrap();
+    let woke = trail(&bed);
+    let paused = woke.iter().position(|entry| matches!(entry.change, Change::Paused)).unwrap();
+    let accepted = |change: &Change| matches!(change, Change::Order { accepted, .. } if *accepted);
+    assert!(!woke[paused..].iter().any(|entry| accepted(&entry.change)), "{woke:?}");
+    assert_eq!(bed.serving("base@v2"), 2);
+    assert_eq!((prepared(&bed), partial(&bed)), (0, 0));
+    old.drain();
+    old.wait();
+    bed.stop();
+}
+
+#[test]
+fn an_agent_that_wakes_late_does_no_harm_where_fencing_is_checked() {
+    agent_that_wakes_late_does_no_harm(true);
+}
+
+#[test]
+fn an_agent_that_wakes_late_does_no_harm_where_fencing_is_ignored() {
+    agent_that_wakes_late_does_no_harm(false);
+}
+
 #[test]
 fn the_older_of_two_agents_steps_down_where_fencing_is_checked() {
     older_agent_steps_down(true);
