--- /dev/null
+++ b/examples/bench/control/cores.rs
@@ -0,0 +1,234 @@
+//! Slopes of decisions and messages: no processes, only the cores.
+
+use std::time::{Duration, Instant};
+
+use anyhow::ensure;
+use attempts::{Attempts, AttemptsSettings, Offer};
+use base::{AttemptId, ByteSize, Digest, Incarnation, Revision, VmId};
+use chunks::{Transfer, TransferSettings, Tree};
+use gossip::{Documents, Members, MembersSettings};
+use hdrhistogram::Histogram;
+use manifest::{ChunkList, Manifest};
+use placement::place;
+use proto::{DocumentKind, DocumentRequest, Gossip};
+
+use crate::{
+    control::host::resident,
+    fit::{Slope, fit},
+    fleet::{id, manifest, member, vms},
+};
+
+/// VMs of the sizes that are measured.
+const FLEET: [usize; 4] = [1_500, 3_000, 6_000, 12_000];
+const ROLLOUTS: [usize; 4] = [300, 600, 1_200, 2_400];
+const WORKSPACES: [usize; 4] = [50, 100, 200, 400];
+const CHUNKS: [usize; 4] = [1_000, 2_000, 4_000, 8_000];
+const NEWS: [usize; 4] = [1, 2, 4, 6];
+const CHANGED: [usize; 4] = [1, 2, 4, 8];
+const ATTEMPTS: [usize; 4] = [20_000, 40_000, 80_000, 160_000];
+/// Runs of a decision, of which the median counts.
+const RUNS: usize = 15;
+
+/// Measures all of them.
+pub fn slopes(seed: u64) -> anyhow::Result<Vec<Slope>> {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    Ok(vec![
+        sized("peer_memory", "bytes", "peer", &FLEET, peer_memory)?,
+        sized("vm_memory", "bytes", "VM", &FLEET, vm_memory)?,
+        sized("rollout_memory", "bytes", "rollout", &ROLLOUTS, |n| manifest_memory(n, 400))?,
+        sized("workspace_memory", "bytes", "workspace", &WORKSPACES, |n| manifest_memory(600, n))?,
+        sized("attempt_memory", "bytes", "record", &ATTEMPTS, |n| attempt_memory(n, &mut rng))?,
+        sized("place_time", "us", "VM", &FLEET, |n| place_time(2_400, n))?,
+        sized("place_rollouts_time", "us", "rollout", &ROLLOUTS, |n| place_time(n, 12_000))?,
+        sized("list_bytes", "bytes", "VM", &FLEET, |n| Ok(vms(n).to_text().len() as f64))?,
+        sized("manifest_bytes", "bytes", "rollout", &ROLLOUTS, |n| {
+            Ok(manifest(n, 5).to_text().len() as f64)
+        })?,
+        sized("delta_bytes", "bytes", "change", &CHANGED, |n| Ok(delta(n)?.0))?,
+        sized("delta_time", "us", "rollout", &ROLLOUTS, delta_time)?,
+        sized("gossip_bytes", "bytes", "item", &NEWS, |n| Ok(gossip_text(n).len() as f64))?,
+        sized("gossip_time", "us", "item", &NEWS, gossip_time)?,
+        sized("tick_time", "us", "peer", &FLEET, tick_time)?,
+        sized("tree_time", "us", "VM", &[70, 140, 280, 560], tree_time)?,
+        sized("transfer_time", "us", "chunk", &CHUNKS, transfer_time)?,
+    ])
+}
+
+fn sized(
+    name: &str,
+    unit: &str,
+    per: &str,
+    sizes: &[usize],
+    mut measure: impl FnMut(usize) -> anyhow::Result<f64>,
+) -> anyhow::Result<Slope> {
+    let points: anyhow::Result<Vec<(f64, f64)>> =
+        sizes.iter().map(|&size| Ok((size as f64, measure(size)?))).collect();
+    Ok(fit(name, unit, per, points?))
+}
+
+/// Growth of the resident memory; what is built is kept, so that freed pages are not used again.
+fn held<T>(build: impl FnOnce() -> T) -> anyhow::Result<f64> {
+    let before = resident()?;
+    let built = build();
+    let grown = resident()? - before;
+    std::mem::forget(built);
+    Ok(grown.max(0.0))
+}
+
+/// Median time of `work` in microseconds.
+fn median(mut work: impl FnMut()) -> anyhow::Result<f64> {
+    let mut times = Histogram::<u64>::new(3)?;
+    for _ in 0..RUNS {
+        let start = Instant::now();
+        work();
+        times.record(start.elapsed().as_nanos() as u64)?;
+    }
+    Ok(times.value_at_quantile(0.5) as f64 / 1e3)
+}
+
+fn peers(count: usize, now: Instant) -> Members {
+    let me: VmId = id("vm-me");
+    let mut members = Members::new(me, Incarnation(1), MembersSettings::default());
+    members.learn((0..count).map(member).collect(), now);
+    members
+}
+
+fn peer_memory(count: usize) -> anyhow::Result<f64> {
+    held(|| peers(count, Instant::now()))
+}
+
+fn vm_memory(count: usize) -> anyhow::Result<f64> {
+    held(|| {
+        let mut documents = Documents::default();
+        documents.offer(DocumentKind::Vms, vms(count).to_text().as_bytes());
+        documents
+    })
+}
+
+fn manifest_memory(rollouts: usize, workspaces: usize) -> anyhow::Result<f64> {
+    let mut manifest = manifest(rollouts, 5);
+    manifest.workspaces.truncate(workspaces);
+    for (i, rollout) in manifest.rollouts.iter_mut().enumerate() {
+        rollout.workspace = manifest.workspaces[i % workspaces].id.clone();
+    }
+    let text = manifest.to_text();
+    held(|| {
+        let mut documents = Documents::default();
+        documents.offer(DocumentKind::Manifest, text.as_bytes());
+        documents
+    })
+}
+
+fn attempt_memory(count: usize, rng: &mut fastrand::Rng) -> anyhow::Result<f64> {
+    let now = Instant::now();
+    held(|| {
+        let settings = AttemptsSettings { slots: count, ..AttemptsSettings::default() };
+        let mut attempts = Attempts::new(Incarnation(1), settings, now);
+        for _ in 0..count {
+            let offer = Offer {
+                attempt: AttemptId(rng.u128(..)),
+                incarnation: Incarnation(1),
+                release: None,
+                deadline: Duration::from_secs(60),
+                stamp: Duration::ZERO,
+                key: None,
+            };
+            // Ids of 128 random bits do not repeat.
+            let _ = attempts.offer(&offer, true, None, now);
+        }
+        attempts
+    })
+}
+
+fn place_time(rollouts: usize, count: usize) -> anyhow::Result<f64> {
+    let (manifest, vms) = (manifest(rollouts, 5), vms(count));
+    median(|| drop(std::hint::black_box(place(&manifest, &vms))))
+}
+
+/// Bytes of `count` changes of the manifest, and the changed manifest.
+fn delta(count: usize) -> anyhow::Result<(f64, Manifest)> {
+    let mut next = manifest(2_400, 5);
+    let mut documents = Documents::default();
+    documents.offer(DocumentKind::Manifest, next.to_text().as_bytes());
+    for rollout in &mut next.rollouts[..count] {
+        rollout.model.version = id("v2");
+    }
+    next.revision = Revision(2);
+    documents.offer(DocumentKind::Manifest, next.to_text().as_bytes());
+    let request = DocumentRequest { kind: DocumentKind::Manifest, have: Revision(1) };
+    let text = serde_json::to_vec(&documents.reply(&request))?;
+    ensure!(text.len() < 100_000, "the changes are sent as a whole");
+    Ok((text.len() as f64, next))
+}
+
+/// Time to take one change of a manifest with `rollouts` rollouts into force.
+fn delta_time(rollouts: usize) -> anyhow::Result<f64> {
+    let first = manifest(rollouts, 5);
+    let mut next = first.clone();
+    next.rollouts[0].model.version = id("v2");
+    next.revision = Revision(2);
+    let (mut ahead, mut behind) = (Documents::default(), Documents::default());
+    ahead.offer(DocumentKind::Manifest, first.to_text().as_bytes());
+    behind.offer(DocumentKind::Manifest, first.to_text().as_bytes());
+    ahead.offer(DocumentKind::Manifest, next.to_text().as_bytes());
+    let reply = ahead.reply(&DocumentRequest { kind: DocumentKind::Manifest, have: Revision(1) });
+    median(|| {
+        behind.clone().offer_reply(DocumentKind::Manifest, reply.clone());
+    })
+}
+
+fn gossip_message(items: usize) -> Gossip {
+    Gossip {
+        from: id("vm-00000"),
+        incarnation: Incarnation(1_796_331_356_389),
+        manifest: Revision(4_000_000),
+        vms: Revision(4_000_000),
+        vms_age_ms: Some(12_345),
+        members: (0..items).map(member).collect(),
+    }
+}
+
+fn gossip_text(items: usize) -> Vec<u8> {
+    serde_json::to_vec(&gossip_message(items)).unwrap_or_default()
+}
+
+/// Time to read a message, learn from it and write the next one, among 12,000 peers.
+fn gossip_time(items: usize) -> anyhow::Result<f64> {
+    let now = Instant::now();
+    let mut members = peers(12_000, now);
+    let text = gossip_text(items);
+    let to: VmId = id("vm-00001");
+    median(|| {
+        if let Ok(message) = serde_json::from_slice::<Gossip>(&text) {
+            members.learn(message.members, now);
+        }
+        let reply = members.news(&to);
+        drop(std::hint::black_box(serde_json::to_vec(&reply)));
+    })
+}
+
+fn tick_time(count: usize) -> anyhow::Result<f64> {
+    let now = Instant::now();
+    let mut members = peers(count, now);
+    median(|| members.tick(now))
+}
+
+fn names(count: usize) -> Vec<VmId> {
+    (0..count).map(|i| id(&format!("vm-{i:05}"))).collect()
+}
+
+fn tree_time(count: usize) -> anyhow::Result<f64> {
+    let (members, list) = (names(count), Digest::of(b"list"));
+    median(|| drop(std::hint::black_box(Tree::new(&list, &members, &members[0]))))
+}
+
+/// Time to decide on the next fetches of a transfer of `count` chunks to 560 VMs.
+fn transfer_time(count: usize) -> anyhow::Result<f64> {
+    let members = names(560);
+    let digests = (0..count).map(|i| Digest::of(&i.to_be_bytes())).collect();
+    let list = ChunkList { chunk_size: ByteSize(16 << 20), digests };
+    let tree = Tree::new(&Digest::of(b"list"), &members, &members[7]);
+    let now = Instant::now();
+    let mut transfer = Transfer::new(list, tree, TransferSettings::default(), now);
+    median(|| drop(std::hint::black_box(transfer.poll(now + Duration::from_secs(60)))))
+}
--- a/examples/bench/fleet.rs
+++ b/examples/bench/fleet.rs
@@ -51,7 +51,8 @@
     Ok(true)
 }
 
-fn id<T: std::str::FromStr>(text: &str) -> T
+/// A well-formed id.
+pub fn id<T: std::str::FromStr>(text: &str) -> T
 where
     T::Err: std::fmt::Debug,
 {
@@ -72,7 +73,12 @@
 }
 
 fn list() -> VmList {
-    VmList { revision: Revision(1), vms: (0..AGENTS + ENTRIES).map(vm).collect() }
+    vms(AGENTS + ENTRIES)
+}
+
+/// A list of `count` VMs.
+pub fn vms(count: usize) -> VmList {
+    VmList { revision: Revision(1), vms: (0..count).map(vm).collect() }
 }
 
 fn rollout(i: usize, replicas: usize) -> Rollout {
@@ -92,7 +98,8 @@
     }
 }
 
-fn manifest(rollouts: usize, replicas: usize) -> Manifest {
+/// A manifest with 400 workspaces.
+pub fn manifest(rollouts: usize, replicas: usize) -> Manifest {
     let workspace = |i| Workspace {
         id: id(&format!("workspace-{i:03}")),
         share: Permille(2),
@@ -233,7 +240,8 @@
     Ok(())
 }
 
-fn member(i: usize) -> proto::Member {
+/// News of one member.
+pub fn member(i: usize) -> proto::Member {
     let release: ReleaseId = id("assistant-large@2026-11-03.4+fiji@2026-11-02.1");
     proto::Member {
         vm: id(&format!("vm-{i:05}")),
--- a/examples/bench/main.rs
+++ b/examples/bench/main.rs
@@ -2,9 +2,12 @@
 //!
 //! Each run prints its settings and seed, a line for each result, and a last line that sums it up.
 
+mod capacity;
 mod control;
 mod faults;
+mod fit;
 mod fleet;
+mod plot;
 mod report;
 mod requests;
 mod rollout;
@@ -15,6 +18,7 @@
 Usage: bench COMMAND [OPTIONS]
 
 Commands:
+  capacity  The table of docs/CAPACITY.md from measured slopes: --from FILE
   control   Slopes of control: bytes, processor time and memory
   fleet     Placement, documents and gossip at the size to design for
   requests  Requests under overload: --overload 3 [--rollout] [--faults] [--poison]
@@ -43,6 +47,7 @@
         _ => return usage("a command is missing"),
     };
     let result = match command.as_str() {
+        "capacity" => capacity::run(parser),
         "control" => control::run(parser),
         "fleet" => fleet::run(parser),
         "requests" => requests::run(parser),
