Measure bytes on the wire and the check of placement inputs

Change: bench control counts the bytes of real gossip calls with headers; bench capacity tells changes that move the placement from those that do not.

--- a/components/gossip/src/joining/tests.rs
+++ b/components/gossip/src/joining/tests.rs
@@ -32,3 +32,14 @@
     asked.iter().for_each(|vm| joining.heard(vm, None));
     assert!(over(&joining, 1, now), "nobody is left to ask");
 }
+
+#[test]
+fn several_replies_of_one_peer_count_once() {
+    let now = Instant::now();
+    let asked = vms(5);
+    let mut joining = Joining::new(asked.clone(), now);
+    for _ in 0..JOIN_REPLIES {
+        joining.heard(&asked[0], Some((Revision(1), Revision(1))));
+    }
+    assert!(!over(&joining, 1, now));
+}
--- a/examples/bench/control.rs
+++ b/examples/bench/control.rs
@@ -52,6 +52,7 @@
     let optimized = !cfg!(debug_assertions);
     println!("control seed={seed} optimized={optimized}");
     let mut slopes = cores::slopes(seed)?;
+    slopes.push(host::wire()?);
     slopes.extend(host::slopes()?);
     slopes.extend(streams::slopes(seed)?);
     for slope in &slopes {
--- a/examples/bench/control/cores.rs
+++ b/examples/bench/control/cores.rs
@@ -9,7 +9,7 @@
 use gossip::{Documents, Members, MembersSettings};
 use hdrhistogram::Histogram;
 use manifest::{ChunkList, Manifest};
-use placement::place;
+use placement::{Inputs, place};
 use proto::{DocumentKind, DocumentRequest, Gossip};
 
 use crate::{
@@ -39,6 +39,7 @@
         sized("workspace_memory", "bytes", "workspace", &WORKSPACES, |n| manifest_memory(600, n))?,
         sized("attempt_memory", "bytes", "record", &ATTEMPTS, |n| attempt_memory(n, &mut rng))?,
         sized("place_time", "us", "VM", &FLEET, |n| place_time(2_400, n))?,
+        sized("inputs_time", "us", "VM", &FLEET, inputs_time)?,
         sized("place_rollouts_time", "us", "rollout", &ROLLOUTS, |n| place_time(n, 12_000))?,
         sized("list_bytes", "bytes", "VM", &FLEET, |n| Ok(vms(n).to_text().len() as f64))?,
         sized("manifest_bytes", "bytes", "rollout", &ROLLOUTS, |n| {
@@ -145,6 +146,12 @@
     median(|| drop(std::hint::black_box(place(&manifest, &vms))))
 }
 
+/// Time to see whether the placement has to be computed again.
+fn inputs_time(count: usize) -> anyhow::Result<f64> {
+    let (manifest, vms) = (manifest(2_400, 5), vms(count));
+    median(|| drop(std::hint::black_box(Inputs::of(&manifest, &vms))))
+}
+
 /// Bytes of `count` changes of the manifest, and the changed manifest.
 fn delta(count: usize) -> anyhow::Result<(f64, Manifest)> {
     let mut next = manifest(2_400, 5);
@@ -177,7 +184,8 @@
     })
 }
 
-fn gossip_message(items: usize) -> Gossip {
+/// A message with news of `items` members.
+pub fn gossip_message(items: usize) -> Gossip {
     Gossip {
         from: id("vm-00000"),
         incarnation: Incarnation(1_796_331_356_389),
