--- a/components/settings/src/model.rs
+++ b/components/settings/src/model.rs
@@ -125,7 +125,7 @@
             memory: ByteSize(128 << 20),
             slots: 64,
             handover: Timeout(Duration::from_secs(240)),
-            strategy: Strategy::Tree,
+            strategy: Strategy::Rarest,
         }
     }
 }
--- a/examples/bench/capacity/roles.rs
+++ b/examples/bench/capacity/roles.rs
@@ -119,7 +119,18 @@
             },
             Line {
                 what: "processor: decisions",
-                XX,
+                sum:
+                    "gossip_time x 2/s + tick_time x 5/s + (delta_time + inputs_time) x changes + \
+                      place_time x changes of the VM list"
+                        .into(),
+                value: self.upkeep(churn)?,
+                unit: "millicores",
+                bound: Some(MAX_MILLICORES),
+            },
+            Line {
+                what: "processor: decisions if every change moves the placement",
+                sum: "the same with place_time x all changes".into(),
+                value: self.upkeep(self.changes())?,
                 unit: "millicores",
                 bound: Some(MAX_MILLICORES),
             },
--- a/examples/bench/control/cores.rs
+++ b/examples/bench/control/cores.rs
@@ -5,10 +5,10 @@
 use anyhow::ensure;
 use attempts::{Attempts, AttemptsSettings, Offer};
 use base::{AttemptId, ByteSize, Digest, Incarnation, Revision, VmId};
-use chunks::{Transfer, TransferSettings, Tree};
+use chunks::{Place, Plan, Transfer, TransferSettings};
 use gossip::{Documents, Members, MembersSettings};
 use hdrhistogram::Histogram;
-use manifest::{ChunkList, Manifest};
+use manifest::{ChunkList, Manifest, Vm};
 use placement::{Inputs, place};
 use proto::{DocumentKind, DocumentRequest, Gossip};
 
@@ -50,7 +50,7 @@
         sized("gossip_bytes", "bytes", "item", &NEWS, |n| Ok(gossip_text(n).len() as f64))?,
         sized("gossip_time", "us", "item", &NEWS, gossip_time)?,
         sized("tick_time", "us", "peer", &FLEET, tick_time)?,
-        sized("tree_time", "us", "VM", &[70, 140, 280, 560], tree_time)?,
+        sized("plan_time", "us", "VM", &[70, 140, 280, 560], plan_time)?,
         sized("transfer_time", "us", "chunk", &CHUNKS, transfer_time)?,
     ])
 }
@@ -149,7 +149,9 @@
 /// Time to see whether the placement has to be computed again.
 fn inputs_time(count: usize) -> anyhow::Result<f64> {
     let (manifest, vms) = (manifest(2_400, 5), vms(count));
-    median(|| drop(std::hint::black_box(Inputs::of(&manifest, &vms))))
+    median(|| {
+        std::hint::black_box(Inputs::of(&manifest, &vms));
+    })
 }
 
 /// Bytes of `count` changes of the manifest, and the changed manifest.
@@ -221,22 +223,23 @@
     median(|| members.tick(now))
 }
 
-fn names(count: usize) -> Vec<VmId> {
-    (0..count).map(|i| id(&format!("vm-{i:05}"))).collect()
+fn places(count: usize) -> Vec<Place> {
+    let place = |vm: Vm| Place { vm: vm.id, zone: vm.zone, region: vm.region };
+    vms(count).vms.into_iter().map(place).collect()
 }
 
-fn tree_time(count: usize) -> anyhow::Result<f64> {
-    let (members, list) = (names(count), Digest::of(b"list"));
-    median(|| drop(std::hint::black_box(Tree::new(&list, &members, &members[0]))))
+fn plan_time(count: usize) -> anyhow::Result<f64> {
+    let (places, list) = (places(count), Digest::of(b"list"));
+    median(|| drop(std::hint::black_box(Plan::new(&list, &places, &places[0].vm))))
 }
 
 /// Time to decide on the next fetches of a transfer of `count` chunks to 560 VMs.
 fn transfer_time(count: usize) -> anyhow::Result<f64> {
-    let members = names(560);
+    let places = places(560);
     let digests = (0..count).map(|i| Digest::of(&i.to_be_bytes())).collect();
     let list = ChunkList { chunk_size: ByteSize(16 << 20), digests };
-    let tree = Tree::new(&Digest::of(b"list"), &members, &members[7]);
+    let plan = Plan::new(&Digest::of(b"list"), &places, &places[7].vm);
     let now = Instant::now();
-    let mut transfer = Transfer::new(list, tree, TransferSettings::default(), now);
+    let mut transfer = Transfer::new(list, plan, TransferSettings::default(), now);
     median(|| drop(std::hint::black_box(transfer.poll(now + Duration::from_secs(60)))))
 }
--- a/examples/bench/main.rs
+++ b/examples/bench/main.rs
@@ -11,6 +11,7 @@
 mod report;
 mod requests;
 mod rollout;
+mod spread;
 
 use std::process::ExitCode;
 
