--- a/examples/bench/main.rs
+++ b/examples/bench/main.rs
@@ -22,6 +22,7 @@
   capacity  The table of docs/CAPACITY.md from measured slopes: --from FILE
   control   Slopes of control: bytes, processor time and memory
   fleet     Placement, documents and gossip at the size to design for
+  plot      Draws the JSON of rollout: --from FILE --plot FILE
   requests  Requests under overload: --overload 3 [--rollout] [--faults] [--poison]
             [--policy p2c|random|round-robin] [--skew F] [--seconds N]
   rollout   Time until all VMs serve a new version, and bytes read from the origin
@@ -51,6 +52,7 @@
         "capacity" => capacity::run(parser),
         "control" => control::run(parser),
         "fleet" => fleet::run(parser),
+        "plot" => plot::run(parser),
         "requests" => requests::run(parser),
         "rollout" => rollout::run(parser),
         other => return usage(&format!("command {other:?} does not exist")),
--- a/examples/bench/plot.rs
+++ b/examples/bench/plot.rs
@@ -1,14 +1,45 @@
 //! Pictures of results as SVG.
 
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
+use anyhow::{Context, ensure};
+use lexopt::Arg;
 use plotters::prelude::*;
+use serde_json::Value;
 
-use crate::fit::Slope;
+use crate::fit::{Slope, fit};
 
 const PANEL: (u32, u32) = (420, 280);
 const COLUMNS: usize = 3;
 
+/// Draws the results of `bench rollout --json` at several sizes: time and copies read.
+pub fn run(mut parser: lexopt::Parser) -> anyhow::Result<bool> {
+    let (mut from, mut picture) = (None::<PathBuf>, None::<PathBuf>);
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Arg::Long("from") => from = Some(parser.value()?.into()),
+            Arg::Long("plot") => picture = Some(parser.value()?.into()),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    let from = from.context("--from FILE is missing; name the JSON of bench rollout")?;
+    let picture = picture.context("--plot FILE is missing; name the picture")?;
+    let lines: Vec<Value> = serde_json::from_slice(&std::fs::read(&from)?)?;
+    let lines: Vec<&Value> = lines.iter().filter(|line| line["line"] == "rollout").collect();
+    ensure!(lines.len() > 1, "{}: has less than two sizes; use --sizes", from.display());
+    let points = |key: &str| {
+        let point = |line: &&Value| Some((line["vms"].as_f64()?, line[key].as_f64()?));
+        lines.iter().filter_map(point).collect::<Vec<_>>()
+    };
+    let panels = [
+        fit("time to all replicas", "s", "VM", points("seconds")),
+        fit("time over the bound", "ratio", "VM", points("bound_ratio")),
+        fit("copies read from the origin", "copies", "VM", points("origin_copies")),
+    ];
+    slopes(&picture, &format!("bench rollout, seed {}", lines[0]["seed"]), &panels)?;
+    Ok(true)
+}
+
 /// Draws each slope with its points in a panel of its own.
 pub fn slopes(file: &Path, title: &str, slopes: &[Slope]) -> anyhow::Result<()> {
     let rows = slopes.len().div_ceil(COLUMNS);
