--- a/examples/bench/main.rs
+++ b/examples/bench/main.rs
@@ -2,9 +2,12 @@
 //!
 //! Each run prints its settings and seed, a line for each result, and a last line that sums it up.
 
+mod capacity;
 mod control;
 mod faults;
+mod fit;
 mod fleet;
+mod plot;
 mod report;
 mod requests;
 mod rollout;
@@ -16,8 +19,10 @@
 Usage: bench COMMAND [OPTIONS]
 
 Commands:
+  capacity  The table of docs/CAPACITY.md from measured slopes: --from FILE
   control   Slopes of control: bytes, processor time and memory
   fleet     Placement, documents and gossip at the size to design for
+  plot      Draws the JSON of rollout: --from FILE --plot FILE
   requests  Requests under overload: --overload 3 [--rollout] [--faults] [--poison]
             [--policy p2c|random|round-robin] [--skew F] [--seconds N]
   rollout   Time until all VMs serve a new version, and bytes read from the origin
@@ -44,8 +49,10 @@
         _ => return usage("a command is missing"),
     };
     let result = match command.as_str() {
+        "capacity" => capacity::run(parser),
         "control" => control::run(parser),
         "fleet" => fleet::run(parser),
+        "plot" => plot::run(parser),
         "requests" => requests::run(parser),
         "rollout" => rollout::run(parser),
         other => return usage(&format!("command {other:?} does not exist")),
