--- a/components/agent/src/core.rs
+++ b/components/agent/src/core.rs
@@ -2,7 +2,10 @@
 
 use std::{
     collections::VecDeque,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -14,7 +17,7 @@
 use manifest::ChunkList;
 use net::{Mailbox, Workers};
 use node::{Changes, Node, NodeEvent, wall_clock_ms};
-use placement::Placement;
+use placement::{Inputs, Placement};
 use proto::Fate;
 use rollout::Endpoint;
 use settings::{AgentSettings, EndpointKind};
@@ -47,6 +50,8 @@
     pub(crate) mailbox: Mailbox<Event>,
     pub(crate) kind: EndpointKind,
     pub(crate) crashes: SharedCrashes,
+    /// Attempts in progress.
+    pub(crate) running: Arc<AtomicUsize>,
 }
 
 impl Shared {
@@ -71,6 +76,8 @@
     pub(crate) answers: Answers,
     pub(crate) homes: Homes,
     pub(crate) placement: Placement,
+    /// What `placement` was computed from.
+    pub(crate) inputs: Inputs,
     pub(crate) loading: Option<Loading>,
     /// Chunk lists that were read last, newest last; at most `KEPT_LISTS`. An engine can be loaded
     /// again with them while the configuration service is down.
@@ -112,6 +119,7 @@
             settings,
             shared,
             placement: Placement::default(),
+            inputs: Inputs::default(),
             loading: None,
             lists: VecDeque::new(),
             report: None,
@@ -144,6 +152,8 @@
             Event::Offer { offer, reply } => {
                 let attempt = offer.attempt;
                 let opened = self.offered(offer, now);
+                // A switch must not begin before the endpoint knows of the request.
+                self.decide(rollout::Event::InFlight(self.attempts.running()), now);
                 if reply.send(opened).is_err() {
                     self.finished(attempt, Fate::NotRun, now);
                 }
@@ -163,6 +173,7 @@
         self.attempts.finish(attempt, fate, now);
         self.answers.ended(attempt, now);
         let in_flight = self.attempts.running();
+        self.shared.running.store(in_flight, Ordering::SeqCst);
         self.decide(rollout::Event::InFlight(in_flight), now);
     }
 
--- a/components/attempts/src/table.rs
+++ b/components/attempts/src/table.rs
@@ -1,7 +1,7 @@
 //! The table of attempts of one run of an agent.
 
 use std::{
-    collections::HashMap,
+    collections::BTreeMap,
     time::{Duration, Instant},
 };
 
@@ -68,7 +68,7 @@
 }
 
 /// Attempts of one run of an agent.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Attempts {
     settings: AttemptsSettings,
     incarnation: Incarnation,
@@ -76,7 +76,7 @@
     started: Instant,
     keys: Keys,
     /// Records with the time after which they may be dropped; running ones are never dropped.
-    table: HashMap<AttemptId, (Record, Instant)>,
+    table: BTreeMap<AttemptId, (Record, Instant)>,
     /// Number of records that are running.
     running: usize,
 }
@@ -85,7 +85,7 @@
     /// An empty table for this run of the agent, whose clock starts at `now`.
     pub fn new(incarnation: Incarnation, settings: AttemptsSettings, now: Instant) -> Attempts {
         let keys = Keys::new(settings.keys);
-        let table = HashMap::new();
+        let table = BTreeMap::new();
         Attempts { settings, incarnation, started: now, keys, table, running: 0 }
     }
 
--- a/components/entry/src/queue.rs
+++ b/components/entry/src/queue.rs
@@ -15,6 +15,7 @@
     admission::{decide, later},
     core::Core,
     event::{Ask, Decision, Grant},
+    refusal,
 };
 
 /// Requests of a service that may wait; a workspace below its part may exceed it.
@@ -108,6 +109,10 @@
             }
             let Some(waiting) = line.queue.peek() else { return };
             let ask = waiting.ask.clone();
+            if self.is_quarantined(&ask) {
+                self.refuse_next(service);
+                continue;
+            }
             let choice = self.choose(&ask, now);
             if choice.is_none() && !self.is_particular(&ask) {
                 return;
@@ -125,6 +130,14 @@
         }
     }
 
+    /// Refuses the next request of a service, which entered quarantine while it waited.
+    fn refuse_next(&mut self, service: &ServiceId) {
+        let line = self.lines.get_mut(service);
+        if let Some(waiting) = line.and_then(|line| line.queue.pop()) {
+            self.refuse(&waiting.reply, refusal::quarantined());
+        }
+    }
+
     /// Whether only certain endpoints may get a request.
     fn is_particular(&self, ask: &Ask) -> bool {
         ask.release.is_some() || self.is_suspect(ask)
@@ -134,6 +147,10 @@
         self.ledger.verdict(&ask.fingerprint) == Verdict::Suspect
     }
 
+    fn is_quarantined(&self, ask: &Ask) -> bool {
+        self.ledger.verdict(&ask.fingerprint) == Verdict::Quarantined
+    }
+
     /// Whether a suspect waits. Those in the queue are parked before their turn.
     pub(crate) fn has_suspects(&self) -> bool {
         let parked = self.lines.values().flat_map(|line| &line.parked);
@@ -178,6 +195,8 @@
         for waiting in std::mem::take(&mut line.parked) {
             if now >= waiting.ask.deadline {
                 self.refuse(&waiting.reply, missed());
+            } else if self.is_quarantined(&waiting.ask) {
+                self.refuse(&waiting.reply, refusal::quarantined());
             } else if let Some(choice) = self.choose(&waiting.ask, now) {
                 self.go(waiting, choice, now);
             } else if let Some(line) = self.lines.get_mut(service) {
--- a/components/gossip/src/documents.rs
+++ b/components/gossip/src/documents.rs
@@ -26,7 +26,7 @@
 }
 
 /// The documents of a process.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Documents {
     manifest: Manifest,
     manifest_text: String,
--- a/components/gossip/src/members.rs
+++ b/components/gossip/src/members.rs
@@ -52,7 +52,7 @@
 }
 
 /// What this process knows of the others.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Members {
     settings: MembersSettings,
     me: Member,
--- a/examples/bench/main.rs
+++ b/examples/bench/main.rs
@@ -4,6 +4,7 @@
 
 mod control;
 mod faults;
+mod fleet;
 mod report;
 mod requests;
 mod rollout;
@@ -15,6 +16,7 @@
 
 Commands:
   control   Slopes of control: bytes, processor time and memory
+  fleet     Placement, documents and gossip at the size to design for
   requests  Requests under overload: --overload 3 [--rollout] [--faults] [--poison]
             [--policy p2c|random|round-robin] [--skew F] [--seconds N]
   rollout   Time until all VMs serve a new version, and bytes read from the origin
@@ -42,6 +44,7 @@
     };
     let result = match command.as_str() {
         "control" => control::run(parser),
+        "fleet" => fleet::run(parser),
         "requests" => requests::run(parser),
         "rollout" => rollout::run(parser),
         other => return usage(&format!("command {other:?} does not exist")),
--- a/examples/bench/requests.rs
+++ b/examples/bench/requests.rs
@@ -3,6 +3,7 @@
 //! Callers send at a rate of their own, whether or not answers come back. The peak is measured
 //! first, with the same fleet; the overload follows.
 
+mod cost;
 mod counts;
 mod faults;
 mod load;
@@ -49,6 +50,10 @@
     let options = Options::parse(parser)?;
     let mut report = Report::default();
     report.line("settings", &options.pairs());
+    if options.cost {
+        cost::run(&mut report);
+        return Ok(true);
+    }
     let mut bed = start(&options)?;
     let counters = Counters::read();
     let targets = Targets::of(&bed, &options);
@@ -72,13 +77,14 @@
         let (rate, time, seed) = (capacity * options.overload, options.time, options.seed * 10);
         std::thread::spawn(move || targets.offer(rate, time, SETTLE.as_secs_f64(), seed))
     };
-    disturb(&mut bed, &options, faults, start)?;
+    let serving = disturb(&mut bed, &options, faults, start)?;
     let mut counts = load.join().expect("the load does not panic");
     if let Some(poison) = poison {
         counts.add_poison(poison.stop());
     }
     let judged = options.time.saturating_sub(SETTLE);
     report.line("overload", &counts.pairs(options.overload, judged));
+    report.line("fleet", &[("serving_mean", serving.into()), ("agents", options.agents.into())]);
     for (index, row) in counts.workspaces.iter().enumerate() {
         report.line("workspace", &row.pairs(index, SHARES[index]));
     }
@@ -134,16 +140,20 @@
     }
 }
 
-/// Rolls a version out and breaks endpoints while the load runs.
+/// Rolls a version out and breaks endpoints while the load runs; returns the mean number of engines
+/// that served.
 fn disturb(
     bed: &mut Testbed,
     options: &Options,
     mut faults: Option<Faults>,
     start: Instant,
-) -> anyhow::Result<()> {
+) -> anyhow::Result<f64> {
     let mut rollout = options.rollout;
+    let (mut looks, mut serving) = (0, 0);
     while start.elapsed() < options.time {
         std::thread::sleep(Duration::from_millis(20));
+        looks += 1;
+        serving += bed.serving("base@v1") + bed.serving("base@v2");
         if rollout && start.elapsed() > options.time / 3 {
             rollout = false;
             bed.roll_out("v2", options.agents, options.agents * 3 / 4);
@@ -152,7 +162,7 @@
             faults.step(bed, start.elapsed());
         }
     }
-    Ok(())
+    Ok(serving as f64 / f64::from(looks.max(1)))
 }
 
 /// The entries and what is sent to them.
--- a/examples/bench/requests/options.rs
+++ b/examples/bench/requests/options.rs
@@ -25,6 +25,8 @@
     pub skew: f64,
     /// Part of the requests that are calls to the plain service.
     pub orders: f64,
+    /// Only times decisions.
+    pub cost: bool,
     pub rollout: bool,
     pub faults: bool,
     pub poison: bool,
@@ -48,6 +50,7 @@
             deadline: Duration::from_secs(2),
             skew: 0.0,
             orders: 0.02,
+            cost: false,
             rollout: false,
             faults: false,
             poison: false,
@@ -73,6 +76,7 @@
                     options.time = Duration::from_secs(parser.value()?.parse()?);
                 }
                 Arg::Long("policy") => options.policy = parser.value()?.parse()?,
+                Arg::Long("cost") => options.cost = true,
                 Arg::Long("rollout") => options.rollout = true,
                 Arg::Long("faults") => options.faults = true,
                 Arg::Long("poison") => options.poison = true,
