--- /dev/null
+++ b/examples/bench/requests/cost.rs
@@ -0,0 +1,128 @@
+//! The processor time of one decision over several sizes, and the bytes of control messages.
+
+use std::{
+    collections::HashSet,
+    time::{Duration, Instant},
+};
+
+use base::{Incarnation, ServiceId, VmId, WorkspaceId};
+use fastrand::Rng;
+use limits::{Entrant, FairQueue};
+use proto::{EndpointState, FlowRow, Load, Serving, UsageNews};
+use routing::{Need, Placed, Router, RouterSettings, Wanted, subset};
+
+use crate::report::Report;
+
+/// Decisions that are timed at each size.
+const ROUNDS: u32 = 100_000;
+
+/// Prints a line for each size.
+pub fn run(report: &mut Report) {
+    for workspaces in [10, 100, 1_000, 10_000] {
+        let micros = queue_micros(workspaces);
+        report.line("queue", &[("workspaces", workspaces.into()), ("micros", micros.into())]);
+    }
+    for endpoints in [100, 1_000, 12_000] {
+        let (pick, assign, used) = route_micros(endpoints, endpoints * 2 / 25);
+        report.line(
+            "route",
+            &[
+                ("endpoints", endpoints.into()),
+                ("subset", used.into()),
+                ("pick_micros", pick.into()),
+                ("assign_ms", (assign / 1e3).into()),
+            ],
+        );
+    }
+    for rows in [10, 30] {
+        report.line("usage", &[("rows", rows.into()), ("body_bytes", usage_bytes(rows).into())]);
+    }
+}
+
+fn id<T: std::str::FromStr>(text: String) -> T
+where
+    T::Err: std::fmt::Debug,
+{
+    text.parse().expect("a well-formed id")
+}
+
+fn micros(start: Instant, rounds: u32) -> f64 {
+    start.elapsed().as_secs_f64() * 1e6 / f64::from(rounds)
+}
+
+/// One request in and one out of a queue in which all workspaces have requests.
+fn queue_micros(workspaces: usize) -> f64 {
+    let now = Instant::now();
+    let ids: Vec<WorkspaceId> = (0..workspaces).map(|i| id(format!("workspace-{i}"))).collect();
+    let entrant = |index: usize| Entrant {
+        item: index,
+        workspace: ids[index].clone(),
+        weight: 1.0 / workspaces as f64,
+        limit: 64,
+        cost: Duration::from_millis(100),
+        start_by: now + Duration::from_secs(60),
+    };
+    let mut queue = FairQueue::new(workspaces * 4);
+    for index in (0..workspaces).chain(0..workspaces) {
+        queue.push(entrant(index)).expect("there is room");
+    }
+    let start = Instant::now();
+    for _ in 0..ROUNDS {
+        let index = queue.pop().expect("requests wait");
+        queue.push(entrant(index)).expect("there is room");
+    }
+    micros(start, ROUNDS)
+}
+
+/// Time of a pick and of the assignment of endpoints to one entry, and the size of its subset.
+fn route_micros(endpoints: usize, entries: usize) -> (f64, f64, usize) {
+    let place = |name: &str, i: usize| Placed {
+        vm: id(format!("{name}-{i}")),
+        zone: id(format!("zone-{}", i % 19)),
+    };
+    let entries: Vec<Placed> = (0..entries).map(|i| place("entry", i)).collect();
+    let endpoints: Vec<Placed> = (0..endpoints).map(|i| place("model", i)).collect();
+    let start = Instant::now();
+    let used = subset(&entries[0].vm, &entries, &endpoints, 32);
+    let assign = micros(start, 1);
+    let now = Instant::now();
+    let service: ServiceId = id("assistant".to_owned());
+    let zone = entries[0].zone.clone();
+    let mut router = Router::new(zone, RouterSettings::default(), Rng::with_seed(1));
+    let current = HashSet::from([id("base@v1".to_owned())]);
+    router.set_wanted(&service, Wanted { current, older: HashSet::new() }, now);
+    router.set_candidates(used.clone(), now);
+    used.iter().for_each(|endpoint| router.observe(state(&endpoint.vm, &service), now));
+    let need = Need { service: &service, release: None, avoid: &[], tried: &[] };
+    let start = Instant::now();
+    for _ in 0..ROUNDS {
+        assert!(router.pick(&need, now).is_some());
+    }
+    (micros(start, ROUNDS), assign, used.len())
+}
+
+fn state(vm: &VmId, service: &ServiceId) -> EndpointState {
+    EndpointState {
+        vm: vm.clone(),
+        incarnation: Incarnation(1),
+        serving: Some(Serving {
+            service: service.clone(),
+            rollout: None,
+            release: "base@v1".parse().ok(),
+        }),
+        accepting: true,
+        load: Load { busy: 3, slots: 64 },
+        clock: 0,
+    }
+}
+
+/// Bytes of the body of one message of the exchange of usage.
+fn usage_bytes(rows: usize) -> usize {
+    let row = |i: usize| {
+        let workspace = id(format!("workspace-{i}"));
+        FlowRow(id("assistant".to_owned()), workspace, 12.345_678_9, 11.234_567_8)
+    };
+    let flows = (0..rows).map(row).collect();
+    let news = UsageNews { from: id("entry-1".to_owned()), epoch: 1, weight: 0.5, flows };
+    serde_json::to_vec(&news).map_or(0, |body| body.len())
+}
