Tell others before an agent stops, and test what peers see

Cause: an agent without requests in progress ended at once on a planned stop, so nobody heard that it left and it was suspected as if it had died. Two checks had no test that failed without them. Change: a planned stop stays 0.7 s and calls up to three others; `Agent::kill` ends at once for tests, and the testbed's kill uses it; tests for the stability of the matching, for statements of the engine that precede the order to prepare, and for dead and leaving VMs that the list shows live.

--- a/components/agent/src/core.rs
+++ b/components/agent/src/core.rs
@@ -33,6 +33,8 @@
 const GOSSIP_EVERY: Duration = Duration::from_millis(200);
 /// Least number of attempts that an agent beside an engine accepts beyond its slots.
 const MIN_SPARE: usize = 2;
+/// Time for which an agent that stops tells others so, though no request is in progress.
+const LEAVE_NOTICE: Duration = Duration::from_millis(700);
 /// Pause before something that failed is tried again.
 const RETRY: Duration = Duration::from_millis(300);
 
@@ -158,6 +160,10 @@
                 let _ = reply.send(self.resumed(&attempt, now));
             }
             Event::Finished { attempt, fate } => self.finished(attempt, fate, now),
+            Event::Kill => {
+                stop!(cx);
+                return;
+            }
             Event::Pause(pause) => std::thread::sleep(pause),
             Event::Drain => self.drain(now),
         }
@@ -211,7 +217,9 @@
 
     pub(crate) fn stop_if_drained(&mut self, cx: CX![]) {
         let Some(until) = self.draining else { return };
-        if self.attempts.running() == 0 || cx.now() >= until {
+        let now = cx.now();
+        let told = now + self.node.identity.settings.drain.0 >= until + LEAVE_NOTICE;
+        if (self.attempts.running() == 0 && told) || now >= until {
             stop!(cx);
         }
     }
--- a/components/agent/src/event.rs
+++ b/components/agent/src/event.rs
@@ -47,6 +47,8 @@
     Finished { attempt: AttemptId, fate: Fate },
     /// The core stands still, as on a VM that is paused.
     Pause(Duration),
+    /// The agent ends at once; for tests of failures.
+    Kill,
     /// A planned stop begins.
     Drain,
 }
--- a/components/agent/src/process.rs
+++ b/components/agent/src/process.rs
@@ -111,6 +111,11 @@
         self.mailbox.send(Event::Pause(pause));
     }
 
+    /// Ends the agent at once, as when its VM dies; for tests of failures.
+    pub fn kill(&self) {
+        self.mailbox.send(Event::Kill);
+    }
+
     /// Waits until the agent has stopped.
     pub fn wait(&self) {
         let thread = self.thread.lock().expect("no holder panics").take();
--- a/components/gossip/src/members.rs
+++ b/components/gossip/src/members.rs
@@ -6,7 +6,7 @@
 };
 
 use base::{Incarnation, ReleaseId, VmId};
-use manifest::{VmList, VmState};
+use manifest::VmList;
 use proto::{Member, MemberState, Verdict};
 
 /// Bounds of membership.
@@ -104,6 +104,11 @@
         self.fresh = true;
     }
 
+    /// Whether this process said that it stops.
+    pub fn is_leaving(&self) -> bool {
+        self.me.state == MemberState::Leaving
+    }
+
     /// Sets the VMs of this process's own rollout.
     pub fn set_group(&mut self, group: impl IntoIterator<Item = VmId>) {
         self.group = group.into_iter().collect();
@@ -277,17 +282,6 @@
         let state = self.get(vm).map(|m| m.state);
         matches!(state, Some(MemberState::Dead | MemberState::Leaving))
     }
-
-    /// The VM list less the VMs that are thought gone: those are marked as leaving.
-    pub fn apply(&self, vms: &VmList) -> VmList {
-        let mut vms = vms.clone();
-        for vm in &mut vms.vms {
-            if self.is_gone(&vm.id) {
-                vm.state = VmState::Leaving;
-            }
-        }
-        vms
-    }
 }
 
 /// A listed VM whose process was never heard of; anything that it says is newer.
--- a/components/node/src/node.rs
+++ b/components/node/src/node.rs
@@ -194,7 +194,7 @@
                 Changes::default()
             }
             Taken::Accepted(revision) => {
-                self.burst.documents();
+                self.burst.spread();
                 match kind {
                     DocumentKind::Manifest => {
                         gauge!(names::MANIFEST).set(revision.0 as f64);
@@ -254,6 +254,9 @@
         serving: Option<ReleaseId>,
         verdict: Option<Verdict>,
     ) {
+        if state == MemberState::Leaving && !self.members.is_leaving() {
+            self.burst.spread();
+        }
         self.members.state(state, serving, verdict);
     }
 }
--- a/components/node/src/talk.rs
+++ b/components/node/src/talk.rs
@@ -17,11 +17,11 @@
 /// Time between gossip calls when there is no news.
 const GOSSIP_EVERY: Duration = Duration::from_secs(1);
 /// Time in which one more call with fresh news is allowed.
-const BURST_EVERY: Duration = Duration::from_secs(2);
+const BURST_EVERY: Duration = Duration::from_secs(4);
 /// Most calls with fresh news at a time.
 const BURST: u32 = 4;
-/// Calls that pass a new document on.
-const DOCUMENT_CALLS: u32 = 3;
+/// Calls that pass on what all should know soon: a new document, or that this process stops.
+const SPREAD_CALLS: u32 = 3;
 /// Peers that try to reach a VM before it is suspected.
 const PROBERS: usize = 3;
 /// Time after which another peer is asked for a document.
@@ -33,7 +33,7 @@
     /// At most `BURST`.
     left: u32,
     filled_at: Instant,
-    /// Calls that are wanted to pass a new document on.
+    /// Calls that are wanted to pass on what all should know soon.
     wanted: u32,
 }
 
@@ -42,9 +42,9 @@
         Burst { left: BURST, filled_at: now, wanted: 0 }
     }
 
-    /// A document came into force here.
-    pub(crate) fn documents(&mut self) {
-        self.wanted = DOCUMENT_CALLS;
+    /// There is something that all should know soon.
+    pub(crate) fn spread(&mut self) {
+        self.wanted = SPREAD_CALLS;
     }
 
     /// Whether a call may be made now; `fresh` says that there is other news.
--- a/components/placement/src/matching.rs
+++ b/components/placement/src/matching.rs
@@ -62,6 +62,12 @@
 }
 
 fn all_weights(bidder: &Bidder, items: &[Item]) -> BinaryHeap<(u64, usize)> {
-    let weights = items.iter().map(|item| XxHash64::oneshot(bidder.seed, &item.hash));
-    weights.zip(0..).collect()
+    items.iter().map(|item| weight(bidder, item)).zip(0..).collect()
 }
+
+fn weight(bidder: &Bidder, item: &Item) -> u64 {
+    XxHash64::oneshot(bidder.seed, &item.hash)
+}
+
+#[cfg(test)]
+mod tests;
--- a/components/rollout/src/endpoint/tests.rs
+++ b/components/rollout/src/endpoint/tests.rs
@@ -166,9 +166,13 @@
 #[test]
 fn a_superseded_release_is_taken_back_before_the_engine_shows_it() {
     let now = Instant::now();
-    let mut endpoint = loading(Some("m@v1"), "m@v2", now);
+    let mut endpoint = fresh(10, now);
+    endpoint.handle(target("m@v2"), now);
+    let orders = endpoint.handle(view(Some("m@v1"), None, now), now);
+    let accepted = now + Duration::from_millis(5);
+    endpoint.handle(answered(&orders[0], true), accepted);
     // Asked for before the engine accepted the order to prepare.
-    endpoint.handle(view(Some("m@v1"), None, now - Duration::from_millis(1)), now);
+    endpoint.handle(view(Some("m@v1"), None, now + Duration::from_millis(1)), accepted);
     let actions = endpoint.handle(target("m@v1"), now);
     assert_eq!(actions[0], Action::Stop(release("m@v2")));
     assert_eq!(kinds(&actions), [OrderKind::Abort]);
--- a/components/testbed/src/bed.rs
+++ b/components/testbed/src/bed.rs
@@ -345,9 +345,8 @@
     pub fn kill_agent(&mut self, vm: &VmId) -> Option<EngineCounts> {
         let at = self.agents.iter().position(|slot| slot.vm.id == *vm)?;
         let slot = self.agents.remove(at);
-        // An agent without requests in progress stops at once and tells nobody.
         if let Some(agent) = &slot.agent {
-            agent.drain();
+            agent.kill();
         }
         slot.engine.map(|engine| engine.counts())
     }
