Forget attempts by expiry and refused ones sooner

Cause: each tick looked at all records, and an attempt that was refused was remembered for 600 s, though its stamp keeps it from starting after 120 s. Under overload an agent that refuses 500 offers a second would have held 300,000 records.

Change: records are dropped in order of expiry; refused and cancelled ones after 120 s.

Figures: the new tests fail if refused attempts are dropped before their stamp is too old.

--- a/components/attempts/src/table.rs
+++ b/components/attempts/src/table.rs
@@ -1,7 +1,7 @@
 //! The table of attempts of one run of an agent.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     time::{Duration, Instant},
 };
 
@@ -75,8 +75,10 @@
     /// Zero of the agent's clock.
     started: Instant,
     keys: Keys,
-    /// Records with the time after which they may be dropped; running ones are never dropped.
+    /// Records with the time after which they may be dropped, which says nothing of running ones.
     table: BTreeMap<AttemptId, (Record, Instant)>,
+    /// Records that do not run, by the time after which they may be dropped.
+    expiry: BTreeSet<(Instant, AttemptId)>,
     /// Number of records that are running.
     running: usize,
 }
@@ -85,8 +87,8 @@
     /// An empty table for this run of the agent, whose clock starts at `now`.
     pub fn new(incarnation: Incarnation, settings: AttemptsSettings, now: Instant) -> Attempts {
         let keys = Keys::new(settings.keys);
-        let table = BTreeMap::new();
-        Attempts { settings, incarnation, started: now, keys, table, running: 0 }
+        let (table, expiry) = (BTreeMap::new(), BTreeSet::new());
+        Attempts { settings, incarnation, started: now, keys, table, expiry, running: 0 }
     }
 
     /// The agent's clock.
@@ -127,15 +129,16 @@
             None => {}
         }
         if let Some(reason) = self.key_refusal(offer, now) {
-            self.table.insert(offer.attempt, (Record::Cancelled, now + self.settings.retention));
+            self.reject(offer.attempt, now);
             return Err(reason);
         }
-        let refusal = self.refusal(offer, accepting, serving, now);
-        let record = if refusal.is_some() { Record::Cancelled } else { Record::Running };
-        self.table.insert(offer.attempt, (record, now + self.settings.retention));
-        match refusal {
-            Some(reason) => Err(reason),
+        match self.refusal(offer, accepting, serving, now) {
+            Some(reason) => {
+                self.reject(offer.attempt, now);
+                Err(reason)
+            }
             None => {
+                self.table.insert(offer.attempt, (Record::Running, now));
                 self.running += 1;
                 if let Some(key) = &offer.key {
                     self.keys.bind(key, offer.attempt);
@@ -145,6 +148,13 @@
         }
     }
 
+    /// Remembers that an attempt must not start, until its stamp is too old for it.
+    fn reject(&mut self, attempt: AttemptId, now: Instant) {
+        let until = now + self.settings.permit;
+        self.table.insert(attempt, (Record::Cancelled, until));
+        self.expiry.insert((until, attempt));
+    }
+
     fn key_refusal(&self, offer: &Offer, now: Instant) -> Option<RefusalReason> {
         let never_ran = |attempt| matches!(self.table.get(&attempt), Some((Record::Cancelled, _)));
         self.keys.check(offer.key.as_ref()?, self.clock(now), never_ran).err()
@@ -160,7 +170,7 @@
         // The deadline counts from arrival, so an attempt that waited for this process is judged by
         // the age of its stamp.
         let age = self.clock(now).saturating_sub(offer.stamp);
-        let waited = age > (offer.deadline + self.settings.lag).min(self.settings.permit);
+        let waited = age > offer.deadline + self.settings.lag || age >= self.settings.permit;
         if waited || offer.deadline.is_zero() || offer.deadline > self.settings.deadline {
             return Some(RefusalReason::Late);
         }
@@ -178,9 +188,10 @@
         if !self.can_vouch(attempt, now) {
             return Fate::Unknown;
         }
-        let until = now + self.settings.retention;
-        let (record, _) = self.table.entry(attempt.attempt).or_insert((Record::Cancelled, until));
-        fate(*record)
+        if !self.table.contains_key(&attempt.attempt) {
+            self.reject(attempt.attempt, now);
+        }
+        self.fate(attempt, now)
     }
 
     /// What is known of an attempt.
@@ -210,13 +221,19 @@
             Fate::Running | Fate::Unknown => Record::Unknown,
         };
         *slot = (record, until);
+        self.expiry.insert((until, attempt));
         self.running -= 1;
         self.keys.finish(attempt, now);
     }
 
     /// Drops records that are no longer needed.
     pub fn tick(&mut self, now: Instant) {
-        self.table.retain(|_, (record, until)| *record == Record::Running || now < *until);
+        while let Some((until, attempt)) = self.expiry.first().copied()
+            && until <= now
+        {
+            self.expiry.pop_first();
+            self.table.remove(&attempt);
+        }
         self.keys.tick(now);
     }
 }
--- a/components/attempts/src/table/tests.rs
+++ b/components/attempts/src/table/tests.rs
@@ -46,6 +46,8 @@
     let now = Instant::now();
     let mut attempts = Attempts::new(RUN, AttemptsSettings::default(), now);
     assert_eq!(attempts.cancel(&reference(1), now), Fate::NotRun);
+    attempts.tick(now + Duration::from_secs(119));
+    assert_eq!(attempts.len(), 1, "it may still arrive");
     let later = now + Duration::from_secs(601);
     attempts.tick(later);
     assert!(attempts.is_empty());
@@ -81,3 +83,32 @@
     let used = Err(RefusalReason::KeyUsed { attempt: AttemptId(2) });
     assert_eq!(attempts.offer(&keyed(3), true, None, now), used);
 }
+
+#[test]
+fn a_running_attempt_is_not_forgotten_and_an_ended_one_not_too_soon() {
+    let now = Instant::now();
+    let mut attempts = Attempts::new(RUN, AttemptsSettings::default(), now);
+    let second = Duration::from_secs(1);
+    assert_eq!(attempts.offer(&offer(1), true, None, now), Ok(()));
+    attempts.tick(now + second * 10_000);
+    assert_eq!(attempts.running(), 1);
+    let ended = now + second * 10_000;
+    attempts.finish(AttemptId(1), Fate::Done, ended);
+    attempts.tick(ended + second * 599);
+    assert_eq!(attempts.len(), 1);
+    attempts.tick(ended + second * 600);
+    assert!(attempts.is_empty());
+}
+
+#[test]
+fn an_attempt_that_was_refused_does_not_start_later() {
+    let now = Instant::now();
+    let mut attempts = Attempts::new(RUN, AttemptsSettings::default(), now);
+    let patient = Offer { deadline: Duration::from_secs(300), ..offer(1) };
+    assert_eq!(attempts.offer(&patient, false, None, now), Err(RefusalReason::Draining));
+    for seconds in [1, 119, 120, 121, 600] {
+        let later = now + Duration::from_secs(seconds);
+        attempts.tick(later);
+        assert!(attempts.offer(&patient, true, None, later).is_err(), "after {seconds}s");
+    }
+}
