--- a/components/chunks/src/transfer.rs
+++ b/components/chunks/src/transfer.rs
@@ -7,11 +7,11 @@
     time::{Duration, Instant},
 };
 
-use base::{Digest, VmId};
+use base::VmId;
 use manifest::ChunkList;
 
 use crate::{
-    Plan, Reach, TransferSettings,
+    FetchError, Plan, Reach, Source, TransferSettings,
     budget::Budget,
     flights::Flights,
     news::News,
@@ -20,51 +20,6 @@
     settings::Strategy,
 };
 
-/// Where a chunk comes from.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-pub enum Source {
-    /// Another agent.
-    Peer(VmId),
-    /// The weight store.
-    Store,
-    /// The origin.
-    Origin,
-}
-
-/// Why a fetch failed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum FetchError {
-    /// The source does not have the chunk.
-    Missing,
-    /// The source asks to wait.
-    Limited(Duration),
-    /// The bytes did not match the digest.
-    Corrupted,
-    /// The connection failed or stalled.
-    Failed,
-}
-
-/// What the process is to do.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Action {
-    /// Fetch a chunk.
-    Fetch {
-        /// Position in the list.
-        chunk: u32,
-        /// Its digest.
-        digest: Digest,
-        /// Where from.
-        source: Source,
-    },
-    /// Tell a VM which chunks it can fetch here.
-    Announce {
-        /// The VM.
-        to: VmId,
-        /// Positions in the list; none to ask the VM what it has.
-        chunks: Vec<u32>,
-    },
-}
-
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum State {
     Missing,
@@ -243,6 +198,14 @@
         }
     }
 
+    /// A chunk was fetched, perhaps later than it was waited for.
+    pub fn fetched(&mut self, index: u32, source: &Source, now: Instant) {
+        if let Source::Peer(vm) = source {
+            self.peers.succeeded(vm, now);
+        }
+        self.held(index, now);
+    }
+
     /// A chunk is held now: it was fetched, or was in memory already.
     pub fn held(&mut self, index: u32, now: Instant) {
         if self.chunks[index as usize].state == State::Held {
@@ -250,9 +213,6 @@
         }
         if let Some(flight) = self.flights.remove(index) {
             self.flights.learn(&flight, now);
-            if let Source::Peer(vm) = &flight.source {
-                self.peers.succeeded(vm);
-            }
         }
         let chunk = &mut self.chunks[index as usize];
         chunk.state = State::Held;
@@ -309,11 +269,11 @@
     fn peer_failed(&mut self, index: u32, vm: &VmId, error: FetchError, now: Instant) {
         let lost = match error {
             FetchError::Missing => {
-                self.peers.succeeded(vm);
+                self.peers.succeeded(vm, now);
                 true
             }
             FetchError::Limited(wait) => {
-                self.peers.succeeded(vm);
+                self.peers.succeeded(vm, now);
                 self.peers.limited(vm, wait, now);
                 false
             }
