Start successive chunks a golden section of the ring apart

Cause: where the chunks are no multiple of the VMs, the owners of the last round stood side by side, and their neighbours sent far more than others; the bench did not show when VMs learned the manifest. Change: a stride without a common divisor spreads the starts evenly. bench rollout prints when the last VM learned the manifest, when the origin sent its first chunk and a whole copy.

--- a/components/chunks/src/plan.rs
+++ b/components/chunks/src/plan.rs
@@ -41,6 +41,9 @@
     /// The same in every process that knows the same set of VMs.
     ring: Vec<Place>,
     index: HashMap<VmId, usize>,
+    /// Distance between the starts of successive chunks; has no divisor in common with the ring's size,
+    /// so that each VM owns one chunk in each round.
+    stride: usize,
     /// Position of this VM on the ring; `None` if it is not a member.
     me: Option<usize>,
     zones: BTreeMap<Zone, Group>,
@@ -67,7 +70,8 @@
         let mut near_zones: Vec<Zone> = near.map(|place| place.zone.clone()).collect();
         near_zones.sort();
         near_zones.dedup();
-        Plan { ring, index, me, zones, regions, near_zones }
+        let stride = stride(ring.len());
+        Plan { ring, index, stride, me, zones, regions, near_zones }
     }
 
     /// Number of VMs.
@@ -191,7 +195,7 @@
     }
 
     fn start(&self, chunk: u32) -> usize {
-        chunk as usize % self.ring.len().max(1)
+        chunk as usize % self.ring.len().max(1) * self.stride % self.ring.len().max(1)
     }
 
     fn distance(&self, chunk: u32, at: usize) -> usize {
@@ -199,6 +203,17 @@
     }
 }
 
+/// A stride near the golden section of the ring, by which the starts of any number of chunks are spread
+/// evenly.
+fn stride(size: usize) -> usize {
+    let golden = (size as f64 * 0.618) as usize;
+    (golden.max(1)..).find(|&stride| gcd(stride, size) == 1).unwrap_or(1)
+}
+
+fn gcd(a: usize, b: usize) -> usize {
+    if b == 0 { a } else { gcd(b, a % b) }
+}
+
 /// Orders the VMs so that those of each zone are spread evenly over the ring.
 fn ring(list: &Digest, members: &[Place]) -> Vec<Place> {
     let mut zones: BTreeMap<&Zone, Vec<&Place>> = BTreeMap::new();
--- a/components/chunks/src/plan/tests.rs
+++ b/components/chunks/src/plan/tests.rs
@@ -95,3 +95,12 @@
         assert!(seconds.insert(second));
     }
 }
+
+#[test]
+fn all_vms_send_alike_for_any_number_of_chunks() {
+    for (count, zones, chunks) in [(64, 4, 128), (96, 4, 128), (100, 1, 128), (48, 6, 200)] {
+        let sent = |plan: &Plan| (0..chunks).map(|c| plan.children(c).len()).sum::<usize>();
+        let most = plans(count, zones).iter().map(sent).max().unwrap();
+        assert!(most * 100 <= chunks as usize * 140, "{most} of {chunks} by one of {count}");
+    }
+}
--- a/examples/bench/rollout.rs
+++ b/examples/bench/rollout.rs
@@ -12,10 +12,12 @@
 };
 
 use anyhow::Context;
+use audit::Change;
 use base::{ByteRate, ByteSize};
 use lexopt::{Arg, ValueExt};
+use node::wall_clock_ms;
 use settings::Strategy;
-use testbed::{Testbed, TestbedSettings, Weights};
+use testbed::{AgentSlot, Testbed, TestbedSettings, Weights};
 
 use crate::{faults::Faults, report::Report};
 
@@ -68,6 +70,9 @@
     seconds: f64,
     bound_ratio: f64,
     origin_copies: f64,
+    /// Seconds until the last VM of those that ran from the start had the manifest in force, by its
+    /// audit trail.
+    learned: f64,
     /// Seconds until the origin sent the first chunk.
     first: f64,
     /// Seconds until the origin sent a whole copy.
@@ -97,6 +102,7 @@
             ("zones", options.zones.into()),
             ("seed", options.seed.into()),
             ("bound", bound(COPY).into()),
+            ("learned", outcome.learned.into()),
             ("first", outcome.first.into()),
             ("copied", outcome.copied.into()),
             ("half", outcome.half.into()),
@@ -176,6 +182,7 @@
     std::thread::sleep(SETTLE);
     let cpu = cpu_seconds();
     let start = Instant::now();
+    let started = wall_clock_ms();
     bed.roll_out("v1", vms, 0);
     let limit = if options.strategy == Strategy::Origin { vms as u32 } else { MAX_RATIO };
     let limit = Duration::from_secs_f64(bound(copy)) * limit + SETTLE;
@@ -195,6 +202,7 @@
     let seconds = start.elapsed().as_secs_f64();
     let cores = (cpu_seconds() - cpu) / seconds;
     let sent = bed.origin.sent() + bed.store.sent();
+    let learned = learned(&bed, started);
     let mixed = mixed(&bed) + faults.map_or(0, |f| f.partial);
     bed.stop();
     Ok(Outcome {
@@ -202,6 +210,7 @@
         seconds,
         bound_ratio: seconds / bound(copy),
         origin_copies: sent as f64 / copy.0 as f64,
+        learned,
         first: first.unwrap_or(seconds),
         copied: copied.unwrap_or(seconds),
         half: half.unwrap_or(seconds),
@@ -217,6 +226,22 @@
     }
 }
 
+/// Seconds from `started`, in milliseconds of the wall clock, until the last VM took the manifest.
+fn learned(bed: &Testbed, started: u64) -> f64 {
+    let revision = bed.manifest.revision;
+    let accepted = |entry: &audit::Entry| match entry.change {
+        Change::ManifestAccepted { manifest } => manifest == revision,
+        _ => false,
+    };
+    let first = |slot: &AgentSlot| {
+        let trail = bed.audit(slot.vm.control).unwrap_or_default();
+        trail.iter().find(|entry| accepted(entry)).map(|entry| entry.time_ms)
+    };
+    let original = bed.agents.iter().filter(|slot| slot.vm.id.as_str().starts_with("model"));
+    let last = original.filter_map(first).max().unwrap_or(started);
+    Duration::from_millis(last.saturating_sub(started)).as_secs_f64()
+}
+
 fn mixed(bed: &Testbed) -> usize {
     let engines = bed.agents.iter().filter_map(|slot| slot.engine.as_ref());
     let wrong = |engine: &standins::Engine| {
