--- a/components/standins/src/lib.rs
+++ b/components/standins/src/lib.rs
@@ -5,6 +5,7 @@
 mod answers;
 mod blobs;
 mod engine;
+mod generation;
 mod plain;
 mod slots;
 mod values;
