--- a/components/testbed/tests/once.rs
+++ b/components/testbed/tests/once.rs
@@ -177,10 +177,36 @@
         slot.vm.data = relay.addr();
     }
     bed.publish_vms();
+    wait_listed(bed);
+    relays
+}
+
+#[test]
+fn control_connections_that_go_silent_are_replaced() {
+    let mut bed = start(TestbedSettings { plain: 2, ..TestbedSettings::default() });
+    let relays: Vec<Relay> =
+        bed.agents.iter().map(|slot| Relay::start(slot.vm.control).unwrap()).collect();
+    for (slot, relay) in bed.agents.iter_mut().zip(&relays) {
+        slot.vm.control = relay.addr();
+    }
+    bed.publish_vms();
+    wait_listed(&bed);
+    let opened = |relays: &[Relay]| relays.iter().map(Relay::opened).sum::<u64>();
+    bed.wait_until("calls", TIMEOUT, |_| opened(&relays) > 0).unwrap();
+    let before = opened(&relays);
+    relays.iter().for_each(Relay::lose);
+    bed.wait_until("new connections", TIMEOUT, |_| opened(&relays) > before).unwrap();
+    ready(&bed);
+    assert_eq!(Caller::default().order(bed.callers(0), None, "after"), whole());
+    assert_eq!(runs(&bed, "after"), 1);
+    bed.stop();
+}
+
+/// Waits until each entry has the VM list that was published last.
+fn wait_listed(bed: &Testbed) {
     let revision = bed.vms.revision;
     bed.wait_until("list", TIMEOUT, |bed| {
         bed.entries.iter().all(|(_, e)| bed.status(e.control()).unwrap().vms == revision)
     })
     .unwrap();
-    relays
 }
