--- a/components/chunks/src/transfer/poll.rs
+++ b/components/chunks/src/transfer/poll.rs
@@ -4,8 +4,8 @@
 
 use base::VmId;
 
-use super::{Action, Source, State, Transfer};
-use crate::{news::News, peers::PeerSet, settings::Strategy};
+use super::{State, Transfer};
+use crate::{Action, Source, news::News, peers::PeerSet, settings::Strategy};
 
 /// Chunks at the head of the queue that are looked at, for each fetch that may start.
 const LOOK_AHEAD: usize = 4;
@@ -165,8 +165,10 @@
             if !wanted || now < chunk.not_before || !self.in_reach(index) {
                 continue;
             }
-            if reads && idle >= self.takeover(index, now) && self.read_outside(index, actions, now)
-            {
+            // A plan that changed makes owners of chunks that their peers may have.
+            let searched = chunk.failures > 0 || self.neighbours.is_empty();
+            let due = searched && idle >= self.takeover(index, now);
+            if reads && due && self.read_outside(index, actions, now) {
                 continue;
             }
             if let Some(vm) = self.guess(index, failing).filter(|_| asks) {
--- a/components/chunks/src/transfer/tests/fixture.rs
+++ b/components/chunks/src/transfer/tests/fixture.rs
@@ -2,8 +2,10 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use base::Digest;
+
 use super::super::*;
-use crate::Place;
+use crate::{Action, Place};
 
 pub(super) const CHUNKS: u32 = 32;
 /// Time between looks at the transfers.
@@ -199,7 +201,7 @@
                 let transfer = self.transfers.get_mut(&to).unwrap();
                 match result {
                     Ok(()) => {
-                        transfer.held(chunk, self.now);
+                        transfer.fetched(chunk, &source, self.now);
                         let pool = self.pools.get_mut(&to).unwrap();
                         pool.push(chunk);
                         if pool.len() > self.memory {
