--- a/components/agent/src/data.rs
+++ b/components/agent/src/data.rs
@@ -26,6 +26,15 @@
     }
 }
 
+/// Seconds after which a peer may ask a crowded link again.
+const RETRY_AFTER: &str = "0.2";
+
+fn respond_busy(request: Request) {
+    let response = Response::from_string("the link is crowded; ask another");
+    let response = response.with_status_code(503);
+    request.respond(response.with_header("retry-after", RETRY_AFTER));
+}
+
 fn text(request: Request, text: &str) {
     request.respond(Response::from_string(text));
 }
@@ -36,6 +45,10 @@
         refuse(request, 404, "the chunk is not held; ask another", "run");
         return;
     };
+    if shared.is_crowded(ByteSize(chunk.len() as u64)) {
+        respond_busy(request);
+        return;
+    }
     shared.pace(ByteSize(chunk.len() as u64));
     request.respond(Response::from_data(chunk));
 }
--- a/components/agent/src/event.rs
+++ b/components/agent/src/event.rs
@@ -34,7 +34,7 @@
     /// The answer to an order.
     Ordered { order: Order, accepted: bool },
     /// A chunk list was read, or could not be.
-    List { digest: Digest, list: Option<ChunkList> },
+    List { digest: Digest, attempt: u32, list: Option<ChunkList> },
     /// A fetch ended.
     Fetched { list: Digest, chunk: u32, source: Source, result: Result<Bytes, FetchError> },
     /// The engine took a chunk, or did not.
@@ -47,6 +47,8 @@
     Finished { attempt: AttemptId, fate: Fate },
     /// The core stands still, as on a VM that is paused.
     Pause(Duration),
+    /// The agent ends at once; for tests of failures.
+    Kill,
     /// A planned stop begins.
     Drain,
 }
--- a/components/agent/src/process.rs
+++ b/components/agent/src/process.rs
@@ -28,8 +28,10 @@
 const DATA_IDLE: Duration = Duration::from_secs(30);
 /// Most requests in progress on the data address.
 const DATA_REQUESTS: usize = 512;
-/// Longest silence of a source of chunks.
-const CHUNK_TIMEOUT: Duration = Duration::from_secs(3);
+/// Longest silence of a peer that gives a chunk.
+const PEER_TIMEOUT: Duration = Duration::from_secs(3);
+/// Longest silence of the weight store and the origin, which queue reads.
+const PLATFORM_TIMEOUT: Duration = Duration::from_secs(30);
 /// Threads for calls that block.
 const WORKERS: usize = 16;
 
@@ -55,7 +57,9 @@
             link: Arc::new(Mutex::new(Link::new(options.link))),
             engine: Engine::new(options.endpoint),
             workers: Workers::start(WORKERS)?,
-            chunk_client: net::pooled(CHUNK_TIMEOUT),
+            lists: Arc::default(),
+            peer_client: net::pooled(PEER_TIMEOUT),
+            platform_client: net::pooled(PLATFORM_TIMEOUT),
             mailbox: mailbox.clone(),
             kind: options.kind,
             crashes: Arc::default(),
@@ -112,6 +116,11 @@
         self.mailbox.send(Event::Pause(pause));
     }
 
+    /// Ends the agent at once, as when its VM dies; for tests of failures.
+    pub fn kill(&self) {
+        self.mailbox.send(Event::Kill);
+    }
+
     /// Waits until the agent has stopped.
     pub fn wait(&self) {
         let thread = self.thread.lock().expect("no holder panics").take();
--- a/components/agent/src/rollouts.rs
+++ b/components/agent/src/rollouts.rs
@@ -1,19 +1,24 @@
 //! The agent's part in rollouts: its target, its turn, and orders to the engine.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::HashSet,
+    time::{Duration, Instant},
+};
 
 use audit::Change;
 use base::{Digest, ReleaseId, VmId};
-use chunks::Tree;
-use manifest::{Release, Rollout};
+use chunks::{Place, Plan};
+use manifest::{Release, Rollout, Vm};
+use metrics::counter;
 use node::wall_clock_ms;
 use placement::{Inputs, place};
 use proto::{MemberState, Trialled, Verdict};
 use rollout::{Action, Order, OrderKind, Replica, Target, Turn};
 use settings::EndpointKind;
+use telemetry::names;
 
 use crate::{
-    core::{Core, Shared},
+    core::{Core, STALE, Shared},
     engine::EngineReport,
     event::Event,
 };
@@ -42,19 +47,33 @@
         let group = self.placement.rollout_of(me).map(|id| self.placement.vms_of(id).to_vec());
         self.node.set_group(&group.unwrap_or_default());
         self.aim(now);
-        self.update_trees();
+        self.update_plans(now);
     }
 
-    pub(crate) fn update_trees(&mut self) {
-        let members = self.rollout_vms();
+    /// Takes the VMs of the rollout that are not thought gone into the plans of all transfers.
+    pub(crate) fn update_plans(&mut self, now: Instant) {
+        let places = self.rollout_places();
+        if places == self.places {
+            return;
+        }
+        self.places = places;
         let me = &self.node.identity.settings.vm;
-        if let Some(loading) = &mut self.loading {
+        for loading in [&mut self.loading, &mut self.seeding].into_iter().flatten() {
             for (list, transfer) in &mut loading.transfers {
-                transfer.set_tree(Tree::new(list, &members, me));
+                transfer.set_plan(Plan::new(list, &self.places, me), now);
             }
         }
     }
 
+    fn rollout_places(&self) -> Vec<Place> {
+        let members: HashSet<VmId> = self.rollout_vms().into_iter().collect();
+        let listed = self.node.documents.vms().vms.iter();
+        let here = |vm: &&Vm| members.contains(&vm.id) && !self.node.members.is_gone(&vm.id);
+        let place =
+            |vm: &Vm| Place { vm: vm.id.clone(), zone: vm.zone.clone(), region: vm.region.clone() };
+        listed.filter(here).map(place).collect()
+    }
+
     /// The VMs of this VM's rollout, in placement order.
     pub(crate) fn rollout_vms(&self) -> Vec<VmId> {
         let target = self.endpoint.target();
@@ -102,21 +121,19 @@
         let failed = |v: Verdict| v.outcome == Trialled::Failed;
         let give_up = halted || self.endpoint.verdict(&release.id).is_some_and(failed);
         let aimed = match give_up && self.endpoint.serving() != Some(&release.id) {
-            true => self.fallback(&release.id, &replicas),
-            false => Some(release.id.clone()),
+            true => self.fallback(&release.id, &replicas).unwrap_or_else(|| release.id.clone()),
+            false => release.id.clone(),
         };
         let turn = Turn { canary: rollout.canary, floor: rollout.floor };
-        let turn = match &aimed {
-            Some(aimed) if *aimed != release.id => true,
-            _ => position.is_some_and(|me| rollout::my_turn(turn, &release.id, &replicas, me)),
-        };
+        let mine = |me| rollout::my_turn(turn, &release.id, &replicas, me);
+        let turn = aimed != release.id || position.is_some_and(mine);
         let (id, soak) = (rollout.id.clone(), rollout.soak.0);
         if halted && self.halted.as_ref() != Some(&release.id) {
             self.halted = Some(release.id.clone());
             let change = Change::Halted { release: release.id.clone() };
             self.node.trail.record(change, format!("it failed on the first VMs of {id}"));
         }
-        self.target(aimed.map(|release| Target { rollout: id, release, soak }), now);
+        self.target(Some(Target { rollout: id, release: aimed, soak }), now);
         self.decide(rollout::Event::Turn(turn), now);
     }
 
@@ -132,7 +149,7 @@
         if self.endpoint.target() != target.as_ref() {
             self.target_since = now;
             self.decide(rollout::Event::Target(target), now);
-            self.update_trees();
+            self.update_plans(now);
         }
     }
 
@@ -177,7 +194,7 @@
                     let seconds = now.duration_since(self.target_since).as_secs_f64();
                     let cause = format!("engine states it after {seconds:.2}s");
                     self.node.trail.record(Change::Ready { release }, cause);
-                    self.loading = None;
+                    self.seeding = self.loading.take().or(self.seeding.take());
                 }
             }
         }
@@ -220,9 +237,10 @@
         let view = report.as_ref().map(EngineReport::view);
         let plain = self.settings.kind == EndpointKind::Plain;
         if report.as_ref().is_some_and(|report| plain || report.serves()) {
-            self.shared.crashes.lock().expect("no holder panics").serves();
+            self.shared.crashes.lock().expect("no holder panics").serves(asked);
         }
-        self.report = report;
+        let fresh = now.saturating_duration_since(asked) <= STALE;
+        self.report = report.filter(|_| fresh);
         if self.settings.kind == EndpointKind::Model {
             self.decide(
                 match view {
@@ -236,6 +254,7 @@
 
     pub(crate) fn order(&mut self, order: Order, now: Instant) {
         if order.order == OrderKind::Prepare {
+            self.update_plans(now);
             self.prepare(order);
             return;
         }
@@ -261,6 +280,9 @@
             fence: order.fence,
             accepted,
         };
+        let result = if accepted { "true" } else { "false" };
+        let name = order.order.as_str();
+        counter!(names::ORDERS, "order" => name, "accepted" => result).increment(1);
         self.node.trail.record(change, "rollout");
         self.decide(rollout::Event::Ordered { order, accepted }, now);
     }
--- a/components/entry/src/caller.rs
+++ b/components/entry/src/caller.rs
@@ -1,8 +1,11 @@
 //! The callers' address: answers each request with an answer or a truthful refusal.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicBool, Ordering},
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Instant,
 };
 
 use crossbeam_channel::{Sender, bounded};
@@ -13,6 +16,7 @@
 
 use crate::{
     attempt::{Attempter, Call, End},
+    counts,
     event::{Ask, Decision, Event, Failure, Grant, Refusal},
     refusal,
     request::{Wish, parse},
@@ -60,20 +64,24 @@
                 }
             };
             if sink.is_abandoned() {
+                counts::caller_gone();
                 let (vm, attempt) = (grant.choice.vm, grant.attempt);
                 self.mailbox.send(Event::Ended { vm, attempt });
                 return;
             }
+            counts::attempt();
             match self.attempter.run(&call, &grant, &mut sink) {
                 End::Answered => {
                     // A stopping entry ends once no request is in progress, so the answer goes first.
                     sink.finish();
+                    counts::answered();
                     let fingerprint = call.ask.fingerprint;
                     let (vm, attempt) = (grant.choice.vm, grant.attempt);
                     self.mailbox.send(Event::Answered { vm, attempt, fingerprint });
                     return;
                 }
                 End::CallerGone => {
+                    counts::caller_gone();
                     let (vm, attempt) = (grant.choice.vm, grant.attempt);
                     self.mailbox.send(Event::Ended { vm, attempt });
                     return;
@@ -85,7 +93,10 @@
                     return;
                 }
                 End::Failed(last) if !may_repeat(&grant, &last) || !sink.may_restart() => {
-                    sink.refuse(&truthful(&call.ask, ran, refusal::lost(&last)));
+                    let late = Instant::now() >= call.ask.deadline;
+                    let refusal =
+                        if late { refusal::late(last.outcome) } else { refusal::lost(&last) };
+                    sink.refuse(&truthful(&call.ask, ran, refusal));
                     self.mailbox.send(Event::Lost { last });
                     return;
                 }
--- a/components/rollout/src/endpoint.rs
+++ b/components/rollout/src/endpoint.rs
@@ -36,6 +36,8 @@
     prepared_at: Option<Instant>,
     /// No order is given before.
     retry_at: Instant,
+    /// The release that was called ready last and serves since.
+    ready: Option<ReleaseId>,
     trial: Trial,
     in_flight: usize,
     turn: bool,
@@ -57,6 +59,7 @@
             known_since: now,
             prepared_at: None,
             retry_at: now,
+            ready: None,
             trial: Trial::default(),
             in_flight: 0,
             turn: false,
@@ -142,13 +145,13 @@
     }
 
     fn step_down(&mut self, seen: Fence) -> Vec<Action> {
-        let stop = self.loading().map(Action::Stop);
+        let stop = self.underway().map(Action::Stop);
         self.phase = Phase::Superseded;
         stop.into_iter().chain([Action::StepDown(seen)]).collect()
     }
 
     fn lose(&mut self, now: Instant) -> Vec<Action> {
-        let stop = self.loading().map(Action::Stop);
+        let stop = self.underway().map(Action::Stop);
         self.phase = Phase::Unknown;
         self.engine = None;
         self.prepared_at = None;
@@ -157,6 +160,12 @@
         stop.into_iter().collect()
     }
 
+    /// The release that is on its way to be served and can still be given up.
+    fn underway(&self) -> Option<ReleaseId> {
+        let underway = matches!(self.phase, Phase::Loading | Phase::Waiting | Phase::Draining);
+        self.target.as_ref().filter(|_| underway).map(|t| t.release.clone())
+    }
+
     fn loading(&self) -> Option<ReleaseId> {
         let loading = matches!(self.phase, Phase::Loading);
         self.target.as_ref().filter(|_| loading).map(|t| t.release.clone())
@@ -166,7 +175,7 @@
         if self.target == target {
             return Vec::new();
         }
-        let mut actions: Vec<Action> = self.loading().map(Action::Stop).into_iter().collect();
+        let mut actions: Vec<Action> = self.underway().map(Action::Stop).into_iter().collect();
         self.target = target;
         self.turn = false;
         // An order that is on its way is awaited first.
@@ -189,6 +198,9 @@
         if self.phase == Phase::Loading && !self.prepare_shows(asked) {
             view.prepared = self.engine.as_ref().and_then(|e| e.prepared.clone());
         }
+        if view.serving != self.ready {
+            self.ready = None;
+        }
         let changed = self.engine.as_ref() != Some(&view);
         self.engine = Some(view);
         self.judge(now);
@@ -250,7 +262,10 @@
             }
             Some(release) if engine.serving.as_ref() == Some(&release) => {
                 self.phase = Phase::Settled;
-                actions.push(Action::Ready(release));
+                if self.ready.as_ref() != Some(&release) {
+                    self.ready = Some(release.clone());
+                    actions.push(Action::Ready(release));
+                }
             }
             Some(release) => {
                 self.phase = Phase::Loading;
@@ -288,6 +303,7 @@
             return Vec::new();
         }
         self.phase = Phase::Switching;
+        self.ready = None;
         self.read_at = now + READ_EVERY;
         match (self.target.clone(), self.serving().cloned()) {
             (Some(target), _) => {
--- a/components/rollout/src/endpoint/tests.rs
+++ b/components/rollout/src/endpoint/tests.rs
@@ -75,6 +75,24 @@
     assert!(endpoint.accepting());
 }
 
+#[test]
+fn an_endpoint_that_never_stopped_is_not_ready_again() {
+    let now = Instant::now();
+    let mut endpoint = fresh(10, now);
+    endpoint.handle(target("m@v1"), now);
+    let ready = [Action::Ready(release("m@v1"))];
+    assert_eq!(endpoint.handle(view(Some("m@v1"), None, now), now), ready);
+    assert_eq!(endpoint.handle(stated(Some("m@v1"), None, 51, now), now), []);
+    let orders = endpoint.handle(target("m@v2"), now);
+    endpoint.handle(answered(&orders[0], true), now);
+    let actions = endpoint.handle(target("m@v1"), now);
+    assert_eq!((actions.len(), kinds(&actions)), (2, vec![OrderKind::Abort]));
+    endpoint.handle(Event::EngineLost, now);
+    endpoint.handle(view(None, None, now), now);
+    endpoint.handle(Event::EngineLost, now);
+    assert_eq!(endpoint.handle(view(Some("m@v1"), None, now), now), ready);
+}
+
 #[test]
 fn nothing_is_ordered_before_peers_confirm() {
     let now = Instant::now();
@@ -148,9 +166,13 @@
 #[test]
 fn a_superseded_release_is_taken_back_before_the_engine_shows_it() {
     let now = Instant::now();
-    let mut endpoint = loading(Some("m@v1"), "m@v2", now);
+    let mut endpoint = fresh(10, now);
+    endpoint.handle(target("m@v2"), now);
+    let orders = endpoint.handle(view(Some("m@v1"), None, now), now);
+    let accepted = now + Duration::from_millis(5);
+    endpoint.handle(answered(&orders[0], true), accepted);
     // Asked for before the engine accepted the order to prepare.
-    endpoint.handle(view(Some("m@v1"), None, now - Duration::from_millis(1)), now);
+    endpoint.handle(view(Some("m@v1"), None, now + Duration::from_millis(1)), accepted);
     let actions = endpoint.handle(target("m@v1"), now);
     assert_eq!(actions[0], Action::Stop(release("m@v2")));
     assert_eq!(kinds(&actions), [OrderKind::Abort]);
@@ -160,6 +182,17 @@
     assert_eq!(kinds(&again), [OrderKind::Abort]);
 }
 
+#[test]
+fn a_release_that_waits_for_its_turn_is_given_up_too() {
+    let now = Instant::now();
+    let mut endpoint = loading(Some("m@v1"), "m@v2", now);
+    endpoint.handle(Event::Staged(release("m@v2")), now);
+    assert_eq!(endpoint.phase(), &Phase::Waiting);
+    let actions = endpoint.handle(target("m@v3"), now);
+    assert_eq!(actions[0], Action::Stop(release("m@v2")));
+    assert_eq!(kinds(&actions), [OrderKind::Abort, OrderKind::Prepare]);
+}
+
 #[test]
 fn an_engine_that_restarts_during_a_load_is_prepared_again() {
     let now = Instant::now();
