--- a/components/chunks/src/transfer.rs
+++ b/components/chunks/src/transfer.rs
@@ -148,9 +148,6 @@
         for index in 0..self.chunks.len() as u32 {
             self.requeue(index, now);
         }
-        self.progress = now;
-        self.heard = now;
-        self.most_seen = self.most_seen.map(|_| now);
         self.greet(now);
     }
 
--- a/components/chunks/src/transfer/poll.rs
+++ b/components/chunks/src/transfer/poll.rs
@@ -165,8 +165,10 @@
             if !wanted || now < chunk.not_before || !self.in_reach(index) {
                 continue;
             }
-            if reads && idle >= self.takeover(index, now) && self.read_outside(index, actions, now)
-            {
+            // A plan that changed makes owners of chunks that their peers may have.
+            let searched = chunk.failures > 0 || self.neighbours.is_empty();
+            let due = searched && idle >= self.takeover(index, now);
+            if reads && due && self.read_outside(index, actions, now) {
                 continue;
             }
             if let Some(vm) = self.guess(index, failing).filter(|_| asks) {
