--- a/components/agent/src/core.rs
+++ b/components/agent/src/core.rs
@@ -183,7 +183,9 @@
             Event::Fetched { list, chunk, source, result } => {
                 self.fetched(list, chunk, source, result, now);
             }
-            Event::Staged { chunk, ok } => self.staged(cx, chunk, ok),
+            Event::Staged { load, digest, chunk, ok } => {
+                self.staged(cx, &load, digest, chunk, ok);
+            }
             Event::Offer { offer, reply } => {
                 let attempt = offer.attempt;
                 self.recheck(now);
--- a/components/agent/src/event.rs
+++ b/components/agent/src/event.rs
@@ -16,7 +16,7 @@
 use proto::{AttemptRef, Fate, RefusalReason};
 use rollout::Order;
 
-use crate::{answer::Answer, engine::EngineReport, loading::StagedChunk};
+use crate::{answer::Answer, engine::EngineReport, loading::LoadId};
 
 /// Something that happened to the agent.
 pub(crate) enum Event {
@@ -38,7 +38,7 @@
     /// A fetch ended.
     Fetched { list: Digest, chunk: u32, source: Source, result: Result<Bytes, FetchError> },
     /// The engine took a chunk, or did not.
-    Staged { chunk: StagedChunk, ok: bool },
+    Staged { load: LoadId, digest: Digest, chunk: Bytes, ok: bool },
     /// An entry offers an attempt.
     Offer { offer: Offer, reply: Sender<Opened> },
     /// An entry asks for the rest of an answer.
--- a/components/agent/src/loading.rs
+++ b/components/agent/src/loading.rs
@@ -6,26 +6,23 @@
 };
 
 use base::{Digest, Fence, ReleaseId, VmId};
-use bytes::Bytes;
 use chunks::{Place, Plan, Transfer, TransferSettings};
 use manifest::{ChunkList, Release};
 use rollout::Order;
 
-/// A chunk on its way to the engine.
-#[derive(Debug)]
-pub(crate) struct StagedChunk {
+/// Names one load: chunks that an engine took before it was prepared again do not count for the load
+/// after.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct LoadId {
     pub(crate) release: ReleaseId,
-    /// The load that it belongs to.
-    load: Fence,
-    pub(crate) digest: Digest,
-    pub(crate) bytes: Bytes,
+    /// Fencing number of the order to prepare.
+    pub(crate) fence: Fence,
 }
 
 /// The load of a release.
 pub(crate) struct Loading {
+    id: LoadId,
     pub(crate) release: Release,
-    /// Fencing number of its order to prepare, which tells it from other loads of the release.
-    load: Fence,
     /// The order to prepare, which waits for the chunk lists.
     order: Option<Order>,
     /// Lists that have come, by digest.
@@ -38,9 +35,10 @@
 
 impl Loading {
     pub(crate) fn new(release: Release, order: Order) -> Loading {
+        let id = LoadId { release: release.id.clone(), fence: order.fence };
         Loading {
+            id,
             release,
-            load: order.fence,
             order: Some(order),
             lists: BTreeMap::new(),
             transfers: BTreeMap::new(),
@@ -48,19 +46,8 @@
         }
     }
 
-    /// A chunk of this load that is to be handed to the engine.
-    pub(crate) fn chunk_to_stage(&self, digest: Digest, bytes: Bytes) -> StagedChunk {
-        StagedChunk { release: self.release.id.clone(), load: self.load, digest, bytes }
-    }
-
-    /// Whether a chunk was handed to the engine by this load; the engine dropped those of earlier
-    /// ones when it was prepared again.
-    pub(crate) fn owns(&self, chunk: &StagedChunk) -> bool {
-        chunk.load == self.load && chunk.release == self.release.id
-    }
-
-    pub(crate) fn id(&self) -> &ReleaseId {
-        &self.release.id
+    pub(crate) fn id(&self) -> &LoadId {
+        &self.id
     }
 
     /// Lists that have not come.
@@ -119,8 +106,11 @@
         self.lists.iter().flat_map(positions).collect()
     }
 
-    /// The engine took a chunk; returns whether it has all of them now.
-    pub(crate) fn staged(&mut self, digest: Digest) -> bool {
+    /// The engine took a chunk for a load; returns whether it has all chunks of this load now.
+    pub(crate) fn staged(&mut self, load: &LoadId, digest: Digest) -> bool {
+        if self.id != *load {
+            return false;
+        }
         self.staged.insert(digest);
         self.transfers.values().all(Transfer::is_complete)
             && !self.transfers.is_empty()
--- a/components/agent/src/weights.rs
+++ b/components/agent/src/weights.rs
@@ -18,7 +18,7 @@
 use crate::{
     core::{Core, Shared},
     event::Event,
-    loading::{Loading, StagedChunk},
+    loading::{LoadId, Loading},
 };
 
 /// Pause before something that failed is tried again.
@@ -124,14 +124,16 @@
         self.update_plans(now);
         let settings = self.transfer_settings();
         let me = self.node.identity.settings.vm.clone();
-        let Some(loading) = self.loading.as_mut().filter(|l| l.id() == release) else { return };
+        let Some(loading) = self.loading.as_mut().filter(|l| l.id().release == *release) else {
+            return;
+        };
         loading.start(&self.places, &me, settings, now);
         for (list, chunk, digest) in loading.all_chunks() {
             let Some(bytes) = self.shared.held(&digest) else { continue };
             if let Some(transfer) = loading.transfers.get_mut(&list) {
                 transfer.held(chunk, now);
             }
-            stage(&self.shared, loading.chunk_to_stage(digest, bytes));
+            stage(&self.shared, loading.id().clone(), digest, bytes);
         }
         self.poll_transfers(now);
     }
@@ -210,6 +212,7 @@
         self.count(&source, &result);
         let Some(loading) = &mut self.loading else { return };
         let digest = loading.chunk(&list, chunk).map(|(digest, _)| digest);
+        let load = loading.id().clone();
         let Some(transfer) = loading.transfers.get_mut(&list) else { return };
         match (result, digest) {
             (Ok(bytes), Some(digest)) => {
@@ -217,7 +220,7 @@
                 pool.insert(digest, bytes.clone());
                 drop(pool);
                 transfer.fetched(chunk, &source, now);
-                stage(&self.shared, loading.chunk_to_stage(digest, bytes));
+                stage(&self.shared, load, digest, bytes);
             }
             (Err(error), _) => transfer.failed(chunk, &source, error, now),
             (Ok(_), None) => {}
@@ -238,31 +241,38 @@
         }
     }
 
-    pub(crate) fn staged(&mut self, cx: CX![], chunk: StagedChunk, ok: bool) {
-        let Some(loading) = self.loading.as_mut().filter(|l| l.owns(&chunk)) else { return };
+    pub(crate) fn staged(
+        &mut self,
+        cx: CX![],
+        load: &LoadId,
+        digest: Digest,
+        chunk: Bytes,
+        ok: bool,
+    ) {
+        let Some(loading) = self.loading.as_mut().filter(|l| l.id() == load) else { return };
         if !ok {
-            after!(RETRY, [cx], stage_again(chunk));
+            after!(RETRY, [cx], stage_again(load.clone(), digest, chunk));
             return;
         }
-        if loading.staged(chunk.digest) {
+        if loading.staged(load, digest) {
             let now = cx.now();
-            self.decide(rollout::Event::Staged(chunk.release), now);
+            self.decide(rollout::Event::Staged(load.release.clone()), now);
         }
     }
 
-    pub(crate) fn stage_again(&mut self, _: CX![], chunk: StagedChunk) {
-        if self.loading.as_ref().is_some_and(|l| l.owns(&chunk)) {
-            stage(&self.shared, chunk);
+    pub(crate) fn stage_again(&mut self, _: CX![], load: LoadId, digest: Digest, chunk: Bytes) {
+        if self.loading.as_ref().is_some_and(|l| *l.id() == load) {
+            stage(&self.shared, load, digest, chunk);
         }
     }
 }
 
 /// Hands a chunk to the engine on a worker thread.
-fn stage(shared: &Shared, chunk: StagedChunk) {
+fn stage(shared: &Shared, load: LoadId, digest: Digest, chunk: Bytes) {
     let Shared { engine, mailbox, workers, .. } = shared.clone();
     workers.run(move || {
-        let ok = engine.stage(&chunk.release, chunk.digest, &chunk.bytes);
-        mailbox.send(Event::Staged { chunk, ok });
+        let ok = engine.stage(&load.release, digest, &chunk);
+        mailbox.send(Event::Staged { load, digest, chunk, ok });
     });
 }
 
