Split the router by concern

Cause: The router held the needs of requests, the comparison of endpoints and its own state. Change: Needs and parts, and what endpoints are compared by, stand in modules of their own.

--- a/components/routing/src/router.rs
+++ b/components/routing/src/router.rs
@@ -12,7 +12,9 @@
 
 use crate::{
     health::{AttemptEnd, Health, HealthSettings},
+    need::{Need, SlotPart, Wanted},
     subset::Placed,
+    usable::Usable,
 };
 
 /// Weight of the newest value in a mean.
@@ -47,22 +49,6 @@
     }
 }
 
-/// Releases that may answer for a service.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct Wanted {
-    /// Releases of the rollouts in force; empty for plain services.
-    pub current: HashSet<ReleaseId>,
-    /// Other releases of the same models, which serve until a rollout has replaced them.
-    pub older: HashSet<ReleaseId>,
-}
-
-impl Wanted {
-    fn allows(&self, release: Option<&ReleaseId>, older: bool) -> bool {
-        let Some(release) = release else { return self.current.is_empty() };
-        self.current.contains(release) || (older && self.older.contains(release))
-    }
-}
-
 /// What is known of one endpoint.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Known {
@@ -94,34 +80,6 @@
     pub release: Option<ReleaseId>,
 }
 
-/// What a request needs of an endpoint.
-#[derive(Debug, Clone, Copy)]
-pub struct Need<'a> {
-    /// The service.
-    pub service: &'a ServiceId,
-    /// The release that must answer, if it matters.
-    pub release: Option<&'a ReleaseId>,
-    /// Endpoints that may not be picked.
-    pub avoid: &'a [VmId],
-    /// Endpoints that were tried; avoided if there are others.
-    pub tried: &'a [VmId],
-}
-
-/// The part of a service's slots that this entry may use.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct SlotPart {
-    /// The part of each endpoint's slots.
-    pub part: f64,
-    /// Whether slots that others leave may be used too.
-    pub lent: bool,
-}
-
-impl Default for SlotPart {
-    fn default() -> SlotPart {
-        SlotPart { part: 1.0, lent: true }
-    }
-}
-
 #[derive(Debug, Default)]
 struct Service {
     wanted: Wanted,
@@ -399,32 +357,6 @@
     }
 }
 
-/// An endpoint that may get a request.
-struct Usable {
-    vm: VmId,
-    local: bool,
-    in_flight: u32,
-    /// Requests of all entries there.
-    busy: f64,
-    slots: u32,
-    allowed: u32,
-    /// Above 0, at most 1.
-    warmth: f64,
-    time: Option<f64>,
-}
-
-impl Usable {
-    /// Requests for each slot that is warm, if one more comes.
-    fn load(&self) -> f64 {
-        (self.busy + 1.0) / (f64::from(self.slots) * self.warmth)
-    }
-
-    fn has_room(&self) -> bool {
-        let warm = (f64::from(self.slots) * self.warmth).ceil() as u32;
-        self.in_flight < self.allowed.min(warm.max(1))
-    }
-}
-
 /// The mean after one more value.
 fn blend(mean: f64, value: f64) -> f64 {
     mean + NEWEST * (value - mean)
