--- a/components/entry/src/core.rs
+++ b/components/entry/src/core.rs
@@ -23,7 +23,7 @@
     event::Event,
     pools::Pools,
     queue::{Delayed, Lines, Running},
-    suspects::{Lanes, Rumours},
+    suspects::{CrashNews, Lanes},
 };
 
 /// Both budgets together stay under a fifth of the successes.
@@ -52,7 +52,7 @@
     pub(crate) reroutes: RetryBudget,
     pub(crate) ledger: Ledger,
     pub(crate) lanes: Lanes,
-    pub(crate) rumours: Rumours,
+    pub(crate) crash_news: CrashNews,
     pub(crate) placement: Placement,
     /// What `placement` was computed from.
     pub(crate) inputs: Inputs,
@@ -103,7 +103,7 @@
             reroutes: RetryBudget::new(REROUTES),
             ledger: Ledger::new(LedgerSettings::default()),
             lanes: Lanes::default(),
-            rumours: Rumours::new(now),
+            crash_news: CrashNews::new(now),
             placement: Placement::default(),
             inputs: Inputs::default(),
             clocks: HashMap::new(),
--- a/components/entry/src/suspects.rs
+++ b/components/entry/src/suspects.rs
@@ -60,14 +60,14 @@
 
 /// Crash records to tell.
 #[derive(Debug)]
-pub(crate) struct Rumours {
+pub(crate) struct CrashNews {
     fresh: Vec<CrashRecord>,
     exchange_at: Instant,
 }
 
-impl Rumours {
-    pub(crate) fn new(now: Instant) -> Rumours {
-        Rumours { fresh: Vec::new(), exchange_at: now }
+impl CrashNews {
+    pub(crate) fn new(now: Instant) -> CrashNews {
+        CrashNews { fresh: Vec::new(), exchange_at: now }
     }
 }
 
@@ -98,20 +98,20 @@
                     self.node.trail.record(change, "was in progress when endpoints crashed");
                 }
             }
-            if self.rumours.fresh.len() < MAX_RECORDS {
-                self.rumours.fresh.push(record.clone());
+            if self.crash_news.fresh.len() < MAX_RECORDS {
+                self.crash_news.fresh.push(record.clone());
             }
         }
     }
 
     /// Tells a few entries the newest crashes, and one entry all of them from time to time.
     pub(crate) fn tell_crashes(&mut self, now: Instant) {
-        let fresh = std::mem::take(&mut self.rumours.fresh);
+        let fresh = std::mem::take(&mut self.crash_news.fresh);
         if !fresh.is_empty() {
             self.send_crashes(&fresh, FANOUT);
         }
-        if now >= self.rumours.exchange_at {
-            self.rumours.exchange_at = now + EXCHANGE_EVERY;
+        if now >= self.crash_news.exchange_at {
+            self.crash_news.exchange_at = now + EXCHANGE_EVERY;
             let all = self.ledger.records(MAX_RECORDS, now);
             if !all.is_empty() {
                 self.send_crashes(&all, 1);
