--- a/components/entry/src/report.rs
+++ b/components/entry/src/report.rs
@@ -4,7 +4,7 @@
 
 use base::{ReleaseId, RolloutId, VmId};
 use net::{PeerCall, answer_call};
-use proto::{EndpointRow, RolloutRow, Status};
+use proto::{EndpointRow, MemberState, RolloutRow, Status};
 
 use crate::{core::Core, suspects::MAX_RECORDS};
 
@@ -46,11 +46,37 @@
             in_flight: self.in_flight,
             origin_bytes: 0,
             rollouts: self.since.iter().map(|row| self.rollout_row(row, now)).collect(),
-            endpoints: self.router.endpoints().map(|(vm, k)| endpoint_row(vm, k)).collect(),
+            endpoints: self.endpoint_rows(),
             quarantined: self.ledger.quarantined().iter().map(|d| d.to_string()).collect(),
         }
     }
 
+    /// The endpoints in use, and those of them that are thought gone or said that they stop.
+    fn endpoint_rows(&self) -> Vec<EndpointRow> {
+        let used = self.router.endpoints().map(|(vm, known)| {
+            let suspect = self.member_state(vm) == Some(MemberState::Suspect);
+            endpoint_row(vm, known, suspect)
+        });
+        let gone = self.pools.endpoints().filter_map(|endpoint| {
+            let state = match self.member_state(&endpoint.vm)? {
+                MemberState::Leaving => "leaving",
+                MemberState::Dead => "dead",
+                MemberState::Alive | MemberState::Suspect => return None,
+            };
+            Some(EndpointRow {
+                vm: endpoint.vm.clone(),
+                release: None,
+                state: state.to_owned(),
+                in_flight: 0,
+            })
+        });
+        used.chain(gone).collect()
+    }
+
+    fn member_state(&self, vm: &VmId) -> Option<MemberState> {
+        self.node.members.get(vm).map(|member| member.state)
+    }
+
     pub(crate) fn rollout_row(
         &self,
         row: &(RolloutId, ReleaseId, Instant),
@@ -72,10 +98,11 @@
     }
 }
 
-fn endpoint_row(vm: &VmId, known: &routing::Known) -> EndpointRow {
+fn endpoint_row(vm: &VmId, known: &routing::Known, suspect: bool) -> EndpointRow {
     let serving = known.state.as_ref().and_then(|s| s.serving.as_ref());
     let state = match &known.state {
-        None => "suspect",
+        _ if suspect => "suspect",
+        None => "unknown",
         Some(state) if state.accepting => "ready",
         Some(_) => "out",
     };
--- a/components/proto/src/status.rs
+++ b/components/proto/src/status.rs
@@ -53,7 +53,7 @@
         pub vm: VmId,
         /// The release that it serves.
         pub release: Option<ReleaseId>,
-        /// `ready`, `loading`, `leaving`, `suspect` or `out`.
+        /// `ready`, `loading`, `switching`, `leaving`, `suspect`, `dead`, `out` or `unknown`.
         pub state: String,
         /// Requests in progress from this process.
         pub in_flight: u32,
--- a/components/testbed/tests/path.rs
+++ b/components/testbed/tests/path.rs
@@ -44,3 +44,19 @@
     assert!(bed.origin.sent() <= 1 << 20);
     bed.stop();
 }
+
+#[test]
+fn an_entry_shows_an_endpoint_that_leaves() {
+    let settings = TestbedSettings { agents: 0, plain: 2, ..TestbedSettings::default() };
+    let mut bed = Testbed::start(settings).unwrap();
+    let control = bed.entries[0].1.control();
+    let shows = |bed: &Testbed, state: &str, count: usize| {
+        let rows = bed.status(control).unwrap().endpoints;
+        rows.iter().filter(|row| row.state == state).count() == count
+    };
+    bed.wait_until("ready", TIMEOUT, |bed| shows(bed, "ready", 2)).unwrap();
+    bed.agents[0].agent.as_ref().unwrap().drain();
+    bed.wait_until("leaving", TIMEOUT, |bed| shows(bed, "leaving", 1)).unwrap();
+    assert!(shows(&bed, "ready", 1));
+    bed.stop();
+}
