Take a retry from its budget only after the other checks

Cause: when full endpoints got a budget of their own, the budget was asked before the key and the quarantine were looked at, so that a request refused for those reasons used a retry up and was counted as one.

Change: the budget is asked where it was before, after those checks.

Conclusion: the order of checks is again the one before that change.

--- a/components/entry/src/retry.rs
+++ b/components/entry/src/retry.rs
@@ -28,13 +28,7 @@
         self.attempt_ended(&last.vm, last.end(), now);
         self.left(last.attempt, &last.vm, false, now);
         self.suspect(last, now);
-        let budget = match last.end() {
-            AttemptEnd::Full => &mut self.reroutes,
-            _ => &mut self.retries,
-        };
-        let backoff = budget.take(ask.tried.len() as u32, &mut self.rng);
-        counts::retry(backoff.is_some());
-        match self.retry(&ask, last, backoff, now) {
+        match self.retry(&ask, last, now) {
             Ok((backoff, workspace)) => {
                 self.delays += 1;
                 // The first attempt was charged with the time that it took.
@@ -50,7 +44,6 @@
         &mut self,
         ask: &Ask,
         last: &Failure,
-        backoff: Option<Duration>,
         now: Instant,
     ) -> Result<(Duration, WorkspaceId), Refusal> {
         let outcome = last.outcome;
@@ -66,6 +59,12 @@
             return Err(Refusal { outcome, ..refusal::quarantined() });
         }
         let service_time = self.line(&ask.service, now).pace.safe_time();
+        let budget = match last.end() {
+            AttemptEnd::Full => &mut self.reroutes,
+            _ => &mut self.retries,
+        };
+        let backoff = budget.take(ask.tried.len() as u32, &mut self.rng);
+        counts::retry(backoff.is_some());
         let backoff = backoff.ok_or_else(|| refuse(503, "too many requests fail; retry in 1s"))?;
         if now + backoff + service_time > ask.deadline {
             return Err(refuse(503, "no time is left to try again; retry in 1s"));
