Show an endpoint that leaves in one row of status only

Change: the rows of endpoints in use leave out those that are gone.

Conclusion: each endpoint has one row.

--- a/components/entry/src/report.rs
+++ b/components/entry/src/report.rs
@@ -53,7 +53,9 @@
 
     /// The endpoints in use, and those of them that are thought gone or said that they stop.
     fn endpoint_rows(&self) -> Vec<EndpointRow> {
-        let used = self.router.endpoints().map(|(vm, known)| {
+        // The router drops an endpoint that is gone a moment later.
+        let here = |(vm, _): &(&VmId, _)| !self.node.members.is_gone(vm);
+        let used = self.router.endpoints().filter(here).map(|(vm, known)| {
             let suspect = self.member_state(vm) == Some(MemberState::Suspect);
             endpoint_row(vm, known, suspect)
         });
