Adopt disputed fencing numbers only after peers were asked, and count only recent news

Cause: two faults that the search in components/spec had listed. An agent that read the engine for the first time after a later one ordered took a number above it (9 steps). A VM counted another's old "wants v1" after v1 was replaced and wanted again (14 steps).

Change: a number above the own ones is disputed; peers are asked anew before it is adopted, and a later agent that gave orders is known to them, as it was confirmed by them before. Each VM states the revision of the manifest under which it wants a release, while its rollout is under way, and counts only what others stated under one at least as new.

Ruled out: comparing the revision at which a release was last wanted, as a VM that skipped the change in between cannot tell it (floor broken with the releases 1, 2, 3, 2).

Before: 2 ignored specifications.

--- a/components/agent/src/core.rs
+++ b/components/agent/src/core.rs
@@ -300,12 +300,12 @@
         if let Some((revision, at)) = self.node.vms_confirmed() {
             self.homes.confirm(revision, at);
         }
-        if changes.joined {
-            self.decide(rollout::Event::Fresh, now);
-        }
         if self.node.members.has_rival() {
             self.decide(rollout::Event::Rival, now);
         }
+        if changes.joined {
+            self.decide(rollout::Event::Fresh, now);
+        }
     }
 }
 
--- a/components/agent/src/rollouts.rs
+++ b/components/agent/src/rollouts.rs
@@ -6,7 +6,7 @@
 };
 
 use audit::Change;
-use base::{Digest, ReleaseId, VmId};
+use base::{Digest, ReleaseId, Revision, VmId};
 use chunks::{Place, Plan};
 use manifest::{Release, Rollout, Vm};
 use metrics::counter;
@@ -95,6 +95,7 @@
             Replica {
                 serving: member.and_then(|m| m.serving.clone()),
                 wants: member.and_then(|m| m.wants.clone()),
+                manifest: member.map(|m| m.manifest).unwrap_or_default(),
                 verdict: member.and_then(|m| m.verdict.clone()),
                 dead: self.node.members.is_gone(vm),
             }
@@ -209,7 +210,23 @@
         let serving = self.endpoint.serving().filter(|_| self.endpoint.accepting()).cloned();
         let wants = self.wanted().map(|(_, release)| release.id);
         let verdict = wants.as_ref().and_then(|wants| self.endpoint.verdict(wants));
-        self.node.state(Stated { state, serving, wants, verdict });
+        let manifest = self.stated_revision(wants.as_ref());
+        self.node.state(Stated { state, serving, wants, manifest, verdict });
+    }
+
+    /// Revision of the manifest to state with the wanted release. It is the one in force while the
+    /// rollout is under way, and stays as it was stated otherwise, as the others need no news then.
+    fn stated_revision(&self, wants: Option<&ReleaseId>) -> Revision {
+        let me = self.node.members.get(&self.node.identity.settings.vm);
+        let stated = me.filter(|m| m.wants.as_ref() == wants).map(|m| m.manifest);
+        let through = |vm: &VmId| {
+            let member = self.node.members.get(vm);
+            member.is_none_or(|m| m.serving.as_ref() == wants) || self.node.members.is_gone(vm)
+        };
+        match stated.filter(|_| self.rollout_vms().iter().all(through)) {
+            Some(revision) => revision,
+            None => self.node.documents.manifest().revision,
+        }
     }
 
     pub(crate) fn read_engine(&mut self, asked: Instant) {
--- a/components/gossip/src/members.rs
+++ b/components/gossip/src/members.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use base::{Incarnation, ReleaseId, VmId};
+use base::{Incarnation, ReleaseId, Revision, VmId};
 use manifest::VmList;
 use proto::{Member, MemberState, Verdict};
 
@@ -39,6 +39,8 @@
     pub serving: Option<ReleaseId>,
     /// The release that the manifest wants of its rollout.
     pub wants: Option<ReleaseId>,
+    /// Revision of the manifest under which this holds.
+    pub manifest: Revision,
     /// How that release fared.
     pub verdict: Option<Verdict>,
 }
@@ -46,7 +48,7 @@
 impl Stated {
     /// States no release.
     pub fn only(state: MemberState) -> Stated {
-        Stated { state, serving: None, wants: None, verdict: None }
+        Stated { state, serving: None, wants: None, manifest: Revision(0), verdict: None }
     }
 }
 
@@ -109,8 +111,8 @@
 
     /// States a change of this process.
     pub fn state(&mut self, stated: Stated) {
-        let Stated { state, serving, wants, verdict } = stated;
-        let me = Member { state, serving, wants, verdict, ..self.me.clone() };
+        let Stated { state, serving, wants, manifest, verdict } = stated;
+        let me = Member { state, serving, wants, manifest, verdict, ..self.me.clone() };
         if me != self.me {
             self.me = Member { beat: me.beat + 1, ..me };
             self.fresh = true;
@@ -301,7 +303,8 @@
 /// never heard of, so that anything it says is newer.
 fn first_member(vm: VmId, incarnation: Incarnation) -> Member {
     let state = MemberState::Alive;
-    Member { vm, incarnation, state, beat: 1, serving: None, wants: None, verdict: None }
+    let manifest = Revision(0);
+    Member { vm, incarnation, state, beat: 1, serving: None, wants: None, manifest, verdict: None }
 }
 
 #[cfg(test)]
--- a/components/proto/src/member.rs
+++ b/components/proto/src/member.rs
@@ -39,6 +39,9 @@
         /// The release that the manifest in force there wants of its rollout.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         pub wants: Option<ReleaseId>,
+        /// Revision of the manifest under which the process stated this of its rollout.
+        #[serde(default)]
+        pub manifest: Revision,
         /// How that release fared there.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         pub verdict: Option<Verdict>,
--- a/components/rollout/src/endpoint.rs
+++ b/components/rollout/src/endpoint.rs
@@ -25,8 +25,11 @@
     /// The highest fencing number that this process used, or adopted when it first read the engine.
     /// The engine states a higher one only if another process gave it an order.
     fence: Fence,
-    /// Whether the engine was read once, so that `fence` is above the numbers of earlier processes.
+    /// Whether `fence` is above the numbers of earlier processes.
     adopted: bool,
+    /// The engine's number at the first reading, if it was above `fence`: an earlier process whose
+    /// clock ran ahead used it, or a later one did. Peers tell which before it is adopted.
+    disputed: Option<Fence>,
     /// Whether peers confirmed documents and members since the start or the last pause. No order is
     /// given before.
     fresh: bool,
@@ -55,6 +58,7 @@
             engine: None,
             fence,
             adopted: false,
+            disputed: None,
             fresh: false,
             known_since: now,
             prepared_at: None,
@@ -124,7 +128,11 @@
             Event::Ordered { order, accepted } => self.ordered(&order, accepted, now),
             Event::Fresh => {
                 self.fresh = true;
-                self.leave_unknown(now)
+                let mut actions = self.leave_unknown(now);
+                if self.disputed.is_some() && !self.adopted {
+                    actions.push(Action::ReadEngine);
+                }
+                actions
             }
             Event::Woke => Vec::new(),
             Event::Rival => self.step_down(self.fence),
@@ -187,9 +195,8 @@
 
     fn observe(&mut self, mut view: EngineView, asked: Instant, now: Instant) -> Vec<Action> {
         self.read_at = now + READ_EVERY;
-        if !self.adopted {
-            self.adopted = true;
-            self.fence = self.fence.max(Fence(view.fence.0 + FENCE_GAP));
+        if !self.adopted && !self.adopt(view.fence) {
+            return self.ask_peers();
         }
         if view.fence > self.fence {
             self.trial.void();
@@ -226,6 +233,25 @@
         }
     }
 
+    /// Takes fencing numbers above the engine's. A number above the own ones is taken only after
+    /// peers were asked: a later process that gave orders is known to them, and leads to
+    /// `Event::Rival`.
+    fn adopt(&mut self, seen: Fence) -> bool {
+        let known = self.disputed.is_some_and(|disputed| disputed >= seen);
+        if seen > self.fence && !(known && self.fresh) {
+            self.disputed = self.disputed.max(Some(seen));
+            self.fresh &= known;
+            return false;
+        }
+        self.adopted = true;
+        self.fence = self.fence.max(Fence(seen.0 + FENCE_GAP));
+        true
+    }
+
+    fn ask_peers(&self) -> Vec<Action> {
+        if self.fresh { Vec::new() } else { vec![Action::Refresh] }
+    }
+
     fn leave_unknown(&mut self, now: Instant) -> Vec<Action> {
         let ready = self.phase == Phase::Unknown && self.fresh && now >= self.retry_at;
         if ready { self.start(now) } else { Vec::new() }
--- a/components/rollout/src/endpoint/tests.rs
+++ b/components/rollout/src/endpoint/tests.rs
@@ -45,7 +45,7 @@
 
 /// An endpoint that loads `to` while the engine serves `from`.
 fn loading(from: Option<&str>, to: &str, now: Instant) -> Endpoint {
-    let mut endpoint = fresh(10, now);
+    let mut endpoint = fresh(50, now);
     endpoint.handle(target(to), now);
     let orders = endpoint.handle(view(from, None, now), now);
     assert_eq!(kinds(&orders), [OrderKind::Prepare]);
@@ -78,7 +78,7 @@
 #[test]
 fn an_endpoint_that_never_stopped_is_not_ready_again() {
     let now = Instant::now();
-    let mut endpoint = fresh(10, now);
+    let mut endpoint = fresh(50, now);
     endpoint.handle(target("m@v1"), now);
     let ready = [Action::Ready(release("m@v1"))];
     assert_eq!(endpoint.handle(view(Some("m@v1"), None, now), now), ready);
@@ -96,7 +96,7 @@
 #[test]
 fn nothing_is_ordered_before_peers_confirm() {
     let now = Instant::now();
-    let mut endpoint = Endpoint::new(Fence(10), now);
+    let mut endpoint = Endpoint::new(Fence(50), now);
     endpoint.handle(target("m@v2"), now);
     assert_eq!(endpoint.handle(view(Some("m@v1"), None, now), now), []);
     assert!(endpoint.accepting(), "what the engine serves may answer requests");
@@ -130,13 +130,37 @@
 #[test]
 fn fencing_numbers_grow_though_the_wall_clock_was_set_back() {
     let now = Instant::now();
-    let mut endpoint = fresh(10, now);
+    let mut endpoint = fresh(50, now);
     endpoint.handle(target("m@v2"), now);
     let seen = 1_700_000_000_000;
+    let actions = endpoint.handle(stated(Some("m@v1"), None, seen, now), now);
+    assert_eq!(actions, [Action::Refresh]);
+    assert_eq!(endpoint.handle(Event::Fresh, now), [Action::ReadEngine]);
     let orders = endpoint.handle(stated(Some("m@v1"), None, seen, now), now);
     assert!(order(&orders[0]).fence > Fence(seen));
 }
 
+#[test]
+fn a_number_that_peers_say_a_later_process_used_is_not_adopted() {
+    let now = Instant::now();
+    let mut endpoint = fresh(50, now);
+    endpoint.handle(target("m@v2"), now);
+    assert_eq!(endpoint.handle(stated(None, None, 99, now), now), [Action::Refresh]);
+    assert_eq!(endpoint.handle(stated(None, None, 99, now), now), [Action::Refresh]);
+    assert_eq!(endpoint.handle(Event::Rival, now), [Action::StepDown(Fence(50))]);
+    assert_eq!(endpoint.handle(Event::Fresh, now), []);
+}
+
+#[test]
+fn a_number_that_grew_while_peers_were_asked_is_asked_about_again() {
+    let now = Instant::now();
+    let mut endpoint = fresh(50, now);
+    endpoint.handle(target("m@v2"), now);
+    endpoint.handle(stated(None, None, 99, now), now);
+    endpoint.handle(Event::Fresh, now);
+    assert_eq!(endpoint.handle(stated(None, None, 100, now), now), [Action::Refresh]);
+}
+
 #[test]
 fn the_older_of_two_processes_steps_down() {
     let now = Instant::now();
@@ -166,7 +190,7 @@
 #[test]
 fn a_superseded_release_is_taken_back_before_the_engine_shows_it() {
     let now = Instant::now();
-    let mut endpoint = fresh(10, now);
+    let mut endpoint = fresh(50, now);
     endpoint.handle(target("m@v2"), now);
     let orders = endpoint.handle(view(Some("m@v1"), None, now), now);
     let accepted = now + Duration::from_millis(5);
@@ -205,7 +229,7 @@
 #[test]
 fn an_engine_that_holds_another_release_is_cleared_first() {
     let now = Instant::now();
-    let mut endpoint = fresh(10, now);
+    let mut endpoint = fresh(50, now);
     endpoint.handle(target("m@v2"), now);
     let actions = endpoint.handle(view(None, Some("m@v9"), now), now);
     assert_eq!(kinds(&actions), [OrderKind::Abort, OrderKind::Prepare]);
@@ -226,7 +250,7 @@
 #[test]
 fn a_refused_order_is_repeated_only_after_a_pause() {
     let now = Instant::now();
-    let mut endpoint = fresh(10, now);
+    let mut endpoint = fresh(50, now);
     endpoint.handle(target("m@v2"), now);
     let orders = endpoint.handle(view(None, None, now), now);
     let actions = endpoint.handle(answered(&orders[0], false), now);
--- a/components/rollout/src/turn.rs
+++ b/components/rollout/src/turn.rs
@@ -3,13 +3,14 @@
 //! VMs switch in the order of the placement. A VM counts as ready the others that will not stop
 //! serving: those before it that are through with the new release, and those after it that serve
 //! anything. Only VMs that want the same release count, as one that wants an older one may switch to
-//! that. It may switch if these are at least the floor. Of all VMs that switch at a time, the
+//! that, and only what they stated under a manifest at least as new as this VM's, as a release can be
+//! wanted, replaced and wanted again. It may switch if these are at least the floor. Of all VMs that switch at a time, the
 //! last one in the order counted none of the others, so the floor holds though each knows only old
 //! news: a VM that is through stays so, and late news only delays a switch.
 
 use std::collections::BTreeMap;
 
-use base::ReleaseId;
+use base::{ReleaseId, Revision};
 use proto::{Trialled, Verdict};
 
 /// What is known of one VM of the rollout, in placement order.
@@ -19,6 +20,8 @@
     pub serving: Option<ReleaseId>,
     /// The release that it switches to, or serves already.
     pub wants: Option<ReleaseId>,
+    /// Revision of the manifest under which it stated this.
+    pub manifest: Revision,
     /// Whether it is thought dead, or stops.
     pub dead: bool,
     /// How its last release fared there.
@@ -69,7 +72,8 @@
 fn floor_holds(floor: usize, release: &ReleaseId, replicas: &[Replica], me: usize) -> bool {
     let stays = |(i, r): &(usize, &Replica)| {
         let serves = !r.dead && r.serving.is_some() && r.wants.as_ref() == Some(release);
-        *i != me && serves && (*i > me || r.is_through(release))
+        let recent = r.manifest >= replicas[me].manifest;
+        *i != me && serves && recent && (*i > me || r.is_through(release))
     };
     let ready = replicas.iter().enumerate().filter(stays).count();
     ready >= floor.min(replicas.len() - 1)
--- a/components/rollout/src/turn/tests.rs
+++ b/components/rollout/src/turn/tests.rs
@@ -9,7 +9,13 @@
 
 fn replica(serving: &str, outcome: Option<Trialled>) -> Replica {
     let verdict = outcome.map(|outcome| Verdict { release: release(V2), outcome });
-    Replica { serving: serving.parse().ok(), wants: V2.parse().ok(), dead: false, verdict }
+    Replica {
+        serving: serving.parse().ok(),
+        wants: V2.parse().ok(),
+        manifest: Revision(1),
+        dead: false,
+        verdict,
+    }
 }
 
 fn open(turn: Turn, replicas: &[Replica]) -> Vec<usize> {
@@ -67,6 +73,18 @@
     assert_eq!(open(turn, &replicas), [0]);
 }
 
+#[test]
+fn news_from_under_an_older_manifest_does_not_count_as_ready() {
+    let turn = Turn { canary: 0, floor: 3 };
+    let mut replicas = vec![replica(V1, None); 5];
+    replicas[1].manifest = Revision(2);
+    assert_eq!(open(turn, &replicas), [0]);
+    for after in &mut replicas[2..] {
+        after.manifest = Revision(2);
+    }
+    assert_eq!(open(turn, &replicas), [0, 1]);
+}
+
 #[test]
 fn dead_canaries_are_replaced_by_a_bounded_number() {
     let turn = Turn { canary: 1, floor: 1 };
--- a/components/spec/src/orders.rs
+++ b/components/spec/src/orders.rs
@@ -28,6 +28,8 @@
     Pause,
     /// Fencing numbers of the older agent are as high as any.
     Fence,
+    /// Peers do not tell an agent of a later one.
+    Peers,
 }
 
 /// Bounds of the exploration.
@@ -110,6 +112,8 @@
     /// Whether peers confirmed what it knows since it started or woke.
     confirmed: bool,
     refreshing: bool,
+    /// Whether a later agent was confirmed by peers when this one asked them.
+    rival: bool,
     in_flight: usize,
     /// When the engine was asked for its state.
     asked: Option<Instant>,
--- a/components/spec/src/orders/agent.rs
+++ b/components/spec/src/orders/agent.rs
@@ -15,6 +15,7 @@
             paused: false,
             confirmed: false,
             refreshing: true,
+            rival: false,
             in_flight: 0,
             asked: None,
             stated: None,
@@ -59,6 +60,9 @@
             steps.push(self.step(format!("peers confirm what agent {i} knows"), |w| {
                 w.agents[i].refreshing = false;
                 w.agents[i].confirmed = true;
+                if w.agents[i].rival && w.settings.fault != Some(Fault::Peers) {
+                    w.handle(i, Event::Rival);
+                }
                 w.aim(i);
                 w.handle(i, Event::Fresh);
             }));
@@ -165,12 +169,16 @@
     pub(super) fn handle(&mut self, i: usize, event: Event) {
         self.now += MOMENT;
         let now = self.now;
+        let rival = self.agents[i + 1..].iter().any(|later| later.confirmed);
         let agent = &mut self.agents[i];
         for action in agent.core.handle(event, now) {
             match action {
                 Action::ReadEngine if agent.asked.is_none() => agent.asked = Some(now),
                 Action::ReadEngine | Action::Ready(_) | Action::StepDown(_) => {}
-                Action::Refresh => agent.refreshing = true,
+                Action::Refresh => {
+                    agent.refreshing = true;
+                    agent.rival = rival;
+                }
                 Action::Order(order) => {
                     if !agent.confirmed {
                         self.broken = Some("no order before peers confirm what an agent knows");
--- a/components/spec/src/turns.rs
+++ b/components/spec/src/turns.rs
@@ -6,7 +6,7 @@
 
 use std::time::{Duration, Instant};
 
-use base::ReleaseId;
+use base::{ReleaseId, Revision};
 use proto::{Trialled, Verdict};
 use rollout::{Replica, Turn, my_turn};
 
@@ -21,6 +21,8 @@
     Floor,
     /// A VM does not wait for the first ones.
     Canary,
+    /// A VM counts what others stated under older manifests.
+    Old,
 }
 
 /// Bounds of the exploration.
@@ -103,7 +105,7 @@
     pub fn new(settings: Settings) -> World {
         let serving = release(settings.releases[0]);
         let wants = Some(serving.clone());
-        let state = Replica { serving: Some(serving), wants, dead: false, verdict: None };
+        let state = Replica { serving: Some(serving), wants, ..Replica::default() };
         let known = vec![state.clone(); settings.vms];
         let vms = vec![Vm { target: 0, state, known }; settings.vms];
         World { settings, now: Instant::now(), wanted: 0, vms }
@@ -126,6 +128,7 @@
             steps.push(self.step(format!("VM {i} learns the wanted release"), |w| {
                 w.vms[i].target = w.wanted;
                 w.vms[i].state.wants = Some(w.release(w.wanted));
+                w.vms[i].state.manifest = Revision(w.wanted as u64);
                 w.vms[i].known[i] = w.vms[i].state.clone();
             }));
         }
@@ -193,6 +196,7 @@
             }
             Some(Fault::Floor) => turn.floor -= 1,
             Some(Fault::Canary) => turn.canary = 0,
+            Some(Fault::Old) => known.iter_mut().for_each(|r| r.manifest = Revision(0)),
             None => {}
         }
         my_turn(turn, target, &known, i)
--- a/components/spec/tests/orders.rs
+++ b/components/spec/tests/orders.rs
@@ -60,11 +60,19 @@
 }
 
 #[test]
-#[ignore = "known fault: an agent that reads the engine for the first time adopts any number"]
 fn two_agents_of_which_the_older_reads_late() {
     holds(Settings { agents: 1, read: false, seconds: 1, ..Settings::default() });
 }
 
+#[test]
+fn peers_that_keep_silent_about_a_later_agent_are_reported() {
+    let fault = Some(Fault::Peers);
+    breaks(
+        Settings { agents: 1, read: false, seconds: 1, fault, ..Settings::default() },
+        DISPLACED,
+    );
+}
+
 #[test]
 fn requests_that_are_counted_late_are_reported() {
     let fault = Some(Fault::LateCount);
--- a/components/spec/tests/turns.rs
+++ b/components/spec/tests/turns.rs
@@ -55,7 +55,20 @@
 }
 
 #[test]
-#[ignore = "known fault: news from before a release was wanted the first time passes for new news"]
+fn the_second_release_again_with_a_low_floor() {
+    let turn = Turn { canary: 0, floor: 1 };
+    let settings = Settings { vms: 2, turn, releases: &[1, 2, 3, 2], ..Settings::default() };
+    assert_eq!(check(settings).broken, None);
+}
+
+#[test]
+fn a_vm_that_counts_news_from_under_an_older_manifest_is_reported() {
+    let turn = Turn { canary: 0, floor: 1 };
+    let fault = Some(Fault::Old);
+    breaks(Settings { turn, releases: &[1, 2, 1], fault, ..Settings::default() }, FLOOR);
+}
+
+#[test]
 fn the_old_release_again_with_a_low_floor() {
     let turn = Turn { canary: 0, floor: 1 };
     let settings = Settings { turn, releases: &[1, 2, 1], ..Settings::default() };
--- a/examples/bench/fleet.rs
+++ b/examples/bench/fleet.rs
@@ -251,6 +251,7 @@
         beat: 17,
         serving: Some(release.clone()),
         wants: Some(release.clone()),
+        manifest: Revision(1),
         verdict: Some(Verdict { release, outcome: Trialled::Passed }),
     }
 }
