--- a/components/agent/src/weights.rs
+++ b/components/agent/src/weights.rs
@@ -62,12 +62,12 @@
             let text = match peer {
                 Some(addr) => {
                     let key = Some(key.expose());
-                    platform::fetch_blob(&shared.peer_client, addr, key, digest, LIST_BYTES).ok()
+                    sources::fetch_blob(&shared.peer_client, addr, key, digest, LIST_BYTES).ok()
                 }
                 None => {
                     let name = format!("chunks/{digest}");
                     let read =
-                        |addr| platform::read_value(&shared.platform_client, addr, &name).ok();
+                        |addr| sources::read_value(&shared.platform_client, addr, &name).ok();
                     addrs.into_iter().find_map(read).map(Bytes::from)
                 }
             };
@@ -192,7 +192,7 @@
         self.shared.workers.run(move || {
             let client = if key.is_some() { &shared.peer_client } else { &shared.platform_client };
             let key = key.as_ref().map(settings::PeerKey::expose);
-            let result = platform::fetch_blob(client, addr, key, digest, size);
+            let result = sources::fetch_blob(client, addr, key, digest, size);
             if let Ok(bytes) = &result {
                 shared.pace(ByteSize(bytes.len() as u64));
             }
@@ -276,11 +276,11 @@
     });
 }
 
-fn fetch_error(error: platform::BlobError) -> FetchError {
+fn fetch_error(error: sources::BlobError) -> FetchError {
     match error {
-        platform::BlobError::Missing => FetchError::Missing,
-        platform::BlobError::Limited(wait) => FetchError::Limited(wait),
-        platform::BlobError::Corrupted => FetchError::Corrupted,
-        platform::BlobError::Failed(_) => FetchError::Failed,
+        sources::BlobError::Missing => FetchError::Missing,
+        sources::BlobError::Limited(wait) => FetchError::Limited(wait),
+        sources::BlobError::Corrupted => FetchError::Corrupted,
+        sources::BlobError::Failed(_) => FetchError::Failed,
     }
 }
--- /dev/null
+++ b/components/catalog/src/config/tests.rs
@@ -0,0 +1,35 @@
+use super::*;
+
+fn route(host: &str, prefix: &str) -> Route {
+    Route {
+        name: prefix.into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        kind: Kind::Idempotent,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(100),
+        gap: None,
+        priority: Priority(1),
+        destinations: Vec::new(),
+        attempts: 2,
+        anonymous: false,
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_is_taken() {
+    let routes = vec![route("a.example", "/x/"), route("a.example", "/x/y/"), route("b", "/")];
+    let config = Config::new(ConfigVersion(1), routes);
+    let name = |host, path| config.route(host, path).map(|r| &*r.prefix);
+    assert_eq!(name("a.example", "/x/y/z"), Some("/x/y/"));
+    assert_eq!(name("A.example:80", "/x/z"), Some("/x/"));
+    assert_eq!(name("a.example", "/x"), None);
+    assert_eq!(name("b", "/x/y/"), Some("/"));
+    assert_eq!(name("c", "/x/y/"), None);
+    assert_eq!(config.route_count(), 3);
+}
+
+#[test]
+fn keys_are_not_shown() {
+    assert_eq!(format!("{:?}", ApiKey("secret".into())), "ApiKey(..)");
+}
--- /dev/null
+++ b/components/directory/src/lib.rs
@@ -0,0 +1,7 @@
+//! Reads and watches the platform's store.
+
+mod error;
+mod reader;
+
+pub use error::ReadError;
+pub use reader::{Reader, ReaderSettings, Snapshot};
--- /dev/null
+++ b/components/dispatch/src/engine/tests.rs
@@ -0,0 +1,47 @@
+use super::*;
+
+fn model() -> EngineModel {
+    EngineModel::new(&EngineFigures {
+        slots: 16,
+        cache_tokens: 300_000,
+        stride: 5,
+        step: Duration::from_millis(10),
+        per_request: Duration::ZERO,
+        per_context: Duration::ZERO,
+        read_rate: 20_000.0,
+        per_pairs: Duration::ZERO,
+        chunk_tokens: 2048,
+        report_lag: Duration::from_millis(200),
+        usual_prompt: 1000,
+        usual_answer: 90,
+        weights: None,
+    })
+}
+
+fn load(writing: f64, unread: f64) -> Load {
+    Load { writing, unread, unread_tokens: unread * 1000.0, pace: 1.0 }
+}
+
+#[test]
+fn an_idle_engine_reads_at_once() {
+    assert_eq!(model().first_event_ms(&load(0.0, 0.0), 1000.0), 100.0);
+}
+
+#[test]
+fn prompts_that_are_read_first_and_the_pass_under_way_delay_the_first_event() {
+    assert_eq!(model().first_event_ms(&load(4.0, 2.0), 1000.0), 225.0);
+    assert_eq!(model().next_pass_ms(&load(4.0, 2.0), 1000.0), 200.0);
+}
+
+#[test]
+fn a_full_engine_makes_wait_for_a_slot() {
+    let free = model().first_event_ms(&load(15.0, 0.0), 1000.0);
+    let full = model().first_event_ms(&load(16.0, 0.0), 1000.0);
+    assert_eq!(full - free, 18.0 * 50.0 / 16.0);
+}
+
+#[test]
+fn a_slow_engine_needs_longer() {
+    let slow = Load { pace: 3.0, ..load(4.0, 2.0) };
+    assert_eq!(model().first_event_ms(&slow, 1000.0), 675.0);
+}
--- /dev/null
+++ b/components/dispatch/src/listing.rs
@@ -0,0 +1,88 @@
+//! The list of endpoints: who is new, changed, leaving or gone.
+
+use std::{collections::HashSet, time::Instant};
+
+use catalog::{Endpoint, EndpointId, EndpointState, Listing};
+
+use crate::{EndpointKey, endpoint::Known, state::{Change, Dispatcher}};
+
+impl Dispatcher {
+    /// Takes in one change of the list.
+    pub fn list(&mut self, listing: Listing, now: Instant) -> Option<Change> {
+        match listing {
+            Listing::Listed(endpoint) => self.upsert(endpoint, now),
+            Listing::Gone(id) => self.gone(&id),
+        }
+    }
+
+    /// Takes in the whole list. Endpoints that are missing are gone, unless the store was away until
+    /// just now: then they get time to come back.
+    pub fn list_all(&mut self, all: Vec<Endpoint>, was_away: bool, now: Instant) -> Vec<Change> {
+        let ids: HashSet<EndpointId> = all.iter().map(|endpoint| endpoint.id.clone()).collect();
+        let missing: Vec<EndpointId> =
+            self.ids.keys().filter(|id| !ids.contains(*id)).cloned().collect();
+        let mut changes: Vec<Change> =
+            all.into_iter().filter_map(|endpoint| self.upsert(endpoint, now)).collect();
+        for id in missing {
+            if was_away {
+                self.lapsed.entry(id).or_insert(now + self.settings.relist);
+            } else {
+                changes.extend(self.gone(&id));
+            }
+        }
+        changes
+    }
+
+    /// An endpoint vanished around an absence of the store; it has until `until` to come back.
+    pub fn lapse(&mut self, id: &EndpointId, until: Instant) {
+        self.lapsed.entry(id.clone()).or_insert(until);
+    }
+
+    /// Drops endpoints that were missing when the store returned and did not come back.
+    pub fn drop_lapsed(&mut self, now: Instant) -> Vec<Change> {
+        let due = self.lapsed.iter().filter(|(_, at)| now >= **at);
+        let due: Vec<EndpointId> = due.map(|(id, _)| id.clone()).collect();
+        due.iter().filter_map(|id| self.gone(id)).collect()
+    }
+
+    fn upsert(&mut self, endpoint: Endpoint, now: Instant) -> Option<Change> {
+        self.lapsed.remove(&endpoint.id);
+        let draining = endpoint.state == EndpointState::Draining;
+        let Some(&key) = self.ids.get(&endpoint.id) else {
+            return Some(self.add(endpoint, now));
+        };
+        let known = &mut self.endpoints[key];
+        let moved = known.listed.addr != endpoint.addr || known.listed.service != endpoint.service;
+        let restarted = known.listed.born != endpoint.born;
+        if moved || restarted {
+            self.gone(&endpoint.id);
+            return Some(self.add(endpoint, now));
+        }
+        let left = draining && known.leaving.is_none();
+        known.leaving = if draining { known.leaving.or(Some(now)) } else { None };
+        known.listed = endpoint;
+        Some(if left { Change::Leaving(key) } else { Change::Updated(key) })
+    }
+
+    fn add(&mut self, endpoint: Endpoint, now: Instant) -> Change {
+        let id = endpoint.id.clone();
+        let draining = endpoint.state == EndpointState::Draining;
+        let mut known = Known::new(endpoint);
+        known.leaving = draining.then_some(now);
+        let key = self.endpoints.insert(known);
+        self.ids.insert(id, key);
+        Change::Added(key)
+    }
+
+    fn gone(&mut self, id: &EndpointId) -> Option<Change> {
+        self.lapsed.remove(id);
+        let key = self.ids.remove(id)?;
+        let known = self.endpoints.remove(key)?;
+        Some(Change::Gone(key, known.listed.id))
+    }
+
+    /// The endpoints of which requests may be running, by key.
+    pub fn keys(&self) -> impl Iterator<Item = EndpointKey> {
+        self.endpoints.keys()
+    }
+}
--- /dev/null
+++ b/components/dispatch/src/repeats/tests.rs
@@ -0,0 +1,45 @@
+use super::*;
+
+fn service() -> ServiceId {
+    "s".parse().unwrap()
+}
+
+fn budget(entries: u32) -> RepeatBudget {
+    let settings = RepeatSettings { ratio: 0.2, extra: 20.0, part: 1.0, ..Default::default() };
+    let mut budget = RepeatBudget::new(settings);
+    budget.set_entries(entries);
+    budget
+}
+
+fn taken(budget: &mut RepeatBudget, now: Instant) -> usize {
+    (0..1000).filter(|_| budget.take(&service(), now)).count()
+}
+
+#[test]
+fn requests_earn_repeats_and_entries_share_the_rest() {
+    let now = Instant::now();
+    let mut alone = budget(1);
+    (0..50).for_each(|_| alone.arrived(&service(), now));
+    assert_eq!(taken(&mut alone, now), 30);
+    let mut one_of_four = budget(4);
+    assert_eq!(taken(&mut one_of_four, now), 5);
+}
+
+#[test]
+fn the_window_slides() {
+    let now = Instant::now();
+    let mut budget = budget(1);
+    assert_eq!(taken(&mut budget, now), 20);
+    let later = now + Duration::from_secs(9);
+    assert_eq!(taken(&mut budget, later), 0);
+    let after = now + Duration::from_secs(10);
+    assert_eq!(taken(&mut budget, after), 20);
+}
+
+#[test]
+fn services_have_budgets_of_their_own() {
+    let now = Instant::now();
+    let mut budget = budget(1);
+    taken(&mut budget, now);
+    assert!(budget.take(&"other".parse().unwrap(), now));
+}
--- /dev/null
+++ b/components/dispatch/src/state.rs
@@ -0,0 +1,373 @@
+//! The dispatcher: endpoints, requests that wait, and the choice.
+
+use std::{
+    collections::HashMap,
+    net::{Ipv4Addr, SocketAddr},
+    time::{Duration, Instant},
+};
+
+use base::{Region, ServiceId, Zone};
+use catalog::{Endpoint, EndpointId, EngineFigures, ModelId, WeightsVersion};
+use slotmap::SlotMap;
+
+use crate::{
+    Decision, DispatchSettings, EndpointKey, EngineModel, EngineNews, Flight, FlightKey, Job,
+    JobKey, Refusal, RepeatBudget,
+    endpoint::Known,
+    health::End,
+    jobs::Required,
+};
+
+/// A change of the endpoints that a process acts on.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Change {
+    /// An endpoint is new, or started again.
+    Added(EndpointKey),
+    /// An endpoint published something else.
+    Updated(EndpointKey),
+    /// An endpoint leaves and gets nothing new.
+    Leaving(EndpointKey),
+    /// An endpoint is gone.
+    Gone(EndpointKey, EndpointId),
+}
+
+/// What a process needs of an endpoint to send a request there.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EndpointView {
+    /// Its name.
+    pub id: EndpointId,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// Its service.
+    pub service: ServiceId,
+    /// Its zone.
+    pub zone: Zone,
+    /// The only weights that may answer, if older ones may no longer.
+    pub version: Option<WeightsVersion>,
+}
+
+/// Decides where requests go.
+#[derive(Debug)]
+pub struct Dispatcher {
+    pub(crate) settings: DispatchSettings,
+    zone: Zone,
+    regions: HashMap<Zone, Region>,
+    pub(crate) endpoints: SlotMap<EndpointKey, Known>,
+    pub(crate) ids: HashMap<EndpointId, EndpointKey>,
+    /// Endpoints that were missing when the store returned, and when they count as gone.
+    pub(crate) lapsed: HashMap<EndpointId, Instant>,
+    models: HashMap<ServiceId, EngineModel>,
+    required: HashMap<ServiceId, Required>,
+    jobs: SlotMap<JobKey, Job>,
+    /// Requests that wait, in order of arrival.
+    waiting: Vec<JobKey>,
+    /// The budget of repeats.
+    pub repeats: RepeatBudget,
+}
+
+/// How well an endpoint suits a request.
+struct Candidate {
+    key: EndpointKey,
+    /// Predicted time until the first event.
+    expected: f64,
+    /// `expected` and what else speaks against the endpoint, in milliseconds.
+    cost: f64,
+    /// Whether the objective is met without harm to others.
+    in_time: bool,
+    /// Whether it has room for a request that will be late.
+    has_room: bool,
+}
+
+/// Cost of an endpoint all of whose answers were failures.
+const FAILURE_COST_MS: f64 = 600.0;
+/// Time of a request at a plain service before any was measured.
+const PLAIN_MS: f64 = 60.0;
+
+impl Dispatcher {
+    /// A dispatcher of a process in `zone` that knows no endpoint.
+    pub fn new(
+        settings: DispatchSettings,
+        zone: Zone,
+        zones: impl IntoIterator<Item = (Zone, Region)>,
+    ) -> Dispatcher {
+        Dispatcher {
+            zone,
+            regions: zones.into_iter().collect(),
+            endpoints: SlotMap::with_key(),
+            ids: HashMap::new(),
+            lapsed: HashMap::new(),
+            models: HashMap::new(),
+            required: HashMap::new(),
+            jobs: SlotMap::with_key(),
+            waiting: Vec::new(),
+            repeats: RepeatBudget::new(settings.repeats),
+            settings,
+        }
+    }
+
+    /// Takes in the figures of a service's engines.
+    pub fn set_engine(&mut self, service: &ServiceId, figures: Option<&EngineFigures>) {
+        match figures {
+            Some(figures) => {
+                self.models.insert(service.clone(), EngineModel::new(figures));
+            }
+            None => {
+                self.models.remove(service);
+            }
+        }
+    }
+
+    /// From `from` on only `version` of `model` may answer the service's requests.
+    pub fn require(
+        &mut self,
+        service: &ServiceId,
+        model: &ModelId,
+        version: WeightsVersion,
+        from: Instant,
+    ) {
+        let known = self.required.get(service).map(|r| r.version);
+        if known.is_none_or(|known| known < version) {
+            let required = Required { model: model.clone(), version, from };
+            self.required.insert(service.clone(), required);
+        }
+    }
+
+    /// An endpoint by its key.
+    pub fn endpoint(&self, key: EndpointKey, now: Instant) -> Option<EndpointView> {
+        let listed = &self.endpoints.get(key)?.listed;
+        Some(EndpointView {
+            id: listed.id.clone(),
+            addr: listed.addr,
+            service: listed.service.clone(),
+            zone: listed.zone.clone(),
+            version: self.required_now(&listed.service, now),
+        })
+    }
+
+    fn required_now(&self, service: &ServiceId, now: Instant) -> Option<WeightsVersion> {
+        self.required.get(service).filter(|r| now >= r.from).map(|r| r.version)
+    }
+
+    /// All endpoints as they are listed.
+    pub fn listed(&self) -> impl Iterator<Item = (EndpointKey, &Endpoint)> {
+        self.endpoints.iter().map(|(key, known)| (key, &known.listed))
+    }
+
+    /// The endpoint of a service on a VM.
+    pub fn on_vm(&self, ip: Ipv4Addr) -> impl Iterator<Item = EndpointKey> {
+        let there = move |known: &Known| known.ip() == Some(ip);
+        self.endpoints.iter().filter(move |(_, known)| there(known)).map(|(key, _)| key)
+    }
+
+    /// Whether an endpoint is a model engine.
+    pub fn is_model(&self, key: EndpointKey) -> bool {
+        let known = self.endpoints.get(key);
+        known.is_some_and(|known| self.models.contains_key(&known.listed.service))
+    }
+
+    /// An agent reported on an endpoint.
+    pub fn report(&mut self, key: EndpointKey, news: EngineNews, now: Instant) {
+        if let Some(known) = self.endpoints.get_mut(key) {
+            known.report(news, now);
+        }
+    }
+
+    /// An answer showed the weights that an endpoint serves.
+    pub fn saw_version(&mut self, key: EndpointKey, version: WeightsVersion) {
+        if let Some(known) = self.endpoints.get_mut(key) {
+            known.seen = known.seen.max(Some(version));
+        }
+    }
+
+    /// A request is to be sent. Where the decision is to wait, its key names it for `poll`.
+    pub fn submit(&mut self, job: Job, now: Instant) -> (Option<JobKey>, Decision) {
+        match self.decide(&job, now) {
+            Decision::Wait => {
+                let key = self.jobs.insert(job);
+                self.waiting.push(key);
+                (Some(key), Decision::Wait)
+            }
+            decision => (None, decision),
+        }
+    }
+
+    /// Looks again at the requests that wait; returns those that wait no longer.
+    pub fn poll(&mut self, now: Instant) -> Vec<(JobKey, Decision)> {
+        let mut order = std::mem::take(&mut self.waiting);
+        order.sort_by_key(|key| self.jobs.get(*key).map(|job| (job.rank, job.arrived)));
+        let mut decided = Vec::new();
+        for key in order {
+            let Some(job) = self.jobs.get(key).cloned() else { continue };
+            match self.decide(&job, now) {
+                Decision::Wait => self.waiting.push(key),
+                decision => {
+                    self.jobs.remove(key);
+                    decided.push((key, decision));
+                }
+            }
+        }
+        decided
+    }
+
+    /// The caller of a request that waits has left.
+    pub fn cancel(&mut self, key: JobKey) {
+        self.jobs.remove(key);
+        self.waiting.retain(|waiting| *waiting != key);
+    }
+
+    /// Requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// The first event of a request has come.
+    pub fn started(&mut self, endpoint: EndpointKey, flight: FlightKey) {
+        if let Some(flight) =
+            self.endpoints.get_mut(endpoint).and_then(|e| e.flights.get_mut(flight))
+        {
+            flight.started = true;
+        }
+    }
+
+    /// A request has ended at an endpoint.
+    pub fn ended(&mut self, endpoint: EndpointKey, flight: FlightKey, end: End, now: Instant) {
+        if let Some(known) = self.endpoints.get_mut(endpoint) {
+            known.flights.remove(flight);
+            known.health.ended(end, now);
+        }
+    }
+
+    /// Requests of this process at an endpoint.
+    pub fn in_flight(&self, endpoint: EndpointKey) -> usize {
+        self.endpoints.get(endpoint).map_or(0, |known| known.flights.len())
+    }
+
+    fn decide(&mut self, job: &Job, now: Instant) -> Decision {
+        if now >= job.deadline {
+            return self.refuse(job, Refusal::Late);
+        }
+        let candidates = self.candidates(job, now);
+        if candidates.is_empty() {
+            return self.hold(job, Refusal::NoEndpoint, now);
+        }
+        let best = |fits: fn(&Candidate) -> bool| {
+            let fitting = candidates.iter().filter(|c| fits(c));
+            fitting.min_by(|a, b| a.cost.total_cmp(&b.cost))
+        };
+        let chosen = best(|c| c.in_time);
+        // One that is late in any case takes what room is left.
+        let late = job.again || now.saturating_duration_since(job.asked) > job.objective;
+        let chosen = chosen.or_else(|| if late { best(|c| c.has_room) } else { None });
+        match chosen {
+            Some(candidate) => {
+                let (key, expected) = (candidate.key, candidate.expected);
+                self.send(key, job, expected, now)
+            }
+            None => self.hold(job, Refusal::Overload, now),
+        }
+    }
+
+    fn send(&mut self, key: EndpointKey, job: &Job, expected: f64, now: Instant) -> Decision {
+        let prompt = job.size.map_or(0.0, |size| size.prompt);
+        let flight = Flight { prompt, sent: now, started: false };
+        let flight = self.endpoints[key].flights.insert(flight);
+        let expected = Duration::from_secs_f64(expected.max(0.0) / 1e3);
+        Decision::Send { endpoint: key, flight, expected }
+    }
+
+    /// Lets a request wait while that may help.
+    fn hold(&mut self, job: &Job, reason: Refusal, now: Instant) -> Decision {
+        let waited = now.saturating_duration_since(job.arrived);
+        let full = self.waiting.len() >= self.settings.queue;
+        if full || waited >= job.objective.mul_f64(self.settings.wait_part) {
+            return self.refuse(job, reason);
+        }
+        Decision::Wait
+    }
+
+    fn refuse(&self, job: &Job, reason: Refusal) -> Decision {
+        let DispatchSettings { least_retry_after, most_retry_after, .. } = self.settings;
+        let spread = 1.0 + self.waiting.len() as f64 / 16.0;
+        let wait = match reason {
+            Refusal::NoEndpoint => least_retry_after.mul_f64(3.0),
+            Refusal::Overload | Refusal::Late => least_retry_after.mul_f64(spread),
+        };
+        let _ = job;
+        Decision::Refuse { reason, retry_after: wait.min(most_retry_after) }
+    }
+
+    fn candidates(&self, job: &Job, now: Instant) -> Vec<Candidate> {
+        let usable = self.endpoints.iter().filter(|(key, known)| {
+            known.listed.service == job.service
+                && !job.tried.contains(key)
+                && self.is_usable(known, now)
+        });
+        usable.map(|(key, known)| self.candidate(key, known, job, now)).collect()
+    }
+
+    fn is_usable(&self, known: &Known, now: Instant) -> bool {
+        if !known.is_listed_ready() || !known.health.allows(now) {
+            return false;
+        }
+        if !self.models.contains_key(&known.listed.service) {
+            return true;
+        }
+        let life = self.settings.report_life;
+        if known.fresh_news(life, now).is_some_and(|news| !news.serving) {
+            return false;
+        }
+        match (known.version(life, now), self.required_now(&known.listed.service, now)) {
+            (None, _) => false,
+            (Some(version), Some(required)) => version >= required,
+            (Some(_), None) => true,
+        }
+    }
+
+    fn candidate(&self, key: EndpointKey, known: &Known, job: &Job, now: Instant) -> Candidate {
+        let near = self.distance_ms(&known.listed.zone);
+        let waited = now.saturating_duration_since(job.asked).as_secs_f64() * 1e3;
+        let budget = job.objective.as_secs_f64() * 1e3 * self.settings.objective_part
+            - self.settings.caller_delay.as_secs_f64() * 1e3
+            - waited;
+        let against = near + known.health.failures() * FAILURE_COST_MS;
+        let Some(model) = self.models.get(&job.service) else {
+            return self.plain_candidate(key, known, against);
+        };
+        let life = self.settings.report_life;
+        let load = known.load(model, life, now);
+        let prompt = job.size.map_or(model.usual_prompt(), |size| size.prompt);
+        let expected = model.first_event_ms(&load, prompt);
+        let pass = model.next_pass_ms(&load, prompt);
+        let gap = job.gap.map_or(f64::INFINITY, |gap| gap.as_secs_f64() * 1e3);
+        // A prompt that alone takes longer than a pause may last has to be read all the same.
+        let harmless = load.unread == 0.0 || pass <= gap * self.settings.gap_part;
+        let slots = f64::from(model.slots());
+        let total = known.total();
+        Candidate {
+            key,
+            expected,
+            cost: expected + against,
+            in_time: harmless && expected <= budget,
+            has_room: harmless && total < slots * self.settings.late_part,
+        }
+    }
+
+    fn plain_candidate(&self, key: EndpointKey, known: &Known, against: f64) -> Candidate {
+        let slots = f64::from(known.listed.slots.max(1));
+        let total = known.total();
+        let rounds = (total + 1.0) / slots;
+        let expected = PLAIN_MS * rounds.max(1.0);
+        let free = total < slots;
+        Candidate { key, expected, cost: PLAIN_MS * rounds + against, in_time: free, has_room: free }
+    }
+
+    fn distance_ms(&self, zone: &Zone) -> f64 {
+        let DispatchSettings { zone_cost, region_cost, .. } = self.settings;
+        if *zone == self.zone {
+            return 0.0;
+        }
+        let same_region = self.regions.get(zone) == self.regions.get(&self.zone);
+        let region = if same_region { Duration::ZERO } else { region_cost };
+        (zone_cost + region).as_secs_f64() * 1e3
+    }
+}
--- /dev/null
+++ b/components/gateway/src/answer.rs
@@ -0,0 +1,83 @@
+//! Answers to callers.
+
+use std::{
+    pin::Pin,
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::{HeaderMap, Response, StatusCode};
+use hyper::body::{Body, Frame, SizeHint};
+use tokio::sync::mpsc;
+use transport::Gone;
+
+/// The body of an answer.
+#[derive(Debug)]
+pub(crate) enum AnswerBody {
+    /// It is there as a whole.
+    Whole(Option<Bytes>),
+    /// It comes in parts; one that breaks off ends with an error.
+    Parts(mpsc::Receiver<Result<Bytes, Gone>>),
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = Gone;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Gone>>> {
+        match self.get_mut() {
+            AnswerBody::Whole(body) => Poll::Ready(body.take().map(|body| Ok(Frame::data(body)))),
+            AnswerBody::Parts(parts) => {
+                parts.poll_recv(cx).map(|part| part.map(|part| part.map(Frame::data)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, AnswerBody::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            AnswerBody::Whole(body) => {
+                SizeHint::with_exact(body.as_ref().map_or(0, |body| body.len() as u64))
+            }
+            AnswerBody::Parts(_) => SizeHint::default(),
+        }
+    }
+}
+
+/// An answer of the process itself.
+pub(crate) fn own(
+    status: StatusCode,
+    id: Option<&Bytes>,
+    retry_after: Option<Duration>,
+) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::Whole(None));
+    *response.status_mut() = status;
+    *response.headers_mut() = platform::own_answer(id, retry_after);
+    response
+}
+
+/// An endpoint's answer that is there as a whole.
+pub(crate) fn whole(answer: Response<Bytes>) -> Response<AnswerBody> {
+    let (head, body) = answer.into_parts();
+    let body = Some(body).filter(|body| !body.is_empty());
+    with_head(head.status, &head.headers, AnswerBody::Whole(body))
+}
+
+/// An endpoint's answer with another body.
+pub(crate) fn with_head(
+    status: StatusCode,
+    headers: &HeaderMap,
+    body: AnswerBody,
+) -> Response<AnswerBody> {
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    *response.headers_mut() = platform::forwarded(headers);
+    response
+}
--- /dev/null
+++ b/components/gateway/src/peers.rs
@@ -0,0 +1,194 @@
+//! What the process and its peers tell each other.
+
+use std::{
+    net::{IpAddr, Ipv4Addr},
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use base::{Digest, ServiceId};
+use bytes::Bytes;
+use catalog::{ModelId, WeightsVersion};
+use dispatch::EngineNews;
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use peering::{
+    Call, EngineState, Fleet, FleetWeights, Member, Message, Named, StateReport, Subscription,
+};
+use tokio::time::{sleep, timeout};
+
+use crate::{
+    answer::{AnswerBody, own},
+    shared::{Gateway, now},
+};
+
+/// Time after which an entry that no agent names any more counts as gone.
+const ENTRY_LIFE: Duration = Duration::from_secs(6);
+/// Least time between two rounds of requests for reports.
+const SUBSCRIBE_PAUSE: Duration = Duration::from_millis(50);
+
+impl Gateway {
+    /// Asks agents for reports again and again, and at once when something changed.
+    pub(crate) async fn subscribe_loop(self: Rc<Gateway>) {
+        loop {
+            self.subscribe_all();
+            self.forget_old();
+            // Woken early or not, all agents are asked again.
+            let _ = timeout(self.settings.subscribe_every, self.subscribe.notified()).await;
+            sleep(SUBSCRIBE_PAUSE).await;
+        }
+    }
+
+    fn subscribe_all(&self) {
+        let now = now();
+        let zone = self.process.borrow().zone.clone();
+        let dispatcher = self.dispatcher.borrow();
+        for (_, endpoint) in dispatcher.listed() {
+            let (IpAddr::V4(ip), true) = (endpoint.addr.ip(), endpoint.model) else { continue };
+            let subscription = Subscription {
+                near: endpoint.zone == zone,
+                named: self.newest_of(&endpoint.service, now),
+                fleet: self.fleet.get(),
+            };
+            self.socket.send(ip, &Message::Subscribe(subscription));
+        }
+    }
+
+    fn model_of(&self, service: &ServiceId) -> Option<ModelId> {
+        let config = self.config.borrow();
+        let engine = config.as_ref()?.services.get(service)?.engine.as_ref()?;
+        engine.weights.as_ref().map(|weights| weights.model.clone())
+    }
+
+    fn newest_of(&self, service: &ServiceId, now: Instant) -> Option<Named> {
+        self.named.borrow().newest(&self.model_of(service)?, now)
+    }
+
+    fn forget_old(&self) {
+        let now = now();
+        let entries = {
+            let mut entries = self.entries.borrow_mut();
+            entries.retain(|_, seen| now.saturating_duration_since(*seen) < ENTRY_LIFE);
+            entries.len() as u32 + 1
+        };
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        dispatcher.repeats.set_entries(entries);
+        let dropped = dispatcher.drop_lapsed(now);
+        drop(dispatcher);
+        self.endpoints_changed(dropped);
+        self.suspects.borrow_mut().tick(now);
+        self.pool.sweep();
+    }
+
+    /// Takes in what peers tell.
+    pub(crate) async fn receive_loop(self: Rc<Gateway>) {
+        loop {
+            match self.socket.receive().await {
+                Ok((from, message)) => self.received(from, message),
+                Err(err) => {
+                    slog::warn!(self.log, "datagrams cannot be received"; "error" => %err);
+                    sleep(self.settings.store_retry).await;
+                }
+            }
+        }
+    }
+
+    fn received(&self, from: Ipv4Addr, message: Message) {
+        match message {
+            Message::State(report) => self.state_reported(from, report),
+            Message::Suspicions(suspicions) => {
+                for suspicion in suspicions {
+                    if self.suspects.borrow_mut().heard(&suspicion, now()) {
+                        self.note_suspect(&Digest(suspicion.fingerprint));
+                    }
+                }
+            }
+            // These are for agents.
+            Message::Subscribe(_) | Message::Holding(_) => {}
+        }
+    }
+
+    fn state_reported(&self, from: Ipv4Addr, report: StateReport) {
+        let now = now();
+        let own = self.process.borrow().ip;
+        {
+            let mut entries = self.entries.borrow_mut();
+            entries.extend(report.entries.iter().filter(|ip| **ip != own).map(|ip| (*ip, now)));
+        }
+        let news = EngineNews {
+            serving: report.state == EngineState::Serving,
+            version: report.version.map(WeightsVersion),
+            waiting: report.waiting.into(),
+            running: report.running.into(),
+            cache_used: report.cache_used.into(),
+            pace: f64::from(report.pace) / 100.0,
+            run: report.run,
+            number: report.number,
+        };
+        let keys: Vec<_> = {
+            let dispatcher = self.dispatcher.borrow();
+            let model = |key: &_| dispatcher.is_model(*key);
+            dispatcher.on_vm(from).filter(model).collect()
+        };
+        for key in keys {
+            let service = {
+                let mut dispatcher = self.dispatcher.borrow_mut();
+                dispatcher.report(key, news.clone(), now);
+                dispatcher.endpoint(key, now).map(|view| view.service)
+            };
+            self.heard_named(service.as_ref(), report.named, now);
+        }
+        self.poll();
+    }
+
+    fn heard_named(&self, service: Option<&ServiceId>, named: Option<Named>, now: Instant) {
+        let model = service.and_then(|service| self.model_of(service));
+        if let (Some(model), Some(named)) = (model, named)
+            && self.named.borrow_mut().heard(&model, named, now)
+        {
+            self.require_weights();
+        }
+    }
+
+    /// Tells all other entries that are known.
+    pub(crate) fn tell_entries(&self, message: &Message) {
+        for ip in self.entries.borrow().keys() {
+            self.socket.send(*ip, message);
+        }
+    }
+
+    /// Answers a call of a peer.
+    pub(crate) async fn peer_call(self: Rc<Gateway>, request: Request<Incoming>) -> Response<AnswerBody> {
+        let fleet = match Call::parse(request.uri().path()) {
+            Some(Call::Fleet(service)) => self.fleet_of(&service),
+            _ => None,
+        };
+        match fleet.and_then(|fleet| fleet.encode().ok()) {
+            Some(bytes) => Response::new(AnswerBody::Whole(Some(Bytes::from(bytes)))),
+            None => own(StatusCode::NOT_FOUND, None, None),
+        }
+    }
+
+    fn fleet_of(&self, service: &ServiceId) -> Option<Fleet> {
+        let config = self.config.borrow().clone()?;
+        let dispatcher = self.dispatcher.borrow();
+        let mine = dispatcher.listed().filter(|(_, endpoint)| endpoint.service == *service);
+        let members = mine.filter_map(|(_, endpoint)| match endpoint.addr.ip() {
+            IpAddr::V4(ip) => Some(Member { ip, zone: endpoint.zone.to_string() }),
+            IpAddr::V6(_) => None,
+        });
+        let engine = config.services.get(service)?.engine.as_ref();
+        let weights = engine.and_then(|engine| engine.weights.as_ref()).map(|weights| {
+            let origin = config.origin();
+            FleetWeights {
+                model: weights.model.to_string(),
+                pieces: weights.pieces,
+                piece_bytes: weights.piece_bytes,
+                origin: origin.map(|(addr, _)| addr),
+                origin_zone: origin.and_then(|(_, zone)| zone).map(ToString::to_string),
+            }
+        });
+        let named = self.newest_of(service, now());
+        Some(Fleet { members: members.collect(), weights, named })
+    }
+}
--- /dev/null
+++ b/components/gateway/src/shared.rs
@@ -0,0 +1,193 @@
+//! What the tasks of the process share.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    net::Ipv4Addr,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use catalog::{Config, Process};
+use dispatch::{Decision, Dispatcher, End, EndpointKey, FlightKey, Job, JobKey, Refusal};
+use peering::PeerSocket;
+use slog::Logger;
+use telemetry::MetricsPage;
+use tokio::{
+    sync::{Notify, oneshot},
+    time::timeout,
+};
+use transport::Pool;
+
+use crate::{settings::GatewaySettings, suspects::Suspects, weights::NamedWeights};
+
+/// The state of the process. All tasks run on one thread; nothing is borrowed across an await.
+pub(crate) struct Gateway {
+    pub(crate) settings: GatewaySettings,
+    pub(crate) process: RefCell<Process>,
+    pub(crate) log: Logger,
+    pub(crate) metrics: MetricsPage,
+    pub(crate) config: RefCell<Option<Arc<Config>>>,
+    pub(crate) dispatcher: RefCell<Dispatcher>,
+    /// Requests that wait for an endpoint, and where their decision goes.
+    decisions: RefCell<HashMap<JobKey, oneshot::Sender<Decision>>>,
+    pub(crate) pool: Pool,
+    pub(crate) socket: PeerSocket,
+    pub(crate) suspects: RefCell<Suspects>,
+    pub(crate) named: RefCell<NamedWeights>,
+    /// Other entries, as agents name them, and when they did.
+    pub(crate) entries: RefCell<HashMap<Ipv4Addr, Instant>>,
+    /// Grows when what agents ask for changed.
+    pub(crate) fleet: Cell<u64>,
+    /// Wakes the task that asks agents for reports.
+    pub(crate) subscribe: Notify,
+    /// Whether endpoints and configuration were read.
+    pub(crate) listed: Cell<bool>,
+    pub(crate) stopping: Cell<bool>,
+    /// Requests in progress.
+    pub(crate) busy: Cell<usize>,
+    /// Bytes of request bodies that are held.
+    pub(crate) body_bytes: Cell<usize>,
+    /// The longest deadline that callers stated on each route.
+    pub(crate) deadlines: RefCell<HashMap<Arc<str>, Duration>>,
+}
+
+/// A request at an endpoint; tells the dispatcher when it has ended.
+pub(crate) struct Sent {
+    gateway: Rc<Gateway>,
+    pub(crate) endpoint: EndpointKey,
+    flight: FlightKey,
+    /// Predicted time until the first event.
+    pub(crate) expected: Duration,
+    end: End,
+}
+
+impl Sent {
+    /// Its first event has come.
+    pub(crate) fn started(&self) {
+        self.gateway.dispatcher.borrow_mut().started(self.endpoint, self.flight);
+    }
+
+    /// Notes how it ended.
+    pub(crate) fn end(&mut self, end: End) {
+        self.end = end;
+    }
+}
+
+impl Drop for Sent {
+    fn drop(&mut self) {
+        let now = now();
+        self.gateway.dispatcher.borrow_mut().ended(self.endpoint, self.flight, self.end, now);
+        self.gateway.poll();
+    }
+}
+
+/// The runtime's clock, which tests pause.
+pub(crate) fn now() -> Instant {
+    tokio::time::Instant::now().into_std()
+}
+
+struct Waiting<'a> {
+    gateway: &'a Gateway,
+    key: JobKey,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        if self.gateway.decisions.borrow_mut().remove(&self.key).is_some() {
+            self.gateway.dispatcher.borrow_mut().cancel(self.key);
+        }
+    }
+}
+
+impl Gateway {
+    /// The state of a process that knows nothing yet.
+    pub(crate) fn new(
+        settings: GatewaySettings,
+        process: Process,
+        dispatcher: Dispatcher,
+        pool: Pool,
+        socket: PeerSocket,
+        log: Logger,
+        metrics: MetricsPage,
+    ) -> Gateway {
+        Gateway {
+            settings,
+            log,
+            metrics,
+            config: RefCell::default(),
+            dispatcher: RefCell::new(dispatcher),
+            decisions: RefCell::default(),
+            pool,
+            socket,
+            suspects: RefCell::default(),
+            named: RefCell::new(NamedWeights::new(process.bounds, settings.version_margin, now())),
+            process: RefCell::new(process),
+            entries: RefCell::default(),
+            fleet: Cell::new(1),
+            subscribe: Notify::new(),
+            listed: Cell::new(false),
+            stopping: Cell::new(false),
+            busy: Cell::new(0),
+            body_bytes: Cell::new(0),
+            deadlines: RefCell::default(),
+        }
+    }
+
+    /// Whether the process takes new connections.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.stopping.get() && self.listed.get() && self.config.borrow().is_some()
+    }
+
+    /// Waits until an endpoint is to run a request, or until the request is refused.
+    pub(crate) async fn acquire(
+        self: &Rc<Gateway>,
+        job: Job,
+    ) -> Result<Sent, (Refusal, Duration)> {
+        let (key, decision) = self.dispatcher.borrow_mut().submit(job, now());
+        let decision = match key {
+            None => decision,
+            Some(key) => self.wait(key).await,
+        };
+        match decision {
+            Decision::Send { endpoint, flight, expected } => {
+                let gateway = self.clone();
+                Ok(Sent { gateway, endpoint, flight, expected, end: End::Nothing })
+            }
+            Decision::Refuse { reason, retry_after } => Err((reason, retry_after)),
+            Decision::Wait => Err((Refusal::Overload, self.settings.poll_every)),
+        }
+    }
+
+    async fn wait(&self, key: JobKey) -> Decision {
+        let (tell, mut told) = oneshot::channel();
+        self.decisions.borrow_mut().insert(key, tell);
+        let _waiting = Waiting { gateway: self, key };
+        loop {
+            match timeout(self.settings.poll_every, &mut told).await {
+                Ok(Ok(decision)) => return decision,
+                Ok(Err(_)) => return Decision::Wait,
+                Err(_) => self.poll(),
+            }
+        }
+    }
+
+    /// Looks again at the requests that wait.
+    pub(crate) fn poll(&self) {
+        let now = now();
+        if self.dispatcher.borrow().waiting() == 0 {
+            return;
+        }
+        let decided = self.dispatcher.borrow_mut().poll(now);
+        for (key, decision) in decided {
+            let tell = self.decisions.borrow_mut().remove(&key);
+            let told = tell.map(|tell| tell.send(decision));
+            if let (Decision::Send { endpoint, flight, .. }, None | Some(Err(_))) = (decision, told)
+            {
+                // The caller left at the same moment.
+                self.dispatcher.borrow_mut().ended(endpoint, flight, End::Nothing, now);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/gateway/src/stream.rs
@@ -0,0 +1,188 @@
+//! Passes a stream of events on, and goes on at another endpoint if it breaks off.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use dispatch::End;
+use http::{Response, StatusCode};
+use http_body_util::BodyExt;
+use platform::keep_alive;
+use tokio::{sync::mpsc, task::spawn_local, time::timeout_at};
+use transport::Gone;
+
+use crate::{
+    answer::{AnswerBody, with_head},
+    ask::Ask,
+    attempt::{Loss, Opened, Plan, Tried},
+    events::Events,
+    serve::Tries,
+    shared::{Gateway, now},
+};
+
+/// Parts of a stream that wait for a slow caller.
+const PARTS: usize = 16;
+
+/// A stream on its way to its caller.
+struct Relay {
+    gateway: Rc<Gateway>,
+    ask: Rc<Ask>,
+    tries: Tries,
+    events: Events,
+    to: mpsc::Sender<Result<Bytes, Gone>>,
+}
+
+/// How the answer of one endpoint ended.
+enum Ended {
+    /// It is whole.
+    Whole,
+    /// It broke off.
+    Broken(Loss),
+    /// The caller left.
+    CallerGone,
+    /// The deadline has passed.
+    Late,
+}
+
+impl Gateway {
+    /// The answer to a caller whose stream has begun.
+    pub(crate) fn stream(
+        self: &Rc<Gateway>,
+        ask: Rc<Ask>,
+        opened: Opened,
+        tries: Tries,
+    ) -> Response<AnswerBody> {
+        let (to, parts) = mpsc::channel(PARTS);
+        let response = with_head(opened.head.status, &opened.head.headers, AnswerBody::Parts(parts));
+        let events = Events::after(ask.facts.last_event);
+        let relay = Relay { gateway: self.clone(), ask, tries, events, to };
+        self.busy.set(self.busy.get() + 1);
+        let gateway = self.clone();
+        spawn_local(async move {
+            relay.run(opened).await;
+            gateway.busy.set(gateway.busy.get() - 1);
+        });
+        response
+    }
+}
+
+impl Relay {
+    async fn run(mut self, opened: Opened) {
+        let mut next = Some(opened);
+        while let Some(opened) = next.take() {
+            let view = opened.view.clone();
+            let (ended, sent) = self.pass_on(opened).await;
+            match ended {
+                Ended::Whole => {
+                    self.gateway.suspects.borrow_mut().answered(&self.ask.fingerprint);
+                    self.note("answered", "");
+                }
+                Ended::CallerGone => self.note("caller-gone", ""),
+                Ended::Late => self.break_off("timeout").await,
+                Ended::Broken(loss) => {
+                    self.gateway.lost(&self.ask, sent, &view, loss);
+                    next = self.resume().await;
+                    if next.is_none() {
+                        self.break_off(loss.name()).await;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Passes on the answer of one endpoint until it ends.
+    async fn pass_on(&mut self, mut opened: Opened) -> (Ended, crate::shared::Sent) {
+        let first = opened.first_events(&mut self.events);
+        let ended = match self.give(first).await {
+            false => Ended::CallerGone,
+            true => self.pass_rest(&mut opened).await,
+        };
+        let Opened { mut sent, connection, head, .. } = opened;
+        if let Ended::Whole = ended {
+            sent.end(End::Answered);
+            if self.ask.route.kind.repeatable() {
+                self.gateway.pool.keep(connection, keep_alive(&head.headers));
+            }
+        }
+        (ended, sent)
+    }
+
+    async fn pass_rest(&mut self, opened: &mut Opened) -> Ended {
+        let deadline = tokio::time::Instant::from_std(self.ask.deadline);
+        let can_resume = self.may_resume();
+        loop {
+            let silent = tokio::time::Instant::now() + self.gateway.settings.silence;
+            let until = if can_resume { silent.min(deadline) } else { deadline };
+            let frame = tokio::select! {
+                biased;
+                () = self.to.closed() => return Ended::CallerGone,
+                frame = timeout_at(until, opened.body.frame()) => frame,
+            };
+            let data = match frame {
+                Err(_) if until < deadline => return Ended::Broken(Loss::Silent),
+                Err(_) => return Ended::Late,
+                Ok(Some(Err(_))) => return Ended::Broken(Loss::Broken),
+                Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+                Ok(None) => {
+                    let rest = self.events.rest();
+                    return if self.give(rest).await { Ended::Whole } else { Ended::CallerGone };
+                }
+            };
+            let whole = self.events.push(data);
+            if !self.give(whole).await {
+                return Ended::CallerGone;
+            }
+        }
+    }
+
+    /// Gives events to the caller; returns false if it left.
+    async fn give(&mut self, events: Bytes) -> bool {
+        events.is_empty() || self.to.send(Ok(events)).await.is_ok()
+    }
+
+    fn may_resume(&self) -> bool {
+        self.ask.route.kind.repeatable() && self.tries.sent < self.ask.route.attempts
+    }
+
+    /// Goes on with the stream at another endpoint.
+    async fn resume(&mut self) -> Option<Opened> {
+        while self.may_resume() && now() < self.ask.deadline {
+            if !self.gateway.take_repeat(&self.ask) {
+                return None;
+            }
+            let job = self.ask.job(&self.tries.endpoints);
+            let sent = tokio::select! {
+                () = self.to.closed() => return None,
+                sent = self.gateway.acquire(job) => sent.ok()?,
+            };
+            self.tries.endpoints.push(sent.endpoint);
+            self.tries.sent += 1;
+            let plan = Plan { last: !self.may_resume(), after: self.events.last() };
+            let tried = tokio::select! {
+                () = self.to.closed() => return None,
+                tried = self.gateway.attempt(&self.ask, sent, plan) => tried,
+            };
+            match tried {
+                Tried::Stream(opened) => {
+                    self.events.resume();
+                    return Some(*opened);
+                }
+                Tried::Unsent(_) => self.tries.sent -= 1,
+                Tried::Refused(_) | Tried::Failed(_) | Tried::Lost(_) => {}
+                // An answer that is no stream cannot go on with one.
+                Tried::Whole(_) => return None,
+            }
+        }
+        None
+    }
+
+    async fn break_off(&mut self, reason: &str) {
+        self.note("broken-off", reason);
+        // If the caller left, nobody misses the error.
+        let _ = self.to.send(Err(Gone)).await;
+    }
+
+    fn note(&self, outcome: &'static str, reason: &str) {
+        let endpoints = &self.tries.endpoints;
+        self.gateway.note_ask(&self.ask, outcome, reason, StatusCode::OK, endpoints);
+    }
+}
--- /dev/null
+++ b/components/gateway/src/suspects.rs
@@ -0,0 +1,88 @@
+//! Requests that were lost at endpoints again and again, known by what they ask and for whom.
+
+use std::{
+    net::Ipv4Addr,
+    time::{Duration, Instant},
+};
+
+use base::{Digest, Incarnation, VmId};
+use catalog::ApiKey;
+use peering::Suspicion;
+use proto::{CrashId, CrashRecord};
+use quarantine::{Ledger, LedgerSettings, Noted, Verdict};
+use sha2::{Digest as _, Sha256};
+
+/// Losses after which a request is refused.
+const LOSSES: usize = 3;
+/// Time after the last loss for which it is refused.
+const EXPIRY: Duration = Duration::from_secs(120);
+/// Most requests that are remembered.
+const LIMIT: usize = 2048;
+
+/// The requests that were lost.
+#[derive(Debug)]
+pub(crate) struct Suspects(Ledger);
+
+impl Default for Suspects {
+    fn default() -> Suspects {
+        let settings =
+            LedgerSettings { crashes: LOSSES, alone: LOSSES, expiry: EXPIRY, limit: LIMIT };
+        Suspects(Ledger::new(settings))
+    }
+}
+
+/// Tells what a request asks for and for whom.
+pub(crate) fn fingerprint(path: &str, key: Option<&ApiKey>, body: &[u8]) -> Digest {
+    let mut hash = Sha256::new();
+    for part in [path.as_bytes(), key.map_or(b"".as_slice(), |key| key.0.as_bytes()), body] {
+        hash.update((part.len() as u64).to_le_bytes());
+        hash.update(part);
+    }
+    Digest(hash.finalize().into())
+}
+
+impl Suspects {
+    /// A request was lost at the endpoint of a VM. Returns what other entries are to be told.
+    pub(crate) fn lost(
+        &mut self,
+        fingerprint: Digest,
+        vm: Ipv4Addr,
+        number: u64,
+        now: Instant,
+    ) -> Suspicion {
+        let suspicion = Suspicion { fingerprint: fingerprint.0, vm, number, age_ms: 0 };
+        self.heard(&suspicion, now);
+        suspicion
+    }
+
+    /// Another entry lost a request. Returns whether the request is refused from now on.
+    pub(crate) fn heard(&mut self, suspicion: &Suspicion, now: Instant) -> bool {
+        let Ok(vm) = suspicion.vm.to_string().parse::<VmId>() else { return false };
+        let crash = CrashId { vm, incarnation: Incarnation(0), number: suspicion.number };
+        let record = CrashRecord {
+            fingerprint: Digest(suspicion.fingerprint),
+            crash,
+            alone: false,
+            age_ms: suspicion.age_ms.into(),
+        };
+        self.0.note(&record, now) == Noted::Quarantined
+    }
+
+    /// A request was answered.
+    pub(crate) fn answered(&mut self, fingerprint: &Digest) {
+        self.0.answered(fingerprint);
+    }
+
+    /// Whether a request is refused.
+    pub(crate) fn refuses(&self, fingerprint: &Digest) -> bool {
+        self.0.verdict(fingerprint) == Verdict::Quarantined
+    }
+
+    /// Forgets what is old.
+    pub(crate) fn tick(&mut self, now: Instant) {
+        self.0.tick(now);
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/components/gateway/src/weights.rs
@@ -0,0 +1,87 @@
+//! The weights that the operator named, and since when this process knows.
+
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use catalog::{Bounds, ModelId, WeightsVersion};
+use peering::Named;
+
+#[derive(Debug, Clone, Copy)]
+struct Known {
+    version: WeightsVersion,
+    /// When they were named, at the latest.
+    since: Instant,
+    /// Whether they were named before this process started, so that `since` is a bound only.
+    inherited: bool,
+}
+
+/// The newest weights of each model.
+#[derive(Debug)]
+pub(crate) struct NamedWeights {
+    bounds: Bounds,
+    margin: Duration,
+    started: Instant,
+    models: HashMap<ModelId, Known>,
+}
+
+impl NamedWeights {
+    pub(crate) fn new(bounds: Bounds, margin: Duration, started: Instant) -> NamedWeights {
+        NamedWeights { bounds, margin, started, models: HashMap::new() }
+    }
+
+    /// Weights were named; `inherited` if they lay in the store when the process first read it.
+    /// Returns whether that is news.
+    pub(crate) fn named(
+        &mut self,
+        model: &ModelId,
+        version: WeightsVersion,
+        inherited: bool,
+        now: Instant,
+    ) -> bool {
+        if self.models.get(model).is_some_and(|known| known.version >= version) {
+            return false;
+        }
+        self.models.insert(model.clone(), Known { version, since: now, inherited });
+        true
+    }
+
+    /// An agent knows since when weights are named that this process found when it started. Returns
+    /// whether that is news.
+    pub(crate) fn heard(&mut self, model: &ModelId, named: Named, now: Instant) -> bool {
+        let since = now.checked_sub(Duration::from_millis(named.age_ms.into()));
+        match (self.models.get_mut(model), since) {
+            (Some(known), Some(since)) if known.inherited && known.version.0 == named.version => {
+                *known = Known { version: known.version, since, inherited: false };
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// The newest weights of a model, and from when on they alone may answer.
+    ///
+    /// Those that were named before the process started count as named long ago. The bound does not
+    /// hold for a process that just started, so older weights may answer until it does.
+    pub(crate) fn required(&self, model: &ModelId) -> Option<(WeightsVersion, Instant)> {
+        let known = self.models.get(model)?;
+        let due = known.since + self.bounds.version.saturating_sub(self.margin);
+        let start = self.started + self.bounds.contact.saturating_sub(self.margin / 4);
+        let from = if known.inherited { start } else { due };
+        Some((known.version, from))
+    }
+
+    /// The newest weights of a model, as agents are told of them.
+    pub(crate) fn newest(&self, model: &ModelId, now: Instant) -> Option<Named> {
+        let known = self.models.get(model)?;
+        let age = match known.inherited {
+            true => self.bounds.version,
+            false => now.saturating_duration_since(known.since),
+        };
+        Some(Named { version: known.version.0, age_ms: age.as_millis() as u32 })
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/components/node/src/watcher.rs
+++ b/components/node/src/watcher.rs
@@ -83,7 +83,7 @@
             // A refused document is not asked for again; only a newer one is.
             let after = offered.max(Revision(self.have.load(Ordering::Relaxed)));
             let at = Instant::now();
-            match platform::watch(&client, *addr, name, after, WAIT) {
+            match sources::watch(&client, *addr, name, after, WAIT) {
                 Ok(Some(watch)) => {
                     retry = FIRST_RETRY;
                     offered = watch.revision;
--- /dev/null
+++ b/components/peering/src/fleet.rs
@@ -0,0 +1,54 @@
+//! What entries tell agents of the fleet, so that agents need not read the store.
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use serde::{Deserialize, Serialize};
+
+use crate::Named;
+
+/// The endpoints of one service, as far as their agents need to know.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Fleet {
+    /// VMs that an endpoint of the service stands on.
+    pub members: Vec<Member>,
+    /// The shape of the service's weights.
+    pub weights: Option<FleetWeights>,
+    /// The newest weights that the operator named.
+    pub named: Option<Named>,
+}
+
+/// A VM with an endpoint of the service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// Its IP address.
+    pub ip: Ipv4Addr,
+    /// Its zone.
+    pub zone: String,
+}
+
+/// The shape of a service's weights, and where they are read from first.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FleetWeights {
+    /// The model.
+    pub model: String,
+    /// Pieces of the weights.
+    pub pieces: u32,
+    /// Bytes of a piece.
+    pub piece_bytes: u32,
+    /// Where weights are read from first.
+    pub origin: Option<SocketAddr>,
+    /// The zone of the origin.
+    pub origin_zone: Option<String>,
+}
+
+impl Fleet {
+    /// Encodes it for a call's answer.
+    pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
+        postcard::to_stdvec(self)
+    }
+
+    /// Decodes a call's answer.
+    pub fn decode(bytes: &[u8]) -> Result<Fleet, postcard::Error> {
+        postcard::from_bytes(bytes)
+    }
+}
--- /dev/null
+++ b/components/peering/src/message/tests.rs
@@ -0,0 +1,33 @@
+use super::*;
+
+#[test]
+fn pieces_are_a_set() {
+    let pieces: Pieces = [0, 9, 95].into_iter().collect();
+    let held: Vec<u32> = (0..200).filter(|&p| pieces.contains(p)).collect();
+    assert_eq!(held, [0, 9, 95]);
+    assert_eq!(pieces.len(), 3);
+    assert!(Pieces::default().is_empty());
+}
+
+#[test]
+fn a_datagram_is_read_as_it_was_written() {
+    let holding = Holding {
+        version: 3,
+        pieces: [1, 2].into_iter().collect(),
+        digests: true,
+        serving: Some(2),
+        staged: false,
+        loading: true,
+        named: Some(Named { version: 3, age_ms: 40 }),
+    };
+    let message = Message::Holding(holding);
+    assert_eq!(Message::decode(&message.encode().unwrap()).unwrap(), message);
+}
+
+#[test]
+fn bytes_of_another_program_are_no_message() {
+    for len in 0..64 {
+        let bytes: Vec<u8> = (0..len).map(|i| 0xff - i).collect();
+        assert!(Message::decode(&bytes).is_err());
+    }
+}
--- /dev/null
+++ b/components/stager/src/spread.rs
@@ -0,0 +1,258 @@
+//! Which piece of the weights is fetched next, and from where.
+//!
+//! Each piece has an owner in each zone, which brings it there once: in the zone of the origin from
+//! the origin, in the others from the owner there. All others fetch it within their zone from whoever
+//! holds it, the rarest first. Owners that fail are stood in for by the next ones.
+
+use std::{
+    collections::HashMap,
+    net::Ipv4Addr,
+    time::{Duration, Instant},
+};
+
+use fastrand::Rng;
+use peering::Pieces;
+
+/// Bounds of fetching.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SpreadSettings {
+    /// Pieces that are fetched at a time.
+    pub flights: usize,
+    /// Pieces that are fetched from one source at a time.
+    pub per_source: usize,
+    /// Time after which the next owner stands in for one that did not bring a piece.
+    pub owner_patience: Duration,
+    /// Time for which a source that failed is not asked.
+    pub penalty: Duration,
+    /// Time after which what a neighbour said no longer counts.
+    pub news_life: Duration,
+    /// Time after which the origin is asked by owners of all zones.
+    pub origin_patience: Duration,
+}
+
+impl Default for SpreadSettings {
+    fn default() -> SpreadSettings {
+        SpreadSettings {
+            flights: 4,
+            per_source: 2,
+            owner_patience: Duration::from_millis(1200),
+            penalty: Duration::from_millis(800),
+            news_life: Duration::from_secs(3),
+            origin_patience: Duration::from_millis(2500),
+        }
+    }
+}
+
+/// Where a piece is fetched from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Source {
+    /// The agent of another VM.
+    Peer(Ipv4Addr),
+    /// The origin.
+    Origin,
+}
+
+/// A piece to fetch.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Fetch {
+    /// The piece.
+    pub piece: u32,
+    /// Where it is fetched from.
+    pub source: Source,
+}
+
+/// Why a piece did not come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Failure {
+    /// The source does not hold it.
+    Missing,
+    /// The source did not answer, or what came is not the piece.
+    Failed,
+}
+
+/// What a neighbour said that it holds of the wanted version.
+#[derive(Debug, Clone)]
+pub struct Neighbour {
+    /// The pieces.
+    pub pieces: Pieces,
+    /// When it said so.
+    pub at: Instant,
+}
+
+/// The state of fetching one version.
+#[derive(Debug)]
+pub struct Spread {
+    settings: SpreadSettings,
+    me: Ipv4Addr,
+    count: u32,
+    held: Pieces,
+    since: Instant,
+    /// Whether the own zone fetches from the origin.
+    near_origin: bool,
+    /// Members of the own zone in the order of ownership, this one included.
+    zone: Vec<Ipv4Addr>,
+    /// Members of the zone of the origin in the order of ownership, if that is another zone.
+    root: Vec<Ipv4Addr>,
+    neighbours: HashMap<Ipv4Addr, Neighbour>,
+    flights: HashMap<u32, Source>,
+    /// Sources that failed, and until when they are not asked.
+    penalties: HashMap<Source, Instant>,
+    rng: Rng,
+}
+
+impl Spread {
+    /// Fetching of `count` pieces that begins now. `zone` are the members of the own zone, `root`
+    /// those of the zone of the origin, empty if that is the own one, both in an order that all
+    /// members share.
+    pub fn new(
+        settings: SpreadSettings,
+        me: Ipv4Addr,
+        count: u32,
+        seed: u64,
+        now: Instant,
+    ) -> Spread {
+        Spread {
+            settings,
+            me,
+            count,
+            held: Pieces::default(),
+            since: now,
+            near_origin: true,
+            zone: vec![me],
+            root: Vec::new(),
+            neighbours: HashMap::new(),
+            flights: HashMap::new(),
+            penalties: HashMap::new(),
+            rng: Rng::with_seed(seed),
+        }
+    }
+
+    /// Takes in who else there is.
+    pub fn set_members(&mut self, zone: Vec<Ipv4Addr>, root: Vec<Ipv4Addr>) {
+        self.near_origin = root.is_empty();
+        self.zone = zone;
+        if !self.zone.contains(&self.me) {
+            self.zone.push(self.me);
+        }
+        self.root = root;
+    }
+
+    /// The pieces that are held.
+    pub fn held(&self) -> &Pieces {
+        &self.held
+    }
+
+    /// Whether all pieces are held.
+    pub fn is_complete(&self) -> bool {
+        self.held.len() == self.count
+    }
+
+    /// A piece is held.
+    pub fn hold(&mut self, piece: u32) {
+        self.flights.remove(&piece);
+        if piece < self.count {
+            self.held.insert(piece);
+        }
+    }
+
+    /// A neighbour said what it holds.
+    pub fn heard(&mut self, from: Ipv4Addr, neighbour: Neighbour) {
+        self.neighbours.insert(from, neighbour);
+    }
+
+    /// A piece did not come.
+    pub fn failed(&mut self, fetch: Fetch, failure: Failure, now: Instant) {
+        self.flights.remove(&fetch.piece);
+        let factor = match failure {
+            Failure::Missing => 4,
+            Failure::Failed => 1,
+        };
+        self.penalties.insert(fetch.source, now + self.settings.penalty / factor);
+    }
+
+    /// The pieces to fetch now.
+    pub fn next(&mut self, now: Instant) -> Vec<Fetch> {
+        self.penalties.retain(|_, until| now < *until);
+        let mut fetches = Vec::new();
+        for piece in self.missing(now) {
+            if self.flights.len() >= self.settings.flights {
+                break;
+            }
+            let Some(source) = self.source_of(piece, now) else { continue };
+            self.flights.insert(piece, source);
+            fetches.push(Fetch { piece, source });
+        }
+        fetches
+    }
+
+    /// Pieces that are neither held nor on their way, the rarest in the zone first.
+    fn missing(&mut self, now: Instant) -> Vec<u32> {
+        let all = 0..self.count;
+        let missing = all.filter(|p| !self.held.contains(*p) && !self.flights.contains_key(p));
+        let mut missing: Vec<u32> = missing.collect();
+        self.rng.shuffle(&mut missing);
+        let holders = |piece: &u32| {
+            self.fresh_neighbours(now).filter(|(_, pieces)| pieces.contains(*piece)).count()
+        };
+        missing.sort_by_cached_key(holders);
+        missing
+    }
+
+    fn fresh_neighbours(&self, now: Instant) -> impl Iterator<Item = (Ipv4Addr, &Pieces)> {
+        let life = self.settings.news_life;
+        let fresh = move |n: &Neighbour| now.saturating_duration_since(n.at) < life;
+        self.neighbours.iter().filter(move |(_, n)| fresh(n)).map(|(ip, n)| (*ip, &n.pieces))
+    }
+
+    fn is_free(&self, source: Source) -> bool {
+        let busy = self.flights.values().filter(|s| **s == source).count();
+        busy < self.settings.per_source && !self.penalties.contains_key(&source)
+    }
+
+    fn source_of(&mut self, piece: u32, now: Instant) -> Option<Source> {
+        let holders = self.fresh_neighbours(now).filter(|(_, pieces)| pieces.contains(piece));
+        let holders: Vec<Source> = holders.map(|(ip, _)| Source::Peer(ip)).collect();
+        let free: Vec<Source> = holders.iter().copied().filter(|s| self.is_free(*s)).collect();
+        if !free.is_empty() {
+            let busy = |source: &Source| self.flights.values().filter(|s| *s == source).count();
+            let least = free.iter().map(busy).min()?;
+            let idle: Vec<Source> = free.into_iter().filter(|s| busy(s) == least).collect();
+            return Some(idle[self.rng.usize(..idle.len())]);
+        }
+        let stands_in = self.stands_in(piece, now);
+        // While another brings it here, or somebody here holds it, it does not cross the border again.
+        if !holders.is_empty() && self.age(now) < self.settings.origin_patience {
+            return None;
+        }
+        if stands_in { self.outside(piece, now) } else { None }
+    }
+
+    /// Time since fetching began.
+    pub fn age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.since)
+    }
+
+    /// Whether it is up to this agent to bring a piece to its zone.
+    fn stands_in(&self, piece: u32, now: Instant) -> bool {
+        let owners = self.zone.len();
+        let place = self.zone.iter().position(|ip| *ip == self.me).unwrap_or(0);
+        let behind = (place + owners - piece as usize % owners) % owners;
+        self.age(now) >= self.settings.owner_patience * behind as u32
+    }
+
+    /// Where a piece is fetched from that nobody in the zone holds.
+    fn outside(&self, piece: u32, now: Instant) -> Option<Source> {
+        if self.near_origin {
+            return Some(Source::Origin).filter(|s| self.is_free(*s));
+        }
+        let owners = self.root.len();
+        let by_turn = (0..owners).map(|i| self.root[(piece as usize + i) % owners]);
+        let mut peers = by_turn.map(Source::Peer);
+        let peer = peers.find(|peer| self.is_free(*peer));
+        let late = self.age(now) >= self.settings.origin_patience;
+        peer.or_else(|| Some(Source::Origin).filter(|s| late && self.is_free(*s)))
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/components/telemetry/src/log.rs
+++ b/components/telemetry/src/log.rs
@@ -17,7 +17,7 @@
     Logger::root(drain, o!("time_ms" => FnValue(|_| now_ms()), "vm" => vm, "role" => role))
 }
 
-fn now_ms() -> u64 {
+pub(crate) fn now_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
 }
 
--- a/components/telemetry/src/metrics_page.rs
+++ b/components/telemetry/src/metrics_page.rs
@@ -20,6 +20,13 @@
     pub fn render(&self) -> String {
         self.0.as_ref().map(PrometheusHandle::render).unwrap_or_default()
     }
+
+    /// Cleans up samples; due every few seconds.
+    pub fn upkeep(&self) {
+        if let Some(handle) = &self.0 {
+            handle.run_upkeep();
+        }
+    }
 }
 
 /// Installs the recorder once for the process; later calls return the same page.
@@ -27,9 +34,19 @@
     MetricsPage(HANDLE.get_or_init(start).clone())
 }
 
-fn start() -> Option<PrometheusHandle> {
+/// Installs the recorder for a process that calls `MetricsPage::upkeep` itself.
+pub fn install_without_thread() -> MetricsPage {
+    MetricsPage(HANDLE.get_or_init(recorder).clone())
+}
+
+fn recorder() -> Option<PrometheusHandle> {
     let handle = PrometheusBuilder::new().install_recorder().ok()?;
     names::describe();
+    Some(handle)
+}
+
+fn start() -> Option<PrometheusHandle> {
+    let handle = recorder()?;
     let kept = handle.clone();
     thread::spawn(move || {
         loop {
--- /dev/null
+++ b/components/transport/src/pool.rs
@@ -0,0 +1,145 @@
+//! Idle connections that are used again.
+
+use std::{cell::RefCell, collections::HashMap, net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::Request;
+use http_body_util::Full;
+use tokio::time::Instant;
+
+use crate::{ConnectSettings, Connection, Exchange, Reply, TransportError};
+
+/// Bounds of a pool.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PoolSettings {
+    /// How connections are opened.
+    pub connect: ConnectSettings,
+    /// Longest time that an idle connection is kept where the peer states none.
+    pub idle: Duration,
+    /// Most idle connections to one address.
+    pub per_addr: usize,
+}
+
+impl Default for PoolSettings {
+    fn default() -> PoolSettings {
+        let idle = Duration::from_secs(2);
+        PoolSettings { connect: ConnectSettings::default(), idle, per_addr: 32 }
+    }
+}
+
+/// Part of the time that a peer keeps an idle connection for which it is used.
+const IDLE_PART: f64 = 0.7;
+
+/// Idle connections by address.
+#[derive(Debug, Default)]
+pub struct Pool {
+    settings: PoolSettings,
+    idle: RefCell<HashMap<SocketAddr, Vec<Connection>>>,
+}
+
+impl Pool {
+    /// An empty pool.
+    pub fn new(settings: PoolSettings) -> Pool {
+        Pool { settings, idle: RefCell::default() }
+    }
+
+    /// How connections are opened.
+    pub fn connect_settings(&self) -> &ConnectSettings {
+        &self.settings.connect
+    }
+
+    /// An idle connection to `addr`, the one that was used last.
+    pub fn take(&self, addr: SocketAddr) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.get_mut(&addr)?;
+        while let Some(connection) = connections.pop() {
+            let age = connection.idle_since.elapsed();
+            if connection.is_ready() && age < connection.idle_limit {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection whose last answer is whole. `stated` is how long the peer says that it
+    /// keeps it.
+    pub fn keep(&self, mut connection: Connection, stated: Option<Duration>) {
+        let idle = self.settings.idle;
+        connection.idle_limit = stated.map_or(idle, |stated| stated.mul_f64(IDLE_PART).min(idle));
+        connection.idle_since = Instant::now();
+        if connection.idle_limit.is_zero() {
+            return;
+        }
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.entry(connection.addr()).or_default();
+        if connections.len() >= self.settings.per_addr {
+            connections.remove(0);
+        }
+        connections.push(connection);
+    }
+
+    /// Closes connections that were idle for too long.
+    pub fn sweep(&self) {
+        self.idle.borrow_mut().retain(|_, connections| {
+            connections.retain(|c| c.is_ready() && c.idle_since.elapsed() < c.idle_limit);
+            !connections.is_empty()
+        });
+    }
+
+    /// Closes idle connections to `addr`.
+    pub fn forget(&self, addr: SocketAddr) {
+        self.idle.borrow_mut().remove(&addr);
+    }
+
+    /// The number of idle connections.
+    pub fn len(&self) -> usize {
+        self.idle.borrow().values().map(Vec::len).sum()
+    }
+
+    /// Whether no connection is idle.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Opens a connection, or takes an idle one.
+    pub async fn get(&self, addr: SocketAddr) -> Result<Connection, TransportError> {
+        match self.take(addr) {
+            Some(connection) => Ok(connection),
+            None => Connection::open(addr, &self.settings.connect).await,
+        }
+    }
+
+    /// Sends an idempotent request, on an idle connection if there is one. If that turns out to be
+    /// closed, a new one is opened.
+    pub async fn send(
+        &self,
+        addr: SocketAddr,
+        request: Request<Full<Bytes>>,
+        until: Instant,
+    ) -> Result<Exchange, TransportError> {
+        let connection = self.get(addr).await?;
+        let used = connection.is_used();
+        match connection.send(request.clone(), until).await {
+            Err(TransportError::Unsent | TransportError::Broken(_)) if used => {
+                let connection = Connection::open(addr, &self.settings.connect).await?;
+                connection.send(request, until).await
+            }
+            result => result,
+        }
+    }
+
+    /// Sends an idempotent request and reads the whole answer, of at most `limit` bytes.
+    pub async fn call(
+        &self,
+        addr: SocketAddr,
+        request: Request<Full<Bytes>>,
+        limit: usize,
+        until: Instant,
+    ) -> Result<Reply, TransportError> {
+        let exchange = self.send(addr, request, until).await?;
+        let (response, connection) = exchange.whole(limit, until).await?;
+        self.keep(connection, None);
+        let (head, body) = response.into_parts();
+        Ok(Reply { status: head.status, body })
+    }
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -14,6 +14,10 @@
     Entry { settings: PathBuf },
     /// Run an agent.
     Agent { settings: PathBuf },
+    /// Run a process on the users' platform.
+    Platform { role: PlatformRole, settings: Option<PathBuf> },
+    /// Check a settings file of the users' platform.
+    CheckPlatform { settings: PathBuf },
     /// Check a settings file.
     CheckSettings { settings: PathBuf },
     /// Check a manifest.
@@ -28,6 +32,25 @@
     Print(String),
 }
 
+/// Processes on the users' platform.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PlatformRole {
+    /// The process that callers reach.
+    Gateway,
+    /// The process beside an endpoint.
+    Stager,
+}
+
+impl PlatformRole {
+    /// The name of its command.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            PlatformRole::Gateway => "gateway",
+            PlatformRole::Stager => "stager",
+        }
+    }
+}
+
 /// A running process and how to ask it.
 #[derive(Debug, PartialEq)]
 pub struct Target {
@@ -44,6 +67,7 @@
     settings: Option<PathBuf>,
     manifest: Option<PathBuf>,
     vms: Option<PathBuf>,
+    node: Option<PathBuf>,
     at: Option<SocketAddr>,
     json: bool,
     follow: bool,
@@ -58,6 +82,8 @@
 Commands:
   entry   Run an entry, beside the callers
   agent   Run an agent, beside one endpoint
+  gateway Run the process that callers reach on the users' platform
+  stager  Run the process beside an endpoint on the users' platform
   check   Check a settings file or a manifest
   plan    Print which VM would serve what
   status  Print the state of a running process
@@ -68,7 +94,7 @@
   --version  Print the version
 ";
 
-const COMMANDS: [(&str, &str); 6] = [
+const COMMANDS: [(&str, &str); 8] = [
     (
         "entry",
         "Usage: carawaypaddle entry --settings FILE\n\nRuns an entry until SIGTERM, then drains.\n",
@@ -77,9 +103,21 @@
         "agent",
         "Usage: carawaypaddle agent --settings FILE\n\nRuns an agent until SIGTERM, then drains.\n",
     ),
+    (
+        "gateway",
+        "Usage: carawaypaddle gateway [--node FILE]\n\n\
+         Runs the process that callers reach on the users' platform, until SIGTERM. Without FILE the\n\
+         platform's environment variable names the settings.\n",
+    ),
+    (
+        "stager",
+        "Usage: carawaypaddle stager [--node FILE]\n\n\
+         Runs the process beside an endpoint on the users' platform, until SIGTERM. Without FILE the\n\
+         platform's environment variable names the settings.\n",
+    ),
     (
         "check",
-        "Usage: carawaypaddle check --settings FILE | --manifest FILE\n\n\
+        "Usage: carawaypaddle check --settings FILE | --manifest FILE | --node FILE\n\n\
          Prints one line if the file is good, else each error with its key and remedy; exits 1.\n",
     ),
     (
@@ -130,6 +168,7 @@
         match arg {
             Arg::Long("settings") => options.settings = Some(parser.value()?.into()),
             Arg::Long("manifest") => options.manifest = Some(parser.value()?.into()),
+            Arg::Long("node") => options.node = Some(parser.value()?.into()),
             Arg::Long("vms") => options.vms = Some(parser.value()?.into()),
             Arg::Long("at") => options.at = Some(parser.value()?.parse()?),
             Arg::Long("json") => options.json = true,
@@ -142,7 +181,7 @@
 }
 
 fn command(name: &str, options: Options) -> Result<Command, String> {
-    let Options { settings, manifest, vms, at, json, follow, .. } = options;
+    let Options { settings, manifest, vms, node, at, json, follow, .. } = options;
     let need = |file: Option<PathBuf>, option: &str| {
         file.ok_or_else(|| format!("option {option} FILE is missing"))
     };
@@ -153,10 +192,13 @@
     match name {
         "entry" => Ok(Command::Entry { settings: need(settings, "--settings")? }),
         "agent" => Ok(Command::Agent { settings: need(settings, "--settings")? }),
-        "check" => match (settings, manifest) {
-            (Some(settings), None) => Ok(Command::CheckSettings { settings }),
-            (None, Some(manifest)) => Ok(Command::CheckManifest { manifest }),
-            _ => Err("give either --settings FILE or --manifest FILE".to_owned()),
+        "gateway" => Ok(Command::Platform { role: PlatformRole::Gateway, settings: node }),
+        "stager" => Ok(Command::Platform { role: PlatformRole::Stager, settings: node }),
+        "check" => match (settings, manifest, node) {
+            (Some(settings), None, None) => Ok(Command::CheckSettings { settings }),
+            (None, Some(manifest), None) => Ok(Command::CheckManifest { manifest }),
+            (None, None, Some(settings)) => Ok(Command::CheckPlatform { settings }),
+            _ => Err("give either --settings FILE or --manifest FILE or --node FILE".to_owned()),
         },
         "plan" => {
             let manifest = need(manifest, "--manifest")?;
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 mod audit;
 mod check;
 mod entry;
+mod on_platform;
 mod plan;
 mod remote;
 mod signals;
@@ -18,6 +19,8 @@
     let result = match command {
         Command::Entry { settings } => entry::run(&settings),
         Command::Agent { settings } => agent::run(&settings),
+        Command::Platform { role, settings } => on_platform::run(role, settings.as_deref()),
+        Command::CheckPlatform { settings } => on_platform::check(&settings),
         Command::CheckSettings { settings } => check::settings(&settings),
         Command::CheckManifest { manifest } => check::manifest(&manifest),
         Command::Plan { manifest, vms, json } => plan::run(&manifest, &vms, json),
--- /dev/null
+++ b/src/cmd/on_platform.rs
@@ -0,0 +1,40 @@
+//! `carawaypaddle gateway` and `carawaypaddle stager`: the processes on the users' platform.
+
+use std::path::{Path, PathBuf};
+
+use anyhow::Context;
+use catalog::Process;
+use telemetry::{Lines, MetricsPage};
+use tokio::{runtime::Builder, task::LocalSet};
+
+use crate::cli::PlatformRole;
+
+/// Runs a process until a signal stops it. Without a file, the platform's variable names it.
+pub fn run(role: PlatformRole, file: Option<&Path>) -> anyhow::Result<()> {
+    let file = file.map_or_else(platform::settings_path, Path::to_owned);
+    let process = read(&file)?;
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&runtime, start(role, file, process))
+}
+
+async fn start(role: PlatformRole, file: PathBuf, process: Process) -> anyhow::Result<()> {
+    let lines = Lines::start();
+    let log = lines.logger(process.vm.to_string(), role.as_str());
+    let metrics: MetricsPage = telemetry::install_without_thread();
+    match role {
+        PlatformRole::Gateway => gateway::run(file, process, log, lines, metrics).await,
+        PlatformRole::Stager => stager::run(file, process, log, lines, metrics).await,
+    }
+}
+
+/// Checks a settings file of the platform.
+pub fn check(file: &Path) -> anyhow::Result<()> {
+    let process = read(file)?;
+    println!("{} is good: VM {} in zone {}", file.display(), process.vm, process.zone);
+    Ok(())
+}
+
+fn read(file: &Path) -> anyhow::Result<Process> {
+    let text = std::fs::read_to_string(file).with_context(|| format!("read {}", file.display()))?;
+    platform::decode_settings(&text).with_context(|| format!("settings in {}", file.display()))
+}
