Require each version of the weights in its own time, and stand in for silent owners only

Ruled out: a late watch (named 24 ms after the acknowledgement). Change: what is required is a list of versions, each with its time. Owners of a piece are stood in for when they fall silent, not after 1.2 s, as the origin needs 2.6 s for a copy. Far pieces are asked for all at once. A new stager asks the seeds for the fleet.

--- a/components/dispatch/src/endpoint.rs
+++ b/components/dispatch/src/endpoint.rs
@@ -101,7 +101,8 @@
         {
             return;
         }
-        let seen_there = |flight: &Flight| now.saturating_duration_since(flight.sent) > REPORT_DELAY;
+        let seen_there =
+            |flight: &Flight| now.saturating_duration_since(flight.sent) > REPORT_DELAY;
         let own = self.flights.values().filter(|f| seen_there(f)).count() as f64;
         let own_unread =
             self.flights.values().filter(|f| seen_there(f) && !f.started).count() as f64;
--- a/components/dispatch/src/jobs.rs
+++ b/components/dispatch/src/jobs.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use base::ServiceId;
-use catalog::{ModelId, WeightsVersion};
+use catalog::WeightsVersion;
 use slotmap::new_key_type;
 
 use crate::{EndpointKey, FlightKey};
@@ -90,10 +90,11 @@
     },
 }
 
-/// The weights that alone may answer a service's requests from some time on.
-#[derive(Debug, Clone, PartialEq)]
-pub(crate) struct Required {
-    pub(crate) model: ModelId,
-    pub(crate) version: WeightsVersion,
-    pub(crate) from: Instant,
+/// Weights that a service's requests are answered by, or by newer ones, from some time on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Required {
+    /// The oldest version that may answer.
+    pub version: WeightsVersion,
+    /// From when on.
+    pub from: Instant,
 }
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -13,7 +13,7 @@
 pub use endpoint::{EndpointKey, EngineNews, Flight, FlightKey};
 pub use engine::EngineModel;
 pub use health::{End, Health};
-pub use jobs::{Decision, Job, JobKey, Refusal, Size};
+pub use jobs::{Decision, Job, JobKey, Refusal, Required, Size};
 pub use repeats::{RepeatBudget, RepeatSettings};
 pub use settings::DispatchSettings;
 pub use state::{Change, Dispatcher, EndpointView};
--- a/components/dispatch/src/listing.rs
+++ b/components/dispatch/src/listing.rs
@@ -4,7 +4,11 @@
 
 use catalog::{Endpoint, EndpointId, EndpointState, Listing};
 
-use crate::{EndpointKey, endpoint::Known, state::{Change, Dispatcher}};
+use crate::{
+    EndpointKey,
+    endpoint::Known,
+    state::{Change, Dispatcher},
+};
 
 impl Dispatcher {
     /// Takes in one change of the list.
--- a/components/dispatch/src/state.rs
+++ b/components/dispatch/src/state.rs
@@ -7,15 +7,12 @@
 };
 
 use base::{Region, ServiceId, Zone};
-use catalog::{Endpoint, EndpointId, EngineFigures, ModelId, WeightsVersion};
+use catalog::{Endpoint, EndpointId, EngineFigures, WeightsVersion};
 use slotmap::SlotMap;
 
 use crate::{
     Decision, DispatchSettings, EndpointKey, EngineModel, EngineNews, Flight, FlightKey, Job,
-    JobKey, Refusal, RepeatBudget,
-    endpoint::Known,
-    health::End,
-    jobs::Required,
+    JobKey, Refusal, RepeatBudget, endpoint::Known, health::End, jobs::Required,
 };
 
 /// A change of the endpoints that a process acts on.
@@ -42,7 +39,7 @@
     pub service: ServiceId,
     /// Its zone.
     pub zone: Zone,
-    /// The only weights that may answer, if older ones may no longer.
+    /// The weights that it serves, stated where older ones may no longer answer.
     pub version: Option<WeightsVersion>,
 }
 
@@ -57,7 +54,7 @@
     /// Endpoints that were missing when the store returned, and when they count as gone.
     pub(crate) lapsed: HashMap<EndpointId, Instant>,
     models: HashMap<ServiceId, EngineModel>,
-    required: HashMap<ServiceId, Required>,
+    required: HashMap<ServiceId, Vec<Required>>,
     jobs: SlotMap<JobKey, Job>,
     /// Requests that wait, in order of arrival.
     waiting: Vec<JobKey>,
@@ -117,35 +114,29 @@
         }
     }
 
-    /// From `from` on only `version` of `model` may answer the service's requests.
-    pub fn require(
-        &mut self,
-        service: &ServiceId,
-        model: &ModelId,
-        version: WeightsVersion,
-        from: Instant,
-    ) {
-        let known = self.required.get(service).map(|r| r.version);
-        if known.is_none_or(|known| known < version) {
-            let required = Required { model: model.clone(), version, from };
-            self.required.insert(service.clone(), required);
-        }
+    /// Sets which weights may answer the service's requests, and from when on.
+    pub fn require(&mut self, service: &ServiceId, required: Vec<Required>) {
+        self.required.insert(service.clone(), required);
     }
 
     /// An endpoint by its key.
     pub fn endpoint(&self, key: EndpointKey, now: Instant) -> Option<EndpointView> {
-        let listed = &self.endpoints.get(key)?.listed;
+        let known = self.endpoints.get(key)?;
+        let listed = &known.listed;
+        let required = self.required_now(&listed.service, now);
+        let serves = known.version(self.settings.report_life, now);
         Some(EndpointView {
             id: listed.id.clone(),
             addr: listed.addr,
             service: listed.service.clone(),
             zone: listed.zone.clone(),
-            version: self.required_now(&listed.service, now),
+            version: required.map(|required| serves.map_or(required, |v| v.max(required))),
         })
     }
 
     fn required_now(&self, service: &ServiceId, now: Instant) -> Option<WeightsVersion> {
-        self.required.get(service).filter(|r| now >= r.from).map(|r| r.version)
+        let required = self.required.get(service)?.iter().filter(|r| now >= r.from);
+        required.map(|r| r.version).max()
     }
 
     /// All endpoints as they are listed.
@@ -358,7 +349,13 @@
         let rounds = (total + 1.0) / slots;
         let expected = PLAIN_MS * rounds.max(1.0);
         let free = total < slots;
-        Candidate { key, expected, cost: PLAIN_MS * rounds + against, in_time: free, has_room: free }
+        Candidate {
+            key,
+            expected,
+            cost: PLAIN_MS * rounds + against,
+            in_time: free,
+            has_room: free,
+        }
     }
 
     fn distance_ms(&self, zone: &Zone) -> f64 {
--- a/components/gateway/src/ask.rs
+++ b/components/gateway/src/ask.rs
@@ -9,7 +9,9 @@
 use bytes::{Bytes, BytesMut};
 use catalog::{Config, Destination, Route, Workspace};
 use dispatch::{EndpointKey, Job, Size};
-use http::{HeaderMap, Method, Request, StatusCode, header::HOST, request::Parts, uri::PathAndQuery};
+use http::{
+    HeaderMap, Method, Request, StatusCode, header::HOST, request::Parts, uri::PathAndQuery,
+};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use platform::Facts;
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -24,9 +24,9 @@
 /// How a try ended.
 pub(crate) enum Tried {
     /// The endpoint was not reached.
-    Unsent(TransportError),
+    Unsent,
     /// The endpoint did not run it.
-    Refused(u16),
+    Refused,
     /// The endpoint ran it, and it failed there.
     Failed(Response<Bytes>),
     /// The endpoint answered.
@@ -79,9 +79,14 @@
 
 impl Gateway {
     /// Sends a request to an endpoint and waits for its answer, or the first bytes of it.
-    pub(crate) async fn attempt(self: &Rc<Gateway>, ask: &Ask, mut sent: Sent, plan: Plan) -> Tried {
+    pub(crate) async fn attempt(
+        self: &Rc<Gateway>,
+        ask: &Ask,
+        mut sent: Sent,
+        plan: Plan,
+    ) -> Tried {
         let view = self.dispatcher.borrow().endpoint(sent.endpoint, now());
-        let Some(view) = view else { return Tried::Unsent(TransportError::Unsent) };
+        let Some(view) = view else { return Tried::Unsent };
         let request = outgoing(ask, &view, &plan);
         let until = self.patience(ask, &sent, &plan);
         let exchange = self.exchange(ask, &view, request, until).await;
@@ -89,7 +94,9 @@
             Ok(exchange) => exchange,
             Err(err) if err.is_unsent() => {
                 sent.end(End::Lost);
-                return Tried::Unsent(err);
+                slog::info!(self.log, "endpoint not reached"; "endpoint" => %view.id,
+                    "addr" => %view.addr, "error" => %err);
+                return Tried::Unsent;
             }
             Err(err) => return self.lost(ask, sent, &view, loss(&err)),
         };
@@ -99,13 +106,9 @@
         }
         let status = head.status();
         match answer(status, head.headers()) {
-            Answer::Refused => {
-                sent.end(End::Refused);
-                Tried::Refused(status.as_u16())
-            }
-            Answer::Misdirected => {
+            Answer::Refused | Answer::Misdirected => {
                 sent.end(End::Refused);
-                Tried::Refused(status.as_u16())
+                Tried::Refused
             }
             Answer::Unusable => self.lost(ask, sent, &view, Loss::Unusable),
             Answer::Success if is_stream(ask, &exchange) => {
@@ -217,13 +220,7 @@
     }
 
     /// Notes that a request may have run and has no answer.
-    pub(crate) fn lost(
-        &self,
-        ask: &Ask,
-        mut sent: Sent,
-        view: &EndpointView,
-        loss: Loss,
-    ) -> Tried {
+    pub(crate) fn lost(&self, ask: &Ask, mut sent: Sent, view: &EndpointView, loss: Loss) -> Tried {
         sent.end(End::Lost);
         if loss != Loss::Silent {
             self.suspect(ask, view);
--- a/components/gateway/src/follow.rs
+++ b/components/gateway/src/follow.rs
@@ -224,9 +224,7 @@
         for service in config.services.values() {
             let weights = service.engine.as_ref().and_then(|engine| engine.weights.as_ref());
             let Some(weights) = weights else { continue };
-            if let Some((version, from)) = named.required(&weights.model) {
-                dispatcher.require(&service.name, &weights.model, version, from);
-            }
+            dispatcher.require(&service.name, named.required(&weights.model));
         }
     }
 }
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -158,7 +158,10 @@
     }
 
     /// Answers a call of a peer.
-    pub(crate) async fn peer_call(self: Rc<Gateway>, request: Request<Incoming>) -> Response<AnswerBody> {
+    pub(crate) async fn peer_call(
+        self: Rc<Gateway>,
+        request: Request<Incoming>,
+    ) -> Response<AnswerBody> {
         let fleet = match Call::parse(request.uri().path()) {
             Some(Call::Fleet(service)) => self.fleet_of(&service),
             _ => None,
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -49,7 +49,10 @@
 
 impl Gateway {
     /// Answers a request.
-    pub(crate) async fn serve(self: Rc<Gateway>, request: Request<Incoming>) -> Response<AnswerBody> {
+    pub(crate) async fn serve(
+        self: Rc<Gateway>,
+        request: Request<Incoming>,
+    ) -> Response<AnswerBody> {
         self.busy.set(self.busy.get() + 1);
         let _busy = Busy(self.clone());
         let facts = facts(request.headers());
@@ -77,7 +80,11 @@
         }
     }
 
-    async fn run_tries(self: &Rc<Gateway>, ask: &Rc<Ask>, tries: &mut Tries) -> Response<AnswerBody> {
+    async fn run_tries(
+        self: &Rc<Gateway>,
+        ask: &Rc<Ask>,
+        tries: &mut Tries,
+    ) -> Response<AnswerBody> {
         loop {
             let allowed = tries.sent < ask.route.attempts && tries.unreached < UNREACHED;
             if !allowed || (tries.sent > 0 && !self.take_repeat(ask)) {
@@ -93,15 +100,14 @@
             let plan = Plan { last: tries.sent + 1 >= ask.route.attempts, after: None };
             tries.sent += 1;
             match self.attempt(ask, sent, plan).await {
-                Tried::Unsent(_) => {
+                Tried::Unsent => {
                     tries.sent -= 1;
                     tries.unreached += 1;
                 }
-                Tried::Refused(_) => {}
+                Tried::Refused => {}
                 Tried::Whole(response) => return self.finish(ask, tries, response),
                 Tried::Stream(opened) => {
-                    histogram!(names::FIRST_BYTE)
-                        .record((now() - ask.arrived).as_secs_f64());
+                    histogram!(names::FIRST_BYTE).record((now() - ask.arrived).as_secs_f64());
                     return self.stream(ask.clone(), *opened, std::mem::take(tries));
                 }
                 Tried::Failed(response) if !ask.route.kind.repeatable() => {
--- a/components/gateway/src/shared.rs
+++ b/components/gateway/src/shared.rs
@@ -141,10 +141,7 @@
     }
 
     /// Waits until an endpoint is to run a request, or until the request is refused.
-    pub(crate) async fn acquire(
-        self: &Rc<Gateway>,
-        job: Job,
-    ) -> Result<Sent, (Refusal, Duration)> {
+    pub(crate) async fn acquire(self: &Rc<Gateway>, job: Job) -> Result<Sent, (Refusal, Duration)> {
         let (key, decision) = self.dispatcher.borrow_mut().submit(job, now());
         let decision = match key {
             None => decision,
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -52,7 +52,8 @@
         tries: Tries,
     ) -> Response<AnswerBody> {
         let (to, parts) = mpsc::channel(PARTS);
-        let response = with_head(opened.head.status, &opened.head.headers, AnswerBody::Parts(parts));
+        let response =
+            with_head(opened.head.status, &opened.head.headers, AnswerBody::Parts(parts));
         let events = Events::after(ask.facts.last_event);
         let relay = Relay { gateway: self.clone(), ask, tries, events, to };
         self.busy.set(self.busy.get() + 1);
@@ -166,8 +167,8 @@
                     self.events.resume();
                     return Some(*opened);
                 }
-                Tried::Unsent(_) => self.tries.sent -= 1,
-                Tried::Refused(_) | Tried::Failed(_) | Tried::Lost(_) => {}
+                Tried::Unsent => self.tries.sent -= 1,
+                Tried::Refused | Tried::Failed(_) | Tried::Lost(_) => {}
                 // An answer that is no stream cannot go on with one.
                 Tried::Whole(_) => return None,
             }
--- a/components/gateway/src/weights.rs
+++ b/components/gateway/src/weights.rs
@@ -6,6 +6,7 @@
 };
 
 use catalog::{Bounds, ModelId, WeightsVersion};
+use dispatch::Required;
 use peering::Named;
 
 #[derive(Debug, Clone, Copy)]
@@ -17,13 +18,16 @@
     inherited: bool,
 }
 
-/// The newest weights of each model.
+/// Versions of a model that are remembered; older ones are required by then.
+const KEPT_VERSIONS: usize = 8;
+
+/// The weights of each model, by version.
 #[derive(Debug)]
 pub(crate) struct NamedWeights {
     bounds: Bounds,
     margin: Duration,
     started: Instant,
-    models: HashMap<ModelId, Known>,
+    models: HashMap<ModelId, Vec<Known>>,
 }
 
 impl NamedWeights {
@@ -40,10 +44,14 @@
         inherited: bool,
         now: Instant,
     ) -> bool {
-        if self.models.get(model).is_some_and(|known| known.version >= version) {
+        let known = self.models.entry(model.clone()).or_default();
+        if known.last().is_some_and(|last| last.version >= version) {
             return false;
         }
-        self.models.insert(model.clone(), Known { version, since: now, inherited });
+        if known.len() == KEPT_VERSIONS {
+            known.remove(0);
+        }
+        known.push(Known { version, since: now, inherited });
         true
     }
 
@@ -51,7 +59,8 @@
     /// whether that is news.
     pub(crate) fn heard(&mut self, model: &ModelId, named: Named, now: Instant) -> bool {
         let since = now.checked_sub(Duration::from_millis(named.age_ms.into()));
-        match (self.models.get_mut(model), since) {
+        let known = self.models.get_mut(model).and_then(|known| known.last_mut());
+        match (known, since) {
             (Some(known), Some(since)) if known.inherited && known.version.0 == named.version => {
                 *known = Known { version: known.version, since, inherited: false };
                 true
@@ -60,21 +69,23 @@
         }
     }
 
-    /// The newest weights of a model, and from when on they alone may answer.
+    /// Which weights of a model may answer, and from when on.
     ///
     /// Those that were named before the process started count as named long ago. The bound does not
     /// hold for a process that just started, so older weights may answer until it does.
-    pub(crate) fn required(&self, model: &ModelId) -> Option<(WeightsVersion, Instant)> {
-        let known = self.models.get(model)?;
-        let due = known.since + self.bounds.version.saturating_sub(self.margin);
-        let start = self.started + self.bounds.contact.saturating_sub(self.margin / 4);
-        let from = if known.inherited { start } else { due };
-        Some((known.version, from))
+    pub(crate) fn required(&self, model: &ModelId) -> Vec<Required> {
+        let known = self.models.get(model).map(Vec::as_slice).unwrap_or_default();
+        let required = |known: &Known| {
+            let due = known.since + self.bounds.version.saturating_sub(self.margin);
+            let start = self.started + self.bounds.contact.saturating_sub(self.margin / 4);
+            Required { version: known.version, from: if known.inherited { start } else { due } }
+        };
+        known.iter().map(required).collect()
     }
 
     /// The newest weights of a model, as agents are told of them.
     pub(crate) fn newest(&self, model: &ModelId, now: Instant) -> Option<Named> {
-        let known = self.models.get(model)?;
+        let known = self.models.get(model)?.last()?;
         let age = match known.inherited {
             true => self.bounds.version,
             false => now.saturating_duration_since(known.since),
--- a/components/stager/src/engine.rs
+++ b/components/stager/src/engine.rs
@@ -7,9 +7,7 @@
 use http::{Method, StatusCode, header::CONTENT_TYPE};
 use platform::{
     DecodeError, REPORT_PATH, decode_report,
-    weights::{
-        ORDER_PATH, decode_staged, load_order, stage_path, staged_list_path, staged_path,
-    },
+    weights::{ORDER_PATH, decode_staged, load_order, stage_path, staged_list_path, staged_path},
 };
 use tokio::time::Instant;
 use transport::{Reply, TransportError, request};
--- a/components/stager/src/lib.rs
+++ b/components/stager/src/lib.rs
@@ -14,5 +14,5 @@
 
 pub use process::run;
 pub use settings::StagerSettings;
-pub use spread::{Fetch, Failure, Neighbour, Source, Spread, SpreadSettings};
+pub use spread::{Failure, Fetch, Neighbour, Source, Spread, SpreadSettings};
 pub use turn::{Peer, TurnSettings, may_load};
--- a/components/stager/src/peers.rs
+++ b/components/stager/src/peers.rs
@@ -40,7 +40,9 @@
     pub(crate) async fn receive_loop(self: Rc<Stager>) {
         loop {
             match self.socket.receive().await {
-                Ok((from, Message::Subscribe(subscription))) => self.subscribed(from, &subscription),
+                Ok((from, Message::Subscribe(subscription))) => {
+                    self.subscribed(from, &subscription)
+                }
                 Ok((from, Message::Holding(holding))) => self.holds(from, holding),
                 // These are for entries.
                 Ok((_, Message::State(_) | Message::Suspicions(_))) => {}
@@ -79,13 +81,18 @@
         if let Some(named) = holding.named {
             self.heard_named(named);
         }
-        if let Some(wanted) = self.wanted.borrow_mut().as_mut()
-            && wanted.version.0 == holding.version
-        {
-            let neighbour = Neighbour { pieces: holding.pieces.clone(), at: now() };
-            wanted.spread.heard(from, neighbour);
+        if let Some(wanted) = self.wanted.borrow_mut().as_mut() {
+            wanted.spread.lives(from, now());
+            if wanted.version.0 == holding.version {
+                let neighbour = Neighbour { pieces: holding.pieces.clone(), at: now() };
+                wanted.spread.heard(from, neighbour);
+            }
+        }
+        let known = self.neighbours.borrow_mut().insert(from, (holding, now())).is_some();
+        if !known && let Some(holding) = self.own_holding() {
+            // One that is new need not wait for what is held here.
+            self.socket.send(from, &Message::Holding(holding));
         }
-        self.neighbours.borrow_mut().insert(from, (holding, now()));
         self.fetch.notify_one();
     }
 
@@ -120,6 +127,7 @@
     /// Keeps what is known of the fleet up to date: from an entry, or from the store if none asks for
     /// reports.
     pub(crate) async fn fleet_loop(self: Rc<Stager>, reader: Reader) {
+        self.ask_seeds().await;
         loop {
             let woken = timeout(self.settings.store_after, self.refresh.notified()).await.is_ok();
             let entry = self.fleet_seen.get().map(|(entry, _)| entry);
@@ -138,6 +146,21 @@
         }
     }
 
+    /// Asks the seeds for the fleet, so that a new process need not wait for entries to find it.
+    async fn ask_seeds(&self) {
+        let seeds = self.process.borrow().seeds.clone();
+        for seed in seeds {
+            let std::net::IpAddr::V4(ip) = seed.ip() else { continue };
+            if self.fleet_seen.get().is_some() {
+                return;
+            }
+            if let Some(fleet) = self.fleet_of_entry(ip).await {
+                self.learn(fleet);
+                return;
+            }
+        }
+    }
+
     fn has_entry(&self) -> bool {
         let life = self.settings.subscription;
         let subscribers = self.subscribers.borrow();
@@ -213,8 +236,7 @@
         let newest = versions.iter().filter(|(m, _)| Some(m.as_str()) == model.as_deref());
         // Nobody here knows since when; for all that is known, for long.
         let age_ms = self.process.borrow().bounds.version.as_millis() as u32;
-        fleet.named =
-            newest.map(|(_, v)| v.0).max().map(|version| Named { version, age_ms });
+        fleet.named = newest.map(|(_, v)| v.0).max().map(|version| Named { version, age_ms });
         for entry in endpoints {
             if let Entry::Listing(catalog::Listing::Listed(endpoint)) = entry
                 && endpoint.service == self.own.service
--- a/components/stager/src/report.rs
+++ b/components/stager/src/report.rs
@@ -38,7 +38,8 @@
         }
         let before = self.report.borrow().clone();
         let restarted = before.as_ref().is_some_and(|before| before.born != report.born);
-        let changed = before.as_ref().is_none_or(|b| b.held != report.held || b.busy != report.busy);
+        let changed =
+            before.as_ref().is_none_or(|b| b.held != report.held || b.busy != report.busy);
         if restarted {
             info!(self.log, "endpoint restarted"; "born" => report.born.unwrap_or_default());
         }
--- a/components/stager/src/settings.rs
+++ b/components/stager/src/settings.rs
@@ -57,7 +57,7 @@
             idle_holding_every: Duration::from_secs(1),
             neighbours: 12,
             store_after: Duration::from_secs(3),
-            hold: Duration::from_millis(900),
+            hold: Duration::from_millis(1500),
             engine_timeout: Duration::from_secs(2),
             notice: Duration::from_millis(30),
             order_patience: Duration::from_secs(8),
--- a/components/stager/src/shared.rs
+++ b/components/stager/src/shared.rs
@@ -158,7 +158,10 @@
         info!(self.log, "weights wanted"; "version" => version.0,
             "serving" => self.serving().map_or(0, |v| v.0));
         let seed = u64::from(self.ip.to_bits()) ^ self.run;
-        let spread = Spread::new(self.settings.spread, self.ip, shape.pieces, seed, now());
+        let mut spread = Spread::new(self.settings.spread, self.ip, shape.pieces, seed, now());
+        for (ip, (_, at)) in self.neighbours.borrow().iter() {
+            spread.lives(*ip, *at);
+        }
         let named = named.filter(|(v, _)| *v == version.0).map(|(_, since)| since);
         *self.wanted.borrow_mut() = Some(Wanted {
             version,
--- a/components/stager/src/spread.rs
+++ b/components/stager/src/spread.rs
@@ -16,16 +16,22 @@
 /// Bounds of fetching.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct SpreadSettings {
-    /// Pieces that are fetched at a time.
+    /// Pieces that are fetched from the own zone at a time.
     pub flights: usize,
-    /// Pieces that are fetched from one source at a time.
+    /// Pieces that are fetched from one source of the own zone at a time.
     pub per_source: usize,
-    /// Time after which the next owner stands in for one that did not bring a piece.
+    /// Pieces that are fetched from the origin at a time.
+    pub origin_flights: usize,
+    /// Pieces that are asked for in another zone at a time; the answer comes when they are there.
+    pub far_flights: usize,
+    /// Time after which the next owner stands in for one that did not bring a piece though it lives.
     pub owner_patience: Duration,
     /// Time for which a source that failed is not asked.
     pub penalty: Duration,
     /// Time after which what a neighbour said no longer counts.
     pub news_life: Duration,
+    /// Time after which a member of the zone that says nothing counts as gone.
+    pub alive: Duration,
     /// Time after which the origin is asked by owners of all zones.
     pub origin_patience: Duration,
 }
@@ -35,10 +41,13 @@
         SpreadSettings {
             flights: 4,
             per_source: 2,
-            owner_patience: Duration::from_millis(1200),
+            origin_flights: 2,
+            far_flights: 12,
+            owner_patience: Duration::from_millis(5000),
             penalty: Duration::from_millis(800),
             news_life: Duration::from_secs(3),
-            origin_patience: Duration::from_millis(2500),
+            alive: Duration::from_millis(2200),
+            origin_patience: Duration::from_millis(4000),
         }
     }
 }
@@ -94,6 +103,8 @@
     /// Members of the zone of the origin in the order of ownership, if that is another zone.
     root: Vec<Ipv4Addr>,
     neighbours: HashMap<Ipv4Addr, Neighbour>,
+    /// When members of the zone were last heard.
+    alive: HashMap<Ipv4Addr, Instant>,
     flights: HashMap<u32, Source>,
     /// Sources that failed, and until when they are not asked.
     penalties: HashMap<Source, Instant>,
@@ -121,6 +132,7 @@
             zone: vec![me],
             root: Vec::new(),
             neighbours: HashMap::new(),
+            alive: HashMap::new(),
             flights: HashMap::new(),
             penalties: HashMap::new(),
             rng: Rng::with_seed(seed),
@@ -157,6 +169,7 @@
 
     /// A neighbour said what it holds.
     pub fn heard(&mut self, from: Ipv4Addr, neighbour: Neighbour) {
+        self.lives(from, neighbour.at);
         self.neighbours.insert(from, neighbour);
     }
 
@@ -175,9 +188,6 @@
         self.penalties.retain(|_, until| now < *until);
         let mut fetches = Vec::new();
         for piece in self.missing(now) {
-            if self.flights.len() >= self.settings.flights {
-                break;
-            }
             let Some(source) = self.source_of(piece, now) else { continue };
             self.flights.insert(piece, source);
             fetches.push(Fetch { piece, source });
@@ -204,9 +214,24 @@
         self.neighbours.iter().filter(move |(_, n)| fresh(n)).map(|(ip, n)| (*ip, &n.pieces))
     }
 
+    /// Whether one more piece may be fetched from a source.
     fn is_free(&self, source: Source) -> bool {
-        let busy = self.flights.values().filter(|s| **s == source).count();
-        busy < self.settings.per_source && !self.penalties.contains_key(&source)
+        if self.penalties.contains_key(&source) {
+            return false;
+        }
+        let SpreadSettings { flights, per_source, origin_flights, far_flights, .. } = self.settings;
+        let is_near =
+            |source: &Source| matches!(source, Source::Peer(ip) if self.zone.contains(ip));
+        let busy = |counts: &dyn Fn(&Source) -> bool| {
+            self.flights.values().filter(|source| counts(source)).count()
+        };
+        if source == Source::Origin {
+            return busy(&|s| *s == Source::Origin) < origin_flights;
+        }
+        if !is_near(&source) {
+            return busy(&|s| *s != Source::Origin && !is_near(s)) < far_flights;
+        }
+        busy(&|s| *s == source) < per_source && busy(&is_near) < flights
     }
 
     fn source_of(&mut self, piece: u32, now: Instant) -> Option<Source> {
@@ -232,12 +257,27 @@
         now.saturating_duration_since(self.since)
     }
 
-    /// Whether it is up to this agent to bring a piece to its zone.
+    /// Whether it is up to this agent to bring a piece to its zone: it owns it, or those before it
+    /// are silent or did not bring it for long.
     fn stands_in(&self, piece: u32, now: Instant) -> bool {
         let owners = self.zone.len();
-        let place = self.zone.iter().position(|ip| *ip == self.me).unwrap_or(0);
-        let behind = (place + owners - piece as usize % owners) % owners;
-        self.age(now) >= self.settings.owner_patience * behind as u32
+        let from = (0..owners).map(|i| self.zone[(piece as usize + i) % owners]);
+        let before = from.take_while(|ip| *ip != self.me);
+        let young = self.age(now) < self.settings.news_life;
+        let lives =
+            |ip: &Ipv4Addr| self.is_heard(*ip, now) || (young && !self.alive.contains_key(ip));
+        let living = before.filter(lives).count() as u32;
+        self.age(now) >= self.settings.owner_patience * living
+    }
+
+    fn is_heard(&self, ip: Ipv4Addr, now: Instant) -> bool {
+        let heard = self.alive.get(&ip);
+        heard.is_some_and(|at| now.saturating_duration_since(*at) < self.settings.alive)
+    }
+
+    /// A member of the zone said something.
+    pub fn lives(&mut self, from: Ipv4Addr, now: Instant) {
+        self.alive.insert(from, now);
     }
 
     /// Where a piece is fetched from that nobody in the zone holds.
--- a/components/stager/src/spread/tests.rs
+++ b/components/stager/src/spread/tests.rs
@@ -6,7 +6,8 @@
 
 fn spread(me: u8, count: u32, zone: &[u8], root: &[u8], now: Instant) -> Spread {
     let mut spread = Spread::new(SpreadSettings::default(), ip(me), count, me.into(), now);
-    spread.set_members(zone.iter().map(|n| ip(*n)).collect(), root.iter().map(|n| ip(*n)).collect());
+    spread
+        .set_members(zone.iter().map(|n| ip(*n)).collect(), root.iter().map(|n| ip(*n)).collect());
     spread
 }
 
@@ -36,6 +37,7 @@
     fetches.sort_by_key(|f| f.piece);
     let from = |piece, n| Fetch { piece, source: Source::Peer(ip(n)) };
     assert_eq!(fetches, [from(0, 1), from(1, 2)]);
+    assert_eq!(spread.next(now), []);
     // If the owners there fail, the next ones are asked, and in the end the origin.
     for fetch in fetches {
         spread.failed(fetch, Failure::Failed, now);
@@ -72,14 +74,44 @@
 }
 
 #[test]
-fn an_owner_that_is_gone_is_stood_in_for() {
+fn an_owner_that_falls_silent_is_stood_in_for() {
+    let now = Instant::now();
+    let mut spread = spread(2, 1, &[1, 2], &[], now);
+    spread.lives(ip(1), now);
+    assert_eq!(spread.next(now), []);
+    let late = now + SpreadSettings::default().alive;
+    assert_eq!(spread.next(late), [Fetch { piece: 0, source: Source::Origin }]);
+}
+
+#[test]
+fn an_owner_that_was_never_heard_is_stood_in_for() {
     let now = Instant::now();
     let mut spread = spread(2, 1, &[1, 2], &[], now);
     assert_eq!(spread.next(now), []);
-    let late = now + SpreadSettings::default().owner_patience;
+    let late = now + SpreadSettings::default().news_life;
     assert_eq!(spread.next(late), [Fetch { piece: 0, source: Source::Origin }]);
 }
 
+#[test]
+fn an_owner_that_lives_and_does_not_bring_a_piece_is_stood_in_for_later() {
+    let now = Instant::now();
+    let mut spread = spread(2, 1, &[1, 2], &[], now);
+    let patience = SpreadSettings::default().owner_patience;
+    spread.lives(ip(1), now + patience);
+    assert_eq!(spread.next(now + patience - Duration::from_millis(1)), []);
+    assert_eq!(spread.next(now + patience), [Fetch { piece: 0, source: Source::Origin }]);
+}
+
+#[test]
+fn owners_ask_another_zone_for_all_their_pieces_at_once() {
+    let now = Instant::now();
+    let mut spread = spread(4, 12, &[4, 5], &[1, 2], now);
+    spread.lives(ip(5), now);
+    let mut pieces: Vec<u32> = spread.next(now).iter().map(|fetch| fetch.piece).collect();
+    pieces.sort_unstable();
+    assert_eq!(pieces, [0, 2, 4, 6, 8, 10]);
+}
+
 #[test]
 fn what_a_silent_neighbour_said_does_not_count_for_ever() {
     let now = Instant::now();
--- a/components/transport/src/server.rs
+++ b/components/transport/src/server.rs
@@ -1,6 +1,9 @@
 //! Accepts connections and serves requests on them.
 
-use std::{cell::Cell, convert::Infallible, future::Future, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
+use std::{
+    cell::Cell, convert::Infallible, future::Future, net::SocketAddr, pin::pin, rc::Rc,
+    time::Duration,
+};
 
 use http::{Request, Response};
 use hyper::{
