Pace the pieces that agents give to peers

Cause: an endpoint's answers pass the link of its VM, 7.3 Mbit/s, together with the pieces that its agent uploads. Change: an upload waits until it fits 0.8 of the link (chunks::Link, which paced the product's own agents).

--- a/components/stager/src/peers.rs
+++ b/components/stager/src/peers.rs
@@ -2,7 +2,7 @@
 
 use std::{net::Ipv4Addr, rc::Rc, time::Duration};
 
-use base::Digest;
+use base::{ByteSize, Digest};
 use bytes::Bytes;
 use catalog::WeightsVersion;
 use directory::Reader;
@@ -270,12 +270,21 @@
             }
             _ => None,
         };
+        if let Some(body) = &found {
+            self.pace(body.len()).await;
+        }
         match found {
             Some(body) => answer(StatusCode::OK, body),
             None => answer(StatusCode::NOT_FOUND, Bytes::new()),
         }
     }
 
+    /// Waits until so many bytes may pass the link.
+    async fn pace(&self, bytes: usize) {
+        let wait = self.link.borrow_mut().reserve(ByteSize(bytes as u64), now());
+        sleep(wait).await;
+    }
+
     async fn give_digests(&self, version: WeightsVersion) -> Option<Bytes> {
         self.held_until(version, |stager| stager.digest_bytes(version)).await
     }
--- a/components/stager/src/process.rs
+++ b/components/stager/src/process.rs
@@ -9,7 +9,9 @@
 };
 
 use anyhow::Context;
+use base::ByteRate;
 use catalog::Process;
+use chunks::Link;
 use directory::{Reader, ReaderSettings};
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -66,6 +68,7 @@
         log,
         metrics,
         pool: Pool::new(PoolSettings::default()),
+        link: RefCell::new(Link::new(upload_rate(&process, &settings))),
         socket,
         fleet: RefCell::default(),
         fleet_seen: Cell::default(),
@@ -104,6 +107,11 @@
     Ok(())
 }
 
+/// The rate of what peers get.
+fn upload_rate(process: &Process, settings: &StagerSettings) -> ByteRate {
+    ByteRate((process.limits.link_bits / 8.0 * settings.upload_part) as u64)
+}
+
 async fn wait_for_stop() -> anyhow::Result<()> {
     let mut terminate = signal(SignalKind::terminate()).context("SIGTERM")?;
     let mut interrupt = signal(SignalKind::interrupt()).context("SIGINT")?;
--- a/components/stager/src/settings.rs
+++ b/components/stager/src/settings.rs
@@ -31,6 +31,8 @@
     pub store_after: Duration,
     /// Longest time that a peer's question for a piece waits until it is there.
     pub hold: Duration,
+    /// Part of the VM's link that pieces for peers may take.
+    pub upload_part: f64,
     /// Longest time for a call to the own endpoint.
     pub engine_timeout: Duration,
     /// Time between telling entries of a load and the order to load.
@@ -58,6 +60,7 @@
             neighbours: 12,
             store_after: Duration::from_secs(3),
             hold: Duration::from_millis(1500),
+            upload_part: 0.8,
             engine_timeout: Duration::from_secs(2),
             notice: Duration::from_millis(30),
             order_patience: Duration::from_secs(8),
