Load new weights by the time that is left, and settle before each turn

Cause: agents of a zone staged a version within 100 ms of each other and each took itself for the first, so that 8 of 9 loaded at once; after 0.7 of the bound all did. Change: a turn begins 200 ms after staging; as many load at a time as the time left demands.

--- a/components/stager/src/fetch.rs
+++ b/components/stager/src/fetch.rs
@@ -28,6 +28,8 @@
 const PIECE_BYTES: usize = 16 << 20;
 /// Time between two looks at what can be fetched.
 const LOOK_EVERY: std::time::Duration = std::time::Duration::from_millis(100);
+/// Age of weights below which none of them are staged anywhere.
+const JUST_NAMED: std::time::Duration = std::time::Duration::from_millis(1500);
 /// Bytes of a digest.
 const DIGEST_BYTES: usize = 32;
 /// Agents of a zone that ask the origin for digests at once; the others ask those.
@@ -76,7 +78,9 @@
         }
         self.arrived.notify_waiters();
         self.holding.notify_one();
-        self.reuse_staged(&shape, version).await;
+        if !self.is_just_named(version) {
+            self.reuse_staged(&shape, version).await;
+        }
         self.fetch.notify_one();
     }
 
@@ -143,6 +147,13 @@
         }
     }
 
+    /// Whether a version was named so shortly ago that none of it can be staged.
+    fn is_just_named(&self, version: WeightsVersion) -> bool {
+        let wanted = self.wanted.borrow();
+        let named = wanted.as_ref().filter(|w| w.version == version).and_then(|w| w.named);
+        named.is_some_and(|named| now().saturating_duration_since(named) < JUST_NAMED)
+    }
+
     /// Takes over pieces of the version that lie at the endpoint already.
     async fn reuse_staged(self: &Rc<Stager>, shape: &Shape, version: WeightsVersion) {
         let list = match self.staged_list(&shape.model).await {
@@ -179,6 +190,9 @@
         wanted.spread.hold(piece);
         if staged {
             wanted.staged.insert(piece);
+            if wanted.is_staged() {
+                wanted.staged_at.get_or_insert_with(now);
+            }
         }
         self.arrived.notify_waiters();
         self.holding.notify_one();
@@ -268,7 +282,11 @@
         let complete = match self.wanted.borrow_mut().as_mut() {
             Some(wanted) if wanted.version == version => {
                 wanted.staged.insert(piece);
-                wanted.is_staged()
+                let complete = wanted.is_staged();
+                if complete {
+                    wanted.staged_at.get_or_insert_with(now);
+                }
+                complete
             }
             _ => false,
         };
--- a/components/stager/src/load.rs
+++ b/components/stager/src/load.rs
@@ -35,10 +35,10 @@
     fn due(&self) -> Option<WeightsVersion> {
         let report = self.report.borrow();
         let report = report.as_ref().filter(|_| self.silent.get() == 0)?;
-        let (version, named, complete) = {
+        let (version, named, complete, staged_at) = {
             let wanted = self.wanted.borrow();
             let wanted = wanted.as_ref()?;
-            (wanted.version, wanted.named, wanted.spread.is_complete())
+            (wanted.version, wanted.named, wanted.spread.is_complete(), wanted.staged_at)
         };
         let serving = self.serving();
         if !complete || report.busy || serving.is_some_and(|serving| serving >= version) {
@@ -48,8 +48,11 @@
         // Weights that nobody saw named are as old as can be.
         let age = named.map_or(bound, |named| now().saturating_duration_since(named));
         let peers = self.zone_peers(version);
-        let empty = serving.is_none();
-        let mine = empty || may_load(&self.settings.turn, self.ip, &peers, age, bound);
+        if serving.is_none() {
+            return Some(version);
+        }
+        let settled = now().saturating_duration_since(staged_at?) >= self.settings.turn.settle;
+        let mine = settled && may_load(&self.settings.turn, self.ip, &peers, age, bound);
         mine.then_some(version)
     }
 
--- a/components/stager/src/settings.rs
+++ b/components/stager/src/settings.rs
@@ -60,7 +60,7 @@
             neighbours: 12,
             store_after: Duration::from_secs(3),
             hold: Duration::from_millis(1500),
-            upload_part: 0.8,
+            upload_part: 0.92,
             engine_timeout: Duration::from_secs(2),
             notice: Duration::from_millis(30),
             order_patience: Duration::from_secs(8),
--- a/components/stager/src/shared.rs
+++ b/components/stager/src/shared.rs
@@ -30,6 +30,8 @@
     /// Pieces that were handed to the endpoint.
     pub(crate) staged: Pieces,
     pub(crate) spread: Spread,
+    /// When all pieces were first staged.
+    pub(crate) staged_at: Option<Instant>,
 }
 
 impl Wanted {
@@ -173,6 +175,7 @@
             pieces: vec![None; shape.pieces as usize],
             staged: Pieces::default(),
             spread,
+            staged_at: None,
         });
         self.update_members();
         self.fetch.notify_one();
--- a/components/stager/src/turn.rs
+++ b/components/stager/src/turn.rs
@@ -6,15 +6,24 @@
 /// When an endpoint may load new weights.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct TurnSettings {
-    /// Part of a zone's endpoints that may load at a time.
+    /// Part of a zone's endpoints that may load at a time in any case.
     pub part: f64,
-    /// Part of the bound after which an endpoint loads in any case.
-    pub force_part: f64,
+    /// Time for which an endpoint takes no requests, to end those that run and to load.
+    pub load: Duration,
+    /// Time before the bound at which all are to be through.
+    pub margin: Duration,
+    /// Time after staging in which neighbours hear of it.
+    pub settle: Duration,
 }
 
 impl Default for TurnSettings {
     fn default() -> TurnSettings {
-        TurnSettings { part: 0.34, force_part: 0.7 }
+        TurnSettings {
+            part: 0.25,
+            load: Duration::from_millis(1500),
+            margin: Duration::from_millis(500),
+            settle: Duration::from_millis(200),
+        }
     }
 }
 
@@ -41,11 +50,15 @@
     age: Duration,
     bound: Duration,
 ) -> bool {
-    if age >= bound.mul_f64(settings.force_part) {
+    let left = bound.saturating_sub(settings.margin).saturating_sub(age);
+    if left <= settings.load {
         return true;
     }
     let all = peers.len() + 1;
-    let places = ((all as f64 * settings.part).ceil() as usize).max(1);
+    let to_go = peers.iter().filter(|peer| !peer.through).count() + 1;
+    // So many at a time that all are through before the bound.
+    let needed = to_go as f64 * settings.load.as_secs_f64() / left.as_secs_f64();
+    let places = (all as f64 * settings.part).max(needed).ceil() as usize;
     let loading = peers.iter().filter(|peer| peer.loading).count();
     let waits = |peer: &&Peer| peer.staged && !peer.loading && !peer.through;
     let before = peers.iter().filter(waits).filter(|peer| peer.ip < me).count();
