--- a/components/stager/src/spread.rs
+++ b/components/stager/src/spread.rs
@@ -39,7 +39,7 @@
 impl Default for SpreadSettings {
     fn default() -> SpreadSettings {
         SpreadSettings {
-            flights: 4,
+            flights: 8,
             per_source: 2,
             origin_flights: 2,
             far_flights: 12,
