Count the patience of the spread from its last progress, and refuse at once without endpoints

Requests that no endpoint could run were held for half of their objective before they were refused. Ruled out: the origin's rate (34 pieces a second after its return, as before). Change: stand-ins wait for time without progress in the zone.

--- a/components/dispatch/src/health.rs
+++ b/components/dispatch/src/health.rs
@@ -79,6 +79,11 @@
         self.out_until.is_none_or(|until| now >= until)
     }
 
+    /// Whether it got no work for a moment only, as after a refusal.
+    pub fn is_pausing(&self) -> bool {
+        self.losses < LOSSES && self.out_until.is_some()
+    }
+
     /// Part of the answers that were failures, from 0 to 1.
     pub fn failures(&self) -> f64 {
         self.failures
--- a/components/dispatch/src/state.rs
+++ b/components/dispatch/src/state.rs
@@ -239,7 +239,11 @@
         }
         let candidates = self.candidates(job, now);
         if candidates.is_empty() {
-            return self.hold(job, Refusal::NoEndpoint, now);
+            // One that pauses for a moment takes requests again before the wait is over.
+            return match self.may_return(job) {
+                true => self.hold(job, Refusal::NoEndpoint, now),
+                false => self.refuse(job, Refusal::NoEndpoint),
+            };
         }
         let best = |fits: fn(&Candidate) -> bool| {
             let fitting = candidates.iter().filter(|c| fits(c));
@@ -280,7 +284,7 @@
         let DispatchSettings { least_retry_after, most_retry_after, .. } = self.settings;
         let spread = 1.0 + self.waiting.len() as f64 / 16.0;
         let wait = match reason {
-            Refusal::NoEndpoint => least_retry_after.mul_f64(3.0),
+            Refusal::NoEndpoint => most_retry_after,
             Refusal::Overload | Refusal::Late => least_retry_after.mul_f64(spread),
         };
         let _ = job;
@@ -296,6 +300,15 @@
         usable.map(|(key, known)| self.candidate(key, known, job, now)).collect()
     }
 
+    /// Whether an endpoint that was not tried is only pausing.
+    fn may_return(&self, job: &Job) -> bool {
+        let mut of_service = self
+            .endpoints
+            .iter()
+            .filter(|(key, known)| known.listed.service == job.service && !job.tried.contains(key));
+        of_service.any(|(_, known)| known.is_listed_ready() && known.health.is_pausing())
+    }
+
     fn is_usable(&self, known: &Known, now: Instant) -> bool {
         if !known.is_listed_ready() || !known.health.allows(now) {
             return false;
--- a/components/stager/src/fetch.rs
+++ b/components/stager/src/fetch.rs
@@ -187,7 +187,7 @@
             return false;
         }
         wanted.pieces[piece as usize] = Some(body);
-        wanted.spread.hold(piece);
+        wanted.spread.hold(piece, now());
         if staged {
             wanted.staged.insert(piece);
             if wanted.is_staged() {
@@ -217,7 +217,6 @@
                 let bytes = body.len() as u64;
                 let name = source_name(fetch.source);
                 counter!(names::CHUNK_BYTES, "source" => name).increment(bytes);
-                info!(self.log, "piece"; "n" => fetch.piece, "source" => ?fetch.source);
                 if self.take_in(version, fetch.piece, body, false) {
                     self.fetch.notify_one();
                     self.stage_piece(&shape, version, fetch.piece).await;
--- a/components/stager/src/spread.rs
+++ b/components/stager/src/spread.rs
@@ -24,7 +24,7 @@
     pub origin_flights: usize,
     /// Pieces that are asked for in another zone at a time; the answer comes when they are there.
     pub far_flights: usize,
-    /// Time after which the next owner stands in for one that did not bring a piece though it lives.
+    /// Time without progress after which the next owner stands in for one that lives.
     pub owner_patience: Duration,
     /// Time for which a source that failed is not asked.
     pub penalty: Duration,
@@ -32,7 +32,7 @@
     pub news_life: Duration,
     /// Time after which a member of the zone that says nothing counts as gone.
     pub alive: Duration,
-    /// Time after which the origin is asked by owners of all zones.
+    /// Time without progress after which the origin is asked by owners of all zones.
     pub origin_patience: Duration,
 }
 
@@ -43,11 +43,11 @@
             per_source: 2,
             origin_flights: 2,
             far_flights: 12,
-            owner_patience: Duration::from_millis(5000),
+            owner_patience: Duration::from_millis(1500),
             penalty: Duration::from_millis(800),
             news_life: Duration::from_secs(3),
             alive: Duration::from_millis(2200),
-            origin_patience: Duration::from_millis(4000),
+            origin_patience: Duration::from_millis(2500),
         }
     }
 }
@@ -96,6 +96,8 @@
     count: u32,
     held: Pieces,
     since: Instant,
+    /// When a piece last came to this VM or to one of its zone.
+    progress: Instant,
     /// Whether the own zone fetches from the origin.
     near_origin: bool,
     /// Members of the own zone in the order of ownership, this one included.
@@ -128,6 +130,7 @@
             count,
             held: Pieces::default(),
             since: now,
+            progress: now,
             near_origin: true,
             zone: vec![me],
             root: Vec::new(),
@@ -160,8 +163,9 @@
     }
 
     /// A piece is held.
-    pub fn hold(&mut self, piece: u32) {
+    pub fn hold(&mut self, piece: u32, now: Instant) {
         self.flights.remove(&piece);
+        self.progress = now;
         if piece < self.count {
             self.held.insert(piece);
         }
@@ -170,6 +174,10 @@
     /// A neighbour said what it holds.
     pub fn heard(&mut self, from: Ipv4Addr, neighbour: Neighbour) {
         self.lives(from, neighbour.at);
+        let before = self.neighbours.get(&from).map_or(0, |known| known.pieces.len());
+        if neighbour.pieces.len() > before {
+            self.progress = neighbour.at;
+        }
         self.neighbours.insert(from, neighbour);
     }
 
@@ -246,12 +254,17 @@
         }
         let stands_in = self.stands_in(piece, now);
         // While another brings it here, or somebody here holds it, it does not cross the border again.
-        if !holders.is_empty() && self.age(now) < self.settings.origin_patience {
+        if !holders.is_empty() && self.stalled(now) < self.settings.origin_patience {
             return None;
         }
         if stands_in { self.outside(piece, now) } else { None }
     }
 
+    /// Time since a piece last came to the zone.
+    fn stalled(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.progress)
+    }
+
     /// Time since fetching began.
     pub fn age(&self, now: Instant) -> Duration {
         now.saturating_duration_since(self.since)
@@ -267,7 +280,7 @@
         let lives =
             |ip: &Ipv4Addr| self.is_heard(*ip, now) || (young && !self.alive.contains_key(ip));
         let living = before.filter(lives).count() as u32;
-        self.age(now) >= self.settings.owner_patience * living
+        self.stalled(now) >= self.settings.owner_patience * living
     }
 
     fn is_heard(&self, ip: Ipv4Addr, now: Instant) -> bool {
@@ -289,7 +302,7 @@
         let by_turn = (0..owners).map(|i| self.root[(piece as usize + i) % owners]);
         let mut peers = by_turn.map(Source::Peer);
         let peer = peers.find(|peer| self.is_free(*peer));
-        let late = self.age(now) >= self.settings.origin_patience;
+        let late = self.stalled(now) >= self.settings.origin_patience;
         peer.or_else(|| Some(Source::Origin).filter(|s| late && self.is_free(*s)))
     }
 }
--- a/components/stager/src/spread/tests.rs
+++ b/components/stager/src/spread/tests.rs
@@ -102,6 +102,19 @@
     assert_eq!(spread.next(now + patience), [Fetch { piece: 0, source: Source::Origin }]);
 }
 
+#[test]
+fn a_zone_that_waited_for_long_fetches_one_copy_once_there_is_progress() {
+    let now = Instant::now();
+    let mut spread = spread(2, 4, &[1, 2], &[9], now);
+    // The origin was away for a long time; now another member got a piece.
+    let late = now + Duration::from_secs(6);
+    spread.heard(ip(1), Neighbour { pieces: [0].into_iter().collect(), at: late });
+    let fetches = spread.next(late);
+    assert!(fetches.iter().all(|fetch| fetch.source != Source::Origin), "{fetches:?}");
+    let outside = fetches.iter().filter(|f| f.source == Source::Peer(ip(9)));
+    assert!(outside.map(|fetch| fetch.piece).all(|piece| piece % 2 == 1));
+}
+
 #[test]
 fn owners_ask_another_zone_for_all_their_pieces_at_once() {
     let now = Instant::now();
@@ -135,7 +148,7 @@
             let outside: &[u8] = if zone == &root { &[] } else { root };
             let mut one = spread(me, COUNT, zone, outside, start);
             if seeds.contains(&me) {
-                (0..COUNT).for_each(|piece| one.hold(piece));
+                (0..COUNT).for_each(|piece| one.hold(piece, start));
             }
             all_spreads.push((me, zone, one));
         }
@@ -158,7 +171,7 @@
                 };
                 from_origin += usize::from(fetch.source == Source::Origin);
                 if there {
-                    one.hold(fetch.piece);
+                    one.hold(fetch.piece, now);
                 } else {
                     one.failed(fetch, Failure::Missing, now);
                 }
