Correct predictions by their error, stand in for owners that lag, and load sooner after a power loss

Changes: a quantile of the error is added to predictions; owners whose pieces lag are stood in for by the others in shares, quick sources are asked first; whoever answers first names the fleet; pauses after refusals in a row double.

--- a/components/dispatch/src/endpoint.rs
+++ b/components/dispatch/src/endpoint.rs
@@ -27,6 +27,8 @@
     pub prompt: f64,
     /// When it was sent.
     pub sent: Instant,
+    /// Predicted time until its first event, in milliseconds.
+    pub expected: f64,
     /// Whether its first event has come.
     pub started: bool,
 }
--- a/components/dispatch/src/health.rs
+++ b/components/dispatch/src/health.rs
@@ -25,8 +25,10 @@
 const COOLDOWN: Duration = Duration::from_millis(500);
 /// Longest time without work.
 const MAX_COOLDOWN: Duration = Duration::from_secs(4);
-/// Time without work after a refusal.
+/// Time without work after a refusal; doubles with each further one in a row.
 const REFUSED: Duration = Duration::from_millis(60);
+/// Refusals in a row after which it grows no more.
+const MAX_REFUSALS: u32 = 3;
 
 /// How one endpoint fared lately.
 #[derive(Debug, Clone)]
@@ -35,13 +37,15 @@
     failures: f64,
     /// Losses since the last answer.
     losses: u32,
+    /// Refusals since the last answer.
+    refusals: u32,
     /// It gets no work before.
     out_until: Option<Instant>,
 }
 
 impl Default for Health {
     fn default() -> Health {
-        Health { failures: 0.0, losses: 0, out_until: None }
+        Health { failures: 0.0, losses: 0, refusals: 0, out_until: None }
     }
 }
 
@@ -51,6 +55,7 @@
         match end {
             End::Answered => {
                 self.losses = 0;
+                self.refusals = 0;
                 self.out_until = None;
                 self.failures *= 1.0 - NEWEST;
             }
@@ -60,7 +65,9 @@
             }
             End::Refused => {
                 self.losses = 0;
-                self.out_until = self.out_until.max(Some(now + REFUSED));
+                let factor = 2u32.saturating_pow(self.refusals.min(MAX_REFUSALS));
+                self.refusals += 1;
+                self.out_until = self.out_until.max(Some(now + REFUSED * factor));
             }
             End::Lost => {
                 self.losses += 1;
--- a/components/dispatch/src/health/tests.rs
+++ b/components/dispatch/src/health/tests.rs
@@ -37,4 +37,10 @@
     health.ended(End::Refused, now);
     assert!(!health.allows(now));
     assert!(health.allows(now + REFUSED));
+    // One that refuses again and again pauses for longer.
+    health.ended(End::Refused, now + REFUSED);
+    assert!(!health.allows(now + REFUSED * 2));
+    assert!(health.allows(now + REFUSED * 3));
+    health.ended(End::Answered, now + REFUSED);
+    assert!(health.allows(now + REFUSED));
 }
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -1,6 +1,7 @@
 //! Decides which endpoint runs a request, and which requests wait or are refused. Free of I/O: state
 //! and time go in, decisions come out.
 
+mod bias;
 mod endpoint;
 mod engine;
 mod health;
@@ -10,6 +11,7 @@
 mod settings;
 mod state;
 
+pub use bias::Bias;
 pub use endpoint::{EndpointKey, EngineNews, Flight, FlightKey};
 pub use engine::EngineModel;
 pub use health::{End, Health};
--- a/components/dispatch/src/state.rs
+++ b/components/dispatch/src/state.rs
@@ -11,7 +11,7 @@
 use slotmap::SlotMap;
 
 use crate::{
-    Decision, DispatchSettings, EndpointKey, EngineModel, EngineNews, Flight, FlightKey, Job,
+    Bias, Decision, DispatchSettings, EndpointKey, EngineModel, EngineNews, Flight, FlightKey, Job,
     JobKey, Refusal, RepeatBudget, endpoint::Known, health::End, jobs::Required,
 };
 
@@ -54,6 +54,7 @@
     /// Endpoints that were missing when the store returned, and when they count as gone.
     pub(crate) lapsed: HashMap<EndpointId, Instant>,
     models: HashMap<ServiceId, EngineModel>,
+    biases: HashMap<ServiceId, Bias>,
     required: HashMap<ServiceId, Vec<Required>>,
     jobs: SlotMap<JobKey, Job>,
     /// Requests that wait, in order of arrival.
@@ -94,6 +95,7 @@
             ids: HashMap::new(),
             lapsed: HashMap::new(),
             models: HashMap::new(),
+            biases: HashMap::new(),
             required: HashMap::new(),
             jobs: SlotMap::with_key(),
             waiting: Vec::new(),
@@ -212,12 +214,13 @@
     }
 
     /// The first event of a request has come.
-    pub fn started(&mut self, endpoint: EndpointKey, flight: FlightKey) {
-        if let Some(flight) =
-            self.endpoints.get_mut(endpoint).and_then(|e| e.flights.get_mut(flight))
-        {
-            flight.started = true;
-        }
+    pub fn started(&mut self, endpoint: EndpointKey, flight: FlightKey, now: Instant) {
+        let Some(known) = self.endpoints.get_mut(endpoint) else { return };
+        let Some(flight) = known.flights.get_mut(flight) else { return };
+        flight.started = true;
+        let took = now.saturating_duration_since(flight.sent).as_secs_f64() * 1e3;
+        let bias = self.biases.entry(known.listed.service.clone()).or_default();
+        bias.began(took - flight.expected);
     }
 
     /// A request has ended at an endpoint.
@@ -264,7 +267,7 @@
 
     fn send(&mut self, key: EndpointKey, job: &Job, expected: f64, now: Instant) -> Decision {
         let prompt = job.size.map_or(0.0, |size| size.prompt);
-        let flight = Flight { prompt, sent: now, started: false };
+        let flight = Flight { prompt, sent: now, expected, started: false };
         let flight = self.endpoints[key].flights.insert(flight);
         let expected = Duration::from_secs_f64(expected.max(0.0) / 1e3);
         Decision::Send { endpoint: key, flight, expected }
@@ -333,6 +336,7 @@
         let budget = job.objective.as_secs_f64() * 1e3 * self.settings.objective_part
             - self.settings.caller_delay.as_secs_f64() * 1e3
             - waited;
+        let bias = self.biases.get(&job.service).copied().unwrap_or_default().millis();
         let against = near + known.health.failures() * FAILURE_COST_MS;
         let Some(model) = self.models.get(&job.service) else {
             return self.plain_candidate(key, known, against);
@@ -351,7 +355,7 @@
             key,
             expected,
             cost: expected + against,
-            in_time: harmless && expected <= budget,
+            in_time: harmless && expected + bias <= budget,
             has_room: harmless && total < slots * self.settings.late_part,
         }
     }
--- a/components/gateway/src/ask.rs
+++ b/components/gateway/src/ask.rs
@@ -39,7 +39,7 @@
     /// When its caller first asked, as far as the deadline tells.
     asked: Instant,
     /// Whether its caller was refused before, as far as the deadline tells.
-    again: bool,
+    pub(crate) again: bool,
     /// No answer is given after this.
     pub(crate) deadline: Instant,
 }
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -37,6 +37,12 @@
     may_have_run: bool,
     /// An endpoint's answer that it failed there.
     failure: Option<Response<Bytes>>,
+    /// Predicted time until the first event, when it was last sent.
+    expected: Duration,
+    /// Time from the arrival until it was last sent.
+    waited: Duration,
+    /// Time from the arrival until the answer began.
+    first: Option<Duration>,
 }
 
 struct Busy(Rc<Gateway>);
@@ -61,7 +67,7 @@
             Ok((ask, _held)) => self.run(Rc::new(ask)).await,
             Err(denied) => {
                 let status = denied.status();
-                self.note_end(id.as_ref(), "", "denied", denied.name(), status, &[]);
+                self.note_denied(id.as_ref(), denied.name(), status);
                 own(status, id.as_ref(), denied.retry_after())
             }
         }
@@ -97,6 +103,8 @@
                 }
             };
             tries.endpoints.push(sent.endpoint);
+            tries.expected = sent.expected;
+            tries.waited = now() - ask.arrived;
             let plan = Plan { last: tries.sent + 1 >= ask.route.attempts, after: None };
             tries.sent += 1;
             match self.attempt(ask, sent, plan).await {
@@ -107,7 +115,9 @@
                 Tried::Refused => {}
                 Tried::Whole(response) => return self.finish(ask, tries, response),
                 Tried::Stream(opened) => {
-                    histogram!(names::FIRST_BYTE).record((now() - ask.arrived).as_secs_f64());
+                    let first = now() - ask.arrived;
+                    tries.first = Some(first);
+                    histogram!(names::FIRST_BYTE).record(first.as_secs_f64());
                     return self.stream(ask.clone(), *opened, std::mem::take(tries));
                 }
                 Tried::Failed(response) if !ask.route.kind.repeatable() => {
@@ -161,7 +171,7 @@
     fn finish(&self, ask: &Ask, tries: &Tries, response: Response<Bytes>) -> Response<AnswerBody> {
         let outcome = if response.status().is_success() { "answered" } else { "failed" };
         histogram!(names::FIRST_BYTE).record((now() - ask.arrived).as_secs_f64());
-        self.note_ask(ask, outcome, "", response.status(), &tries.endpoints);
+        self.note_ask(ask, outcome, "", response.status(), tries);
         whole(response)
     }
 
@@ -174,7 +184,7 @@
         retry_after: Duration,
     ) -> Response<AnswerBody> {
         let status = StatusCode::SERVICE_UNAVAILABLE;
-        self.note_ask(ask, "not-run", reason, status, &tries.endpoints);
+        self.note_ask(ask, "not-run", reason, status, tries);
         own(status, ask.facts.id.as_ref(), Some(retry_after))
     }
 
@@ -186,31 +196,18 @@
         status: StatusCode,
         reason: &'static str,
     ) -> Response<AnswerBody> {
-        self.note_ask(ask, "unknown", reason, status, &tries.endpoints);
+        self.note_ask(ask, "unknown", reason, status, tries);
         own(status, ask.facts.id.as_ref(), None)
     }
 
-    /// Notes the end of a request that was looked at.
+    /// Notes the end of a request that was looked at, and what decided it.
     pub(crate) fn note_ask(
         &self,
         ask: &Ask,
         outcome: &'static str,
         reason: &str,
         status: StatusCode,
-        endpoints: &[EndpointKey],
-    ) {
-        let id = ask.facts.id.as_ref();
-        self.note_end(id, &ask.route.name, outcome, reason, status, endpoints);
-    }
-
-    fn note_end(
-        &self,
-        id: Option<&Bytes>,
-        route: &str,
-        outcome: &'static str,
-        reason: &str,
-        status: StatusCode,
-        endpoints: &[EndpointKey],
+        tries: &Tries,
     ) {
         counter!(names::REQUESTS, "outcome" => outcome).increment(1);
         let dispatcher = self.dispatcher.borrow();
@@ -218,12 +215,25 @@
             let view = dispatcher.endpoint(*key, now());
             view.map_or_else(|| "gone".to_owned(), |view| view.id.to_string())
         };
-        let endpoints: Vec<String> = endpoints.iter().map(name).collect();
-        let config = self.config.borrow().as_ref().map_or(0, |config| config.version.0);
-        info!(self.log, "request";
-            "id" => id.map(|id| String::from_utf8_lossy(id).into_owned()).unwrap_or_default(),
-            "route" => route, "outcome" => outcome, "reason" => reason,
-            "status" => status.as_u16(), "endpoints" => endpoints.join(","), "config" => config);
+        let endpoints: Vec<String> = tries.endpoints.iter().map(name).collect();
+        let millis = |time: Duration| time.as_millis() as u64;
+        info!(self.log, "request"; "id" => text(ask.facts.id.as_ref()),
+            "route" => &*ask.route.name, "outcome" => outcome, "reason" => reason,
+            "status" => status.as_u16(), "endpoints" => endpoints.join(","),
+            "again" => ask.again, "waited_ms" => millis(tries.waited),
+            "expected_ms" => millis(tries.expected), "first_ms" => tries.first.map(millis),
+            "took_ms" => millis(now() - ask.arrived), "left_ms" => millis(ask.left()),
+            "config" => self.config_version());
+    }
+
+    fn note_denied(&self, id: Option<&Bytes>, reason: &'static str, status: StatusCode) {
+        counter!(names::REQUESTS, "outcome" => "denied").increment(1);
+        info!(self.log, "request"; "id" => text(id), "outcome" => "denied", "reason" => reason,
+            "status" => status.as_u16(), "config" => self.config_version());
+    }
+
+    fn config_version(&self) -> u64 {
+        self.config.borrow().as_ref().map_or(0, |config| config.version.0)
     }
 
     /// Notes that a request is refused from now on, wherever it was lost.
@@ -232,3 +242,7 @@
             "fingerprint" => fingerprint.to_string());
     }
 }
+
+fn text(id: Option<&Bytes>) -> String {
+    id.map(|id| String::from_utf8_lossy(id).into_owned()).unwrap_or_default()
+}
--- a/components/gateway/src/shared.rs
+++ b/components/gateway/src/shared.rs
@@ -66,7 +66,7 @@
 impl Sent {
     /// Its first event has come.
     pub(crate) fn started(&self) {
-        self.gateway.dispatcher.borrow_mut().started(self.endpoint, self.flight);
+        self.gateway.dispatcher.borrow_mut().started(self.endpoint, self.flight, now());
     }
 
     /// Notes how it ended.
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -183,7 +183,6 @@
     }
 
     fn note(&self, outcome: &'static str, reason: &str) {
-        let endpoints = &self.tries.endpoints;
-        self.gateway.note_ask(&self.ask, outcome, reason, StatusCode::OK, endpoints);
+        self.gateway.note_ask(&self.ask, outcome, reason, StatusCode::OK, &self.tries);
     }
 }
--- a/components/stager/src/fetch.rs
+++ b/components/stager/src/fetch.rs
@@ -1,6 +1,6 @@
 //! Fetches the wanted weights and hands them to the endpoint, each piece checked by its digest.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use base::Digest;
 use bytes::Bytes;
@@ -27,9 +27,9 @@
 /// Most bytes of a piece.
 const PIECE_BYTES: usize = 16 << 20;
 /// Time between two looks at what can be fetched.
-const LOOK_EVERY: std::time::Duration = std::time::Duration::from_millis(100);
+const LOOK_EVERY: Duration = Duration::from_millis(100);
 /// Age of weights below which none of them are staged anywhere.
-const JUST_NAMED: std::time::Duration = std::time::Duration::from_millis(1500);
+const JUST_NAMED: Duration = Duration::from_millis(1500);
 /// Bytes of a digest.
 const DIGEST_BYTES: usize = 32;
 /// Agents of a zone that ask the origin for digests at once; the others ask those.
@@ -253,7 +253,9 @@
             }
         };
         let request = request(Method::GET, addr, &path, Bytes::new());
-        let until = Instant::now() + PIECE_TIMEOUT + self.settings.hold;
+        // A peer of another zone may still wait for the piece.
+        let hold = if self.is_near(fetch.source) { Duration::ZERO } else { self.settings.hold };
+        let until = Instant::now() + PIECE_TIMEOUT + hold;
         let reply = self.pool.call(addr, request, PIECE_BYTES, until).await;
         let reply = reply.map_err(|err| {
             warn!(self.log, "piece not read"; "version" => version.0, "piece" => fetch.piece,
@@ -271,6 +273,11 @@
         }
     }
 
+    fn is_near(&self, source: Source) -> bool {
+        let told = self.told_neighbours();
+        matches!(source, Source::Peer(ip) if told.contains(&ip))
+    }
+
     /// Hands a held piece to the endpoint.
     async fn stage_piece(&self, shape: &Shape, version: WeightsVersion, piece: u32) {
         let body = self.held_piece(version, piece);
--- a/components/stager/src/peers.rs
+++ b/components/stager/src/peers.rs
@@ -127,7 +127,11 @@
     /// Keeps what is known of the fleet up to date: from an entry, or from the store if none asks for
     /// reports.
     pub(crate) async fn fleet_loop(self: Rc<Stager>, reader: Reader) {
-        self.ask_seeds().await;
+        tokio::select! {
+            () = self.ask_seeds() => {}
+            // An entry asked for reports meanwhile, and is asked instead.
+            () = self.refresh.notified() => self.refresh.notify_one(),
+        }
         loop {
             let woken = timeout(self.settings.store_after, self.refresh.notified()).await.is_ok();
             let entry = self.fleet_seen.get().map(|(entry, _)| entry);
--- a/components/stager/src/spread.rs
+++ b/components/stager/src/spread.rs
@@ -107,12 +107,32 @@
     neighbours: HashMap<Ipv4Addr, Neighbour>,
     /// When members of the zone were last heard.
     alive: HashMap<Ipv4Addr, Instant>,
-    flights: HashMap<u32, Source>,
+    flights: HashMap<u32, (Source, Instant)>,
+    /// Usual time of a fetch from a source, in milliseconds, newer ones weighing more.
+    times: HashMap<Source, f64>,
     /// Sources that failed, and until when they are not asked.
     penalties: HashMap<Source, Instant>,
     rng: Rng,
 }
 
+/// Time of a fetch from a source that was not asked before, in milliseconds.
+const FIRST_TIME_MS: f64 = 60.0;
+/// Weight of the newest fetch in the usual time of a source.
+const NEWEST: f64 = 0.4;
+/// Part of all pieces that must be in the zone before an owner can lag behind.
+const LAG_FROM: f64 = 0.4;
+/// Part of what all brought below which an owner lags.
+const LAG_PART: f64 = 0.5;
+
+/// The members that bring a piece to their zone: its owner, then those that stand in for it. Those of
+/// one owner's pieces differ, so that they share its work.
+fn owners_in_turn(members: &[Ipv4Addr], piece: u32) -> impl Iterator<Item = Ipv4Addr> {
+    let count = members.len().max(1);
+    let (owner, turn) = (piece as usize % count, piece as usize / count);
+    let others = (1..count).map(move |i| (owner + 1 + (turn + i - 1) % (count - 1)) % count);
+    std::iter::once(owner).chain(others).filter_map(|i| members.get(i).copied())
+}
+
 impl Spread {
     /// Fetching of `count` pieces that begins now. `zone` are the members of the own zone, `root`
     /// those of the zone of the origin, empty if that is the own one, both in an order that all
@@ -137,6 +157,7 @@
             neighbours: HashMap::new(),
             alive: HashMap::new(),
             flights: HashMap::new(),
+            times: HashMap::new(),
             penalties: HashMap::new(),
             rng: Rng::with_seed(seed),
         }
@@ -164,7 +185,9 @@
 
     /// A piece is held.
     pub fn hold(&mut self, piece: u32, now: Instant) {
-        self.flights.remove(&piece);
+        if let Some((source, since)) = self.flights.remove(&piece) {
+            self.note_time(source, now.saturating_duration_since(since));
+        }
         self.progress = now;
         if piece < self.count {
             self.held.insert(piece);
@@ -183,7 +206,11 @@
 
     /// A piece did not come.
     pub fn failed(&mut self, fetch: Fetch, failure: Failure, now: Instant) {
-        self.flights.remove(&fetch.piece);
+        if let Some((source, since)) = self.flights.remove(&fetch.piece)
+            && failure == Failure::Failed
+        {
+            self.note_time(source, now.saturating_duration_since(since));
+        }
         let factor = match failure {
             Failure::Missing => 4,
             Failure::Failed => 1,
@@ -197,7 +224,7 @@
         let mut fetches = Vec::new();
         for piece in self.missing(now) {
             let Some(source) = self.source_of(piece, now) else { continue };
-            self.flights.insert(piece, source);
+            self.flights.insert(piece, (source, now));
             fetches.push(Fetch { piece, source });
         }
         fetches
@@ -231,7 +258,7 @@
         let is_near =
             |source: &Source| matches!(source, Source::Peer(ip) if self.zone.contains(ip));
         let busy = |counts: &dyn Fn(&Source) -> bool| {
-            self.flights.values().filter(|source| counts(source)).count()
+            self.flights.values().filter(|(source, _)| counts(source)).count()
         };
         if source == Source::Origin {
             return busy(&|s| *s == Source::Origin) < origin_flights;
@@ -247,10 +274,7 @@
         let holders: Vec<Source> = holders.map(|(ip, _)| Source::Peer(ip)).collect();
         let free: Vec<Source> = holders.iter().copied().filter(|s| self.is_free(*s)).collect();
         if !free.is_empty() {
-            let busy = |source: &Source| self.flights.values().filter(|s| *s == source).count();
-            let least = free.iter().map(busy).min()?;
-            let idle: Vec<Source> = free.into_iter().filter(|s| busy(s) == least).collect();
-            return Some(idle[self.rng.usize(..idle.len())]);
+            return self.quickest(&free);
         }
         let stands_in = self.stands_in(piece, now);
         // While another brings it here, or somebody here holds it, it does not cross the border again.
@@ -260,6 +284,25 @@
         if stands_in { self.outside(piece, now) } else { None }
     }
 
+    /// The source that is likely to give a piece first.
+    fn quickest(&mut self, sources: &[Source]) -> Option<Source> {
+        let wait = |source: &Source| {
+            let busy = self.flights.values().filter(|(s, _)| s == source).count() as f64;
+            let usual = self.times.get(source).copied().unwrap_or(FIRST_TIME_MS);
+            // Small differences are chance.
+            ((busy + 1.0) * usual.max(FIRST_TIME_MS) / FIRST_TIME_MS).round() as u32
+        };
+        let least = sources.iter().map(wait).min()?;
+        let quick: Vec<Source> = sources.iter().copied().filter(|s| wait(s) == least).collect();
+        Some(quick[self.rng.usize(..quick.len())])
+    }
+
+    fn note_time(&mut self, source: Source, took: Duration) {
+        let took = took.as_secs_f64() * 1e3;
+        let time = self.times.entry(source).or_insert(took);
+        *time += (took - *time) * NEWEST;
+    }
+
     /// Time since a piece last came to the zone.
     fn stalled(&self, now: Instant) -> Duration {
         now.saturating_duration_since(self.progress)
@@ -273,16 +316,33 @@
     /// Whether it is up to this agent to bring a piece to its zone: it owns it, or those before it
     /// are silent or did not bring it for long.
     fn stands_in(&self, piece: u32, now: Instant) -> bool {
-        let owners = self.zone.len();
-        let from = (0..owners).map(|i| self.zone[(piece as usize + i) % owners]);
-        let before = from.take_while(|ip| *ip != self.me);
+        let before = owners_in_turn(&self.zone, piece).take_while(|ip| *ip != self.me);
         let young = self.age(now) < self.settings.news_life;
-        let lives =
-            |ip: &Ipv4Addr| self.is_heard(*ip, now) || (young && !self.alive.contains_key(ip));
+        let lives = |ip: &Ipv4Addr| {
+            let heard = self.is_heard(*ip, now) || (young && !self.alive.contains_key(ip));
+            heard && !self.lags(*ip, now)
+        };
         let living = before.filter(lives).count() as u32;
         self.stalled(now) >= self.settings.owner_patience * living
     }
 
+    /// Whether an owner brought far fewer of its pieces to the zone than the others did of theirs.
+    fn lags(&self, owner: Ipv4Addr, now: Instant) -> bool {
+        let known = |piece: &u32| {
+            self.held.contains(*piece)
+                || self.fresh_neighbours(now).any(|(_, p)| p.contains(*piece))
+        };
+        let part = |pieces: &[u32]| {
+            let there = pieces.iter().filter(|piece| known(piece)).count();
+            there as f64 / pieces.len().max(1) as f64
+        };
+        let all: Vec<u32> = (0..self.count).collect();
+        let own = |piece: &u32| owners_in_turn(&self.zone, *piece).next() == Some(owner);
+        let owned: Vec<u32> = all.iter().copied().filter(own).collect();
+        let whole = part(&all);
+        whole >= LAG_FROM && part(&owned) < whole * LAG_PART
+    }
+
     fn is_heard(&self, ip: Ipv4Addr, now: Instant) -> bool {
         let heard = self.alive.get(&ip);
         heard.is_some_and(|at| now.saturating_duration_since(*at) < self.settings.alive)
@@ -298,9 +358,7 @@
         if self.near_origin {
             return Some(Source::Origin).filter(|s| self.is_free(*s));
         }
-        let owners = self.root.len();
-        let by_turn = (0..owners).map(|i| self.root[(piece as usize + i) % owners]);
-        let mut peers = by_turn.map(Source::Peer);
+        let mut peers = owners_in_turn(&self.root, piece).map(Source::Peer);
         let peer = peers.find(|peer| self.is_free(*peer));
         let late = self.stalled(now) >= self.settings.origin_patience;
         peer.or_else(|| Some(Source::Origin).filter(|s| late && self.is_free(*s)))
--- a/components/stager/src/spread/tests.rs
+++ b/components/stager/src/spread/tests.rs
@@ -115,6 +115,52 @@
     assert!(outside.map(|fetch| fetch.piece).all(|piece| piece % 2 == 1));
 }
 
+#[test]
+fn the_pieces_of_an_owner_that_lags_are_shared_by_the_others() {
+    let now = Instant::now();
+    let zone = [1, 2, 3, 4];
+    // All have come but those of the first.
+    let come: Pieces = (0..32).filter(|piece| piece % 4 != 0).collect();
+    let mut brought: Vec<u32> = Vec::new();
+    for me in 2..=4 {
+        let mut spread = spread(me, 32, &zone, &[], now);
+        spread.lives(ip(1), now);
+        spread.heard(ip(1), Neighbour { pieces: Pieces::default(), at: now });
+        (0..32).filter(|p| p % 4 != 0).for_each(|piece| spread.hold(piece, now));
+        for other in (2..=4).filter(|other| *other != me) {
+            spread.heard(ip(other), Neighbour { pieces: come.clone(), at: now });
+        }
+        let fetches = spread.next(now);
+        assert!(fetches.iter().all(|fetch| fetch.source == Source::Origin));
+        brought.extend(fetches.iter().map(|fetch| fetch.piece));
+    }
+    let total = brought.len();
+    brought.sort_unstable();
+    brought.dedup();
+    assert_eq!(brought.len(), total, "no piece is brought twice");
+    assert!(total >= 5, "{brought:?}");
+    assert!(brought.iter().all(|piece| piece % 4 == 0));
+}
+
+#[test]
+fn a_slow_source_is_asked_less() {
+    let now = Instant::now();
+    let mut spread = spread(1, 20, &[1, 2, 3], &[9], now);
+    for n in [2, 3] {
+        spread.heard(ip(n), all(20, now));
+    }
+    let slow = spread.next(now).into_iter().find(|f| f.source == Source::Peer(ip(2))).unwrap();
+    let later = now + Duration::from_millis(900);
+    let others: Vec<u32> = spread.flights.keys().copied().filter(|p| *p != slow.piece).collect();
+    for piece in others {
+        spread.hold(piece, now + Duration::from_millis(40));
+    }
+    spread.hold(slow.piece, later);
+    let fetches = spread.next(later);
+    assert_eq!(fetches[0].source, Source::Peer(ip(3)));
+    assert_eq!(fetches[1].source, Source::Peer(ip(3)));
+}
+
 #[test]
 fn owners_ask_another_zone_for_all_their_pieces_at_once() {
     let now = Instant::now();
