Break off what runs when an endpoint loads, where others go on with it

Change: where all routes of a service can be resumed, an endpoint loads at once and entries resume its streams at endpoints that serve the new weights or load last; a fifth of a zone loads at a time. A break at an endpoint that its agent says loads counts against nobody. Left: a resumed stream pauses for longer than its gap allows.

--- a/components/catalog/src/config.rs
+++ b/components/catalog/src/config.rs
@@ -1,11 +1,6 @@
 //! The configuration that operators write: routes, services, workspaces and limits.
 
-use std::{
-    collections::{HashMap, HashSet},
-    net::SocketAddr,
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use base::{ServiceId, WorkspaceId, Zone, number};
 
@@ -189,10 +184,13 @@
         origins.next()
     }
 
-    /// Services that some route leads to.
-    pub fn routed(&self) -> HashSet<&ServiceId> {
-        let routes = self.routes.values().flatten();
-        routes.flat_map(|r| r.destinations.iter().map(|d| &d.service)).collect()
+    /// Whether every request of a service can be sent to a second endpoint after it began at one.
+    pub fn is_resumable(&self, service: &ServiceId) -> bool {
+        let leads_there = |route: &&Arc<Route>| {
+            route.destinations.iter().any(|destination| destination.service == *service)
+        };
+        let mut routes = self.routes.values().flatten().filter(leads_there);
+        routes.all(|route| route.kind.repeatable() && route.attempts > 1)
     }
 }
 
--- a/components/catalog/src/config/tests.rs
+++ b/components/catalog/src/config/tests.rs
@@ -33,3 +33,20 @@
 fn keys_are_not_shown() {
     assert_eq!(format!("{:?}", ApiKey("secret".into())), "ApiKey(..)");
 }
+
+#[test]
+fn a_service_is_resumable_if_all_its_routes_are() {
+    let service: ServiceId = "s".parse().unwrap();
+    let to = |kind, attempts| Route {
+        kind,
+        attempts,
+        destinations: vec![Destination { service: service.clone(), weight: 1 }],
+        ..route("h", "/x/")
+    };
+    let stream = to(Kind::Stream { resumable: true }, 2);
+    let resumable = |routes| Config::new(ConfigVersion(1), routes).is_resumable(&service);
+    assert!(resumable(vec![stream.clone(), to(Kind::Idempotent, 2)]));
+    assert!(!resumable(vec![stream.clone(), to(Kind::Once, 2)]));
+    assert!(!resumable(vec![stream.clone(), to(Kind::Stream { resumable: false }, 2)]));
+    assert!(!resumable(vec![stream, to(Kind::Idempotent, 1)]));
+}
--- a/components/dispatch/src/jobs.rs
+++ b/components/dispatch/src/jobs.rs
@@ -37,6 +37,8 @@
     pub gap: Option<Duration>,
     /// No answer is of use after this.
     pub deadline: Instant,
+    /// Whether it goes on with a stream that broke off.
+    pub resumed: bool,
     /// Whether the caller was refused before.
     pub again: bool,
     /// Endpoints that it was sent to.
--- a/components/dispatch/src/state.rs
+++ b/components/dispatch/src/state.rs
@@ -78,6 +78,8 @@
 
 /// Cost of an endpoint all of whose answers were failures.
 const FAILURE_COST_MS: f64 = 600.0;
+/// Cost of an endpoint at which a resumed stream may break off again.
+const RELOAD_COST_MS: f64 = 400.0;
 /// Time of a request at a plain service before any was measured.
 const PLAIN_MS: f64 = 60.0;
 
@@ -158,6 +160,13 @@
         known.is_some_and(|known| self.models.contains_key(&known.listed.service))
     }
 
+    /// Whether an endpoint's agent says that it takes no requests, as it loads weights.
+    pub fn is_loading(&self, key: EndpointKey, now: Instant) -> bool {
+        let known = self.endpoints.get(key);
+        let news = known.and_then(|known| known.fresh_news(self.settings.report_life, now));
+        news.is_some_and(|news| !news.serving)
+    }
+
     /// An agent reported on an endpoint.
     pub fn report(&mut self, key: EndpointKey, news: EngineNews, now: Instant) {
         if let Some(known) = self.endpoints.get_mut(key) {
@@ -351,13 +360,39 @@
         let harmless = load.unread == 0.0 || pass <= gap * self.settings.gap_part;
         let slots = f64::from(model.slots());
         let total = known.total();
+        let part = if job.resumed { 1.0 } else { self.settings.late_part };
+        let again = if job.resumed { self.reload_cost(known, now) } else { 0.0 };
         Candidate {
             key,
             expected,
-            cost: expected + against,
+            cost: expected + against + again,
             in_time: harmless && expected + bias <= budget,
-            has_room: harmless && total < slots * self.settings.late_part,
+            has_room: harmless && total < slots * part,
+        }
+    }
+
+    /// What speaks against an endpoint that is to load other weights soon, at which a resumed stream
+    /// may break off again. Endpoints of a zone load in the order of their addresses.
+    fn reload_cost(&self, known: &Known, now: Instant) -> f64 {
+        if !self.will_load(known, now) {
+            return 0.0;
         }
+        let (service, zone) = (&known.listed.service, &known.listed.zone);
+        let near = |other: &&Known| {
+            other.listed.service == *service
+                && other.listed.zone == *zone
+                && self.will_load(other, now)
+        };
+        let waiting: Vec<_> = self.endpoints.values().filter(near).map(Known::ip).collect();
+        let before = waiting.iter().filter(|ip| **ip < known.ip()).count();
+        RELOAD_COST_MS * (1.0 - before as f64 / waiting.len().max(1) as f64)
+    }
+
+    /// Whether an endpoint serves older weights than were named, so that it is to load soon.
+    fn will_load(&self, known: &Known, now: Instant) -> bool {
+        let required = self.required.get(&known.listed.service);
+        let newest = required.and_then(|all| all.iter().map(|r| r.version).max());
+        known.version(self.settings.report_life, now) < newest
     }
 
     fn plain_candidate(&self, key: EndpointKey, known: &Known, against: f64) -> Candidate {
--- a/components/gateway/src/ask.rs
+++ b/components/gateway/src/ask.rs
@@ -249,7 +249,7 @@
 
 impl Ask {
     /// The request as the dispatcher sees it, after it was sent to the endpoints `tried`.
-    pub(crate) fn job(&self, tried: &[EndpointKey]) -> Job {
+    pub(crate) fn job(&self, tried: &[EndpointKey], resumed: bool) -> Job {
         let priority = self.workspace.as_ref().and_then(|w| w.priority);
         let priority = priority.unwrap_or(self.route.priority);
         Job {
@@ -260,6 +260,7 @@
             objective: self.route.objective,
             gap: self.route.gap,
             deadline: self.deadline,
+            resumed,
             again: self.again || !tried.is_empty(),
             tried: tried.to_vec(),
             rank: priority.0.saturating_mul(2).saturating_add(u8::from(self.again)),
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -192,6 +192,7 @@
             }
         });
         let named = self.newest_of(service, now());
-        Some(Fleet { members: members.collect(), weights, named })
+        let resumable = config.is_resumable(service);
+        Some(Fleet { members: members.collect(), weights, named, resumable })
     }
 }
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -96,7 +96,7 @@
             if !allowed || (tries.sent > 0 && !self.take_repeat(ask)) {
                 return self.give_up(ask, tries, "attempts", REFUSED_RETRY);
             }
-            let sent = match self.acquire(ask.job(&tries.endpoints)).await {
+            let sent = match self.acquire(ask.job(&tries.endpoints, false)).await {
                 Ok(sent) => sent,
                 Err((reason, retry_after)) => {
                     return self.give_up(ask, tries, reason.name(), retry_after);
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -80,7 +80,13 @@
                 Ended::CallerGone => self.note("caller-gone", ""),
                 Ended::Late => self.break_off("timeout").await,
                 Ended::Broken(loss) => {
-                    self.gateway.lost(&self.ask, sent, &view, loss);
+                    let planned = self.gateway.dispatcher.borrow().is_loading(sent.endpoint, now());
+                    if planned {
+                        // The endpoint loads other weights; that tells nothing against anybody.
+                        drop(sent);
+                    } else {
+                        self.gateway.lost(&self.ask, sent, &view, loss);
+                    }
                     next = self.resume().await;
                     if next.is_none() {
                         self.break_off(loss.name()).await;
@@ -150,7 +156,7 @@
             if !self.gateway.take_repeat(&self.ask) {
                 return None;
             }
-            let job = self.ask.job(&self.tries.endpoints);
+            let job = self.ask.job(&self.tries.endpoints, true);
             let sent = tokio::select! {
                 () = self.to.closed() => return None,
                 sent = self.gateway.acquire(job) => sent.ok()?,
--- a/components/peering/src/fleet.rs
+++ b/components/peering/src/fleet.rs
@@ -15,6 +15,8 @@
     pub weights: Option<FleetWeights>,
     /// The newest weights that the operator named.
     pub named: Option<Named>,
+    /// Whether another endpoint can go on with whatever runs at one of them.
+    pub resumable: bool,
 }
 
 /// A VM with an endpoint of the service.
--- a/components/stager/src/engine.rs
+++ b/components/stager/src/engine.rs
@@ -7,7 +7,9 @@
 use http::{Method, StatusCode, header::CONTENT_TYPE};
 use platform::{
     DecodeError, REPORT_PATH, decode_report,
-    weights::{ORDER_PATH, decode_staged, load_order, stage_path, staged_list_path, staged_path},
+    weights::{
+        ORDER_PATH, Running, decode_staged, load_order, stage_path, staged_list_path, staged_path,
+    },
 };
 use tokio::time::Instant;
 use transport::{Reply, TransportError, request};
@@ -109,9 +111,10 @@
         &self,
         model: &ModelId,
         version: WeightsVersion,
+        running: Running,
         sequence: u64,
     ) -> Result<Ordered, EngineError> {
-        let body = load_order(model, version, sequence).into();
+        let body = load_order(model, version, running, sequence).into();
         let limit = self.settings.engine_timeout;
         let reply = self.engine_call(Method::POST, ORDER_PATH, body, limit).await?;
         match reply.status {
--- a/components/stager/src/load.rs
+++ b/components/stager/src/load.rs
@@ -5,6 +5,7 @@
 use base::Digest;
 use catalog::WeightsVersion;
 use metrics::counter;
+use platform::weights::Running;
 use slog::{info, warn};
 use telemetry::names;
 use tokio::time::{Instant, sleep, timeout};
@@ -17,6 +18,8 @@
 
 /// Time between two looks at whose turn it is.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
+/// Endpoints up to which there are too few others to go on with what runs at one.
+const LEAST_FLEET: usize = 2;
 /// Time between two looks at a load under way.
 const WATCH_EVERY: Duration = Duration::from_millis(40);
 
@@ -52,10 +55,18 @@
             return Some(version);
         }
         let settled = now().saturating_duration_since(staged_at?) >= self.settings.turn.settle;
-        let mine = settled && may_load(&self.settings.turn, self.ip, &peers, age, bound);
+        let resumable = self.is_resumable();
+        let turn = &self.settings.turn;
+        let mine = settled && may_load(turn, self.ip, &peers, age, bound, resumable);
         mine.then_some(version)
     }
 
+    /// Whether other endpoints can go on with what runs at this one.
+    fn is_resumable(&self) -> bool {
+        let fleet = self.fleet.borrow();
+        fleet.resumable && fleet.members.len() > LEAST_FLEET
+    }
+
     async fn load_now(self: &Rc<Stager>, shape: &Shape, version: WeightsVersion) {
         self.stage_missing(shape, version).await;
         if !self.check_staged(shape, version).await {
@@ -115,14 +126,18 @@
         if report.busy || self.wanted_version() != Some(version) {
             return;
         }
-        let result = self.order_load(&shape.model, version, report.sequence).await;
+        let running = match self.is_resumable() {
+            true => Running::BreakOff,
+            false => Running::Finish,
+        };
+        let result = self.order_load(&shape.model, version, running, report.sequence).await;
         let accepted = if result.is_ok() { "true" } else { "false" };
         counter!(names::ORDERS, "order" => "load", "accepted" => accepted).increment(1);
         match result {
             Ok(outcome) => {
                 info!(self.log, "order"; "order" => "load", "version" => version.0,
                     "sequence" => report.sequence, "outcome" => ?outcome,
-                    "running" => report.running);
+                    "running" => report.running, "mode" => ?running);
                 if outcome == Ordered::Begun {
                     self.await_load(version).await;
                 }
--- a/components/stager/src/peers.rs
+++ b/components/stager/src/peers.rs
@@ -231,7 +231,10 @@
         let mut versions = Vec::new();
         for entry in operator {
             match entry {
-                Entry::Config(config) => fleet.weights = self.weights_in(&config),
+                Entry::Config(config) => {
+                    fleet.weights = self.weights_in(&config);
+                    fleet.resumable = config.is_resumable(&self.own.service);
+                }
                 Entry::Named { model, version } => versions.push((model, version)),
                 _ => {}
             }
--- a/components/stager/src/turn/tests.rs
+++ b/components/stager/src/turn/tests.rs
@@ -15,7 +15,7 @@
     let waits = peers.iter().filter(|p| p.staged && !p.loading && !p.through);
     let may = waits.filter(|me| {
         let others: Vec<Peer> = peers.iter().filter(|p| p.ip != me.ip).copied().collect();
-        may_load(&TurnSettings::default(), me.ip, &others, age, BOUND)
+        may_load(&TurnSettings::default(), me.ip, &others, age, BOUND, false)
     });
     may.map(|p| p.ip.octets()[3]).collect()
 }
@@ -58,5 +58,16 @@
 
 #[test]
 fn an_endpoint_alone_in_its_zone_loads_at_once() {
-    assert!(may_load(&TurnSettings::default(), ip(1), &[], Duration::ZERO, BOUND));
+    assert!(may_load(&TurnSettings::default(), ip(1), &[], Duration::ZERO, BOUND, false));
+}
+
+#[test]
+fn a_smaller_part_loads_at_a_time_where_streams_are_resumed() {
+    let peers: Vec<Peer> = (2..=9).map(peer).collect();
+    let open = |me: u8, age| {
+        may_load(&TurnSettings::default(), ip(me), &peers, Duration::from_secs(age), BOUND, true)
+    };
+    assert!(open(1, 5));
+    assert!(!open(4, 5));
+    assert!(open(4, 7), "near the bound all load");
 }
