Tell refusals within the zone, and share a zone's endpoints out among its entries

Three or four entries of a zone chose by reports of the same age and met at the same endpoints. Ruled out: processor time (0.01 of a core), links, a queue at the listener (an arrival is read 3 ms after it was sent). Change: an entry tells the others of its zone what it refused, by fingerprint. Each endpoint has a home among the entries of its zone; others need a gain of 60 ms to use it.

--- a/components/dispatch/src/endpoint.rs
+++ b/components/dispatch/src/endpoint.rs
@@ -48,6 +48,8 @@
     pub cache_used: u64,
     /// Factor by which it is slower than published.
     pub pace: f64,
+    /// Whether this entry sends requests there first.
+    pub home: bool,
     /// When the agent's run that reported it started; tells late news.
     pub run: u64,
     /// Counts the reports of that run.
--- a/components/dispatch/src/settings.rs
+++ b/components/dispatch/src/settings.rs
@@ -19,6 +19,8 @@
     pub zone_cost: Duration,
     /// Time that an endpoint in another region must be faster by, besides.
     pub region_cost: Duration,
+    /// Time that an endpoint which other entries of the zone send requests to must be faster by.
+    pub shared_cost: Duration,
     /// Part of an engine's slots up to which requests that will be late are taken.
     pub late_part: f64,
     /// Age from which an agent's report no longer counts.
@@ -46,6 +48,7 @@
             caller_delay: Duration::from_millis(10),
             zone_cost: Duration::from_millis(60),
             region_cost: Duration::from_millis(40),
+            shared_cost: Duration::from_millis(60),
             late_part: 0.75,
             report_life: Duration::from_millis(1500),
             least_retry_after: Duration::from_millis(200),
--- a/components/dispatch/src/state.rs
+++ b/components/dispatch/src/state.rs
@@ -346,11 +346,13 @@
             - self.settings.caller_delay.as_secs_f64() * 1e3
             - waited;
         let bias = self.biases.get(&job.service).copied().unwrap_or_default().millis();
-        let against = near + known.health.failures() * FAILURE_COST_MS;
+        let life = self.settings.report_life;
+        let shared = known.fresh_news(life, now).is_some_and(|news| !news.home);
+        let shared = if shared { self.settings.shared_cost.as_secs_f64() * 1e3 } else { 0.0 };
+        let against = near + shared + known.health.failures() * FAILURE_COST_MS;
         let Some(model) = self.models.get(&job.service) else {
             return self.plain_candidate(key, known, against);
         };
-        let life = self.settings.report_life;
         let load = known.load(model, life, now);
         let prompt = job.size.map_or(model.usual_prompt(), |size| size.prompt);
         let expected = model.first_event_ms(&load, prompt);
--- a/components/gateway/src/ask.rs
+++ b/components/gateway/src/ask.rs
@@ -21,9 +21,6 @@
     suspects::fingerprint,
 };
 
-/// Part of the usual deadline below which a request counts as one that was refused before.
-const AGAIN_PART: f64 = 0.97;
-
 /// A request that may be sent to endpoints.
 pub(crate) struct Ask {
     pub(crate) facts: Facts,
@@ -36,9 +33,9 @@
     pub(crate) body: Bytes,
     pub(crate) fingerprint: Digest,
     pub(crate) arrived: Instant,
-    /// When its caller first asked, as far as the deadline tells.
-    asked: Instant,
-    /// Whether its caller was refused before, as far as the deadline tells.
+    /// When its caller first asked.
+    pub(crate) asked: Instant,
+    /// Whether its caller was refused before.
     pub(crate) again: bool,
     /// No answer is given after this.
     pub(crate) deadline: Instant,
@@ -144,15 +141,13 @@
             return Err(Denied::Suspect);
         }
         let service = choose(&route.destinations).ok_or(Denied::NoRoute)?;
-        let usual = self.usual_deadline(&route, &facts);
         let left = facts.deadline.unwrap_or(route.timeout);
-        let again = left < usual.mul_f64(AGAIN_PART);
-        let before = usual.saturating_sub(left);
+        let refused = self.refusals.borrow().asked(&fingerprint, arrived);
         Ok((
             Ask {
                 deadline: arrived + left.min(route.timeout),
-                asked: arrived.checked_sub(before).unwrap_or(arrived),
-                again,
+                asked: refused.unwrap_or(arrived),
+                again: refused.is_some(),
                 arrived,
                 facts,
                 route,
@@ -181,22 +176,6 @@
         }
         Ok(workspace)
     }
-
-    /// The longest deadline that callers stated on the route, which is that of a first request.
-    fn usual_deadline(&self, route: &Route, facts: &Facts) -> Duration {
-        let mut deadlines = self.deadlines.borrow_mut();
-        let stated = facts.deadline.unwrap_or_default();
-        match deadlines.get_mut(&route.name) {
-            Some(longest) => {
-                *longest = stated.max(*longest);
-                *longest
-            }
-            None => {
-                deadlines.insert(route.name.clone(), stated);
-                stated
-            }
-        }
-    }
 }
 
 fn find_route(config: &Config, head: &Parts) -> Option<Arc<Route>> {
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod follow;
 mod peers;
 mod process;
+mod refused;
 mod serve;
 mod settings;
 mod shared;
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -24,6 +24,10 @@
 
 /// Time after which an entry that no agent names any more counts as gone.
 const ENTRY_LIFE: Duration = Duration::from_secs(6);
+/// Time between two messages about refusals.
+const REFUSALS_EVERY: Duration = Duration::from_millis(40);
+/// Refusals of one message.
+const REFUSALS_MOST: usize = 80;
 /// Least time between two rounds of requests for reports.
 const SUBSCRIBE_PAUSE: Duration = Duration::from_millis(50);
 
@@ -77,6 +81,8 @@
         drop(dispatcher);
         self.endpoints_changed(dropped);
         self.suspects.borrow_mut().tick(now);
+        self.refusals.borrow_mut().tick(now);
+        self.near.borrow_mut().retain(|_, seen| now.saturating_duration_since(*seen) < ENTRY_LIFE);
         self.pool.sweep();
     }
 
@@ -103,6 +109,11 @@
                     }
                 }
             }
+            Message::Refused(refused) => {
+                let now = now();
+                let mut refusals = self.refusals.borrow_mut();
+                refused.iter().for_each(|refused| refusals.heard(refused, now));
+            }
             // These are for agents.
             Message::Subscribe(_) | Message::Holding(_) => {}
         }
@@ -115,6 +126,13 @@
             let mut entries = self.entries.borrow_mut();
             entries.extend(report.entries.iter().filter(|ip| **ip != own).map(|ip| (*ip, now)));
         }
+        {
+            let mut near = self.near.borrow_mut();
+            if report.near_entries.contains(&own) {
+                let others = report.near_entries.iter().filter(|ip| **ip != own);
+                near.extend(others.map(|ip| (*ip, now)));
+            }
+        }
         let news = EngineNews {
             serving: report.state == EngineState::Serving,
             version: report.version.map(WeightsVersion),
@@ -122,6 +140,7 @@
             running: report.running.into(),
             cache_used: report.cache_used.into(),
             pace: f64::from(report.pace) / 100.0,
+            home: report.home,
             run: report.run,
             number: report.number,
         };
@@ -150,6 +169,20 @@
         }
     }
 
+    /// Tells the other entries of the zone of refusals again and again.
+    pub(crate) async fn refusals_loop(self: Rc<Gateway>) {
+        loop {
+            sleep(REFUSALS_EVERY).await;
+            let news = self.refusals.borrow_mut().take_news(REFUSALS_MOST, now());
+            if !news.is_empty() {
+                let message = Message::Refused(news);
+                for ip in self.near.borrow().keys() {
+                    self.socket.send(*ip, &message);
+                }
+            }
+        }
+    }
+
     /// Tells all other entries that are known.
     pub(crate) fn tell_entries(&self, message: &Message) {
         for ip in self.entries.borrow().keys() {
--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -155,6 +155,7 @@
         }
         spawn_local(self.clone().subscribe_loop());
         spawn_local(self.clone().receive_loop());
+        spawn_local(self.clone().refusals_loop());
         spawn_local(self.clone().upkeep_loop(lines));
         spawn_local(self.reload_loop(file));
     }
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -184,6 +184,7 @@
         retry_after: Duration,
     ) -> Response<AnswerBody> {
         let status = StatusCode::SERVICE_UNAVAILABLE;
+        self.refusals.borrow_mut().refused(&ask.fingerprint, ask.asked);
         self.note_ask(ask, "not-run", reason, status, tries);
         own(status, ask.facts.id.as_ref(), Some(retry_after))
     }
--- a/components/gateway/src/shared.rs
+++ b/components/gateway/src/shared.rs
@@ -20,7 +20,9 @@
 };
 use transport::Pool;
 
-use crate::{settings::GatewaySettings, suspects::Suspects, weights::NamedWeights};
+use crate::{
+    refused::Refusals, settings::GatewaySettings, suspects::Suspects, weights::NamedWeights,
+};
 
 /// The state of the process. All tasks run on one thread; nothing is borrowed across an await.
 pub(crate) struct Gateway {
@@ -49,8 +51,9 @@
     pub(crate) busy: Cell<usize>,
     /// Bytes of request bodies that are held.
     pub(crate) body_bytes: Cell<usize>,
-    /// The longest deadline that callers stated on each route.
-    pub(crate) deadlines: RefCell<HashMap<Arc<str>, Duration>>,
+    pub(crate) refusals: RefCell<Refusals>,
+    /// Other entries of the zone, as agents name them, and when they did.
+    pub(crate) near: RefCell<HashMap<Ipv4Addr, Instant>>,
 }
 
 /// A request at an endpoint; tells the dispatcher when it has ended.
@@ -131,7 +134,8 @@
             stopping: Cell::new(false),
             busy: Cell::new(0),
             body_bytes: Cell::new(0),
-            deadlines: RefCell::default(),
+            refusals: RefCell::default(),
+            near: RefCell::default(),
         }
     }
 
--- a/components/peering/src/lib.rs
+++ b/components/peering/src/lib.rs
@@ -9,6 +9,7 @@
 pub use call::{Call, PIECE_TIMEOUT};
 pub use fleet::{Fleet, FleetWeights, Member};
 pub use message::{
-    BadMessage, EngineState, Holding, Message, Named, Pieces, StateReport, Subscription, Suspicion,
+    BadMessage, EngineState, Holding, Message, Named, Pieces, RefusedRequest, StateReport,
+    Subscription, Suspicion,
 };
 pub use socket::{MAX_DATAGRAM, PeerSocket};
--- a/components/peering/src/message.rs
+++ b/components/peering/src/message.rs
@@ -21,6 +21,8 @@
     Holding(Holding),
     /// An entry tells another of requests that were in progress when an endpoint crashed.
     Suspicions(Vec<Suspicion>),
+    /// An entry tells the others of its zone which requests it refused, as their callers come back.
+    Refused(Vec<RefusedRequest>),
 }
 
 /// Weights that the operator named.
@@ -77,8 +79,12 @@
     pub cache_used: u32,
     /// How slow the engine is, in hundredths of its published time for a step.
     pub pace: u16,
+    /// Whether the receiver is the entry of the zone that sends requests here first.
+    pub home: bool,
     /// Other entries that asked for reports, at most a few.
     pub entries: Vec<Ipv4Addr>,
+    /// Entries of the agent's zone, at most a few.
+    pub near_entries: Vec<Ipv4Addr>,
     /// Number of all entries that asked for reports.
     pub entry_count: u16,
 }
@@ -106,6 +112,15 @@
     pub named: Option<Named>,
 }
 
+/// A request whose caller was told to come back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RefusedRequest {
+    /// The first bytes of what tells what was asked by whom.
+    pub fingerprint: u64,
+    /// Milliseconds since its caller first asked.
+    pub age_ms: u32,
+}
+
 /// A request that was lost at an endpoint while it may have run there.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Suspicion {
--- a/components/stager/src/peers.rs
+++ b/components/stager/src/peers.rs
@@ -45,7 +45,7 @@
                 }
                 Ok((from, Message::Holding(holding))) => self.holds(from, holding),
                 // These are for entries.
-                Ok((_, Message::State(_) | Message::Suspicions(_))) => {}
+                Ok((_, Message::State(_) | Message::Suspicions(_) | Message::Refused(_))) => {}
                 Err(err) => {
                     warn!(self.log, "datagrams cannot be received"; "error" => %err);
                     sleep(self.settings.retry).await;
--- a/components/stager/src/report.rs
+++ b/components/stager/src/report.rs
@@ -13,6 +13,20 @@
 /// Other entries that a report names, at most.
 const NAMED_ENTRIES: usize = 8;
 
+/// The entries that send requests to the endpoint on `me` first. Entries of a zone share its endpoints
+/// out, so that each knows best what runs at its own ones.
+fn homes(me: Ipv4Addr, endpoints: &[Ipv4Addr], mut entries: Vec<Ipv4Addr>) -> Vec<Ipv4Addr> {
+    entries.sort_unstable();
+    let Some(place) = endpoints.iter().position(|ip| *ip == me) else { return entries };
+    let (endpoints, count) = (endpoints.len(), entries.len());
+    let is_home = |entry: usize| match endpoints >= count {
+        true => place % count == entry,
+        false => entry % endpoints == place,
+    };
+    let homes = entries.into_iter().enumerate().filter(|(entry, _)| is_home(*entry));
+    homes.map(|(_, ip)| ip).collect()
+}
+
 impl Stager {
     /// Asks the endpoint again and again.
     pub(crate) async fn report_loop(self: Rc<Stager>) {
@@ -74,10 +88,16 @@
         let mut subscribers = self.subscribers.borrow_mut();
         subscribers.retain(|_, s| now.saturating_duration_since(s.asked) < life);
         let entries: Vec<Ipv4Addr> = subscribers.keys().copied().collect();
+        let near = subscribers.iter().filter(|(_, s)| s.near).map(|(ip, _)| *ip);
+        let near: Vec<Ipv4Addr> = near.collect();
+        let homes = self.homes(near.clone());
         for (ip, subscriber) in subscribers.iter_mut() {
             if changed || self.is_due(subscriber) {
                 subscriber.reported = Some(now);
-                self.socket.send(*ip, &Message::State(self.state_report(&entries)));
+                self.socket.send(
+                    *ip,
+                    &Message::State(self.state_report(&entries, &near, homes.contains(ip))),
+                );
             }
         }
     }
@@ -92,7 +112,14 @@
         passed.is_none_or(|passed| passed + self.settings.near_every / 4 >= every)
     }
 
-    fn state_report(&self, entries: &[Ipv4Addr]) -> StateReport {
+    /// The entries of the zone, of those that ask for reports, that send requests here first.
+    fn homes(&self, near: Vec<Ipv4Addr>) -> Vec<Ipv4Addr> {
+        let zone = self.process.borrow().zone.to_string();
+        let (endpoints, _) = self.members(&zone);
+        homes(self.ip, &endpoints, near)
+    }
+
+    fn state_report(&self, entries: &[Ipv4Addr], near: &[Ipv4Addr], home: bool) -> StateReport {
         let report = self.report.borrow();
         let state = match report.as_ref() {
             None => EngineState::Silent,
@@ -115,8 +142,13 @@
             running: report.as_ref().map_or(0, |r| clip(r.running)),
             cache_used: report.as_ref().map_or(0, |r| r.cache_used.min(u32::MAX.into()) as u32),
             pace: report.as_ref().map_or(100, |r| (r.pace * 100.0).clamp(1.0, 60_000.0) as u16),
+            home,
+            near_entries: near.iter().take(NAMED_ENTRIES).copied().collect(),
             entries: named.copied().collect(),
             entry_count: clip(entries.len() as u32),
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/components/stager/src/settings.rs
+++ b/components/stager/src/settings.rs
@@ -52,7 +52,7 @@
             turn: TurnSettings::default(),
             report_every: Duration::from_millis(100),
             report_timeout: Duration::from_millis(600),
-            near_every: Duration::from_millis(150),
+            near_every: Duration::from_millis(100),
             far_every: Duration::from_millis(600),
             subscription: Duration::from_millis(3500),
             holding_every: Duration::from_millis(100),
--- a/components/stager/src/shared.rs
+++ b/components/stager/src/shared.rs
@@ -192,7 +192,7 @@
     }
 
     /// VMs of the own zone and, if the origin is in another, of the zone of the origin.
-    fn members(&self, zone: &str) -> (Vec<Ipv4Addr>, Vec<Ipv4Addr>) {
+    pub(crate) fn members(&self, zone: &str) -> (Vec<Ipv4Addr>, Vec<Ipv4Addr>) {
         let fleet = self.fleet.borrow();
         let of = |zone: &str| {
             let there = fleet.members.iter().filter(|member| member.zone == zone);
