Draw the cost of endpoints that other entries use, and require versions a part of the bound early

Change: what speaks against endpoints of others is drawn, more widely for far ones; a version is required 0.15 of its bound early.

--- a/components/dispatch/src/state.rs
+++ b/components/dispatch/src/state.rs
@@ -1,6 +1,7 @@
 //! The dispatcher: endpoints, requests that wait, and the choice.
 
 use std::{
+    cell::RefCell,
     collections::HashMap,
     net::{Ipv4Addr, SocketAddr},
     time::{Duration, Instant},
@@ -8,6 +9,7 @@
 
 use base::{Region, ServiceId, Zone};
 use catalog::{Endpoint, EndpointId, EngineFigures, WeightsVersion};
+use fastrand::Rng;
 use slotmap::SlotMap;
 
 use crate::{
@@ -59,6 +61,7 @@
     jobs: SlotMap<JobKey, Job>,
     /// Requests that wait, in order of arrival.
     waiting: Vec<JobKey>,
+    rng: RefCell<Rng>,
     /// The budget of repeats.
     pub repeats: RepeatBudget,
 }
@@ -78,6 +81,10 @@
 
 /// Cost of an endpoint all of whose answers were failures.
 const FAILURE_COST_MS: f64 = 600.0;
+/// Largest cost of an endpoint of this zone that others send requests to, in usual ones.
+const NEAR_SPREAD: f64 = 2.0;
+/// The same for endpoints of other zones.
+const FAR_SPREAD: f64 = 4.0;
 /// Cost of an endpoint at which a resumed stream may break off again.
 const RELOAD_COST_MS: f64 = 150.0;
 /// Time of a request at a plain service before any was measured.
@@ -101,6 +108,7 @@
             required: HashMap::new(),
             jobs: SlotMap::with_key(),
             waiting: Vec::new(),
+            rng: RefCell::new(Rng::new()),
             repeats: RepeatBudget::new(settings.repeats),
             settings,
         }
@@ -348,7 +356,7 @@
         let bias = self.biases.get(&job.service).copied().unwrap_or_default().millis();
         let life = self.settings.report_life;
         let shared = known.fresh_news(life, now).is_some_and(|news| !news.home);
-        let shared = if shared { self.settings.shared_cost.as_secs_f64() * 1e3 } else { 0.0 };
+        let shared = if shared { self.shared_cost(near) } else { 0.0 };
         let against = near + shared + known.health.failures() * FAILURE_COST_MS;
         let Some(model) = self.models.get(&job.service) else {
             return self.plain_candidate(key, known, against);
@@ -412,6 +420,15 @@
         }
     }
 
+    /// What speaks against an endpoint that other entries send requests to first, drawn anew each time,
+    /// as entries that see the same old report would all choose the same endpoint. Reports from other
+    /// zones are older.
+    fn shared_cost(&self, distance: f64) -> f64 {
+        let usual = self.settings.shared_cost.as_secs_f64() * 1e3;
+        let most = if distance > 0.0 { FAR_SPREAD * usual } else { NEAR_SPREAD * usual };
+        self.rng.borrow_mut().f64() * most
+    }
+
     fn distance_ms(&self, zone: &Zone) -> f64 {
         let DispatchSettings { zone_cost, region_cost, .. } = self.settings;
         if *zone == self.zone {
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -21,8 +21,9 @@
     pub store_retry: Duration,
     /// Time for which the store must have been away before lapsed endpoints get time to come back.
     pub store_away: Duration,
-    /// Time before the end of the bound from which only the newest weights may answer.
-    pub version_margin: Duration,
+    /// Part of the bound, at its end, in which only the newest weights may answer, as a request can
+    /// wait at an endpoint before it begins.
+    pub version_part: f64,
     /// Most bytes of an answer that is collected before it is passed on.
     pub answer_bytes: usize,
     /// Pause within a stream after which another endpoint goes on with it.
@@ -51,7 +52,7 @@
             operator_pause: Duration::from_millis(150),
             store_retry: Duration::from_millis(300),
             store_away: Duration::from_millis(1000),
-            version_margin: Duration::from_millis(1100),
+            version_part: 0.15,
             answer_bytes: 4 << 20,
             silence: Duration::from_millis(900),
             patience: Duration::from_millis(700),
--- a/components/gateway/src/shared.rs
+++ b/components/gateway/src/shared.rs
@@ -125,7 +125,7 @@
             pool,
             socket,
             suspects: RefCell::default(),
-            named: RefCell::new(NamedWeights::new(process.bounds, settings.version_margin, now())),
+            named: RefCell::new(NamedWeights::new(process.bounds, settings.version_part, now())),
             process: RefCell::new(process),
             entries: RefCell::default(),
             fleet: Cell::new(1),
--- a/components/gateway/src/weights.rs
+++ b/components/gateway/src/weights.rs
@@ -25,13 +25,15 @@
 #[derive(Debug)]
 pub(crate) struct NamedWeights {
     bounds: Bounds,
+    /// Time before the end of the bound from which a version is required.
     margin: Duration,
     started: Instant,
     models: HashMap<ModelId, Vec<Known>>,
 }
 
 impl NamedWeights {
-    pub(crate) fn new(bounds: Bounds, margin: Duration, started: Instant) -> NamedWeights {
+    pub(crate) fn new(bounds: Bounds, part: f64, started: Instant) -> NamedWeights {
+        let margin = bounds.version.mul_f64(part);
         NamedWeights { bounds, margin, started, models: HashMap::new() }
     }
 
--- a/components/gateway/src/weights/tests.rs
+++ b/components/gateway/src/weights/tests.rs
@@ -1,6 +1,7 @@
 use super::*;
 
-const MARGIN: Duration = Duration::from_millis(1500);
+/// 1.5 s of 8 s.
+const MARGIN: f64 = 1.5 / 8.0;
 
 fn model() -> ModelId {
     "m".parse().unwrap()
