--- a/components/directory/src/reader.rs
+++ b/components/directory/src/reader.rs
@@ -31,8 +31,8 @@
     fn default() -> ReaderSettings {
         let connect = ConnectSettings {
             timeout: Duration::from_millis(700),
-            probe_after: Duration::from_millis(500),
-            probe_every: Duration::from_millis(500),
+            probe_after: Duration::from_secs(1),
+            probe_every: Duration::from_secs(1),
             unacked: Duration::from_millis(1500),
         };
         ReaderSettings {
--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -110,10 +110,14 @@
         .await?;
         let gateway = self.clone();
         let metrics = SocketAddr::new(process.ip.into(), self.settings.metrics_port);
-        self.accept(metrics, inner_settings(), stopped, move |request| {
+        let accepted = self.accept(metrics, inner_settings(), stopped, move |request| {
             gateway.clone().metrics_call(request)
-        })
-        .await
+        });
+        if let Err(err) = accepted.await {
+            // Requests are served without the page too.
+            warn!(self.log, "no page of metrics"; "error" => format!("{err:#}"));
+        }
+        Ok(())
     }
 
     async fn accept<H, F>(
--- a/components/stager/src/process.rs
+++ b/components/stager/src/process.rs
@@ -131,7 +131,11 @@
         let metrics = SocketAddr::new(self.ip.into(), self.settings.metrics_port);
         let stager = self.clone();
         let call = move |request: Request<Incoming>, _| stager.clone().metrics_call(request);
-        self.accept(metrics, stopped, call).await
+        if let Err(err) = self.accept(metrics, stopped, call).await {
+            // Weights are staged without the page too.
+            warn!(self.log, "no page of metrics"; "error" => format!("{err:#}"));
+        }
+        Ok(())
     }
 
     async fn accept<H, F>(
--- a/components/transport/src/connect.rs
+++ b/components/transport/src/connect.rs
@@ -31,6 +31,8 @@
     }
 }
 
+/// Sockets take times for probes in whole seconds, and refuse 0.
+const LEAST_PROBE: Duration = Duration::from_secs(1);
 /// Probes without an answer that end a connection.
 const PROBES: u32 = 2;
 
@@ -42,8 +44,8 @@
     let stream = connecting.map_err(|_| TransportError::ConnectTimeout)??;
     stream.set_nodelay(true)?;
     let keepalive = TcpKeepalive::new()
-        .with_time(settings.probe_after)
-        .with_interval(settings.probe_every)
+        .with_time(settings.probe_after.max(LEAST_PROBE))
+        .with_interval(settings.probe_every.max(LEAST_PROBE))
         .with_retries(PROBES);
     let socket = SockRef::from(&stream);
     socket.set_tcp_keepalive(&keepalive)?;
