--- /dev/null
+++ b/components/dispatch/tests/dispatch.rs
@@ -0,0 +1,350 @@
+//! Where requests go, which wait and which are refused.
+
+use std::time::{Duration, Instant};
+
+use base::{ServiceId, Zone};
+use catalog::{Endpoint, EndpointId, EndpointState, EngineFigures, Held, Listing, WeightsVersion};
+use dispatch::{
+    Change, Decision, DispatchSettings, Dispatcher, End, EndpointKey, EngineNews, FlightKey, Job,
+    Refusal, Required, Size,
+};
+
+fn zone(name: &str) -> Zone {
+    name.parse().unwrap()
+}
+
+fn service() -> ServiceId {
+    "llm".parse().unwrap()
+}
+
+fn figures() -> EngineFigures {
+    EngineFigures {
+        slots: 4,
+        cache_tokens: 0,
+        stride: 5,
+        step: Duration::from_millis(10),
+        per_request: Duration::ZERO,
+        per_context: Duration::ZERO,
+        read_rate: 20_000.0,
+        per_pairs: Duration::ZERO,
+        chunk_tokens: 2048,
+        report_lag: Duration::from_millis(200),
+        usual_prompt: 1000,
+        usual_answer: 90,
+        weights: None,
+    }
+}
+
+fn endpoint(n: u8, zone_name: &str) -> Endpoint {
+    Endpoint {
+        id: format!("i-{n}").parse().unwrap(),
+        service: service(),
+        addr: format!("10.0.0.{n}:80").parse().unwrap(),
+        zone: zone(zone_name),
+        slots: 4,
+        state: EndpointState::Ready,
+        born: Some(1),
+        held: vec![Held { model: "m".parse().unwrap(), version: WeightsVersion(1) }],
+        model: true,
+    }
+}
+
+/// A dispatcher in zone `a` of regions `r` (zones `a`, `b`) and `s` (zone `c`).
+fn dispatcher(endpoints: &[Endpoint], now: Instant) -> Dispatcher {
+    let zones = [("a", "r"), ("b", "r"), ("c", "s")];
+    let zones = zones.map(|(z, r)| (zone(z), r.parse().unwrap()));
+    let mut dispatcher = Dispatcher::new(DispatchSettings::default(), zone("a"), zones);
+    dispatcher.set_engine(&service(), Some(&figures()));
+    for endpoint in endpoints {
+        dispatcher.list(Listing::Listed(endpoint.clone()), now);
+    }
+    dispatcher
+}
+
+fn job(now: Instant) -> Job {
+    Job {
+        service: service(),
+        size: Some(Size { prompt: 1000.0 }),
+        asked: now,
+        arrived: now,
+        objective: Duration::from_millis(400),
+        gap: Some(Duration::from_millis(400)),
+        deadline: now + Duration::from_secs(6),
+        resumed: false,
+        again: false,
+        tried: Vec::new(),
+        rank: 0,
+    }
+}
+
+fn sent(decision: Decision) -> (EndpointKey, FlightKey) {
+    match decision {
+        Decision::Send { endpoint, flight, .. } => (endpoint, flight),
+        other => panic!("{other:?}"),
+    }
+}
+
+fn id(dispatcher: &Dispatcher, key: EndpointKey, now: Instant) -> EndpointId {
+    dispatcher.endpoint(key, now).unwrap().id
+}
+
+/// The endpoints that `count` requests go to, one after the other.
+fn chosen(dispatcher: &mut Dispatcher, count: usize, now: Instant) -> Vec<String> {
+    let mut all = Vec::new();
+    for _ in 0..count {
+        let (key, _) = sent(dispatcher.submit(job(now), now).1);
+        all.push(id(dispatcher, key, now).to_string());
+    }
+    all
+}
+
+fn news(running: u32, version: u64, number: u32) -> EngineNews {
+    EngineNews {
+        serving: version > 0,
+        version: Some(WeightsVersion(version)).filter(|v| v.0 > 0),
+        waiting: 0,
+        running,
+        cache_used: 0,
+        pace: 1.0,
+        home: true,
+        run: 1,
+        number,
+    }
+}
+
+fn report(dispatcher: &mut Dispatcher, n: u8, news: EngineNews, now: Instant) {
+    let keys: Vec<EndpointKey> = dispatcher.on_vm(format!("10.0.0.{n}").parse().unwrap()).collect();
+    for key in keys {
+        dispatcher.report(key, news.clone(), now);
+    }
+}
+
+#[test]
+fn requests_stay_in_the_zone_while_it_meets_their_objective() {
+    let now = Instant::now();
+    let all = [endpoint(1, "a"), endpoint(2, "a"), endpoint(3, "b"), endpoint(4, "c")];
+    let mut dispatcher = dispatcher(&all, now);
+    let mut first = chosen(&mut dispatcher, 2, now);
+    first.sort();
+    assert_eq!(first, ["i-1", "i-2"]);
+    let later = chosen(&mut dispatcher, 6, now);
+    assert!(later.iter().any(|id| id == "i-3" || id == "i-4"), "{later:?}");
+}
+
+#[test]
+fn reports_of_what_others_sent_are_taken_into_account() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(&[endpoint(1, "a"), endpoint(2, "a")], now);
+    report(&mut dispatcher, 1, news(4, 1, 1), now);
+    report(&mut dispatcher, 2, news(0, 1, 1), now);
+    assert_eq!(chosen(&mut dispatcher, 1, now), ["i-2"]);
+    // A report that was overtaken does not count.
+    report(&mut dispatcher, 2, news(4, 1, 2), now);
+    report(&mut dispatcher, 2, news(0, 1, 1), now);
+    report(&mut dispatcher, 1, news(0, 1, 2), now);
+    assert_eq!(chosen(&mut dispatcher, 1, now), ["i-1"]);
+}
+
+#[test]
+fn what_leaves_or_is_gone_gets_nothing_new() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(&[endpoint(1, "a"), endpoint(2, "a")], now);
+    let draining = Endpoint { state: EndpointState::Draining, ..endpoint(1, "a") };
+    let change = dispatcher.list(Listing::Listed(draining), now);
+    assert!(matches!(change, Some(Change::Leaving(_))));
+    assert_eq!(chosen(&mut dispatcher, 2, now), ["i-2", "i-2"]);
+    let gone = dispatcher.list(Listing::Gone("i-2".parse().unwrap()), now);
+    assert!(matches!(gone, Some(Change::Gone(..))));
+    let decision = dispatcher.submit(job(now), now).1;
+    assert!(matches!(decision, Decision::Refuse { reason: Refusal::NoEndpoint, .. }));
+}
+
+#[test]
+fn an_address_that_is_used_again_belongs_to_the_new_endpoint() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(&[endpoint(1, "a")], now);
+    let (old, _) = sent(dispatcher.submit(job(now), now).1);
+    let moved = Endpoint { service: "other".parse().unwrap(), ..endpoint(1, "a") };
+    dispatcher.list(Listing::Listed(moved), now);
+    assert_eq!(dispatcher.endpoint(old, now), None);
+    // One that started again under its name knows nothing of before either.
+    let again = Endpoint { born: Some(2), ..endpoint(1, "a") };
+    assert!(matches!(dispatcher.list(Listing::Listed(again), now), Some(Change::Added(_))));
+}
+
+#[test]
+fn endpoints_that_lapsed_while_the_store_was_away_get_time_to_come_back() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(&[endpoint(1, "a"), endpoint(2, "a")], now);
+    assert!(dispatcher.list_all(Vec::new(), true, now).is_empty());
+    assert_eq!(chosen(&mut dispatcher, 1, now).len(), 1);
+    dispatcher.list(Listing::Listed(endpoint(1, "a")), now);
+    let relist = DispatchSettings::default().relist;
+    assert!(dispatcher.drop_lapsed(now + relist - Duration::from_millis(1)).is_empty());
+    let dropped = dispatcher.drop_lapsed(now + relist);
+    assert!(matches!(&dropped[..], [Change::Gone(_, id)] if id.as_str() == "i-2"));
+}
+
+#[test]
+fn endpoints_that_vanish_while_the_store_answers_are_gone_at_once() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(&[endpoint(1, "a"), endpoint(2, "a")], now);
+    let changes = dispatcher.list_all(vec![endpoint(1, "a")], false, now);
+    assert!(changes.iter().any(|c| matches!(c, Change::Gone(_, id) if id.as_str() == "i-2")));
+}
+
+#[test]
+fn older_weights_answer_until_newer_ones_are_due_and_not_after() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(&[endpoint(1, "a"), endpoint(2, "b")], now);
+    report(&mut dispatcher, 1, news(0, 1, 1), now);
+    report(&mut dispatcher, 2, news(0, 2, 1), now);
+    let required = |version, after| Required {
+        version: WeightsVersion(version),
+        from: now + Duration::from_millis(after),
+    };
+    dispatcher.require(&service(), vec![required(2, 500), required(3, 3000)]);
+    assert_eq!(chosen(&mut dispatcher, 1, now), ["i-1"]);
+    let due = now + Duration::from_millis(500);
+    let (key, _) = sent(dispatcher.submit(job(due), due).1);
+    let view = dispatcher.endpoint(key, due).unwrap();
+    assert_eq!((view.id.as_str(), view.version), ("i-2", Some(WeightsVersion(2))));
+}
+
+#[test]
+fn an_engine_that_loads_or_is_empty_gets_nothing() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(&[endpoint(1, "a"), endpoint(2, "b")], now);
+    report(&mut dispatcher, 1, news(0, 0, 1), now);
+    assert_eq!(chosen(&mut dispatcher, 2, now), ["i-2", "i-2"]);
+    // Without an agent what is listed counts.
+    let late = now + DispatchSettings::default().report_life;
+    assert_eq!(chosen(&mut dispatcher, 1, late), ["i-1"]);
+    let empty = Endpoint { held: Vec::new(), ..endpoint(1, "a") };
+    dispatcher.list(Listing::Listed(empty), late);
+    assert_eq!(chosen(&mut dispatcher, 1, late), ["i-2"]);
+}
+
+#[test]
+fn under_overload_requests_wait_shortly_then_are_refused_or_take_a_place_that_gets_free() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(&[endpoint(1, "a")], now);
+    let mut flights = Vec::new();
+    let (waiting, _) = loop {
+        match dispatcher.submit(job(now), now) {
+            (Some(key), Decision::Wait) => break (key, ()),
+            (_, decision) => flights.push(sent(decision)),
+        }
+    };
+    assert!((2..=8).contains(&flights.len()), "{}", flights.len());
+    let (second, _) = dispatcher.submit(job(now), now);
+    let soon = now + Duration::from_millis(50);
+    assert!(dispatcher.poll(soon).is_empty());
+    for (endpoint, flight) in flights {
+        dispatcher.ended(endpoint, flight, End::Answered, soon);
+    }
+    let decided = dispatcher.poll(soon);
+    assert!(matches!(decided[0], (key, Decision::Send { .. }) if key == waiting));
+    dispatcher.cancel(second.unwrap());
+    assert_eq!(dispatcher.waiting(), 0);
+}
+
+#[test]
+fn a_request_is_not_held_longer_than_half_of_its_objective() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(&[endpoint(1, "a")], now);
+    report(&mut dispatcher, 1, news(40, 1, 1), now);
+    let (key, decision) = dispatcher.submit(job(now), now);
+    assert_eq!(decision, Decision::Wait);
+    let half = now + Duration::from_millis(200);
+    assert!(dispatcher.poll(half - Duration::from_millis(1)).is_empty());
+    let decided = dispatcher.poll(half);
+    assert_eq!(Some(decided[0].0), key);
+    assert!(matches!(decided[0].1, Decision::Refuse { reason: Refusal::Overload, .. }));
+}
+
+#[test]
+fn an_endpoint_that_refuses_is_left_alone_for_a_moment() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(&[endpoint(1, "a"), endpoint(2, "b")], now);
+    let (first, flight) = sent(dispatcher.submit(job(now), now).1);
+    assert_eq!(id(&dispatcher, first, now).as_str(), "i-1");
+    dispatcher.ended(first, flight, End::Refused, now);
+    assert_eq!(chosen(&mut dispatcher, 1, now), ["i-2"]);
+    let later = now + Duration::from_secs(1);
+    assert_eq!(chosen(&mut dispatcher, 1, later), ["i-1"]);
+}
+
+#[test]
+fn an_endpoint_is_not_tried_twice_for_one_request() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(&[endpoint(1, "a"), endpoint(2, "c")], now);
+    let (first, flight) = sent(dispatcher.submit(job(now), now).1);
+    dispatcher.ended(first, flight, End::Lost, now);
+    let second = Job { tried: vec![first], ..job(now) };
+    let (second, _) = sent(dispatcher.submit(second, now).1);
+    assert_ne!(first, second);
+    let third = Job { tried: vec![first, second], ..job(now) };
+    let decision = dispatcher.submit(third, now).1;
+    assert!(matches!(decision, Decision::Refuse { reason: Refusal::NoEndpoint, .. }));
+}
+
+#[test]
+fn a_request_past_its_deadline_is_refused_as_late() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(&[endpoint(1, "a")], now);
+    let late = Job { deadline: now, ..job(now) };
+    let decision = dispatcher.submit(late, now).1;
+    assert!(matches!(decision, Decision::Refuse { reason: Refusal::Late, .. }));
+}
+
+#[test]
+fn a_resumed_stream_goes_where_it_does_not_break_off_again() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(&[endpoint(1, "a"), endpoint(2, "a")], now);
+    report(&mut dispatcher, 1, news(0, 1, 1), now);
+    report(&mut dispatcher, 2, news(1, 2, 1), now);
+    let from = now + Duration::from_secs(6);
+    dispatcher.require(&service(), vec![Required { version: WeightsVersion(2), from }]);
+    assert_eq!(chosen(&mut dispatcher, 1, now), ["i-1"]);
+    let resumed = Job { resumed: true, ..job(now) };
+    let (key, _) = sent(dispatcher.submit(resumed, now).1);
+    assert_eq!(id(&dispatcher, key, now).as_str(), "i-2");
+}
+
+/// The pattern of the heaviest days: more arrives than all endpoints can run, for long. Admitted
+/// requests stay within their objective, and the engines stay busy.
+#[test]
+fn a_long_overload_is_refused_in_part_and_the_rest_is_in_time() {
+    let start = Instant::now();
+    let mut dispatcher = dispatcher(&[endpoint(1, "a"), endpoint(2, "a")], start);
+    let (mut sent_count, mut refused) = (0u32, 0u32);
+    let mut running: Vec<(EndpointKey, FlightKey, Instant)> = Vec::new();
+    for step in 0..2000u64 {
+        let now = start + Duration::from_millis(10 * step);
+        let done: Vec<_> = running.extract_if(.., |(_, _, end)| now >= *end).collect();
+        for (endpoint, flight, _) in done {
+            dispatcher.ended(endpoint, flight, End::Answered, now);
+        }
+        let mut decisions: Vec<Decision> = dispatcher.poll(now).into_iter().map(|d| d.1).collect();
+        decisions.push(dispatcher.submit(job(now), now).1);
+        for decision in decisions {
+            match decision {
+                Decision::Send { endpoint, flight, expected } => {
+                    assert!(expected <= Duration::from_millis(400), "{expected:?}");
+                    dispatcher.started(endpoint, flight, now + expected);
+                    running.push((endpoint, flight, now + Duration::from_secs(1)));
+                    sent_count += 1;
+                }
+                Decision::Refuse { retry_after, .. } => {
+                    assert!(retry_after > Duration::ZERO);
+                    refused += 1;
+                }
+                Decision::Wait => {}
+            }
+        }
+    }
+    assert!(sent_count >= 120, "8 slots for 20 s, a second each: {sent_count}");
+    assert!(refused > 1000, "{refused}");
+    assert!(dispatcher.waiting() < 64);
+}
