Take few endpoints that vanish at their word after the store was away

On its return the entry heard that an endpoint had left 0.5 s before, and took that for an entry that had lapsed: it sent requests there for 3.2 s more. Ruled out: a late watch (the change was read 50 ms after the return). Test: one_endpoint_that_left_while_this_process_was_turned_away_is_gone_at_once (failed before).

--- a/components/dispatch/src/listing.rs
+++ b/components/dispatch/src/listing.rs
@@ -10,6 +10,11 @@
     state::{Change, Dispatcher},
 };
 
+/// Endpoints that vanish together, at least, when entries lapse.
+const LEAST_LAPSED: usize = 2;
+/// Part of all endpoints that vanish together, at least, when entries lapse.
+const LAPSED_PART: f64 = 0.3;
+
 impl Dispatcher {
     /// Takes in one change of the list.
     pub fn list(&mut self, listing: Listing, now: Instant) -> Option<Change> {
@@ -19,27 +24,39 @@
         }
     }
 
-    /// Takes in the whole list. Endpoints that are missing are gone, unless the store was away until
-    /// just now: then they get time to come back.
-    pub fn list_all(&mut self, all: Vec<Endpoint>, was_away: bool, now: Instant) -> Vec<Change> {
+    /// Takes in the whole list. Endpoints that are missing are gone, but for those that lapsed while
+    /// the store was away; these have until `lapsing` to come back.
+    pub fn list_all(
+        &mut self,
+        all: Vec<Endpoint>,
+        lapsing: Option<Instant>,
+        now: Instant,
+    ) -> Vec<Change> {
         let ids: HashSet<EndpointId> = all.iter().map(|endpoint| endpoint.id.clone()).collect();
         let missing: Vec<EndpointId> =
             self.ids.keys().filter(|id| !ids.contains(*id)).cloned().collect();
         let mut changes: Vec<Change> =
             all.into_iter().filter_map(|endpoint| self.upsert(endpoint, now)).collect();
-        for id in missing {
-            if was_away {
-                self.lapsed.entry(id).or_insert(now + self.settings.relist);
-            } else {
-                changes.extend(self.gone(&id));
-            }
-        }
+        changes.extend(self.vanished(missing, lapsing));
         changes
     }
 
-    /// An endpoint vanished around an absence of the store; it has until `until` to come back.
-    pub fn lapse(&mut self, id: &EndpointId, until: Instant) {
-        self.lapsed.entry(id.clone()).or_insert(until);
+    /// Endpoints are no longer listed. Where that comes shortly after the store was away and concerns
+    /// many, their entries lapsed, as nothing could be written; they have until `lapsing` to come back.
+    /// Few are taken at their word: the store may have served all others meanwhile.
+    pub fn vanished(&mut self, gone: Vec<EndpointId>, lapsing: Option<Instant>) -> Vec<Change> {
+        let known: Vec<EndpointId> =
+            gone.into_iter().filter(|id| self.ids.contains_key(id)).collect();
+        let part = known.len() as f64 / self.ids.len().max(1) as f64;
+        match lapsing {
+            Some(until) if known.len() >= LEAST_LAPSED && part >= LAPSED_PART => {
+                for id in known {
+                    self.lapsed.entry(id).or_insert(until);
+                }
+                Vec::new()
+            }
+            _ => known.iter().filter_map(|id| self.gone(id)).collect(),
+        }
     }
 
     /// Drops endpoints that were missing when the store returned and did not come back.
--- a/components/dispatch/src/settings.rs
+++ b/components/dispatch/src/settings.rs
@@ -33,8 +33,6 @@
     pub queue: usize,
     /// Bounds of repeats.
     pub repeats: RepeatSettings,
-    /// Time after which an endpoint that leaves gets nothing new.
-    pub drain: Duration,
     /// Time for which endpoints that vanished while the store was away are kept.
     pub relist: Duration,
 }
@@ -55,8 +53,7 @@
             most_retry_after: Duration::from_secs(2),
             queue: 256,
             repeats: RepeatSettings::default(),
-            drain: Duration::from_secs(2),
-            relist: Duration::from_millis(2200),
+            relist: Duration::from_secs(2),
         }
     }
 }
--- a/components/dispatch/tests/dispatch.rs
+++ b/components/dispatch/tests/dispatch.rs
@@ -13,6 +13,9 @@
     name.parse().unwrap()
 }
 
+/// Time that lapsed entries have to come back.
+const RELIST: Duration = Duration::from_secs(2);
+
 fn service() -> ServiceId {
     "llm".parse().unwrap()
 }
@@ -176,20 +179,33 @@
 fn endpoints_that_lapsed_while_the_store_was_away_get_time_to_come_back() {
     let now = Instant::now();
     let mut dispatcher = dispatcher(&[endpoint(1, "a"), endpoint(2, "a")], now);
-    assert!(dispatcher.list_all(Vec::new(), true, now).is_empty());
+    assert!(dispatcher.list_all(Vec::new(), Some(now + RELIST), now).is_empty());
     assert_eq!(chosen(&mut dispatcher, 1, now).len(), 1);
     dispatcher.list(Listing::Listed(endpoint(1, "a")), now);
-    let relist = DispatchSettings::default().relist;
-    assert!(dispatcher.drop_lapsed(now + relist - Duration::from_millis(1)).is_empty());
-    let dropped = dispatcher.drop_lapsed(now + relist);
+    assert!(dispatcher.drop_lapsed(now + RELIST - Duration::from_millis(1)).is_empty());
+    let dropped = dispatcher.drop_lapsed(now + RELIST);
     assert!(matches!(&dropped[..], [Change::Gone(_, id)] if id.as_str() == "i-2"));
 }
 
+/// An entry that alone was turned away from the store hears on its return of an endpoint that left.
+#[test]
+fn one_endpoint_that_left_while_this_process_was_turned_away_is_gone_at_once() {
+    let now = Instant::now();
+    let all: Vec<Endpoint> = (1..=8).map(|n| endpoint(n, "a")).collect();
+    let mut dispatcher = dispatcher(&all, now);
+    let lapsing = Some(now + RELIST);
+    let changes = dispatcher.vanished(vec!["i-3".parse().unwrap()], lapsing);
+    assert!(matches!(&changes[..], [Change::Gone(_, id)] if id.as_str() == "i-3"));
+    let rest = all.into_iter().filter(|e| e.id.as_str() != "i-4" && e.id.as_str() != "i-3");
+    let changes = dispatcher.list_all(rest.collect(), lapsing, now);
+    assert!(changes.iter().any(|c| matches!(c, Change::Gone(_, id) if id.as_str() == "i-4")));
+}
+
 #[test]
 fn endpoints_that_vanish_while_the_store_answers_are_gone_at_once() {
     let now = Instant::now();
     let mut dispatcher = dispatcher(&[endpoint(1, "a"), endpoint(2, "a")], now);
-    let changes = dispatcher.list_all(vec![endpoint(1, "a")], false, now);
+    let changes = dispatcher.list_all(vec![endpoint(1, "a")], None, now);
     assert!(changes.iter().any(|c| matches!(c, Change::Gone(_, id) if id.as_str() == "i-2")));
 }
 
--- a/components/gateway/src/follow.rs
+++ b/components/gateway/src/follow.rs
@@ -75,9 +75,7 @@
                 self.at = Some(changes.at.max(at));
                 let changed = !changes.entries.is_empty();
                 self.regained();
-                for entry in changes.entries {
-                    self.take(entry, false);
-                }
+                self.take_changes(changes.entries);
                 Ok(changed)
             }
         }
@@ -101,8 +99,26 @@
             "away_ms" => away.as_millis() as u64);
     }
 
-    fn is_lapsing(&self) -> bool {
-        self.lapsing.is_some_and(|until| now() < until)
+    /// Until when entries that lapsed may come back, if the store was away until just now.
+    fn lapsing(&self) -> Option<Instant> {
+        self.lapsing.filter(|until| now() < *until)
+    }
+
+    fn take_changes(&mut self, entries: Vec<Entry>) {
+        let mut gone = Vec::new();
+        for entry in entries {
+            match entry {
+                Entry::Listing(Listing::Gone(id)) => gone.push(id),
+                Entry::Listing(Listing::Listed(endpoint)) => {
+                    // It may have been gone for a moment only.
+                    gone.retain(|id| *id != endpoint.id);
+                    self.take_listing(Listing::Listed(endpoint));
+                }
+                other => self.take(other, false),
+            }
+        }
+        let changes = self.gateway.dispatcher.borrow_mut().vanished(gone, self.lapsing());
+        self.gateway.endpoints_changed(changes);
     }
 
     fn take_all(&mut self, snapshot: Snapshot) {
@@ -120,7 +136,7 @@
                 other => self.take(other, true),
             }
         }
-        let lapsing = self.is_lapsing();
+        let lapsing = self.lapsing();
         let changes = self.gateway.dispatcher.borrow_mut().list_all(all, lapsing, now());
         self.gateway.listed.set(true);
         self.gateway.endpoints_changed(changes);
@@ -143,11 +159,6 @@
     }
 
     fn take_listing(&mut self, listing: Listing) {
-        if let (Listing::Gone(id), true) = (&listing, self.is_lapsing()) {
-            let until = self.lapsing.unwrap_or_else(now);
-            self.gateway.dispatcher.borrow_mut().lapse(id, until);
-            return;
-        }
         let change = self.gateway.dispatcher.borrow_mut().list(listing, now());
         self.gateway.endpoints_changed(change.into_iter().collect());
     }
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -77,9 +77,7 @@
         };
         let mut dispatcher = self.dispatcher.borrow_mut();
         dispatcher.repeats.set_entries(entries);
-        let dropped = dispatcher.drop_lapsed(now);
         drop(dispatcher);
-        self.endpoints_changed(dropped);
         self.suspects.borrow_mut().tick(now);
         self.refusals.borrow_mut().tick(now);
         self.near.borrow_mut().retain(|_, seen| now.saturating_duration_since(*seen) < ENTRY_LIFE);
--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -51,8 +51,8 @@
         window: bounds.retry_window,
         ..RepeatSettings::default()
     };
-    let relist = bounds.relist + Duration::from_millis(200);
-    DispatchSettings { repeats, relist, drain: bounds.drain, ..DispatchSettings::default() }
+    let relist = bounds.relist;
+    DispatchSettings { repeats, relist, ..DispatchSettings::default() }
 }
 
 /// Runs the process until a signal stops it. `file` holds the settings that `process` was read from.
@@ -169,6 +169,8 @@
         loop {
             sleep(FLUSH_EVERY).await;
             lines.flush();
+            let dropped = self.dispatcher.borrow_mut().drop_lapsed(crate::shared::now());
+            self.endpoints_changed(dropped);
             if upkeep.elapsed() >= UPKEEP_EVERY {
                 upkeep = tokio::time::Instant::now();
                 self.metrics.upkeep();
