Let the last endpoints of a zone end what runs before they load

Agents and entries share the rule (catalog). Ruled out: 150 ms against endpoints that load early, which spread resumed streams but broke them twice.

--- a/components/catalog/src/lib.rs
+++ b/components/catalog/src/lib.rs
@@ -5,6 +5,7 @@
 mod endpoint;
 mod engine;
 mod process;
+mod turns;
 
 pub use config::{
     ApiKey, Config, ConfigVersion, Destination, Kind, Limits, Priority, Route, Service, Workspace,
@@ -12,3 +13,4 @@
 pub use endpoint::{Endpoint, EndpointId, EndpointState, Listing};
 pub use engine::{EngineFigures, Held, ModelId, Report, Weights, WeightsVersion};
 pub use process::{Bounds, OwnEndpoint, Process, ProcessLimits, Serves};
+pub use turns::breaks_off;
--- a/components/dispatch/src/state.rs
+++ b/components/dispatch/src/state.rs
@@ -8,7 +8,7 @@
 };
 
 use base::{Region, ServiceId, Zone};
-use catalog::{Endpoint, EndpointId, EngineFigures, WeightsVersion};
+use catalog::{Endpoint, EndpointId, EngineFigures, WeightsVersion, breaks_off};
 use fastrand::Rng;
 use slotmap::SlotMap;
 
@@ -86,7 +86,7 @@
 /// The same for endpoints of other zones.
 const FAR_SPREAD: f64 = 4.0;
 /// Cost of an endpoint at which a resumed stream may break off again.
-const RELOAD_COST_MS: f64 = 150.0;
+const RELOAD_COST_MS: f64 = 400.0;
 /// Time of a request at a plain service before any was measured.
 const PLAIN_MS: f64 = 60.0;
 
@@ -381,21 +381,17 @@
         }
     }
 
-    /// What speaks against an endpoint that is to load other weights soon, at which a resumed stream
-    /// may break off again. Endpoints of a zone load in the order of their addresses.
+    /// What speaks against an endpoint that is to load other weights soon and breaks off what runs there.
+    /// The last endpoints of a zone by address end it instead.
     fn reload_cost(&self, known: &Known, now: Instant) -> f64 {
         if !self.will_load(known, now) {
             return 0.0;
         }
         let (service, zone) = (&known.listed.service, &known.listed.zone);
-        let near = |other: &&Known| {
-            other.listed.service == *service
-                && other.listed.zone == *zone
-                && self.will_load(other, now)
-        };
-        let waiting: Vec<_> = self.endpoints.values().filter(near).map(Known::ip).collect();
-        let before = waiting.iter().filter(|ip| **ip < known.ip()).count();
-        RELOAD_COST_MS * (1.0 - before as f64 / waiting.len().max(1) as f64)
+        let near = |other: &&Known| other.listed.service == *service && other.listed.zone == *zone;
+        let all = self.endpoints.values().filter(near);
+        let breaks = known.ip().is_some_and(|ip| breaks_off(ip, all.filter_map(Known::ip)));
+        if breaks { RELOAD_COST_MS } else { 0.0 }
     }
 
     /// Whether an endpoint serves older weights than were named, so that it is to load soon.
--- a/components/dispatch/tests/dispatch.rs
+++ b/components/dispatch/tests/dispatch.rs
@@ -364,3 +364,18 @@
     assert!(refused > 1000, "{refused}");
     assert!(dispatcher.waiting() < 64);
 }
+
+#[test]
+fn a_resumed_stream_prefers_endpoints_that_end_what_runs_before_they_load() {
+    let now = Instant::now();
+    let all: Vec<Endpoint> = (1..=5).map(|n| endpoint(n, "a")).collect();
+    let mut dispatcher = dispatcher(&all, now);
+    let from = now + Duration::from_secs(6);
+    dispatcher.require(&service(), vec![Required { version: WeightsVersion(2), from }]);
+    for _ in 0..4 {
+        let resumed = Job { resumed: true, ..job(now) };
+        let (key, _) = sent(dispatcher.submit(resumed, now).1);
+        let id = id(&dispatcher, key, now);
+        assert!(["i-4", "i-5"].contains(&id.as_str()), "{id}");
+    }
+}
--- a/components/stager/src/load.rs
+++ b/components/stager/src/load.rs
@@ -55,16 +55,17 @@
             return Some(version);
         }
         let settled = now().saturating_duration_since(staged_at?) >= self.settings.turn.settle;
-        let resumable = self.is_resumable();
+        let breaks = self.breaks_off();
         let turn = &self.settings.turn;
-        let mine = settled && may_load(turn, self.ip, &peers, age, bound, resumable);
+        let mine = settled && may_load(turn, self.ip, &peers, age, bound, breaks);
         mine.then_some(version)
     }
 
-    /// Whether other endpoints can go on with what runs at this one.
-    fn is_resumable(&self) -> bool {
+    /// Whether the endpoint breaks off what runs there when it loads, as others can go on with it.
+    fn breaks_off(&self) -> bool {
+        let (zone, _) = self.members(&self.process.borrow().zone.to_string());
         let fleet = self.fleet.borrow();
-        fleet.resumable && fleet.members.len() > LEAST_FLEET
+        fleet.resumable && fleet.members.len() > LEAST_FLEET && catalog::breaks_off(self.ip, zone)
     }
 
     async fn load_now(self: &Rc<Stager>, shape: &Shape, version: WeightsVersion) {
@@ -126,7 +127,7 @@
         if report.busy || self.wanted_version() != Some(version) {
             return;
         }
-        let running = match self.is_resumable() {
+        let running = match self.breaks_off() {
             true => Running::BreakOff,
             false => Running::Finish,
         };
--- a/components/stager/src/turn.rs
+++ b/components/stager/src/turn.rs
@@ -46,14 +46,14 @@
 
 /// Whether the endpoint on `me`, which has staged the new weights and serves older ones, may load
 /// them. `peers` are the others of the zone, `age` the time since the weights were named, `bound` the
-/// time within which all must serve them, and `resumable` whether others can go on with what runs.
+/// time within which all must serve them, and `breaks` whether it breaks off what runs there.
 pub fn may_load(
     settings: &TurnSettings,
     me: Ipv4Addr,
     peers: &[Peer],
     age: Duration,
     bound: Duration,
-    resumable: bool,
+    breaks: bool,
 ) -> bool {
     let loading = peers.iter().filter(|peer| peer.loading).count();
     let waits = |peer: &&Peer| peer.staged && !peer.loading && !peer.through;
@@ -63,7 +63,7 @@
         return true;
     }
     let all = peers.len() + 1;
-    if resumable {
+    if breaks {
         let places = (all as f64 * settings.break_part).ceil() as usize;
         return loading + before < places;
     }
--- a/components/stager/src/turn/tests.rs
+++ b/components/stager/src/turn/tests.rs
@@ -62,7 +62,7 @@
 }
 
 #[test]
-fn a_smaller_part_loads_at_a_time_where_streams_are_resumed() {
+fn a_smaller_part_loads_at_a_time_where_streams_break_off() {
     let peers: Vec<Peer> = (2..=9).map(peer).collect();
     let open = |me: u8, age| {
         may_load(&TurnSettings::default(), ip(me), &peers, Duration::from_secs(age), BOUND, true)
