Fetch fewer pieces at a time over a narrow link, and build the fleet's weights in one place

Cause: on a VM whose link was squeezed to 0.9 Mbit/s eight pieces of the zone and twelve of another were on their way, 2.7 s of the link. Change: pieces on their way are as many as come in 250 ms; five of another zone at most.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -234,6 +234,9 @@
         let number = fastrand::u64(..);
         let suspicion = self.suspects.borrow_mut().lost(ask.fingerprint, vm, number, now());
         self.tell_entries(&peering::Message::Suspicions(vec![suspicion]));
+        if self.suspects.borrow().refuses(&ask.fingerprint) {
+            self.note_suspect(&ask.fingerprint);
+        }
     }
 }
 
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -211,17 +211,8 @@
             IpAddr::V4(ip) => Some(Member { ip, zone: endpoint.zone.to_string() }),
             IpAddr::V6(_) => None,
         });
-        let engine = config.services.get(service)?.engine.as_ref();
-        let weights = engine.and_then(|engine| engine.weights.as_ref()).map(|weights| {
-            let origin = config.origin();
-            FleetWeights {
-                model: weights.model.to_string(),
-                pieces: weights.pieces,
-                piece_bytes: weights.piece_bytes,
-                origin: origin.map(|(addr, _)| addr),
-                origin_zone: origin.and_then(|(_, zone)| zone).map(ToString::to_string),
-            }
-        });
+        config.services.get(service)?;
+        let weights = FleetWeights::of(&config, service);
         let named = self.newest_of(service, now());
         let resumable = config.is_resumable(service);
         Some(Fleet { members: members.collect(), weights, named, resumable })
--- a/components/peering/src/fleet.rs
+++ b/components/peering/src/fleet.rs
@@ -2,6 +2,8 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 
+use base::ServiceId;
+use catalog::Config;
 use serde::{Deserialize, Serialize};
 
 use crate::Named;
@@ -43,6 +45,22 @@
     pub origin_zone: Option<String>,
 }
 
+impl FleetWeights {
+    /// The weights of a service, if its endpoints have any.
+    pub fn of(config: &Config, service: &ServiceId) -> Option<FleetWeights> {
+        let engine = config.services.get(service)?.engine.as_ref()?;
+        let weights = engine.weights.as_ref()?;
+        let origin = config.origin();
+        Some(FleetWeights {
+            model: weights.model.to_string(),
+            pieces: weights.pieces,
+            piece_bytes: weights.piece_bytes,
+            origin: origin.map(|(addr, _)| addr),
+            origin_zone: origin.and_then(|(_, zone)| zone).map(ToString::to_string),
+        })
+    }
+}
+
 impl Fleet {
     /// Encodes it for a call's answer.
     pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
--- a/components/stager/src/peers.rs
+++ b/components/stager/src/peers.rs
@@ -232,7 +232,7 @@
         for entry in operator {
             match entry {
                 Entry::Config(config) => {
-                    fleet.weights = self.weights_in(&config);
+                    fleet.weights = FleetWeights::of(&config, &self.own.service);
                     fleet.resumable = config.is_resumable(&self.own.service);
                 }
                 Entry::Named { model, version } => versions.push((model, version)),
@@ -255,19 +255,6 @@
         fleet
     }
 
-    fn weights_in(&self, config: &catalog::Config) -> Option<FleetWeights> {
-        let service = config.services.get(&self.own.service)?;
-        let weights = service.engine.as_ref()?.weights.as_ref()?;
-        let origin = config.origin();
-        Some(FleetWeights {
-            model: weights.model.to_string(),
-            pieces: weights.pieces,
-            piece_bytes: weights.piece_bytes,
-            origin: origin.map(|(addr, _)| addr),
-            origin_zone: origin.and_then(|(_, zone)| zone).map(ToString::to_string),
-        })
-    }
-
     /// Answers a call of a peer.
     pub(crate) async fn peer_call(self: Rc<Stager>, call: Request<Incoming>) -> Response<PeerBody> {
         let found = match Call::parse(call.uri().path()) {
--- a/components/stager/src/spread.rs
+++ b/components/stager/src/spread.rs
@@ -42,7 +42,7 @@
             flights: 8,
             per_source: 2,
             origin_flights: 2,
-            far_flights: 12,
+            far_flights: 5,
             owner_patience: Duration::from_millis(1500),
             penalty: Duration::from_millis(800),
             news_life: Duration::from_secs(3),
@@ -110,6 +110,8 @@
     flights: HashMap<u32, (Source, Instant)>,
     /// Usual time of a fetch from a source, in milliseconds, newer ones weighing more.
     times: HashMap<Source, f64>,
+    /// The same over all sources of the zone.
+    time: f64,
     /// Sources that failed, and until when they are not asked.
     penalties: HashMap<Source, Instant>,
     rng: Rng,
@@ -117,6 +119,10 @@
 
 /// Time of a fetch from a source that was not asked before, in milliseconds.
 const FIRST_TIME_MS: f64 = 60.0;
+/// Time of a fetch up to which the link counts as wide enough for all, in milliseconds.
+const USUAL_TIME_MS: f64 = 250.0;
+/// Weight of the newest fetch in the usual time of all sources.
+const NEWEST_OF_ALL: f64 = 0.15;
 /// Weight of the newest fetch in the usual time of a source.
 const NEWEST: f64 = 0.4;
 /// Part of all pieces that must be in the zone before an owner can lag behind.
@@ -158,6 +164,7 @@
             alive: HashMap::new(),
             flights: HashMap::new(),
             times: HashMap::new(),
+            time: FIRST_TIME_MS,
             penalties: HashMap::new(),
             rng: Rng::with_seed(seed),
         }
@@ -264,9 +271,10 @@
             return busy(&|s| *s == Source::Origin) < origin_flights;
         }
         if !is_near(&source) {
-            return busy(&|s| *s != Source::Origin && !is_near(s)) < far_flights;
+            let far = busy(&|s| *s != Source::Origin && !is_near(s));
+            return far < far_flights.min(self.window());
         }
-        busy(&|s| *s == source) < per_source && busy(&is_near) < flights
+        busy(&|s| *s == source) < per_source && busy(&is_near) < flights.min(self.window())
     }
 
     fn source_of(&mut self, piece: u32, now: Instant) -> Option<Source> {
@@ -297,10 +305,21 @@
         Some(quick[self.rng.usize(..quick.len())])
     }
 
+    /// Pieces that may be on their way within the zone. A link that turned narrow is not filled with
+    /// them, as the requests for the endpoint come over it too.
+    fn window(&self) -> usize {
+        let time = self.time.max(1.0);
+        let window = self.settings.flights as f64 * USUAL_TIME_MS / time;
+        (window.round() as usize).max(1)
+    }
+
     fn note_time(&mut self, source: Source, took: Duration) {
         let took = took.as_secs_f64() * 1e3;
         let time = self.times.entry(source).or_insert(took);
         *time += (took - *time) * NEWEST;
+        if matches!(source, Source::Peer(ip) if self.zone.contains(&ip)) {
+            self.time += (took - self.time) * NEWEST_OF_ALL;
+        }
     }
 
     /// Time since a piece last came to the zone.
