--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -52,7 +52,7 @@
             operator_pause: Duration::from_millis(150),
             store_retry: Duration::from_millis(300),
             store_away: Duration::from_millis(1000),
-            version_part: 0.15,
+            version_part: 0.2,
             answer_bytes: 4 << 20,
             silence: Duration::from_millis(900),
             patience: Duration::from_millis(700),
