--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -2,6 +2,7 @@
 //! and time go in, decisions come out.
 
 mod bias;
+mod choose;
 mod endpoint;
 mod engine;
 mod health;
--- a/components/dispatch/src/settings.rs
+++ b/components/dispatch/src/settings.rs
@@ -25,7 +25,7 @@
     pub late_part: f64,
     /// Age from which an agent's report no longer counts.
     pub report_life: Duration,
-    /// Time without a report after which an agent that reported before counts as gone.
+    /// Shortest time that callers are told to wait.
     pub least_retry_after: Duration,
     /// Longest time that callers are told to wait.
     pub most_retry_after: Duration,
--- a/components/stager/src/lib.rs
+++ b/components/stager/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod engine;
 mod fetch;
+mod fleet;
 mod load;
 mod peers;
 mod process;
--- a/components/stager/src/peers.rs
+++ b/components/stager/src/peers.rs
@@ -5,26 +5,19 @@
 use base::{ByteSize, Digest};
 use bytes::Bytes;
 use catalog::WeightsVersion;
-use directory::Reader;
-use http::{Method, Request, Response, StatusCode};
+use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, combinators::BoxBody};
 use hyper::body::Incoming;
-use peering::{
-    Call, Fleet, FleetWeights, Holding, Member, Message, Named, PIECE_TIMEOUT, Subscription,
-};
-use platform::store::{Entry, Part};
+use peering::{Call, Holding, Message, Subscription};
 use slog::{info, warn};
 use tokio::time::{Instant, sleep, timeout, timeout_at};
-use transport::{Gone, request};
+use transport::Gone;
 
 use crate::{
     Neighbour,
     shared::{Stager, Subscriber, now},
 };
 
-/// Most bytes of what an entry knows of the fleet.
-const FLEET_BYTES: usize = 4 << 20;
-
 /// The body of an answer to a peer.
 pub(crate) type PeerBody = BoxBody<Bytes, Gone>;
 
@@ -124,137 +117,6 @@
         })
     }
 
-    /// Keeps what is known of the fleet up to date: from an entry, or from the store if none asks for
-    /// reports.
-    pub(crate) async fn fleet_loop(self: Rc<Stager>, reader: Reader) {
-        tokio::select! {
-            () = self.ask_seeds() => {}
-            // An entry asked for reports meanwhile, and is asked instead.
-            () = self.refresh.notified() => self.refresh.notify_one(),
-        }
-        loop {
-            let woken = timeout(self.settings.store_after, self.refresh.notified()).await.is_ok();
-            let entry = self.fleet_seen.get().map(|(entry, _)| entry);
-            let read = match entry.filter(|_| woken) {
-                Some(entry) => self.fleet_of_entry(entry).await,
-                None if self.has_entry() => continue,
-                None => self.fleet_of_store(&reader).await,
-            };
-            match read {
-                Some(fleet) => self.learn(fleet),
-                None => {
-                    self.fleet_seen.set(None);
-                    sleep(self.settings.retry).await;
-                }
-            }
-        }
-    }
-
-    /// Asks the seeds for the fleet, so that a new process need not wait for entries to find it.
-    async fn ask_seeds(&self) {
-        let seeds = self.process.borrow().seeds.clone();
-        for seed in seeds {
-            let std::net::IpAddr::V4(ip) = seed.ip() else { continue };
-            if self.fleet_seen.get().is_some() {
-                return;
-            }
-            if let Some(fleet) = self.fleet_of_entry(ip).await {
-                self.learn(fleet);
-                return;
-            }
-        }
-    }
-
-    fn has_entry(&self) -> bool {
-        let life = self.settings.subscription;
-        let subscribers = self.subscribers.borrow();
-        subscribers.values().any(|s| now().saturating_duration_since(s.asked) < life)
-    }
-
-    fn learn(&self, fleet: Fleet) {
-        let named = fleet.named;
-        let changed = *self.fleet.borrow() != fleet;
-        if changed {
-            info!(self.log, "fleet"; "members" => fleet.members.len(),
-                "pieces" => fleet.weights.as_ref().map_or(0, |w| w.pieces));
-            *self.fleet.borrow_mut() = fleet;
-        }
-        if let Some(named) = named {
-            self.heard_named(named);
-        }
-        self.update_members();
-        self.fetch.notify_one();
-        self.holding.notify_one();
-    }
-
-    async fn fleet_of_entry(&self, entry: Ipv4Addr) -> Option<Fleet> {
-        let addr = self.process.borrow().peer_addr(entry.into());
-        let path = Call::Fleet(self.own.service.clone()).path();
-        let request = request(Method::GET, addr, &path, Bytes::new());
-        let until = Instant::now() + PIECE_TIMEOUT;
-        let reply = self.pool.call(addr, request, FLEET_BYTES, until).await;
-        let reply = match reply {
-            Ok(reply) if reply.status == StatusCode::OK => reply,
-            Ok(_) => return None,
-            Err(err) => {
-                warn!(self.log, "fleet not read"; "entry" => %entry, "error" => %err);
-                return None;
-            }
-        };
-        match Fleet::decode(&reply.body) {
-            Ok(fleet) => Some(fleet),
-            Err(err) => {
-                warn!(self.log, "fleet not read"; "entry" => %entry, "error" => %err);
-                None
-            }
-        }
-    }
-
-    /// Reads what an entry would tell from the store; old reads are good enough.
-    async fn fleet_of_store(&self, reader: &Reader) -> Option<Fleet> {
-        let read = async {
-            let operator = reader.read(Part::Operator, true).await?;
-            let endpoints = reader.read(Part::Endpoints, true).await?;
-            Ok::<_, directory::ReadError>((operator, endpoints))
-        };
-        match read.await {
-            Ok((operator, endpoints)) => Some(self.fleet_from(operator.entries, endpoints.entries)),
-            Err(err) => {
-                warn!(self.log, "store not read"; "error" => %err);
-                None
-            }
-        }
-    }
-
-    fn fleet_from(&self, operator: Vec<Entry>, endpoints: Vec<Entry>) -> Fleet {
-        let mut fleet = Fleet::default();
-        let mut versions = Vec::new();
-        for entry in operator {
-            match entry {
-                Entry::Config(config) => {
-                    fleet.weights = FleetWeights::of(&config, &self.own.service);
-                    fleet.resumable = config.is_resumable(&self.own.service);
-                }
-                Entry::Named { model, version } => versions.push((model, version)),
-                _ => {}
-            }
-        }
-        let model = fleet.weights.as_ref().map(|weights| weights.model.clone());
-        let newest = versions.iter().filter(|(m, _)| Some(m.as_str()) == model.as_deref());
-        // Nobody here knows since when; for all that is known, for long.
-        let age_ms = self.process.borrow().bounds.version.as_millis() as u32;
-        fleet.named = newest.map(|(_, v)| v.0).max().map(|version| Named { version, age_ms });
-        for entry in endpoints {
-            if let Entry::Listing(catalog::Listing::Listed(endpoint)) = entry
-                && endpoint.service == self.own.service
-                && let std::net::IpAddr::V4(ip) = endpoint.addr.ip()
-            {
-                fleet.members.push(Member { ip, zone: endpoint.zone.to_string() });
-            }
-        }
-        fleet
-    }
-
     /// Answers a call of a peer.
     pub(crate) async fn peer_call(self: Rc<Stager>, call: Request<Incoming>) -> Response<PeerBody> {
         let found = match Call::parse(call.uri().path()) {
