--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -73,7 +73,7 @@
         let entries = {
             let mut entries = self.entries.borrow_mut();
             entries.retain(|_, seen| now.saturating_duration_since(*seen) < ENTRY_LIFE);
-            entries.len() as u32 + 1
+            self.entry_count.get().max(entries.len() as u32 + 1)
         };
         let mut dispatcher = self.dispatcher.borrow_mut();
         dispatcher.repeats.set_entries(entries);
@@ -120,6 +120,7 @@
     fn state_reported(&self, from: Ipv4Addr, report: StateReport) {
         let now = now();
         let own = self.process.borrow().ip;
+        self.entry_count.set(report.entry_count.into());
         {
             let mut entries = self.entries.borrow_mut();
             entries.extend(report.entries.iter().filter(|ip| **ip != own).map(|ip| (*ip, now)));
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -11,8 +11,6 @@
     pub dispatch: DispatchSettings,
     /// Time between requests for reports from agents.
     pub subscribe_every: Duration,
-    /// Time without requests for reports after which an agent stops reporting.
-    pub subscription: Duration,
     /// Pause between two watches of endpoints, in which changes collect.
     pub endpoints_pause: Duration,
     /// Pause between two watches of the configuration.
@@ -47,7 +45,6 @@
         GatewaySettings {
             dispatch: DispatchSettings::default(),
             subscribe_every: Duration::from_secs(1),
-            subscription: Duration::from_secs(3),
             endpoints_pause: Duration::from_millis(150),
             operator_pause: Duration::from_millis(150),
             store_retry: Duration::from_millis(300),
--- a/components/gateway/src/shared.rs
+++ b/components/gateway/src/shared.rs
@@ -40,6 +40,8 @@
     pub(crate) named: RefCell<NamedWeights>,
     /// Other entries, as agents name them, and when they did.
     pub(crate) entries: RefCell<HashMap<Ipv4Addr, Instant>>,
+    /// Entries that asked one agent for reports, by the last report.
+    pub(crate) entry_count: Cell<u32>,
     /// Grows when what agents ask for changed.
     pub(crate) fleet: Cell<u64>,
     /// Wakes the task that asks agents for reports.
@@ -128,6 +130,7 @@
             named: RefCell::new(NamedWeights::new(process.bounds, settings.version_part, now())),
             process: RefCell::new(process),
             entries: RefCell::default(),
+            entry_count: Cell::new(1),
             fleet: Cell::new(1),
             subscribe: Notify::new(),
             listed: Cell::new(false),
