--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -45,7 +45,7 @@
         GatewaySettings {
             dispatch: DispatchSettings::default(),
             subscribe_every: Duration::from_secs(1),
-            endpoints_pause: Duration::from_millis(150),
+            endpoints_pause: Duration::from_millis(400),
             operator_pause: Duration::from_millis(150),
             store_retry: Duration::from_millis(300),
             store_away: Duration::from_millis(1000),
