--- a/components/gateway/src/ask.rs
+++ b/components/gateway/src/ask.rs
@@ -46,6 +46,8 @@
 pub(crate) enum Denied {
     /// No configuration is known yet.
     NotReady,
+    /// The process stops and might not end the request in time.
+    Stopping,
     /// No route leads there.
     NoRoute,
     /// Its key is missing or not known.
@@ -63,7 +65,9 @@
 impl Denied {
     pub(crate) fn status(self) -> StatusCode {
         match self {
-            Denied::NotReady | Denied::Memory | Denied::Suspect => StatusCode::SERVICE_UNAVAILABLE,
+            Denied::NotReady | Denied::Stopping | Denied::Memory | Denied::Suspect => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Denied::NoRoute => StatusCode::NOT_FOUND,
             Denied::BadKey => StatusCode::UNAUTHORIZED,
             Denied::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
@@ -74,6 +78,8 @@
     pub(crate) fn retry_after(self) -> Option<Duration> {
         match self {
             Denied::NotReady => Some(Duration::from_millis(500)),
+            // Another process takes it at once.
+            Denied::Stopping => Some(Duration::from_millis(50)),
             Denied::Memory => Some(Duration::from_secs(1)),
             Denied::Suspect => Some(Duration::from_secs(30)),
             _ => None,
@@ -83,6 +89,7 @@
     pub(crate) fn name(self) -> &'static str {
         match self {
             Denied::NotReady => "not_ready",
+            Denied::Stopping => "stopping",
             Denied::NoRoute => "no_route",
             Denied::BadKey => "bad_key",
             Denied::TooLong => "too_long",
@@ -127,6 +134,9 @@
         facts: Facts,
     ) -> Result<(Ask, HeldBody<'a>), Denied> {
         let arrived = now();
+        if self.stopping.get().is_some_and(|stopping| stopping.refuses(arrived)) {
+            return Err(Denied::Stopping);
+        }
         let config = self.config.borrow().clone().ok_or(Denied::NotReady)?;
         let (head, body) = request.into_parts();
         let route = find_route(&config, &head).ok_or(Denied::NoRoute)?;
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod serve;
 mod settings;
 mod shared;
+mod stopping;
 mod stream;
 mod suspects;
 mod weights;
--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -25,6 +25,7 @@
     answer::{AnswerBody, own},
     settings::GatewaySettings,
     shared::Gateway,
+    stopping::Stopping,
 };
 
 /// Descriptors that are left for other things than callers' connections.
@@ -242,10 +243,10 @@
             _ = terminate.recv() => {}
             _ = interrupt.recv() => {}
         }
-        self.stopping.set(true);
-        info!(self.log, "stop"; "busy" => self.busy.get());
-        let started = tokio::time::Instant::now();
         let bounds = self.process.borrow().bounds;
+        let started = tokio::time::Instant::now();
+        self.stopping.set(Some(Stopping::new(started.into_std(), bounds.grace)));
+        info!(self.log, "stop"; "busy" => self.busy.get());
         let end = bounds.grace.saturating_sub(self.settings.grace_margin);
         sleep(self.settings.leave_notice.min(end)).await;
         stop.send_replace(Stop::Closing);
--- a/components/gateway/src/shared.rs
+++ b/components/gateway/src/shared.rs
@@ -21,7 +21,8 @@
 use transport::Pool;
 
 use crate::{
-    refused::Refusals, settings::GatewaySettings, suspects::Suspects, weights::NamedWeights,
+    refused::Refusals, settings::GatewaySettings, stopping::Stopping, suspects::Suspects,
+    weights::NamedWeights,
 };
 
 /// The state of the process. All tasks run on one thread; nothing is borrowed across an await.
@@ -48,7 +49,8 @@
     pub(crate) subscribe: Notify,
     /// Whether endpoints and configuration were read.
     pub(crate) listed: Cell<bool>,
-    pub(crate) stopping: Cell<bool>,
+    /// Set once the process got SIGTERM.
+    pub(crate) stopping: Cell<Option<Stopping>>,
     /// Requests in progress.
     pub(crate) busy: Cell<usize>,
     /// Bytes of request bodies that are held.
@@ -134,7 +136,7 @@
             fleet: Cell::new(1),
             subscribe: Notify::new(),
             listed: Cell::new(false),
-            stopping: Cell::new(false),
+            stopping: Cell::new(None),
             busy: Cell::new(0),
             body_bytes: Cell::new(0),
             refusals: RefCell::default(),
@@ -144,7 +146,7 @@
 
     /// Whether the process takes new connections.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.stopping.get() && self.listed.get() && self.config.borrow().is_some()
+        self.stopping.get().is_none() && self.listed.get() && self.config.borrow().is_some()
     }
 
     /// Waits until an endpoint is to run a request, or until the request is refused.
