Share listeners, settings file and upkeep between gateway and stager

Cause: both process files held the same loops: binding, the page of metrics, the settings file, flushes and clean-ups, signals.

The port of metrics, which deploy/system.toml states, is a constant in one place.

--- a/components/chunks/src/link.rs
+++ b/components/chunks/src/link.rs
@@ -25,6 +25,11 @@
         Link { rate, free_at: None }
     }
 
+    /// Changes the rate; what is reserved stays so.
+    pub fn set_rate(&mut self, rate: ByteRate) {
+        self.rate = rate;
+    }
+
     /// Reserves `size` bytes; returns how long to wait before they may pass.
     pub fn reserve(&mut self, size: ByteSize, now: Instant) -> Duration {
         let earliest = now.checked_sub(MAX_BURST).unwrap_or(now);
--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -1,6 +1,6 @@
 //! The process: listeners, tasks, signals and the planned stop.
 
-use std::{net::SocketAddr, path::PathBuf, rc::Rc, time::Duration};
+use std::{path::PathBuf, rc::Rc, time::Duration};
 
 use anyhow::Context;
 use catalog::{Process, Serves};
@@ -8,18 +8,13 @@
 use dispatch::{DispatchSettings, Dispatcher, RepeatSettings};
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
+use lifecycle::{SettingsFile, inner_settings, listen, serve_metrics, stop_signal, upkeep};
 use peering::PeerSocket;
 use platform::{READY_PATH, store::Part};
-use slog::{Logger, info, warn};
+use slog::{Logger, info};
 use telemetry::{Lines, MetricsPage};
-use tokio::{
-    net::TcpListener,
-    signal::unix::{SignalKind, signal},
-    sync::watch,
-    task::spawn_local,
-    time::sleep,
-};
-use transport::{AcceptSettings, Pool, PoolSettings, Server, Stop, serve};
+use tokio::{sync::watch, task::spawn_local, time::sleep};
+use transport::{AcceptSettings, Pool, PoolSettings, Stop};
 
 use crate::{
     answer::{AnswerBody, own},
@@ -30,16 +25,8 @@
 
 /// Descriptors that are left for other things than callers' connections.
 const SPARE_DESCRIPTORS: u64 = 1000;
-/// Most connections of peers and of the platform.
-const INNER_CONNECTIONS: usize = 256;
-/// Time between flushes of log lines.
-const FLUSH_EVERY: Duration = Duration::from_millis(250);
-/// Time between looks at the settings file.
-const SETTINGS_EVERY: Duration = Duration::from_secs(2);
-/// Path of the page of metrics.
-const METRICS_PATH: &str = "/metrics";
-/// Time between clean-ups of metrics.
-const UPKEEP_EVERY: Duration = Duration::from_secs(5);
+/// Time after which a connection of a peer or of the platform is closed if it is idle.
+const INNER_IDLE: Duration = Duration::from_secs(30);
 /// Time between looks at whether a process that stops is idle.
 const IDLE_EVERY: Duration = Duration::from_millis(50);
 
@@ -87,55 +74,24 @@
 impl Gateway {
     async fn listen(self: Rc<Gateway>, stopped: &watch::Receiver<Stop>) -> anyhow::Result<()> {
         let process = self.process.borrow().clone();
+        let inner = inner_settings(INNER_IDLE);
         if process.serves.contains(&Serves::Callers) {
             let callers = process.callers.context("settings name no address for callers")?;
             let gateway = self.clone();
-            self.accept(callers, self.caller_settings(), stopped, move |request| {
-                gateway.clone().serve(request)
-            })
-            .await?;
+            let call = move |request| gateway.clone().serve(request);
+            listen(callers, self.caller_settings(), stopped, call).await?;
         }
-        let ready = [process.ready, process.control].into_iter().flatten();
-        for addr in ready {
+        for addr in [process.ready, process.control].into_iter().flatten() {
             let gateway = self.clone();
-            self.accept(addr, inner_settings(), stopped, move |request| {
-                gateway.clone().ready_call(request)
-            })
-            .await?;
+            let call = move |request| gateway.clone().ready_call(request);
+            listen(addr, inner, stopped, call).await?;
         }
         let gateway = self.clone();
         let peers = process.peer_addr(process.ip.into());
-        self.accept(peers, inner_settings(), stopped, move |request| {
-            gateway.clone().peer_call(request)
-        })
-        .await?;
-        let gateway = self.clone();
-        let metrics = SocketAddr::new(process.ip.into(), self.settings.metrics_port);
-        let accepted = self.accept(metrics, inner_settings(), stopped, move |request| {
-            gateway.clone().metrics_call(request)
-        });
-        if let Err(err) = accepted.await {
-            // Requests are served without the page too.
-            warn!(self.log, "no page of metrics"; "error" => format!("{err:#}"));
-        }
-        Ok(())
-    }
-
-    async fn accept<H, F>(
-        &self,
-        addr: SocketAddr,
-        settings: AcceptSettings,
-        stopped: &watch::Receiver<Stop>,
-        handle: H,
-    ) -> anyhow::Result<()>
-    where
-        H: Fn(Request<Incoming>) -> F + Clone + 'static,
-        F: Future<Output = Response<AnswerBody>> + 'static,
-    {
-        let listener = TcpListener::bind(addr).await.with_context(|| format!("bind {addr}"))?;
-        let server = Rc::new(Server::default());
-        let handle = move |request, _| handle(request);
-        spawn_local(serve(listener, settings, stopped.clone(), server, handle));
+        let call = move |request| gateway.clone().peer_call(request);
+        listen(peers, inner, stopped, call).await?;
+        let page = self.metrics.clone();
+        serve_metrics(process.ip.into(), INNER_IDLE, page, stopped, &self.log).await;
         Ok(())
     }
 
@@ -161,62 +117,23 @@
         spawn_local(self.clone().subscribe_loop());
         spawn_local(self.clone().receive_loop());
         spawn_local(self.clone().refusals_loop());
-        spawn_local(self.clone().upkeep_loop(lines));
-        spawn_local(self.reload_loop(file));
+        spawn_local(self.clone().follow_settings(file));
+        let (often, page) = (self.clone(), self.metrics.clone());
+        spawn_local(upkeep(lines, page, move || often.drop_lapsed(), || ()));
     }
 
-    async fn upkeep_loop(self: Rc<Gateway>, lines: Lines) {
-        let mut upkeep = tokio::time::Instant::now();
-        loop {
-            sleep(FLUSH_EVERY).await;
-            lines.flush();
-            let dropped = self.dispatcher.borrow_mut().drop_lapsed(crate::shared::now());
-            self.endpoints_changed(dropped);
-            if upkeep.elapsed() >= UPKEEP_EVERY {
-                upkeep = tokio::time::Instant::now();
-                self.metrics.upkeep();
-            }
-        }
+    fn drop_lapsed(&self) {
+        let dropped = self.dispatcher.borrow_mut().drop_lapsed(crate::shared::now());
+        self.endpoints_changed(dropped);
     }
 
-    /// Takes up changes of the settings file, with a signal or without.
-    async fn reload_loop(self: Rc<Gateway>, file: PathBuf) {
-        let Ok(mut hangup) = signal(SignalKind::hangup()) else {
-            warn!(self.log, "SIGHUP cannot be received");
-            return;
+    async fn follow_settings(self: Rc<Gateway>, file: PathBuf) {
+        let process = self.process.borrow().clone();
+        let changed = |process: Process| {
+            self.dispatcher.borrow_mut().repeats.set(dispatch_settings(&process).repeats);
+            *self.process.borrow_mut() = process;
         };
-        let mut last = String::new();
-        loop {
-            let asked = tokio::time::timeout(SETTINGS_EVERY, hangup.recv()).await.is_ok();
-            let text = match std::fs::read_to_string(&file) {
-                Ok(text) => text,
-                Err(err) => {
-                    warn!(self.log, "settings cannot be read"; "error" => %err);
-                    continue;
-                }
-            };
-            if text == last && !asked {
-                continue;
-            }
-            self.reload(&text);
-            last = text;
-        }
-    }
-
-    fn reload(&self, text: &str) {
-        match platform::decode_settings(text) {
-            Ok(process) => {
-                if *self.process.borrow() != process {
-                    info!(self.log, "reload"; "outcome" => "changed");
-                    let settings = dispatch_settings(&process).repeats;
-                    self.dispatcher.borrow_mut().repeats.set(settings);
-                    *self.process.borrow_mut() = process;
-                }
-            }
-            Err(err) => {
-                warn!(self.log, "reload"; "outcome" => "kept the old settings", "error" => %err);
-            }
-        }
+        SettingsFile::new(file, process).follow(self.log.clone(), changed).await;
     }
 
     async fn ready_call(self: Rc<Gateway>, request: Request<Incoming>) -> Response<AnswerBody> {
@@ -228,21 +145,9 @@
         own(status, None, None)
     }
 
-    async fn metrics_call(self: Rc<Gateway>, request: Request<Incoming>) -> Response<AnswerBody> {
-        if request.uri().path() != METRICS_PATH {
-            return own(StatusCode::NOT_FOUND, None, None);
-        }
-        Response::new(AnswerBody::Whole(Some(self.metrics.render().into())))
-    }
-
     /// Waits for the signal to stop, and until requests in progress have ended.
     async fn stop(&self, stop: &watch::Sender<Stop>) -> anyhow::Result<()> {
-        let mut terminate = signal(SignalKind::terminate()).context("SIGTERM")?;
-        let mut interrupt = signal(SignalKind::interrupt()).context("SIGINT")?;
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
-        }
+        stop_signal().await?;
         let bounds = self.process.borrow().bounds;
         let started = tokio::time::Instant::now();
         self.stopping.set(Some(Stopping::new(started.into_std(), bounds.grace)));
@@ -259,12 +164,3 @@
         Ok(())
     }
 }
-
-fn inner_settings() -> AcceptSettings {
-    AcceptSettings {
-        header_bytes: 16 << 10,
-        idle: Duration::from_secs(30),
-        connections: INNER_CONNECTIONS,
-        probe_after: Duration::from_secs(2),
-    }
-}
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -36,8 +36,6 @@
     pub grace_margin: Duration,
     /// Part of the memory that bodies of requests may take.
     pub body_part: f64,
-    /// Port of the page of metrics.
-    pub metrics_port: u16,
 }
 
 impl Default for GatewaySettings {
@@ -57,7 +55,6 @@
             leave_notice: Duration::from_millis(2300),
             grace_margin: Duration::from_millis(600),
             body_part: 0.25,
-            metrics_port: 9464,
         }
     }
 }
--- a/components/stager/src/settings.rs
+++ b/components/stager/src/settings.rs
@@ -41,8 +41,6 @@
     pub order_patience: Duration,
     /// Pause after something failed.
     pub retry: Duration,
-    /// Port of the page of metrics.
-    pub metrics_port: u16,
 }
 
 impl Default for StagerSettings {
@@ -65,7 +63,6 @@
             notice: Duration::from_millis(30),
             order_patience: Duration::from_secs(8),
             retry: Duration::from_millis(200),
-            metrics_port: 9464,
         }
     }
 }
