--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -12,10 +12,11 @@
 
 /// Seeds that are played always.
 const SEEDS: [u64; 3] = [1, 2, 3];
-/// Seeds that failed once, each with its cause.
-const REGRESSIONS: [u64; 0] = [];
+/// Seeds that failed once. 12: a proxy took connections for a process that did not listen yet. 107: a
+/// port was taken by another socket between its choice and its use.
+const REGRESSIONS: [u64; 2] = [12, 107];
 /// Plays at once.
-const AT_ONCE: usize = 3;
+const AT_ONCE: usize = 6;
 
 /// Seeds of this run: `SOAK_SEEDS=FIRST-LAST`, or those that are played always.
 fn seeds() -> Vec<u64> {
