--- a/components/base/src/digest.rs
+++ b/components/base/src/digest.rs
@@ -18,6 +18,12 @@
     pub fn of(data: &[u8]) -> Digest {
         Digest(Sha256::digest(data).into())
     }
+
+    /// Returns the first 8 bytes as a number, for messages in which a whole digest is too long.
+    pub fn short(&self) -> u64 {
+        let [a, b, c, d, e, f, g, h, ..] = self.0;
+        u64::from_le_bytes([a, b, c, d, e, f, g, h])
+    }
 }
 
 impl fmt::Display for Digest {
--- a/components/dispatch/src/endpoint.rs
+++ b/components/dispatch/src/endpoint.rs
@@ -61,6 +61,9 @@
 #[derive(Debug)]
 pub(crate) struct TrackedEndpoint {
     pub(crate) listed: Endpoint,
+    /// Whether requests may be sent to it: always for a plain service, for an engine if it is in the
+    /// subset of this process, which gets its reports.
+    pub(crate) is_followed: bool,
     /// When the endpoint was listed as draining.
     pub(crate) leaving_since: Option<Instant>,
     pub(crate) health: Health,
@@ -82,6 +85,7 @@
     pub(crate) fn new(listed: Endpoint) -> TrackedEndpoint {
         TrackedEndpoint {
             listed,
+            is_followed: true,
             leaving_since: None,
             health: Health::default(),
             in_flight: SlotMap::with_key(),
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -11,6 +11,7 @@
 mod selection;
 mod settings;
 mod state;
+mod subset;
 
 pub use bias::PredictionBias;
 pub use endpoint::{EndpointKey, EngineStatus, InFlightKey, InFlightRequest};
@@ -22,3 +23,4 @@
 pub use retries::{RetryBudget, RetrySettings};
 pub use settings::DispatchSettings;
 pub use state::{Dispatcher, EndpointChange, EndpointView};
+pub use subset::SubsetSettings;
--- a/components/dispatch/src/listing.rs
+++ b/components/dispatch/src/listing.rs
@@ -1,6 +1,6 @@
 //! Updates of the endpoint list: endpoints that are added, changed, draining or removed.
 
-use std::{collections::HashSet, time::Instant};
+use std::{collections::HashSet, net::Ipv4Addr, time::Instant};
 
 use catalog::{Endpoint, EndpointId, EndpointState, EndpointUpdate};
 
@@ -108,8 +108,12 @@
         let draining = endpoint.state == EndpointState::Draining;
         let mut tracked = TrackedEndpoint::new(endpoint);
         tracked.leaving_since = draining.then_some(now);
+        let ip = tracked.ip();
         let key = self.endpoints.insert(tracked);
         self.keys_by_id.insert(id, key);
+        if let Some(ip) = ip {
+            self.keys_by_ip.entry(ip).or_default().push(key);
+        }
         EndpointChange::Added(key)
     }
 
@@ -117,9 +121,20 @@
         self.lapsed.remove(id);
         let key = self.keys_by_id.remove(id)?;
         let tracked = self.endpoints.remove(key)?;
+        self.remove_from_vm(key, tracked.ip());
         Some(EndpointChange::Removed(key, tracked.listed.id))
     }
 
+    fn remove_from_vm(&mut self, key: EndpointKey, ip: Option<Ipv4Addr>) {
+        let Some(ip) = ip else { return };
+        if let Some(keys) = self.keys_by_ip.get_mut(&ip) {
+            keys.retain(|other| *other != key);
+            if keys.is_empty() {
+                self.keys_by_ip.remove(&ip);
+            }
+        }
+    }
+
     /// The keys of all endpoints; requests may still be running at them.
     pub fn endpoint_keys(&self) -> impl Iterator<Item = EndpointKey> {
         self.endpoints.keys()
--- a/components/dispatch/src/settings.rs
+++ b/components/dispatch/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::RetrySettings;
+use crate::{RetrySettings, SubsetSettings};
 
 /// Weights and limits used to select endpoints.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -34,6 +34,8 @@
     pub max_waiting: usize,
     /// Limits of retries.
     pub retries: RetrySettings,
+    /// Limits of the engines that are followed.
+    pub subset: SubsetSettings,
     /// Time for which endpoints that disappeared while the store was unreachable are kept.
     pub relist_grace: Duration,
 }
@@ -54,6 +56,7 @@
             max_retry_after: Duration::from_secs(2),
             max_waiting: 256,
             retries: RetrySettings::default(),
+            subset: SubsetSettings::default(),
             relist_grace: Duration::from_secs(2),
         }
     }
--- a/components/dispatch/src/state.rs
+++ b/components/dispatch/src/state.rs
@@ -54,6 +54,7 @@
     pub(crate) regions: HashMap<Zone, Region>,
     pub(crate) endpoints: SlotMap<EndpointKey, TrackedEndpoint>,
     pub(crate) keys_by_id: HashMap<EndpointId, EndpointKey>,
+    pub(crate) keys_by_ip: HashMap<Ipv4Addr, Vec<EndpointKey>>,
     /// Endpoints that were missing when the store came back, with the time at which they count as
     /// gone.
     pub(crate) lapsed: HashMap<EndpointId, Instant>,
@@ -80,6 +81,7 @@
             regions: zones.into_iter().collect(),
             endpoints: SlotMap::with_key(),
             keys_by_id: HashMap::new(),
+            keys_by_ip: HashMap::new(),
             lapsed: HashMap::new(),
             engine_models: HashMap::new(),
             biases: HashMap::new(),
@@ -128,6 +130,11 @@
         })
     }
 
+    /// The service of an endpoint.
+    pub fn service_of(&self, key: EndpointKey) -> Option<&ServiceId> {
+        self.endpoints.get(key).map(|tracked| &tracked.listed.service)
+    }
+
     pub(crate) fn required_version(
         &self,
         service: &ServiceId,
@@ -143,10 +150,14 @@
         self.endpoints.iter().map(|(key, tracked)| (key, &tracked.listed))
     }
 
+    /// The endpoints that this process may send requests to, with their latest published data.
+    pub fn followed_endpoints(&self) -> impl Iterator<Item = &Endpoint> {
+        self.endpoints.values().filter(|tracked| tracked.is_followed).map(|tracked| &tracked.listed)
+    }
+
     /// The endpoints on a VM.
     pub fn endpoints_on_vm(&self, ip: Ipv4Addr) -> impl Iterator<Item = EndpointKey> {
-        let on_vm = move |tracked: &TrackedEndpoint| tracked.ip() == Some(ip);
-        self.endpoints.iter().filter(move |(_, tracked)| on_vm(tracked)).map(|(key, _)| key)
+        self.keys_by_ip.get(&ip).into_iter().flatten().copied()
     }
 
     /// Whether an endpoint is a model engine.
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -267,9 +267,7 @@
     pub(crate) fn record_suspicion(&self, context: &RequestContext, view: &EndpointView) {
         let IpAddr::V4(vm) = view.addr.ip() else { return };
         let number = fastrand::u64(..);
-        let suspicion =
-            self.suspects.borrow_mut().record_loss(context.fingerprint, vm, number, now());
-        self.send_to_gateways(&peering::Message::Suspicions(vec![suspicion]));
+        self.suspects.borrow_mut().record_loss(context.fingerprint, vm, number, now());
         if self.suspects.borrow().is_refused(&context.fingerprint) {
             self.log_refused_suspect(&context.fingerprint);
         }
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -1,15 +1,16 @@
 //! Messages between gateways and stagers: status reports, suspect requests and refusals.
 
 use std::{
+    collections::HashMap,
     net::{IpAddr, Ipv4Addr},
     rc::Rc,
     time::{Duration, Instant},
 };
 
-use base::{Digest, ServiceId};
+use base::{Digest, ServiceId, Zone};
 use bytes::Bytes;
 use catalog::{ModelId, WeightsVersion};
-use dispatch::EngineStatus;
+use dispatch::{Dispatcher, EngineStatus};
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use peering::{
@@ -20,15 +21,17 @@
 
 use crate::{
     response::{ResponseBody, own_response},
-    state::{Gateway, now},
+    state::{Gateway, SubsetInputs, now},
 };
 
 /// Time after which a gateway that no stager names any more is dropped.
 const GATEWAY_EXPIRY: Duration = Duration::from_secs(6);
-/// Interval between two messages about refusals.
-const REFUSALS_INTERVAL: Duration = Duration::from_millis(40);
+/// Interval between two messages about refusals and suspect requests. Callers retry later than that.
+const NEWS_INTERVAL: Duration = Duration::from_millis(120);
 /// Maximum number of refusals per message.
 const MAX_REFUSALS_PER_MESSAGE: usize = 80;
+/// Maximum number of suspicions per message.
+const MAX_SUSPICIONS_PER_MESSAGE: usize = 24;
 /// Minimum interval between two rounds of requests for reports.
 const MIN_SUBSCRIBE_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -46,22 +49,54 @@
     }
 
     fn subscribe_all(&self) {
+        self.update_subset();
         let now = now();
         let zone = self.process.borrow().zone.clone();
         let dispatcher = self.dispatcher.borrow();
-        for (_, endpoint) in dispatcher.listed_endpoints() {
+        for endpoint in dispatcher.followed_endpoints() {
             let (IpAddr::V4(ip), true) = (endpoint.addr.ip(), endpoint.serves_model) else {
                 continue;
             };
             let subscription = Subscription {
                 near: endpoint.zone == zone,
                 named: self.newest_weights(&endpoint.service, now),
-                fleet: self.fleet_revision.get(),
+                fleet: self.fleet_digest(&dispatcher, &endpoint.service, &endpoint.zone),
             };
             self.socket.send(ip, &Message::Subscribe(subscription));
         }
     }
 
+    /// Chooses again which engines to follow, if the fleet or the number of gateways has changed.
+    fn update_subset(&self) {
+        let gateways = self.zone_gateways.borrow().len() + 1;
+        let inputs = SubsetInputs { fleet_revision: self.fleet_revision.get(), gateways };
+        if self.subset_inputs.replace(Some(inputs)) != Some(inputs) {
+            let own_vm = self.process.borrow().vm.clone();
+            self.dispatcher.borrow_mut().update_subset(own_vm.as_str(), gateways);
+        }
+    }
+
+    /// The digest of the fleet that the stagers of a zone get, computed once for each change.
+    fn fleet_digest(&self, dispatcher: &Dispatcher, service: &ServiceId, zone: &Zone) -> u64 {
+        let key = (service.clone(), zone.clone());
+        if let Some((revision, digest)) = self.fleet_digests.borrow().get(&key)
+            && *revision == self.fleet_revision.get()
+        {
+            return *digest;
+        }
+        let fleet = self.fleet_of(dispatcher, service);
+        let digest = fleet.map(|fleet| fleet.for_zone(zone.as_str()).digest());
+        let digest = match digest.transpose() {
+            Ok(digest) => digest.unwrap_or_default(),
+            Err(err) => {
+                slog::warn!(self.log, "fleet cannot be encoded"; "error" => %err);
+                0
+            }
+        };
+        self.fleet_digests.borrow_mut().insert(key, (self.fleet_revision.get(), digest));
+        digest
+    }
+
     fn model_of(&self, service: &ServiceId) -> Option<ModelId> {
         let config = self.config.borrow();
         let engine = config.as_ref()?.services.get(service)?.engine.as_ref()?;
@@ -158,11 +193,11 @@
             let service = {
                 let mut dispatcher = self.dispatcher.borrow_mut();
                 dispatcher.apply_report(key, status.clone(), now);
-                dispatcher.endpoint(key, now).map(|view| view.service)
+                dispatcher.service_of(key).cloned()
             };
             self.handle_named_age(service.as_ref(), report.named, now);
         }
-        self.poll();
+        self.poll_soon();
     }
 
     fn handle_named_age(
@@ -179,23 +214,25 @@
         }
     }
 
-    /// Periodically reports refusals to the other gateways of the zone.
-    pub(crate) async fn refusals_loop(self: Rc<Gateway>) {
+    /// Periodically reports refusals to the other gateways of the zone, and suspect requests to all
+    /// other gateways.
+    pub(crate) async fn news_loop(self: Rc<Gateway>) {
         loop {
-            sleep(REFUSALS_INTERVAL).await;
+            sleep(NEWS_INTERVAL).await;
             let refusals = self.refusals.borrow_mut().take_pending(MAX_REFUSALS_PER_MESSAGE, now());
             if !refusals.is_empty() {
-                let message = Message::Refused(refusals);
-                for ip in self.zone_gateways.borrow().keys() {
-                    self.socket.send(*ip, &message);
-                }
+                self.send_to(&self.zone_gateways.borrow(), &Message::Refused(refusals));
+            }
+            let suspicions =
+                self.suspects.borrow_mut().take_pending(MAX_SUSPICIONS_PER_MESSAGE, now());
+            if !suspicions.is_empty() {
+                self.send_to(&self.other_gateways.borrow(), &Message::Suspicions(suspicions));
             }
         }
     }
 
-    /// Sends a message to all other known gateways.
-    pub(crate) fn send_to_gateways(&self, message: &Message) {
-        for ip in self.other_gateways.borrow().keys() {
+    fn send_to(&self, gateways: &HashMap<Ipv4Addr, Instant>, message: &Message) {
+        for ip in gateways.keys() {
             self.socket.send(*ip, message);
         }
     }
@@ -205,8 +242,15 @@
         self: Rc<Gateway>,
         request: Request<Incoming>,
     ) -> Response<ResponseBody> {
-        let fleet = match PeerRequest::parse(request.uri().path()) {
-            Some(PeerRequest::Fleet(service)) => self.fleet_of(&service),
+        let path = request.uri().path_and_query().map_or("", |path| path.as_str());
+        let fleet = match PeerRequest::parse(path) {
+            Some(PeerRequest::Fleet(service, zone)) => {
+                let fleet = self.fleet_of(&self.dispatcher.borrow(), &service);
+                match zone {
+                    Some(zone) => fleet.map(|fleet| fleet.for_zone(zone.as_str())),
+                    None => fleet,
+                }
+            }
             _ => None,
         };
         match fleet.and_then(|fleet| fleet.encode().ok()) {
@@ -215,9 +259,8 @@
         }
     }
 
-    fn fleet_of(&self, service: &ServiceId) -> Option<Fleet> {
+    fn fleet_of(&self, dispatcher: &Dispatcher, service: &ServiceId) -> Option<Fleet> {
         let config = self.config.borrow().clone()?;
-        let dispatcher = self.dispatcher.borrow();
         let mine =
             dispatcher.listed_endpoints().filter(|(_, endpoint)| endpoint.service == *service);
         let members = mine.filter_map(|(_, endpoint)| match endpoint.addr.ip() {
--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -120,7 +120,8 @@
         spawn_local(crate::store_follower::StoreFollower::new(self.clone(), reader).run());
         spawn_local(self.clone().subscribe_loop());
         spawn_local(self.clone().receive_loop());
-        spawn_local(self.clone().refusals_loop());
+        spawn_local(self.clone().news_loop());
+        spawn_local(self.clone().poll_loop());
         spawn_local(self.clone().follow_settings(file));
         let (gateway, page) = (self.clone(), self.metrics.clone());
         spawn_local(run_maintenance(lines, page, move || gateway.drop_expired_endpoints(), || ()));
--- a/components/gateway/src/refused.rs
+++ b/components/gateway/src/refused.rs
@@ -22,20 +22,12 @@
     pending: Vec<(u64, Instant)>,
 }
 
-/// Returns the first 8 bytes of a fingerprint.
-fn short_fingerprint(fingerprint: &Digest) -> u64 {
-    let Digest(bytes) = fingerprint;
-    u64::from_le_bytes([
-        bytes[0], bytes[1], bytes[2], bytes[3], bytes[4], bytes[5], bytes[6], bytes[7],
-    ])
-}
-
 impl RecentRefusals {
     /// Records a request that this gateway refused and that its caller first sent at `first_requested`.
     pub(crate) fn record(&mut self, fingerprint: &Digest, first_requested: Instant) {
         if self.first_requested.len() < MAX_REQUESTS {
-            self.first_requested.insert(short_fingerprint(fingerprint), first_requested);
-            self.pending.push((short_fingerprint(fingerprint), first_requested));
+            self.first_requested.insert(fingerprint.short(), first_requested);
+            self.pending.push((fingerprint.short(), first_requested));
         }
     }
 
@@ -50,7 +42,7 @@
 
     /// Returns when a recently refused request was first sent, or `None` if it was not refused.
     pub(crate) fn first_requested(&self, fingerprint: &Digest, now: Instant) -> Option<Instant> {
-        let first_requested = *self.first_requested.get(&short_fingerprint(fingerprint))?;
+        let first_requested = *self.first_requested.get(&fingerprint.short())?;
         (now.saturating_duration_since(first_requested) < EXPIRY).then_some(first_requested)
     }
 
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -29,6 +29,8 @@
     pub response_slack: Duration,
     /// Maximum interval between two checks of queued requests.
     pub poll_interval: Duration,
+    /// Minimum interval between two checks of queued requests.
+    pub min_poll_interval: Duration,
     /// Time after SIGTERM in which new connections are still accepted.
     pub shutdown_accept_time: Duration,
     /// Time before the end of the grace period at which the process ends in any case.
@@ -50,6 +52,7 @@
             stream_silence_timeout: Duration::from_millis(900),
             response_slack: Duration::from_millis(700),
             poll_interval: Duration::from_millis(15),
+            min_poll_interval: Duration::from_millis(3),
             shutdown_accept_time: Duration::from_millis(2300),
             grace_margin: Duration::from_millis(600),
             body_memory_fraction: 0.25,
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -9,6 +9,7 @@
     time::{Duration, Instant},
 };
 
+use base::{ServiceId, Zone};
 use catalog::{Config, ProcessSettings};
 use dispatch::{
     Decision, Dispatcher, EndpointKey, EndpointOutcome, InFlightKey, PendingRequest, Refusal,
@@ -19,7 +20,7 @@
 use telemetry::MetricsHandle;
 use tokio::{
     sync::{Notify, oneshot},
-    time::timeout,
+    time::{sleep, timeout},
 };
 use transport::ConnectionPool;
 
@@ -28,6 +29,14 @@
     suspects::SuspectRequests, weights::NamedWeights,
 };
 
+/// What the subset of followed engines was chosen from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct SubsetInputs {
+    pub(crate) fleet_revision: u64,
+    /// Number of gateways of the zone.
+    pub(crate) gateways: usize,
+}
+
 /// State of the gateway. All tasks run on one thread and hold no `RefCell` borrow across an await.
 pub(crate) struct Gateway {
     pub(crate) settings: GatewaySettings,
@@ -48,6 +57,13 @@
     pub(crate) gateway_count: Cell<u32>,
     /// Incremented when the fleet that stagers request has changed.
     pub(crate) fleet_revision: Cell<u64>,
+    /// Digests of the fleets for the stagers of each service and zone, with the `fleet_revision`
+    /// they belong to.
+    pub(crate) fleet_digests: RefCell<HashMap<(ServiceId, Zone), (u64, u64)>>,
+    /// `None` until the subset was first chosen.
+    pub(crate) subset_inputs: Cell<Option<SubsetInputs>>,
+    /// Wakes the task that decides on queued requests.
+    poll_notify: Notify,
     /// Wakes the task that asks stagers for reports.
     pub(crate) subscribe_notify: Notify,
     /// Whether the store was read completely.
@@ -94,7 +110,7 @@
             self.end,
             now,
         );
-        self.gateway.poll();
+        self.gateway.poll_soon();
     }
 }
 
@@ -147,6 +163,9 @@
             other_gateways: RefCell::default(),
             gateway_count: Cell::new(1),
             fleet_revision: Cell::new(1),
+            fleet_digests: RefCell::default(),
+            subset_inputs: Cell::default(),
+            poll_notify: Notify::new(),
             subscribe_notify: Notify::new(),
             endpoints_listed: Cell::new(false),
             stopping: Cell::new(None),
@@ -192,24 +211,38 @@
     }
 
     async fn wait_for_decision(&self, key: RequestKey) -> Decision {
-        let (sender, mut receiver) = oneshot::channel();
+        let (sender, receiver) = oneshot::channel();
         self.pending_decisions.borrow_mut().insert(key, sender);
         let _guard = PendingGuard { gateway: self, key };
+        self.poll_notify.notify_one();
+        receiver.await.unwrap_or(Decision::Wait)
+    }
+
+    /// Decides on queued requests after each event that may matter to them, and periodically while
+    /// there are any. Events that come in quick succession are handled together.
+    pub(crate) async fn poll_loop(self: Rc<Gateway>) {
         loop {
-            match timeout(self.settings.poll_interval, &mut receiver).await {
-                Ok(Ok(decision)) => return decision,
-                Ok(Err(_)) => return Decision::Wait,
-                Err(_) => self.poll(),
+            if self.dispatcher.borrow().waiting() == 0 {
+                self.poll_notify.notified().await;
+            } else {
+                // Whether notified or timed out, all queued requests are decided again.
+                let _ = timeout(self.settings.poll_interval, self.poll_notify.notified()).await;
             }
+            self.poll();
+            sleep(self.settings.min_poll_interval).await;
+        }
+    }
+
+    /// Has queued requests decided soon, if there are any.
+    pub(crate) fn poll_soon(&self) {
+        if self.dispatcher.borrow().waiting() > 0 {
+            self.poll_notify.notify_one();
         }
     }
 
     /// Asks the dispatcher for decisions on queued requests.
-    pub(crate) fn poll(&self) {
+    fn poll(&self) {
         let now = now();
-        if self.dispatcher.borrow().waiting() == 0 {
-            return;
-        }
         let decided = self.dispatcher.borrow_mut().poll(now);
         for (key, decision) in decided {
             let sender = self.pending_decisions.borrow_mut().remove(&key);
--- a/components/gateway/src/store_follower.rs
+++ b/components/gateway/src/store_follower.rs
@@ -181,7 +181,7 @@
             self.fleet_revision.set(self.fleet_revision.get() + 1);
             self.subscribe_notify.notify_one();
         }
-        self.poll();
+        self.poll_soon();
     }
 
     fn log_endpoint_change(&self, change: &EndpointChange) {
@@ -217,7 +217,7 @@
         *self.config.borrow_mut() = Some(Arc::new(config));
         self.require_weights();
         self.fleet_revision.set(self.fleet_revision.get() + 1);
-        self.poll();
+        self.poll_soon();
     }
 
     /// Records weights that the operator named. `inherited` means that they were found in a full read
--- a/components/gateway/src/suspects.rs
+++ b/components/gateway/src/suspects.rs
@@ -22,7 +22,11 @@
 
 /// Requests that were lost at endpoints, here or at other gateways.
 #[derive(Debug)]
-pub(crate) struct SuspectRequests(CrashTracker);
+pub(crate) struct SuspectRequests {
+    tracker: CrashTracker,
+    /// Losses not yet reported to the other gateways, with their times.
+    pending: Vec<(Suspicion, Instant)>,
+}
 
 impl Default for SuspectRequests {
     fn default() -> SuspectRequests {
@@ -32,7 +36,7 @@
             expiry: EXPIRY,
             max_fingerprints: MAX_REQUESTS,
         };
-        SuspectRequests(CrashTracker::new(settings))
+        SuspectRequests { tracker: CrashTracker::new(settings), pending: Vec::new() }
     }
 }
 
@@ -48,17 +52,27 @@
 }
 
 impl SuspectRequests {
-    /// Records a request that was lost at the endpoint of a VM. Returns the report for other gateways.
+    /// Records a request that was lost at the endpoint of a VM.
     pub(crate) fn record_loss(
         &mut self,
         fingerprint: Digest,
         vm: Ipv4Addr,
         number: u64,
         now: Instant,
-    ) -> Suspicion {
+    ) {
         let suspicion = Suspicion { fingerprint: fingerprint.0, vm, number, age_ms: 0 };
         self.record_remote(&suspicion, now);
-        suspicion
+        self.pending.push((suspicion, now));
+    }
+
+    /// Takes up to `limit` losses to report to the other gateways.
+    pub(crate) fn take_pending(&mut self, limit: usize, now: Instant) -> Vec<Suspicion> {
+        let pending = self.pending.drain(..self.pending.len().min(limit));
+        let message = |(suspicion, at): (Suspicion, Instant)| Suspicion {
+            age_ms: now.saturating_duration_since(at).as_millis() as u32,
+            ..suspicion
+        };
+        pending.map(message).collect()
     }
 
     /// Records a loss that another gateway reported. Returns whether the request is refused from now on.
@@ -71,22 +85,22 @@
             alone: false,
             age_ms: suspicion.age_ms.into(),
         };
-        self.0.record(&record, now) == RecordEffect::Quarantined
+        self.tracker.record(&record, now) == RecordEffect::Quarantined
     }
 
     /// Clears a request that was answered.
     pub(crate) fn record_answer(&mut self, fingerprint: &Digest) {
-        self.0.record_answer(fingerprint);
+        self.tracker.record_answer(fingerprint);
     }
 
     /// Returns whether a request is refused.
     pub(crate) fn is_refused(&self, fingerprint: &Digest) -> bool {
-        self.0.status(fingerprint) == QuarantineStatus::Quarantined
+        self.tracker.status(fingerprint) == QuarantineStatus::Quarantined
     }
 
     /// Forgets expired requests.
     pub(crate) fn expire(&mut self, now: Instant) {
-        self.0.remove_expired(now);
+        self.tracker.remove_expired(now);
     }
 }
 
--- a/components/peering/src/fleet.rs
+++ b/components/peering/src/fleet.rs
@@ -2,12 +2,15 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 
-use base::ServiceId;
+use base::{Digest, ServiceId};
 use catalog::Config;
 use serde::{Deserialize, Serialize};
 
 use crate::NamedVersion;
 
+/// Number of members up to which a fleet is sent whole.
+const MAX_WHOLE: usize = 64;
+
 /// The endpoints of one service, as far as their stagers need to know them.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Fleet {
@@ -22,7 +25,7 @@
 }
 
 /// A VM with an endpoint of the service.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Member {
     /// Its IP address.
     pub ip: Ipv4Addr,
@@ -62,6 +65,40 @@
 }
 
 impl Fleet {
+    /// The zone that brings weights in from the origin: the origin's own zone, or, if no member is
+    /// there, the first one by name, so that all zones agree.
+    pub fn origin_zone(&self) -> Option<&str> {
+        let origin_zone = self.weights.as_ref().and_then(|weights| weights.origin_zone.as_deref());
+        let has_members = |zone: &&str| self.members.iter().any(|member| member.zone == *zone);
+        let first = || self.members.iter().map(|member| member.zone.as_str()).min();
+        origin_zone.filter(has_members).or_else(first)
+    }
+
+    /// The part of the fleet that a stager in `zone` needs: the members of its zone and of the zone
+    /// that brings weights in. A small fleet stays whole.
+    pub fn for_zone(mut self, zone: &str) -> Fleet {
+        if self.members.len() > MAX_WHOLE {
+            let origin_zone = self.origin_zone().map(ToOwned::to_owned);
+            let is_needed =
+                |m: &Member| m.zone == zone || Some(m.zone.as_str()) == origin_zone.as_deref();
+            self.members.retain(is_needed);
+        }
+        self.members.sort_unstable();
+        self.members.dedup();
+        self
+    }
+
+    /// Identifies the content apart from the named version. Processes that know the same fleet
+    /// compute the same number.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the fleet cannot be encoded.
+    pub fn digest(&self) -> Result<u64, postcard::Error> {
+        let fleet = Fleet { named: None, ..self.clone() };
+        Ok(Digest::of(&fleet.encode()?).short())
+    }
+
     /// Encodes the fleet as the body of a response.
     pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
         postcard::to_stdvec(self)
@@ -72,3 +109,6 @@
         postcard::from_bytes(bytes)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/components/peering/src/message.rs
+++ b/components/peering/src/message.rs
@@ -41,7 +41,7 @@
     pub near: bool,
     /// The newest named version of the service's weights.
     pub named: Option<NamedVersion>,
-    /// A number that grows when the response to `PeerRequest::Fleet` changes.
+    /// The digest of the fleet that `PeerRequest::Fleet` returns for the stager's zone.
     pub fleet: u64,
 }
 
--- a/components/peering/src/request.rs
+++ b/components/peering/src/request.rs
@@ -2,16 +2,20 @@
 
 use std::time::Duration;
 
-use base::ServiceId;
+use base::{ServiceId, Zone};
 
 /// Timeout of a request, beyond the time that the peer itself waits for a piece.
 pub const REQUEST_TIMEOUT: Duration = Duration::from_millis(1500);
 
+/// Key of the query that names a zone.
+const ZONE_KEY: &str = "zone=";
+
 /// What one process requests from another.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum PeerRequest {
-    /// The fleet as a gateway knows it, as an encoded `Fleet`.
-    Fleet(ServiceId),
+    /// The part of a service's fleet that the stagers of a zone need, or all of it without a zone,
+    /// as an encoded `Fleet`.
+    Fleet(ServiceId, Option<Zone>),
     /// The digests of a version, 32 bytes each.
     Digests(u64),
     /// One piece of a version.
@@ -19,20 +23,25 @@
 }
 
 impl PeerRequest {
-    /// The URL path of the request.
+    /// The URL path of the request, with its query.
     pub fn path(&self) -> String {
         match self {
-            PeerRequest::Fleet(service) => format!("/fleet/{service}"),
+            PeerRequest::Fleet(service, None) => format!("/fleet/{service}"),
+            PeerRequest::Fleet(service, Some(zone)) => format!("/fleet/{service}?{ZONE_KEY}{zone}"),
             PeerRequest::Digests(version) => format!("/digests/{version}"),
             PeerRequest::Piece(version, piece) => format!("/pieces/{version}/{piece}"),
         }
     }
 
-    /// Parses a URL path; `None` if it belongs to no request.
+    /// Parses a URL path with its query; `None` if it belongs to no request.
     pub fn parse(path: &str) -> Option<PeerRequest> {
+        let (path, query) = path.split_once('?').unwrap_or((path, ""));
         let mut parts = path.strip_prefix('/')?.split('/');
         let request = match (parts.next()?, parts.next()?, parts.next()) {
-            ("fleet", service, None) => PeerRequest::Fleet(service.parse().ok()?),
+            ("fleet", service, None) => {
+                let zone = query.strip_prefix(ZONE_KEY).and_then(|zone| zone.parse().ok());
+                PeerRequest::Fleet(service.parse().ok()?, zone)
+            }
             ("digests", version, None) => PeerRequest::Digests(version.parse().ok()?),
             ("pieces", version, Some(piece)) => {
                 PeerRequest::Piece(version.parse().ok()?, piece.parse().ok()?)
--- a/components/peering/src/request/tests.rs
+++ b/components/peering/src/request/tests.rs
@@ -3,8 +3,12 @@
 #[test]
 fn a_path_parses_to_its_request() {
     let service: ServiceId = "plain".parse().unwrap();
-    for request in [PeerRequest::Fleet(service), PeerRequest::Digests(7), PeerRequest::Piece(7, 95)]
-    {
+    for request in [
+        PeerRequest::Fleet(service.clone(), None),
+        PeerRequest::Fleet(service, "zone-1".parse().ok()),
+        PeerRequest::Digests(7),
+        PeerRequest::Piece(7, 95),
+    ] {
         assert_eq!(PeerRequest::parse(&request.path()), Some(request));
     }
 }
--- a/components/stager/src/fetch.rs
+++ b/components/stager/src/fetch.rs
@@ -20,29 +20,31 @@
 
 use crate::{
     Fetch, FetchFailure, Source,
-    shared::{Stager, WeightsLayout, now},
+    fleet_view::WeightsLayout,
+    shared::{Stager, now},
 };
 
 /// Maximum size of a list of digests in bytes.
 const MAX_DIGESTS_BYTES: usize = 1 << 20;
 /// Maximum size of a piece in bytes.
 const MAX_PIECE_BYTES: usize = 16 << 20;
-/// Maximum time between checks for pieces to fetch.
+/// Maximum time between checks for pieces to fetch, while pieces are missing.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Maximum time between checks while no piece is missing; news of another version wakes the task.
+const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum age of a version of which no piece can be staged anywhere yet.
 const RECENTLY_NAMED: Duration = Duration::from_millis(1500);
 /// Size of a digest in bytes.
 const DIGEST_BYTES: usize = 32;
-/// Number of stagers in a zone that fetch the digests from the origin at once; the others ask
-/// these.
-const MAX_DIGEST_FETCHERS: usize = 1;
 
 impl Stager {
     /// Fetches pieces until the task is dropped.
     pub(crate) async fn fetch_loop(self: Rc<Stager>) {
         loop {
             // Whether notified or timed out, everything is checked again.
-            let _ = timeout(CHECK_INTERVAL, self.fetch_wakeup.notified()).await;
+            let interval =
+                if self.is_downloading() { CHECK_INTERVAL } else { IDLE_CHECK_INTERVAL };
+            let _ = timeout(interval, self.fetch_wakeup.notified()).await;
             self.start_newest_download();
             let Some(version) = self.download_version() else { continue };
             if self.needs_digests() {
@@ -95,14 +97,12 @@
         if known.is_empty() { None } else { Some(known[fastrand::usize(..known.len())]) }
     }
 
-    /// Whether this stager fetches the digests from the origin; after a delay, all stagers do.
+    /// Whether this stager fetches the digests from the origin.
     fn is_digest_fetcher(&self) -> bool {
-        let lower = self.inventory_recipients().iter().filter(|ip| **ip < self.ip).count();
-        let elapsed =
-            self.download.borrow().as_ref().map(|download| download.scheduler.elapsed(now()));
-        let late =
-            elapsed.is_some_and(|elapsed| elapsed >= self.settings.fetch.owner_fallback_delay);
-        lower < MAX_DIGEST_FETCHERS || late
+        let rank = self.fleet().zone_members.iter().position(|ip| *ip == self.ip).unwrap_or(0);
+        let download = self.download.borrow();
+        let elapsed = download.as_ref().map(|download| download.scheduler.elapsed(now()));
+        elapsed.is_some_and(|elapsed| elapsed >= self.settings.fetch.digest_delay(rank))
     }
 
     async fn fetch_digests_from_peer(
@@ -203,6 +203,9 @@
                 download.staged_at.get_or_insert_with(now);
             }
         }
+        if download.scheduler.is_complete() {
+            self.load_wakeup.notify_one();
+        }
         self.piece_arrived.notify_waiters();
         self.inventory_wakeup.notify_one();
         true
--- a/components/stager/src/fleet.rs
+++ b/components/stager/src/fleet.rs
@@ -16,7 +16,10 @@
 use tokio::time::{Instant, sleep, timeout};
 use transport::request;
 
-use crate::shared::{Stager, now};
+use crate::{
+    fleet_view::FleetView,
+    shared::{Stager, now},
+};
 
 /// Maximum size of a gateway's fleet response in bytes.
 const MAX_FLEET_BYTES: usize = 4 << 20;
@@ -34,18 +37,19 @@
                 timeout(self.settings.store_fallback_delay, self.fleet_wakeup.notified())
                     .await
                     .is_ok();
-            let gateway = self.seen_fleet_revision.get().map(|(gateway, _)| gateway);
-            let fleet = match gateway.filter(|_| notified) {
+            let gateway = self.announcing_gateway.take().filter(|_| notified);
+            let fleet = match gateway {
                 Some(gateway) => self.fetch_fleet_from_gateway(gateway).await,
                 None if self.has_gateway() => continue,
                 None => self.read_fleet_from_store(&reader).await,
             };
             match fleet {
-                Some(fleet) => self.update_fleet(fleet),
-                None => {
-                    self.seen_fleet_revision.set(None);
-                    sleep(self.settings.retry_delay).await;
+                Some(fleet) => {
+                    self.update_fleet(fleet);
+                    // Gateways that learn of a change at different times announce different fleets.
+                    sleep(self.settings.fleet_interval).await;
                 }
+                None => sleep(self.settings.retry_delay).await,
             }
         }
     }
@@ -56,7 +60,7 @@
         let seeds = self.process.borrow().seed_nodes.clone();
         for seed in seeds {
             let std::net::IpAddr::V4(ip) = seed.ip() else { continue };
-            if self.seen_fleet_revision.get().is_some() {
+            if self.announcing_gateway.get().is_some() {
                 return;
             }
             if let Some(fleet) = self.fetch_fleet_from_gateway(ip).await {
@@ -74,11 +78,16 @@
 
     fn update_fleet(&self, fleet: Fleet) {
         let named = fleet.named;
-        let changed = *self.fleet.borrow() != fleet;
-        if changed {
-            info!(self.log, "fleet"; "members" => fleet.members.len(),
-                "pieces" => fleet.weights.as_ref().map_or(0, |w| w.pieces));
-            *self.fleet.borrow_mut() = fleet;
+        let zone = self.process.borrow().zone.clone();
+        match FleetView::new(fleet, zone.as_str()) {
+            Ok(view) if view.digest != self.fleet().digest => {
+                info!(self.log, "fleet"; "members" => view.member_count,
+                    "zone_members" => view.zone_members.len(),
+                    "pieces" => view.layout.as_ref().map_or(0, |layout| layout.pieces));
+                *self.fleet.borrow_mut() = Rc::new(view);
+            }
+            Ok(_) => {}
+            Err(err) => warn!(self.log, "fleet cannot be encoded"; "error" => %err),
         }
         if let Some(named) = named {
             self.handle_named_version(named);
@@ -90,7 +99,8 @@
 
     async fn fetch_fleet_from_gateway(&self, gateway: Ipv4Addr) -> Option<Fleet> {
         let addr = self.process.borrow().peer_addr(gateway.into());
-        let path = PeerRequest::Fleet(self.endpoint.service.clone()).path();
+        let zone = self.process.borrow().zone.clone();
+        let path = PeerRequest::Fleet(self.endpoint.service.clone(), Some(zone)).path();
         let request = request(Method::GET, addr, &path, Bytes::new());
         let deadline = Instant::now() + REQUEST_TIMEOUT;
         let reply = self.pool.call(addr, request, MAX_FLEET_BYTES, deadline).await;
--- a/components/stager/src/lib.rs
+++ b/components/stager/src/lib.rs
@@ -4,16 +4,19 @@
 mod engine;
 mod fetch;
 mod fleet;
+mod fleet_view;
 mod load;
 mod load_schedule;
 mod peers;
 mod process;
 mod report;
+mod report_rates;
 mod scheduler;
 mod settings;
 mod shared;
 
 pub use load_schedule::{LoadSettings, PeerStatus, may_load};
 pub use process::run;
+pub use report_rates::{Audience, ReportRates};
 pub use scheduler::{Fetch, FetchFailure, FetchScheduler, FetchSettings, Neighbour, Source};
 pub use settings::StagerSettings;
--- a/components/stager/src/load.rs
+++ b/components/stager/src/load.rs
@@ -12,12 +12,15 @@
 
 use crate::{
     engine::LoadOrderOutcome,
+    fleet_view::WeightsLayout,
     load_schedule::may_load,
-    shared::{Stager, WeightsLayout, now},
+    shared::{Stager, now},
 };
 
-/// Maximum time between checks whether to load.
+/// Maximum time between checks whether to load, while new weights wait for it.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Maximum time between checks while no new weights are here; their arrival wakes the task.
+const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Size up to which a fleet has too few other endpoints to resume interrupted requests.
 const MAX_FLEET_WITHOUT_HANDOVER: usize = 2;
 /// Time between checks of a load in progress.
@@ -28,7 +31,9 @@
     pub(crate) async fn load_loop(self: Rc<Stager>) {
         loop {
             // Whether notified or timed out, everything is checked again.
-            let _ = timeout(CHECK_INTERVAL, self.load_wakeup.notified()).await;
+            let pending = self.has_pending_load();
+            let interval = if pending { CHECK_INTERVAL } else { IDLE_CHECK_INTERVAL };
+            let _ = timeout(interval, self.load_wakeup.notified()).await;
             let (Some(layout), Some(version)) = (self.weights_layout(), self.due_version()) else {
                 continue;
             };
@@ -72,11 +77,10 @@
 
     /// Whether a load interrupts the requests in progress, as other endpoints can resume them.
     fn interrupts_requests(&self) -> bool {
-        let (zone, _) = self.own_and_origin_zone_members(&self.process.borrow().zone.to_string());
-        let fleet = self.fleet.borrow();
+        let fleet = self.fleet();
         fleet.resumable
-            && fleet.members.len() > MAX_FLEET_WITHOUT_HANDOVER
-            && catalog::interrupts_on_load(self.ip, zone)
+            && fleet.member_count > MAX_FLEET_WITHOUT_HANDOVER
+            && catalog::interrupts_on_load(self.ip, fleet.zone_members.iter().copied())
     }
 
     async fn load_version(self: &Rc<Stager>, layout: &WeightsLayout, version: WeightsVersion) {
--- a/components/stager/src/peers.rs
+++ b/components/stager/src/peers.rs
@@ -61,10 +61,9 @@
         // The fleet is fetched from a gateway of the same zone, if there is one.
         let any_in_own_zone = subscribers.values().any(|s| s.same_zone);
         drop(subscribers);
-        let is_new =
-            self.seen_fleet_revision.get().is_none_or(|(_, seen)| seen != subscription.fleet);
+        let is_new = self.fleet.borrow().digest != subscription.fleet;
         if is_new && (subscription.near || !any_in_own_zone) {
-            self.seen_fleet_revision.set(Some((from, subscription.fleet)));
+            self.announcing_gateway.set(Some(from));
             self.fleet_wakeup.notify_one();
         }
         if let Some(named) = subscription.named {
@@ -76,19 +75,23 @@
         if let Some(named) = inventory.named {
             self.handle_named_version(named);
         }
+        let version = WeightsVersion(inventory.version);
         if let Some(download) = self.download.borrow_mut().as_mut() {
             download.scheduler.mark_alive(from, now());
-            if download.version.0 == inventory.version {
+            if download.version == version {
                 let neighbour = Neighbour { pieces: inventory.pieces.clone(), reported_at: now() };
                 download.scheduler.handle_inventory(from, neighbour);
             }
         }
+        let has_news = self.is_downloading() || self.download_version() < Some(version);
         let known = self.neighbours.borrow_mut().insert(from, (inventory, now())).is_some();
         if !known && let Some(inventory) = self.own_inventory() {
             // A new neighbour learns at once what this VM holds.
             self.socket.send(from, &Message::Holding(inventory));
         }
-        self.fetch_wakeup.notify_one();
+        if has_news {
+            self.fetch_wakeup.notify_one();
+        }
     }
 
     /// Sends the inventory to neighbours periodically, and soon after each change.
--- a/components/stager/src/process.rs
+++ b/components/stager/src/process.rs
@@ -58,7 +58,7 @@
         link: RefCell::new(LinkLimiter::new(upload_rate(&process, &settings))),
         socket,
         fleet: RefCell::default(),
-        seen_fleet_revision: Cell::default(),
+        announcing_gateway: Cell::default(),
         subscribers: RefCell::default(),
         neighbours: RefCell::default(),
         report: RefCell::default(),
--- a/components/stager/src/report.rs
+++ b/components/stager/src/report.rs
@@ -1,12 +1,15 @@
 //! Queries the endpoint's state and reports it to gateways.
 
-use std::{net::Ipv4Addr, rc::Rc};
+use std::{net::Ipv4Addr, rc::Rc, time::Duration};
 
 use peering::{EngineState, Message, StateReport};
 use slog::{info, warn};
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
-use crate::shared::{Stager, Subscriber, now};
+use crate::{
+    Audience,
+    shared::{Stager, Subscriber, now},
+};
 
 /// Consecutive failed queries after which the endpoint counts as silent.
 const MAX_FAILED_POLLS: u32 = 2;
@@ -32,7 +35,7 @@
 }
 
 impl Stager {
-    /// Queries the endpoint's state periodically.
+    /// Queries the endpoint's state periodically and sends the reports that are due.
     pub(crate) async fn poll_loop(self: Rc<Stager>) {
         loop {
             match self.get_report().await {
@@ -46,6 +49,7 @@
                     }
                 }
             }
+            self.send_reports(false);
             sleep(self.settings.poll_interval).await;
         }
     }
@@ -53,6 +57,7 @@
     fn handle_report(&self, report: catalog::EngineReport) {
         if self.failed_polls.replace(0) >= MAX_FAILED_POLLS {
             info!(self.log, "endpoint answers again");
+            self.load_wakeup.notify_one();
         }
         let before = self.report.borrow().clone();
         let restarted =
@@ -81,17 +86,15 @@
         }
     }
 
-    /// Reports to gateways periodically, and at once after a change.
+    /// Reports to all gateways at once after a change.
     pub(crate) async fn report_loop(self: Rc<Stager>) {
         loop {
-            let changed =
-                timeout(self.settings.same_zone_report_interval, self.report_wakeup.notified())
-                    .await
-                    .is_ok();
-            self.send_reports(changed);
+            self.report_wakeup.notified().await;
+            self.send_reports(true);
         }
     }
 
+    /// Sends reports to the gateways to which one is due, or, if `changed`, to all of them.
     fn send_reports(&self, changed: bool) {
         let now = now();
         let max_age = self.settings.subscription_timeout;
@@ -100,38 +103,31 @@
         let gateways: Vec<Ipv4Addr> = subscribers.keys().copied().collect();
         let in_own_zone = subscribers.iter().filter(|(_, s)| s.same_zone).map(|(ip, _)| *ip);
         let in_own_zone: Vec<Ipv4Addr> = in_own_zone.collect();
-        let preferring = self.preferring_gateways(in_own_zone.clone());
+        let preferring =
+            preferring_gateways(self.ip, &self.fleet().zone_members, in_own_zone.clone());
+        let other_zone_count = gateways.len() - in_own_zone.len();
         for (ip, subscriber) in subscribers.iter_mut() {
-            if changed || self.is_report_due(subscriber) {
-                subscriber.last_report_at = Some(now);
-                self.socket.send(
-                    *ip,
-                    &Message::State(self.state_report(
-                        &gateways,
-                        &in_own_zone,
-                        preferring.contains(ip),
-                    )),
-                );
+            let (audience, count) = match (subscriber.same_zone, preferring.contains(ip)) {
+                (true, true) => (Audience::Preferring, preferring.len()),
+                (true, false) => (Audience::SameZone, in_own_zone.len() - preferring.len()),
+                (false, _) => (Audience::OtherZone, other_zone_count),
+            };
+            let interval = self.settings.report_rates.interval(audience, count);
+            if !changed && !self.is_report_due(subscriber, interval) {
+                continue;
             }
+            subscriber.last_report_at = Some(now);
+            let home = audience == Audience::Preferring;
+            let report = self.state_report(&gateways, &in_own_zone, home);
+            self.socket.send(*ip, &Message::State(report));
         }
     }
 
-    fn is_report_due(&self, subscriber: &Subscriber) -> bool {
-        let interval = match subscriber.same_zone {
-            true => self.settings.same_zone_report_interval,
-            false => self.settings.other_zone_report_interval,
-        };
+    fn is_report_due(&self, subscriber: &Subscriber, interval: Duration) -> bool {
         let elapsed = subscriber.last_report_at.map(|at| now().saturating_duration_since(at));
-        // Tolerates the jitter of timers.
-        elapsed
-            .is_none_or(|elapsed| elapsed + self.settings.same_zone_report_interval / 4 >= interval)
-    }
-
-    /// The subscribed gateways of the zone that prefer this endpoint.
-    fn preferring_gateways(&self, in_own_zone: Vec<Ipv4Addr>) -> Vec<Ipv4Addr> {
-        let zone = self.process.borrow().zone.to_string();
-        let (endpoints, _) = self.own_and_origin_zone_members(&zone);
-        preferring_gateways(self.ip, &endpoints, in_own_zone)
+        // Reports are sent when the endpoint's state was queried; half a period earlier or later
+        // keeps the mean interval.
+        elapsed.is_none_or(|elapsed| elapsed + self.settings.poll_interval / 2 >= interval)
     }
 
     fn state_report(
--- a/components/stager/src/scheduler.rs
+++ b/components/stager/src/scheduler.rs
@@ -26,6 +26,9 @@
     /// Maximum number of concurrent fetches from other zones, which respond once they hold the
     /// piece.
     pub max_other_zone_fetches: usize,
+    /// Time that a member of the zone leaves to each one before it in the order of addresses to
+    /// fetch the digests from the origin.
+    pub digest_step: Duration,
     /// Time without progress after which the next candidate takes over from an owner that is alive.
     pub owner_fallback_delay: Duration,
     /// Time for which a source that failed is not asked again.
@@ -45,6 +48,7 @@
             max_fetches_per_source: 2,
             max_origin_fetches: 2,
             max_other_zone_fetches: 5,
+            digest_step: Duration::from_millis(300),
             owner_fallback_delay: Duration::from_millis(1500),
             failure_backoff: Duration::from_millis(800),
             inventory_timeout: Duration::from_secs(3),
@@ -54,6 +58,15 @@
     }
 }
 
+impl FetchSettings {
+    /// Time after the start of a download from which the member with `rank` in the order of
+    /// addresses of its zone fetches the digests from the origin, if no neighbour has them.
+    pub fn digest_delay(&self, rank: usize) -> Duration {
+        let rank = u32::try_from(rank).unwrap_or(u32::MAX);
+        self.digest_step.saturating_mul(rank).min(self.owner_fallback_delay)
+    }
+}
+
 /// Where a piece is fetched from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Source {
--- a/components/stager/src/scheduler/tests.rs
+++ b/components/stager/src/scheduler/tests.rs
@@ -288,3 +288,12 @@
     assert_eq!(from_origin, 0);
     assert!(rounds < 40, "{rounds}");
 }
+
+#[test]
+fn one_stager_of_a_zone_reads_the_digests_and_others_take_over_in_turn() {
+    let settings = FetchSettings::default();
+    let at_once = (0..1000).filter(|rank| settings.digest_delay(*rank).is_zero()).count();
+    assert_eq!(at_once, 1);
+    assert!(settings.digest_delay(1) < settings.digest_delay(2));
+    assert_eq!(settings.digest_delay(usize::MAX), settings.owner_fallback_delay);
+}
--- a/components/stager/src/settings.rs
+++ b/components/stager/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::{FetchSettings, LoadSettings};
+use crate::{FetchSettings, LoadSettings, ReportRates};
 
 /// Timings and limits of the stager.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -15,10 +15,10 @@
     pub poll_interval: Duration,
     /// Timeout of a query of the endpoint's state.
     pub poll_timeout: Duration,
-    /// Time between state reports to gateways of the same availability zone.
-    pub same_zone_report_interval: Duration,
-    /// Time between state reports to gateways of other availability zones.
-    pub other_zone_report_interval: Duration,
+    /// Rates of state reports to gateways.
+    pub report_rates: ReportRates,
+    /// Minimum time between two fetches of the fleet from a gateway.
+    pub fleet_interval: Duration,
     /// Time after its last subscription at which a gateway gets no more reports.
     pub subscription_timeout: Duration,
     /// Minimum time between inventory messages to neighbours, which are sent after each change.
@@ -50,8 +50,8 @@
             load: LoadSettings::default(),
             poll_interval: Duration::from_millis(100),
             poll_timeout: Duration::from_millis(600),
-            same_zone_report_interval: Duration::from_millis(100),
-            other_zone_report_interval: Duration::from_millis(600),
+            report_rates: ReportRates::default(),
+            fleet_interval: Duration::from_millis(250),
             subscription_timeout: Duration::from_millis(3500),
             inventory_interval: Duration::from_millis(100),
             idle_inventory_interval: Duration::from_secs(1),
--- a/components/stager/src/shared.rs
+++ b/components/stager/src/shared.rs
@@ -3,22 +3,26 @@
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
-    net::{Ipv4Addr, SocketAddr},
+    net::Ipv4Addr,
     rc::Rc,
     time::{Duration, Instant},
 };
 
 use base::Digest;
 use bytes::Bytes;
-use catalog::{EngineReport, LocalEndpoint, ModelId, ProcessSettings, WeightsVersion};
+use catalog::{EngineReport, LocalEndpoint, ProcessSettings, WeightsVersion};
 use chunks::LinkLimiter;
-use peering::{Fleet, Inventory, NamedVersion, PeerSocket, PieceSet};
+use peering::{Inventory, NamedVersion, PeerSocket, PieceSet};
 use slog::{Logger, info};
 use telemetry::MetricsHandle;
 use tokio::sync::Notify;
 use transport::ConnectionPool;
 
-use crate::{FetchScheduler, PeerStatus, settings::StagerSettings};
+use crate::{
+    FetchScheduler, PeerStatus,
+    fleet_view::{FleetView, WeightsLayout},
+    settings::StagerSettings,
+};
 
 /// The newest weights version and the pieces of it that this VM holds.
 pub(crate) struct Download {
@@ -50,15 +54,6 @@
     pub(crate) last_report_at: Option<Instant>,
 }
 
-/// Size and origin of the weights of this service.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct WeightsLayout {
-    pub(crate) model: ModelId,
-    pub(crate) pieces: u32,
-    pub(crate) origin: Option<SocketAddr>,
-    pub(crate) origin_zone: Option<String>,
-}
-
 /// The state of the process. All tasks run on one thread; no `RefCell` is borrowed across an await.
 pub(crate) struct Stager {
     pub(crate) settings: StagerSettings,
@@ -73,9 +68,9 @@
     /// Limits the rate of uploads to peers, as the endpoint's responses use the same link.
     pub(crate) link: RefCell<LinkLimiter>,
     pub(crate) socket: PeerSocket,
-    pub(crate) fleet: RefCell<Fleet>,
-    /// The gateway that last announced a new fleet revision, and that revision.
-    pub(crate) seen_fleet_revision: Cell<Option<(Ipv4Addr, u64)>>,
+    pub(crate) fleet: RefCell<Rc<FleetView>>,
+    /// The gateway that last announced a fleet other than `fleet`; cleared once it is fetched.
+    pub(crate) announcing_gateway: Cell<Option<Ipv4Addr>>,
     pub(crate) subscribers: RefCell<HashMap<Ipv4Addr, Subscriber>>,
     pub(crate) neighbours: RefCell<HashMap<Ipv4Addr, (Inventory, Instant)>>,
     pub(crate) report: RefCell<Option<EngineReport>>,
@@ -110,23 +105,22 @@
 const NEIGHBOUR_TIMEOUT: Duration = Duration::from_secs(3);
 
 impl Stager {
+    /// The fleet as last learned.
+    pub(crate) fn fleet(&self) -> Rc<FleetView> {
+        self.fleet.borrow().clone()
+    }
+
     /// Size and origin of the weights, once the fleet is known.
     pub(crate) fn weights_layout(&self) -> Option<WeightsLayout> {
-        let fleet = self.fleet.borrow();
-        let weights = fleet.weights.as_ref()?;
-        Some(WeightsLayout {
-            model: weights.model.parse().ok()?,
-            pieces: weights.pieces,
-            origin: weights.origin,
-            origin_zone: weights.origin_zone.clone(),
-        })
+        self.fleet.borrow().layout.clone()
     }
 
     /// The version that the endpoint serves.
     pub(crate) fn serving_version(&self) -> Option<WeightsVersion> {
-        let model = self.weights_layout()?.model;
+        let fleet = self.fleet.borrow();
+        let model = &fleet.layout.as_ref()?.model;
         let report = self.report.borrow();
-        let held = report.as_ref()?.held.iter().find(|held| held.model == model);
+        let held = report.as_ref()?.held.iter().find(|held| held.model == *model);
         held.map(|held| held.version)
     }
 
@@ -191,31 +185,25 @@
 
     /// Passes the members of the relevant zones to the fetch scheduler.
     pub(crate) fn update_scheduler_members(&self) {
-        let zone = self.process.borrow().zone.to_string();
-        let (zone_members, origin_zone_members) = self.own_and_origin_zone_members(&zone);
+        let fleet = self.fleet();
         if let Some(download) = self.download.borrow_mut().as_mut() {
-            download.scheduler.set_members(zone_members, origin_zone_members);
+            let (zone, origin) = (fleet.zone_members.clone(), fleet.origin_zone_members.clone());
+            download.scheduler.set_members(zone, origin);
         }
     }
 
-    /// The VMs of this availability zone and, if the origin is in another zone, those of the
-    /// origin's zone.
-    pub(crate) fn own_and_origin_zone_members(&self, zone: &str) -> (Vec<Ipv4Addr>, Vec<Ipv4Addr>) {
-        let fleet = self.fleet.borrow();
-        let members_of = |zone: &str| {
-            let in_zone = fleet.members.iter().filter(|member| member.zone == zone);
-            let mut ips: Vec<Ipv4Addr> = in_zone.map(|member| member.ip).collect();
-            ips.sort_unstable();
-            ips.dedup();
-            ips
-        };
-        let origin_zone = fleet.weights.as_ref().and_then(|weights| weights.origin_zone.clone());
-        let origin_zone = origin_zone.filter(|zone| !members_of(zone).is_empty());
-        // If no member is in the origin's zone, all zones agree on one of theirs: the first by
-        // name.
-        let first_zone = || fleet.members.iter().map(|member| member.zone.clone()).min();
-        let origin_zone = origin_zone.or_else(first_zone).filter(|origin_zone| origin_zone != zone);
-        (members_of(zone), origin_zone.map(|zone| members_of(&zone)).unwrap_or_default())
+    /// Whether the newest weights are on this VM but not yet served by the endpoint.
+    pub(crate) fn has_pending_load(&self) -> bool {
+        let download = self.download.borrow();
+        let serving = self.serving_version();
+        download.as_ref().is_some_and(|download| {
+            download.scheduler.is_complete() && serving.is_none_or(|v| v < download.version)
+        })
+    }
+
+    /// Whether pieces of the newest weights are still missing on this VM.
+    pub(crate) fn is_downloading(&self) -> bool {
+        self.download.borrow().as_ref().is_some_and(|d| !d.scheduler.is_complete())
     }
 
     /// The last reported states of the other endpoints of the zone.
@@ -233,14 +221,8 @@
         fresh.map(peer).collect()
     }
 
-    /// The VMs of this zone that get inventory messages: those that follow this VM in the order of
-    /// IP addresses, starting over after the highest one.
+    /// The VMs of this zone that get inventory messages.
     pub(crate) fn inventory_recipients(&self) -> Vec<Ipv4Addr> {
-        let zone = self.process.borrow().zone.to_string();
-        let (zone_members, _) = self.own_and_origin_zone_members(&zone);
-        let others = zone_members.iter().filter(|ip| **ip != self.ip);
-        let (after, before): (Vec<Ipv4Addr>, Vec<Ipv4Addr>) = others.partition(|ip| **ip > self.ip);
-        let all = after.into_iter().chain(before);
-        all.take(self.settings.max_neighbours).collect()
+        self.fleet.borrow().successors(self.ip).take(self.settings.max_neighbours).collect()
     }
 }
