Let one gateway of each zone read the store for the others

Change: each gateway computes from the gateways of its zone that stagers name which one reads the store (base::Readers, moved from node and used by both). The others ask it for the changes after their revision and get the store's own responses (directory::ChangeHistory, gateway::relay); the age of its knowledge is part of the answer. A gateway that does not answer, knows too little or is cut off from the store is passed over, at the latest in time for the bound on configurations, and one that the store turns away learns from the others. The log names the source and the age.

--- a/components/base/src/lib.rs
+++ b/components/base/src/lib.rs
@@ -5,6 +5,7 @@
 mod macros;
 mod problem;
 mod rank;
+mod readers;
 mod units;
 
 pub use digest::{Digest, ParseDigestError};
@@ -14,4 +15,5 @@
 };
 pub use problem::Problem;
 pub use rank::{rendezvous_first, rendezvous_order, rendezvous_weight};
+pub use readers::Readers;
 pub use units::{ByteRate, ByteSize, ParseUnitError, Permille, Rate, Timeout};
--- /dev/null
+++ b/components/directory/src/history.rs
@@ -0,0 +1,100 @@
+//! The last changes of the store, kept to pass them on to processes that do not read the store.
+
+use std::{
+    collections::VecDeque,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use platform::store::StoreRevision;
+
+/// Time for which changes are kept.
+const MAX_AGE: Duration = Duration::from_secs(15);
+/// Maximum size of all kept changes in bytes, apart from the newest ones.
+const MAX_BYTES: usize = 1 << 20;
+
+/// The changes that one watch returned.
+#[derive(Debug, Clone)]
+struct Batch {
+    /// Revision after which the changes begin.
+    after: StoreRevision,
+    /// Revision up to which they go.
+    revision: StoreRevision,
+    body: Bytes,
+    at: Instant,
+}
+
+/// What is known of the changes after a revision.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ChangesSince {
+    /// A response of the store that contains the next changes, and perhaps earlier ones.
+    Changes(Bytes),
+    /// There are none yet.
+    None,
+    /// They are no longer here, or the store was not read yet.
+    Unknown,
+}
+
+/// The last changes of the store. The batches are contiguous: each begins where the one before ends.
+#[derive(Debug, Default)]
+pub struct ChangeHistory {
+    batches: VecDeque<Batch>,
+    /// Revision up to which the store is known; `None` until it was read.
+    revision: Option<StoreRevision>,
+    /// The latest time at which the store is known to have had no newer change.
+    confirmed_at: Option<Instant>,
+}
+
+impl ChangeHistory {
+    /// Starts anew after the whole store was read.
+    pub fn restart(&mut self, revision: StoreRevision, confirmed_at: Instant) {
+        self.batches.clear();
+        self.revision = Some(revision);
+        self.confirmed_at = Some(confirmed_at);
+    }
+
+    /// Adds the response to a watch after the last known revision, which goes up to `revision`.
+    pub fn push(&mut self, revision: StoreRevision, body: Bytes, confirmed_at: Instant) {
+        let Some(after) = self.revision else { return };
+        self.confirmed_at = self.confirmed_at.max(Some(confirmed_at));
+        if revision > after {
+            self.batches.push_back(Batch { after, revision, body, at: confirmed_at });
+            self.revision = Some(revision);
+        }
+        self.drop_old(confirmed_at);
+    }
+
+    fn drop_old(&mut self, now: Instant) {
+        let mut bytes: usize = self.batches.iter().map(|batch| batch.body.len()).sum();
+        while let Some(oldest) = self.batches.front() {
+            let expired = now.saturating_duration_since(oldest.at) > MAX_AGE;
+            let over = bytes > MAX_BYTES && self.batches.len() > 1;
+            if !expired && !over {
+                return;
+            }
+            bytes -= oldest.body.len();
+            self.batches.pop_front();
+        }
+    }
+
+    /// The next changes after a revision.
+    pub fn since(&self, after: StoreRevision) -> ChangesSince {
+        let Some(revision) = self.revision else { return ChangesSince::Unknown };
+        if after >= revision {
+            return ChangesSince::None;
+        }
+        let next = self.batches.iter().find(|batch| batch.revision > after);
+        match next.filter(|batch| batch.after <= after) {
+            Some(batch) => ChangesSince::Changes(batch.body.clone()),
+            None => ChangesSince::Unknown,
+        }
+    }
+
+    /// Time since the store was last known to have no newer change.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        self.confirmed_at.map(|at| now.saturating_duration_since(at))
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/components/directory/src/history/tests.rs
@@ -0,0 +1,65 @@
+use super::*;
+
+fn body(text: &'static str) -> Bytes {
+    Bytes::from_static(text.as_bytes())
+}
+
+/// A history that was read at revision 10 and then saw the changes up to 12 and up to 15.
+fn history(start: Instant) -> ChangeHistory {
+    let mut history = ChangeHistory::default();
+    history.restart(StoreRevision(10), start);
+    history.push(StoreRevision(12), body("to 12"), start);
+    history.push(StoreRevision(15), body("to 15"), start);
+    history
+}
+
+#[test]
+fn each_change_is_passed_on_once_in_order() {
+    let history = history(Instant::now());
+    let since = |revision| history.since(StoreRevision(revision));
+    assert_eq!(since(10), ChangesSince::Changes(body("to 12")));
+    assert_eq!(since(12), ChangesSince::Changes(body("to 15")));
+    assert_eq!(since(15), ChangesSince::None);
+    assert_eq!(since(13), ChangesSince::Changes(body("to 15")), "from within a batch");
+    assert_eq!(since(99), ChangesSince::None, "this process is behind the one that asks");
+}
+
+#[test]
+fn changes_from_before_the_first_read_are_unknown() {
+    let history = history(Instant::now());
+    assert_eq!(history.since(StoreRevision(9)), ChangesSince::Unknown);
+    assert_eq!(ChangeHistory::default().since(StoreRevision(9)), ChangesSince::Unknown);
+}
+
+#[test]
+fn old_changes_are_dropped_and_then_unknown() {
+    let start = Instant::now();
+    let mut history = history(start);
+    let later = start + MAX_AGE + Duration::from_secs(1);
+    history.push(StoreRevision(15), body("nothing new"), later);
+    assert_eq!(history.since(StoreRevision(12)), ChangesSince::Unknown);
+    assert_eq!(history.since(StoreRevision(15)), ChangesSince::None);
+}
+
+#[test]
+fn large_changes_are_dropped_except_for_the_newest() {
+    let start = Instant::now();
+    let mut history = ChangeHistory::default();
+    history.restart(StoreRevision(1), start);
+    for revision in 2..5 {
+        history.push(StoreRevision(revision), Bytes::from(vec![0; MAX_BYTES]), start);
+    }
+    assert_eq!(history.since(StoreRevision(2)), ChangesSince::Unknown);
+    assert!(matches!(history.since(StoreRevision(3)), ChangesSince::Changes(_)));
+}
+
+#[test]
+fn the_age_counts_from_the_last_confirmation() {
+    let start = Instant::now();
+    let mut history = history(start);
+    let later = start + Duration::from_secs(2);
+    assert_eq!(history.age(later), Some(Duration::from_secs(2)));
+    history.push(StoreRevision(15), body("nothing new"), later);
+    assert_eq!(history.age(later), Some(Duration::ZERO));
+    assert_eq!(ChangeHistory::default().age(later), None);
+}
--- a/components/directory/src/lib.rs
+++ b/components/directory/src/lib.rs
@@ -1,7 +1,9 @@
 //! Reads and watches the platform's store.
 
 mod error;
+mod history;
 mod reader;
 
 pub use error::ReadError;
-pub use reader::{Snapshot, StoreReader, StoreReaderSettings};
+pub use history::{ChangeHistory, ChangesSince};
+pub use reader::{Snapshot, StoreReader, StoreReaderSettings, WatchedChanges};
--- a/components/directory/src/reader.rs
+++ b/components/directory/src/reader.rs
@@ -19,10 +19,9 @@
     pub connect: ConnectSettings,
     /// Timeout of a read.
     pub read_timeout: Duration,
-    /// Maximum time that a watch waits for changes. An unresponsive store is detected only after
-    /// it.
-    pub watch_time: Duration,
-    /// Time beyond `watch_time` after which a watch fails.
+    /// Maximum time that a connection stays idle, which has to exceed the time of a watch.
+    pub idle_timeout: Duration,
+    /// Time beyond its waiting time after which a watch fails.
     pub grace_period: Duration,
     /// Maximum size of a response in bytes.
     pub max_response_bytes: usize,
@@ -39,7 +38,7 @@
         StoreReaderSettings {
             connect,
             read_timeout: Duration::from_millis(1500),
-            watch_time: Duration::from_millis(2500),
+            idle_timeout: Duration::from_millis(2500),
             grace_period: Duration::from_millis(700),
             max_response_bytes: 16 << 20,
         }
@@ -51,11 +50,28 @@
 pub struct Snapshot {
     /// The entries.
     pub entries: Vec<StoreEntry>,
-    /// The revision to watch from: that of the first page. Pages are read one after the other, so
+    /// The revision to watch from: the lowest of all pages. Pages are read one after the other, so
     /// changes between them are reported again by the watch.
     pub revision: StoreRevision,
 }
 
+/// Changes that a watch returned.
+#[derive(Debug)]
+pub struct WatchedChanges {
+    /// The changes.
+    pub changes: Changes,
+    /// The response that they were decoded from, to pass it on.
+    pub body: Bytes,
+}
+
+impl WatchedChanges {
+    /// No changes after a revision.
+    pub fn none(revision: StoreRevision) -> WatchedChanges {
+        let changes = Changes { entries: Vec::new(), revision };
+        WatchedChanges { changes, body: Bytes::new() }
+    }
+}
+
 /// Reads and watches the store.
 #[derive(Debug)]
 pub struct StoreReader {
@@ -67,37 +83,41 @@
 impl StoreReader {
     /// Creates a reader of the store at `addr`.
     pub fn new(addr: SocketAddr, settings: StoreReaderSettings) -> StoreReader {
-        let idle = settings.watch_time;
         let pool = PoolSettings {
             connect: settings.connect,
-            idle_timeout: idle,
+            idle_timeout: settings.idle_timeout,
             ..PoolSettings::default()
         };
         StoreReader { addr, settings, pool: ConnectionPool::new(pool) }
     }
 
-    /// Reads the whole store. A stale read may return data that is seconds old.
+    /// Reads the whole store. A stale read is cheaper, but may return data that is seconds old.
     pub async fn read(&self, stale: bool) -> Result<Snapshot, ReadError> {
         let mut entries = Vec::new();
-        let mut first = None;
+        let mut revision: Option<StoreRevision> = None;
         let mut after: Option<String> = None;
         loop {
             let path = range_path(after.as_deref(), stale);
             let page = decode_page(&self.call(&path, self.settings.read_timeout).await?.body)?;
-            first = first.or(Some(page.revision));
+            let lowest = revision.map_or(page.revision, |revision| revision.min(page.revision));
+            revision = Some(lowest);
             entries.extend(page.entries);
             match page.next {
                 Some(next) => after = Some(next),
-                None => return Ok(Snapshot { entries, revision: first.unwrap_or(page.revision) }),
+                None => return Ok(Snapshot { entries, revision: lowest }),
             }
         }
     }
 
-    /// Waits for changes after a revision.
-    pub async fn watch(&self, after: StoreRevision) -> Result<Changes, ReadError> {
-        let path = watch_path(after, self.settings.watch_time);
-        let reply = self.call(&path, self.settings.watch_time + self.settings.grace_period).await?;
-        Ok(decode_changes(&reply.body)?)
+    /// Waits up to `wait` for changes after a revision.
+    pub async fn watch(
+        &self,
+        after: StoreRevision,
+        wait: Duration,
+    ) -> Result<WatchedChanges, ReadError> {
+        let path = watch_path(after, wait);
+        let body = self.call(&path, wait + self.settings.grace_period).await?.body;
+        Ok(WatchedChanges { changes: decode_changes(&body, after)?, body })
     }
 
     async fn call(&self, path: &str, timeout: Duration) -> Result<BufferedResponse, ReadError> {
--- /dev/null
+++ b/components/gateway/src/change_source.rs
@@ -0,0 +1,99 @@
+//! Decides from where a gateway learns of the store's changes. In each availability zone a few
+//! gateways read the store; the others learn from them, and read the store themselves when these
+//! fail. Each gateway decides from what it knows; none coordinates the others.
+
+use std::{
+    collections::HashMap,
+    net::Ipv4Addr,
+    time::{Duration, Instant},
+};
+
+use base::{Readers, Zone, rendezvous_first};
+
+/// Number of gateways per zone that read the store. Others take over within a fraction of a second.
+const READERS_PER_ZONE: usize = 1;
+
+/// Where changes of the store are learned from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ChangeSource {
+    /// The store itself.
+    Store,
+    /// A gateway that reads it.
+    Gateway(Ipv4Addr),
+}
+
+/// Timeouts of learning changes from another gateway, all derived from the time within which a
+/// configuration must be in force.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct RelayTimes {
+    /// Maximum time that a watch of the store waits if other gateways learn from this one.
+    pub(crate) store_wait: Duration,
+    /// Pause between two watches of the store, which lets changes accumulate.
+    pub(crate) store_pause: Duration,
+    /// Maximum time that a gateway waits for changes before it answers that there are none.
+    pub(crate) relay_wait: Duration,
+    /// Time after which a gateway that has not answered counts as failed.
+    pub(crate) relay_timeout: Duration,
+    /// Age from which the knowledge of a gateway is too old to rely on.
+    pub(crate) max_age: Duration,
+    /// Time for which a gateway that failed is not asked again.
+    pub(crate) failure_backoff: Duration,
+}
+
+impl RelayTimes {
+    /// The times for a bound on the propagation of configurations.
+    pub(crate) fn for_bound(bound: Duration) -> RelayTimes {
+        RelayTimes {
+            store_wait: bound * 2 / 5,
+            store_pause: bound / 8,
+            relay_wait: bound / 8,
+            relay_timeout: bound / 4,
+            max_age: bound * 3 / 5,
+            failure_backoff: bound,
+        }
+    }
+}
+
+/// Chooses the source of changes for one gateway.
+#[derive(Debug)]
+pub(crate) struct SourceSelection {
+    own_ip: Ipv4Addr,
+    zone: Zone,
+    /// Gateways that failed, with the time until which they are not asked.
+    failed: HashMap<Ipv4Addr, Instant>,
+}
+
+impl SourceSelection {
+    pub(crate) fn new(own_ip: Ipv4Addr, zone: Zone) -> SourceSelection {
+        SourceSelection { own_ip, zone, failed: HashMap::new() }
+    }
+
+    /// The source to use now, given the other gateways of the zone.
+    pub(crate) fn choose(
+        &mut self,
+        gateways: impl IntoIterator<Item = Ipv4Addr>,
+        now: Instant,
+    ) -> ChangeSource {
+        self.failed.retain(|_, until| now < *until);
+        let members = gateways.into_iter().filter(|ip| *ip != self.own_ip).chain([self.own_ip]);
+        let readers = Readers::new(&self.zone, members, READERS_PER_ZONE);
+        let current: Vec<(String, Ipv4Addr)> = readers
+            .current(|ip| self.failed.contains_key(ip))
+            .map(|ip| (ip.to_string(), *ip))
+            .collect();
+        if current.iter().any(|(_, ip)| *ip == self.own_ip) {
+            return ChangeSource::Store;
+        }
+        let key = self.own_ip.octets();
+        let chosen = rendezvous_first(&key, &current, |(name, _)| name);
+        chosen.map_or(ChangeSource::Store, |(_, ip)| ChangeSource::Gateway(*ip))
+    }
+
+    /// Records that a gateway did not answer, or knows too little.
+    pub(crate) fn record_failure(&mut self, ip: Ipv4Addr, until: Instant) {
+        self.failed.insert(ip, until);
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -2,10 +2,12 @@
 //! forwards responses as they arrive. All tasks run on one thread.
 
 mod attempt;
+mod change_source;
 mod events;
 mod peers;
 mod process;
 mod refused;
+mod relay;
 mod request;
 mod response;
 mod serve;
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -17,6 +17,7 @@
     EngineState, Fleet, FleetWeights, Member, Message, NamedVersion, PeerRequest, StateReport,
     Subscription,
 };
+use platform::store::StoreRevision;
 use tokio::time::{sleep, timeout};
 
 use crate::{
@@ -243,18 +244,27 @@
         request: Request<Incoming>,
     ) -> Response<ResponseBody> {
         let path = request.uri().path_and_query().map_or("", |path| path.as_str());
-        let fleet = match PeerRequest::parse(path) {
-            Some(PeerRequest::Fleet(service, zone)) => {
-                let fleet = self.fleet_of(&self.dispatcher.borrow(), &service);
-                match zone {
-                    Some(zone) => fleet.map(|fleet| fleet.for_zone(zone.as_str())),
-                    None => fleet,
-                }
+        match PeerRequest::parse(path) {
+            Some(PeerRequest::Fleet(service, zone)) => self.fleet_response(&service, zone.as_ref()),
+            Some(PeerRequest::Changes(revision)) => {
+                self.serve_changes(StoreRevision(revision)).await
             }
-            _ => None,
+            _ => own_response(StatusCode::NOT_FOUND, None, None),
+        }
+    }
+
+    fn fleet_response(&self, service: &ServiceId, zone: Option<&Zone>) -> Response<ResponseBody> {
+        let fleet = self.fleet_of(&self.dispatcher.borrow(), service);
+        let fleet = match zone {
+            Some(zone) => fleet.map(|fleet| fleet.for_zone(zone.as_str())),
+            None => fleet,
         };
-        match fleet.and_then(|fleet| fleet.encode().ok()) {
-            Some(bytes) => Response::new(ResponseBody::Full(Some(Bytes::from(bytes)))),
+        match fleet.map(|fleet| fleet.encode()) {
+            Some(Ok(bytes)) => Response::new(ResponseBody::Full(Some(Bytes::from(bytes)))),
+            Some(Err(err)) => {
+                slog::warn!(self.log, "fleet cannot be encoded"; "error" => %err);
+                own_response(StatusCode::INTERNAL_SERVER_ERROR, None, None)
+            }
             None => own_response(StatusCode::NOT_FOUND, None, None),
         }
     }
--- /dev/null
+++ b/components/gateway/src/relay.rs
@@ -0,0 +1,96 @@
+//! Passes changes of the store on to other gateways of the zone, and asks other gateways for them.
+
+use std::{net::Ipv4Addr, time::Duration};
+
+use bytes::Bytes;
+use directory::ChangesSince;
+use http::{Method, Response, StatusCode};
+use peering::{PeerRequest, RelayedChanges};
+use platform::store::StoreRevision;
+use tokio::time::{Instant, timeout_at};
+use transport::{TransportError, request};
+
+use crate::{
+    response::{ResponseBody, own_response},
+    state::{Gateway, now},
+};
+
+/// Maximum size of relayed changes in bytes.
+const MAX_CHANGES_BYTES: usize = 16 << 20;
+
+/// Why changes cannot be learned from another gateway.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum RelayError {
+    /// The request could not be sent or got no response in time.
+    #[error("the gateway does not answer: {0}")]
+    Transport(#[from] TransportError),
+    /// The gateway is cut off from the store, has not read it yet or no longer has the changes.
+    #[error("the gateway cannot tell the changes: status {0}")]
+    Status(u16),
+    /// The response cannot be decoded.
+    #[error("invalid response: {0}; the gateway may run another version of the program")]
+    Decode(#[from] postcard::Error),
+    /// The changes in the response cannot be decoded.
+    #[error("invalid changes: {0}")]
+    Changes(#[from] platform::DecodeError),
+    /// The gateway has not heard from the store for too long.
+    #[error("the gateway heard from the store {}ms ago", .0.as_millis())]
+    TooOld(Duration),
+}
+
+impl Gateway {
+    /// Answers another gateway that asks for the changes after a revision. Waits a while if there are
+    /// none.
+    pub(crate) async fn serve_changes(&self, after: StoreRevision) -> Response<ResponseBody> {
+        self.relayed_at.set(Some(now()));
+        let deadline = Instant::now() + self.relay_times().relay_wait;
+        loop {
+            let changed = self.store_changed.notified();
+            if self.store_lost.get() || self.stopping.get().is_some() {
+                return own_response(StatusCode::SERVICE_UNAVAILABLE, None, None);
+            }
+            match self.history.borrow().since(after) {
+                ChangesSince::Changes(body) => return self.relayed_response(&body),
+                ChangesSince::Unknown => return own_response(StatusCode::GONE, None, None),
+                ChangesSince::None => {}
+            }
+            if timeout_at(deadline, changed).await.is_err() {
+                return self.relayed_response(&[]);
+            }
+        }
+    }
+
+    fn relayed_response(&self, body: &[u8]) -> Response<ResponseBody> {
+        let age = self.history.borrow().age(now()).unwrap_or(Duration::MAX);
+        match RelayedChanges::new(age, body).encode() {
+            Ok(bytes) => Response::new(ResponseBody::Full(Some(Bytes::from(bytes)))),
+            Err(err) => {
+                slog::warn!(self.log, "changes cannot be encoded"; "error" => %err);
+                own_response(StatusCode::INTERNAL_SERVER_ERROR, None, None)
+            }
+        }
+    }
+
+    /// Asks another gateway for the changes after a revision. Returns the response of the store, empty
+    /// if there are none, and the age of the knowledge.
+    pub(crate) async fn request_changes(
+        &self,
+        gateway: Ipv4Addr,
+        after: StoreRevision,
+    ) -> Result<(Bytes, Duration), RelayError> {
+        let times = self.relay_times();
+        let addr = self.process.borrow().peer_addr(gateway.into());
+        let path = PeerRequest::Changes(after.0).path();
+        let request = request(Method::GET, addr, &path, Bytes::new());
+        let deadline = Instant::now() + times.relay_timeout;
+        let reply = self.pool.call(addr, request, MAX_CHANGES_BYTES, deadline).await?;
+        if reply.status != StatusCode::OK {
+            return Err(RelayError::Status(reply.status.as_u16()));
+        }
+        let changes = RelayedChanges::decode(&reply.body)?;
+        if changes.age() > times.max_age {
+            return Err(RelayError::TooOld(changes.age()));
+        }
+        Ok((reply.body.slice_ref(changes.body), changes.age()))
+    }
+}
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -11,8 +11,13 @@
     pub dispatch: DispatchSettings,
     /// Interval between requests for status reports from stagers.
     pub subscribe_interval: Duration,
-    /// Pause between two watch requests to the store, which lets changes accumulate.
-    pub store_watch_pause: Duration,
+    /// Maximum time that a watch of the store waits for changes. An unresponsive store is detected only
+    /// after it.
+    pub store_wait: Duration,
+    /// Time that the watch waits which follows the read of the whole store, to catch up with it.
+    pub catch_up_wait: Duration,
+    /// Time after the last request of another gateway for changes until which more are expected.
+    pub relay_memory: Duration,
     /// Delay before a failed read of the store is retried.
     pub store_retry_delay: Duration,
     /// Minimum outage of the store after which endpoints whose entries expired get time to register
@@ -44,7 +49,9 @@
         GatewaySettings {
             dispatch: DispatchSettings::default(),
             subscribe_interval: Duration::from_secs(1),
-            store_watch_pause: Duration::from_millis(300),
+            store_wait: Duration::from_millis(2500),
+            catch_up_wait: Duration::from_millis(1),
+            relay_memory: Duration::from_secs(5),
             store_retry_delay: Duration::from_millis(300),
             store_outage_threshold: Duration::from_millis(1000),
             version_margin_fraction: 0.2,
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -11,6 +11,7 @@
 
 use base::{ServiceId, Zone};
 use catalog::{Config, ProcessSettings};
+use directory::ChangeHistory;
 use dispatch::{
     Decision, Dispatcher, EndpointKey, EndpointOutcome, InFlightKey, PendingRequest, Refusal,
     RequestKey,
@@ -25,7 +26,7 @@
 use transport::ConnectionPool;
 
 use crate::{
-    refused::RecentRefusals, settings::GatewaySettings, shutdown::Shutdown,
+    change_source::RelayTimes, refused::RecentRefusals, settings::GatewaySettings, shutdown::Shutdown,
     suspects::SuspectRequests, weights::NamedWeights,
 };
 
@@ -68,6 +69,14 @@
     pub(crate) subscribe_notify: Notify,
     /// Whether the store was read completely.
     pub(crate) endpoints_listed: Cell<bool>,
+    /// The last changes of the store, for other gateways.
+    pub(crate) history: RefCell<ChangeHistory>,
+    /// Whether the last read of the store failed.
+    pub(crate) store_lost: Cell<bool>,
+    /// Wakes other gateways' requests for changes.
+    pub(crate) store_changed: Notify,
+    /// When another gateway last asked for changes.
+    pub(crate) relayed_at: Cell<Option<Instant>>,
     /// Set once the process received SIGTERM.
     pub(crate) stopping: Cell<Option<Shutdown>>,
     /// Number of requests in progress, streams included.
@@ -168,6 +177,10 @@
             poll_notify: Notify::new(),
             subscribe_notify: Notify::new(),
             endpoints_listed: Cell::new(false),
+            history: RefCell::default(),
+            store_lost: Cell::new(false),
+            store_changed: Notify::new(),
+            relayed_at: Cell::new(None),
             stopping: Cell::new(None),
             in_flight: Cell::new(0),
             body_bytes: Cell::new(0),
@@ -176,6 +189,11 @@
         }
     }
 
+    /// Timeouts of learning the store's changes from another gateway.
+    pub(crate) fn relay_times(&self) -> RelayTimes {
+        RelayTimes::for_bound(self.process.borrow().bounds.config_propagation)
+    }
+
     /// Returns whether the gateway accepts new connections.
     pub(crate) fn is_ready(&self) -> bool {
         self.stopping.get().is_none()
--- a/components/gateway/src/store_follower.rs
+++ b/components/gateway/src/store_follower.rs
@@ -1,24 +1,31 @@
 //! Follows the platform's store: endpoints, the configuration and the weights that the operator names.
 
 use std::{
+    net::Ipv4Addr,
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
 };
 
 use catalog::{Config, Endpoint, EndpointUpdate, ModelId, WeightsVersion};
-use directory::{ReadError, Snapshot, StoreReader};
+use directory::{ReadError, StoreReader, WatchedChanges};
 use dispatch::EndpointChange;
-use platform::store::{StoreEntry, StoreRevision, endpoint_id_from_key};
+use platform::store::{StoreEntry, StoreRevision, decode_changes, endpoint_id_from_key};
 use slog::{info, warn};
 use tokio::time::sleep;
 
-use crate::state::{Gateway, now};
+use crate::{
+    change_source::{ChangeSource, SourceSelection},
+    state::{Gateway, now},
+};
 
 /// Applies the contents of the store to the gateway.
 pub(crate) struct StoreFollower {
     gateway: Rc<Gateway>,
     reader: StoreReader,
+    sources: SourceSelection,
+    /// The source of the last changes, for the log.
+    source: ChangeSource,
     /// Revision up to which changes were applied. `None` until the store was read completely.
     revision: Option<StoreRevision>,
     /// When the store became unreachable.
@@ -29,9 +36,15 @@
 
 impl StoreFollower {
     pub(crate) fn new(gateway: Rc<Gateway>, reader: StoreReader) -> StoreFollower {
+        let sources = {
+            let process = gateway.process.borrow();
+            SourceSelection::new(process.ip, process.zone.clone())
+        };
         StoreFollower {
             gateway,
             reader,
+            sources,
+            source: ChangeSource::Store,
             revision: None,
             lost_at: None,
             reregistration_deadline: None,
@@ -43,8 +56,7 @@
         loop {
             let pause = match self.step().await {
                 Ok(changed) => {
-                    self.handle_store_regained();
-                    if changed { self.gateway.settings.store_watch_pause } else { Duration::ZERO }
+                    if changed { self.gateway.relay_times().store_pause } else { Duration::ZERO }
                 }
                 Err(ReadError::HistoryGone) => {
                     self.revision = None;
@@ -52,6 +64,7 @@
                 }
                 Err(err) => {
                     self.handle_store_lost(&err);
+                    self.give_way();
                     self.gateway.settings.store_retry_delay
                 }
             };
@@ -59,35 +72,141 @@
         }
     }
 
-    /// Reads the whole store, or waits for changes. Returns whether anything was read.
+    /// Reads the whole store, or waits for changes. Returns whether the store sent anything new.
     async fn step(&mut self) -> Result<bool, ReadError> {
-        match self.revision {
-            None => {
-                let snapshot = self.reader.read(false).await?;
-                self.revision = Some(snapshot.revision);
-                self.apply_snapshot(snapshot);
-                Ok(true)
+        let Some(at) = self.revision else {
+            self.read_all().await?;
+            return Ok(true);
+        };
+        let gateways: Vec<_> = self.gateway.zone_gateways.borrow().keys().copied().collect();
+        match self.sources.choose(gateways, now()) {
+            ChangeSource::Store => self.watch_store(at).await,
+            ChangeSource::Gateway(ip) => {
+                self.follow_gateway(ip, at).await;
+                Ok(false)
             }
-            Some(at) => {
-                let changes = self.reader.watch(at).await?;
-                self.revision = Some(changes.revision.max(at));
-                let changed = !changes.entries.is_empty();
+        }
+    }
+
+    /// Reads the whole store. The first time a stale read is enough, as the watch after it returns
+    /// what the read lacks before anything is served.
+    async fn read_all(&mut self) -> Result<(), ReadError> {
+        let is_first = !self.gateway.endpoints_listed.get();
+        if is_first {
+            match self.read_stale().await {
+                Ok(()) => return Ok(()),
+                Err(err) => info!(self.gateway.log, "stale read of the store failed";
+                    "error" => %err),
+            }
+        }
+        let snapshot = self.reader.read(false).await?;
+        self.handle_store_regained();
+        self.start_from(snapshot.revision);
+        self.apply_snapshot(snapshot.entries);
+        Ok(())
+    }
+
+    async fn read_stale(&mut self) -> Result<(), ReadError> {
+        let snapshot = self.reader.read(true).await?;
+        let wait = self.gateway.settings.catch_up_wait;
+        let watched = self.reader.watch(snapshot.revision, wait).await?;
+        self.handle_store_regained();
+        self.start_from(watched.changes.revision.max(snapshot.revision));
+        self.apply_snapshot(snapshot.entries);
+        self.apply_changes(watched.changes.entries, true);
+        Ok(())
+    }
+
+    fn start_from(&mut self, revision: StoreRevision) {
+        self.revision = Some(revision);
+        self.gateway.history.borrow_mut().restart(revision, now());
+    }
+
+    async fn watch_store(&mut self, at: StoreRevision) -> Result<bool, ReadError> {
+        let watched = self.reader.watch(at, self.store_wait()).await?;
+        self.handle_store_regained();
+        self.log_source(ChangeSource::Store, Duration::ZERO);
+        let changed = !watched.changes.entries.is_empty();
+        self.handle_watched(at, watched, now());
+        Ok(changed)
+    }
+
+    /// Maximum time that a watch waits: shorter if other gateways rely on this one.
+    fn store_wait(&self) -> Duration {
+        let settings = &self.gateway.settings;
+        let is_recent = |at| now().saturating_duration_since(at) < settings.relay_memory;
+        match self.gateway.relayed_at.get().is_some_and(is_recent) {
+            true => self.gateway.relay_times().store_wait.min(settings.store_wait),
+            false => settings.store_wait,
+        }
+    }
+
+    /// Learns changes from another gateway; if that fails, it is not asked again for a while.
+    async fn follow_gateway(&mut self, ip: Ipv4Addr, at: StoreRevision) {
+        let result = self.gateway.request_changes(ip, at).await.and_then(|(body, age)| {
+            let watched = match body.is_empty() {
+                true => None,
+                false => Some(WatchedChanges { changes: decode_changes(&body, at)?, body }),
+            };
+            Ok((watched, age))
+        });
+        match result {
+            Ok((watched, age)) => {
                 self.handle_store_regained();
-                self.apply_changes(changes.entries);
-                Ok(changed)
+                self.log_source(ChangeSource::Gateway(ip), age);
+                let confirmed_at = now().checked_sub(age).unwrap_or_else(now);
+                let watched = watched.unwrap_or_else(|| WatchedChanges::none(at));
+                self.handle_watched(at, watched, confirmed_at);
+            }
+            Err(err) => {
+                info!(self.gateway.log, "changes not learned from a gateway";
+                    "entry" => %ip, "error" => %err);
+                let backoff = self.gateway.relay_times().failure_backoff;
+                self.sources.record_failure(ip, now() + backoff);
             }
         }
     }
 
+    /// Lets other gateways read the store for a while, as this one cannot.
+    fn give_way(&mut self) {
+        let own_ip = self.gateway.process.borrow().ip;
+        let backoff = self.gateway.relay_times().failure_backoff;
+        self.sources.record_failure(own_ip, now() + backoff);
+    }
+
+    fn handle_watched(&mut self, at: StoreRevision, watched: WatchedChanges, confirmed_at: Instant) {
+        let revision = watched.changes.revision.max(at);
+        self.revision = Some(revision);
+        self.gateway.history.borrow_mut().push(revision, watched.body, confirmed_at);
+        self.gateway.store_changed.notify_waiters();
+        self.apply_changes(watched.changes.entries, false);
+    }
+
+    fn log_source(&mut self, source: ChangeSource, age: Duration) {
+        if self.source == source {
+            return;
+        }
+        self.source = source;
+        let from = match source {
+            ChangeSource::Store => "store".to_owned(),
+            ChangeSource::Gateway(ip) => ip.to_string(),
+        };
+        info!(self.gateway.log, "source of changes"; "from" => from,
+            "age_ms" => age.as_millis() as u64);
+    }
+
     fn handle_store_lost(&mut self, err: &ReadError) {
         if self.lost_at.is_none() {
             self.lost_at = Some(now());
+            self.gateway.store_lost.set(true);
+            self.gateway.store_changed.notify_waiters();
             warn!(self.gateway.log, "store lost"; "error" => %err);
         }
     }
 
     fn handle_store_regained(&mut self) {
         let Some(lost_at) = self.lost_at.take() else { return };
+        self.gateway.store_lost.set(false);
         let now = now();
         let away = now.saturating_duration_since(lost_at);
         if away >= self.gateway.settings.store_outage_threshold {
@@ -102,7 +221,8 @@
         self.reregistration_deadline.filter(|until| now() < *until)
     }
 
-    fn apply_changes(&mut self, entries: Vec<StoreEntry>) {
+    /// Applies changes. `inherited` means that they may have been made before this process started.
+    fn apply_changes(&mut self, entries: Vec<StoreEntry>, inherited: bool) {
         let mut removed = Vec::new();
         for entry in entries {
             match entry {
@@ -112,7 +232,7 @@
                     removed.retain(|id| *id != endpoint.id);
                     self.apply_endpoint_update(EndpointUpdate::Published(endpoint));
                 }
-                other => self.apply_entry(other, false),
+                other => self.apply_entry(other, inherited),
             }
         }
         let changes = self
@@ -123,10 +243,9 @@
         self.gateway.handle_endpoint_changes(changes);
     }
 
-    fn apply_snapshot(&mut self, snapshot: Snapshot) {
-        self.handle_store_regained();
+    fn apply_snapshot(&mut self, entries: Vec<StoreEntry>) {
         let mut all: Vec<Endpoint> = Vec::new();
-        for entry in snapshot.entries {
+        for entry in entries {
             match entry {
                 StoreEntry::Endpoint(EndpointUpdate::Published(endpoint)) => all.push(endpoint),
                 other => self.apply_entry(other, true),
--- a/components/node/src/node.rs
+++ b/components/node/src/node.rs
@@ -7,7 +7,7 @@
 };
 
 use audit::{AuditTrail, Change};
-use base::{Incarnation, Revision, VmId};
+use base::{Incarnation, Readers, Revision, VmId};
 use gossip::{Documents, Joining, LocalState, Members, MembersSettings, OfferResult, Picker};
 use metrics::{counter, gauge};
 use net::{Latch, PeerCaller};
@@ -18,7 +18,7 @@
 
 use crate::{
     Changes, NodeEvent,
-    readers::Readers,
+    readers::zone_readers,
     talk::{BurstLimiter, Probes},
     watcher::Watcher,
 };
@@ -67,7 +67,7 @@
     vms_watcher: Watcher,
     /// The revision of the VM list that was last confirmed as the newest, and when.
     vms_confirmed: Option<(Revision, Instant)>,
-    readers: Readers,
+    readers: Readers<VmId>,
 }
 
 impl Node {
@@ -90,6 +90,7 @@
         let vm = identity.settings.vm.clone();
         let members = Members::new(vm, identity.incarnation, MembersSettings::default());
         let now = Instant::now();
+        let readers = zone_readers(&manifest::VmList::default(), &identity.settings.zone);
         Node {
             documents: Documents::default(),
             members,
@@ -99,7 +100,7 @@
             burst_limiter: BurstLimiter::new(now),
             gossip_at: now,
             requested: Vec::new(),
-            readers: Readers::default(),
+            readers,
             trail: AuditTrail::new(log.clone()),
             peers,
             log,
@@ -221,7 +222,7 @@
     fn handle_vm_list(&mut self, now: Instant) {
         let Settings { vm, zone, .. } = &self.identity.settings;
         let first = self.picker.peer_count() == 0 && self.joining.is_none();
-        self.readers.set_list(self.documents.vms(), zone);
+        self.readers = zone_readers(self.documents.vms(), zone);
         self.picker.set_list(self.documents.vms(), vm, zone);
         self.members.set_list(self.documents.vms());
         self.select_readers();
--- a/components/node/src/readers/tests.rs
+++ b/components/node/src/readers/tests.rs
@@ -17,8 +17,7 @@
 
 fn readers(list: &VmList, gone: &[VmId]) -> Vec<VmId> {
     let zone = list.vms[0].zone.clone();
-    let mut readers = Readers::default();
-    readers.set_list(list, &zone);
+    let readers = zone_readers(list, &zone);
     let in_zone = list.vms.iter().filter(|vm| vm.zone == zone).map(|vm| &vm.id);
     let live = in_zone.filter(|vm| !gone.contains(vm));
     live.filter(|me| readers.is_reader(me, |vm| gone.contains(vm))).cloned().collect()
@@ -41,10 +40,11 @@
     let mut list = list(40);
     let first = readers(&list, &[]);
     list.vms.iter_mut().filter(|vm| vm.id == first[0]).for_each(|v| v.state = VmState::Leaving);
-    let mut readers = Readers::default();
-    readers.set_list(&list, &list.vms[0].zone);
+    let readers = zone_readers(&list, &list.vms[0].zone);
     let me = "unlisted".parse().unwrap();
     assert!(readers.is_reader(&me, |_| false));
-    assert_eq!(readers.ranking.iter().filter(|vm| readers.is_reader(vm, |_| false)).count(), 2);
-    assert!(!readers.ranking.contains(&first[0]));
+    let current: Vec<&VmId> = readers.current(|_| false).collect();
+    assert_eq!(current.len(), READERS_PER_ZONE);
+    assert!(!current.contains(&&first[0]));
+    assert!(readers.is_reader(&first[0], |_| false), "it is no longer in the list");
 }
--- a/components/peering/src/lib.rs
+++ b/components/peering/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod fleet;
 mod message;
+mod relay;
 mod request;
 mod socket;
 
@@ -11,5 +12,6 @@
     EngineState, Inventory, Message, MessageError, NamedVersion, PieceSet, RefusedRequest,
     StateReport, Subscription, Suspicion,
 };
+pub use relay::RelayedChanges;
 pub use request::{PeerRequest, REQUEST_TIMEOUT};
 pub use socket::{MAX_DATAGRAM, PeerSocket};
--- a/components/peering/src/request.rs
+++ b/components/peering/src/request.rs
@@ -16,6 +16,8 @@
     /// The part of a service's fleet that the stagers of a zone need, or all of it without a zone,
     /// as an encoded `Fleet`.
     Fleet(ServiceId, Option<Zone>),
+    /// The store's changes after a revision, as an encoded `RelayedChanges`.
+    Changes(u64),
     /// The digests of a version, 32 bytes each.
     Digests(u64),
     /// One piece of a version.
@@ -28,6 +30,7 @@
         match self {
             PeerRequest::Fleet(service, None) => format!("/fleet/{service}"),
             PeerRequest::Fleet(service, Some(zone)) => format!("/fleet/{service}?{ZONE_KEY}{zone}"),
+            PeerRequest::Changes(revision) => format!("/changes/{revision}"),
             PeerRequest::Digests(version) => format!("/digests/{version}"),
             PeerRequest::Piece(version, piece) => format!("/pieces/{version}/{piece}"),
         }
@@ -42,6 +45,7 @@
                 let zone = query.strip_prefix(ZONE_KEY).and_then(|zone| zone.parse().ok());
                 PeerRequest::Fleet(service.parse().ok()?, zone)
             }
+            ("changes", revision, None) => PeerRequest::Changes(revision.parse().ok()?),
             ("digests", version, None) => PeerRequest::Digests(version.parse().ok()?),
             ("pieces", version, Some(piece)) => {
                 PeerRequest::Piece(version.parse().ok()?, piece.parse().ok()?)
--- a/components/peering/src/request/tests.rs
+++ b/components/peering/src/request/tests.rs
@@ -6,6 +6,7 @@
     for request in [
         PeerRequest::Fleet(service.clone(), None),
         PeerRequest::Fleet(service, "zone-1".parse().ok()),
+        PeerRequest::Changes(41),
         PeerRequest::Digests(7),
         PeerRequest::Piece(7, 95),
     ] {
