Gather the state of the zone once for each scheduling round

Cause: a profile of a stager beside a stand-in (callgrind, 1 million instructions a second while nothing is fetched) showed that polls and messages are cheap; what is left is fetching.

Change: scheduler::round holds the holders of each piece, the lagging owners and the fetches in flight; decisions look them up. Checks are at least 10 ms apart.

The decisions are the same (scheduler tests unchanged).

--- a/components/dispatch/src/selection.rs
+++ b/components/dispatch/src/selection.rs
@@ -134,10 +134,7 @@
     }
 
     fn is_usable(&self, tracked: &TrackedEndpoint, now: Instant) -> bool {
-        if !tracked.is_followed
-            || !tracked.is_listed_ready()
-            || !tracked.health.is_available(now)
-        {
+        if !tracked.is_followed || !tracked.is_listed_ready() || !tracked.health.is_available(now) {
             return false;
         }
         if !self.engine_models.contains_key(&tracked.listed.service) {
--- a/components/gateway/src/change_source/tests.rs
+++ b/components/gateway/src/change_source/tests.rs
@@ -86,10 +86,8 @@
 fn a_reader_that_failed_is_asked_again_after_a_while() {
     let now = Instant::now();
     let all = gateways(12);
-    let (ip, source) = sources(&all, now)
-        .into_iter()
-        .find(|(_, source)| *source != ChangeSource::Store)
-        .unwrap();
+    let (ip, source) =
+        sources(&all, now).into_iter().find(|(_, source)| *source != ChangeSource::Store).unwrap();
     let ChangeSource::Gateway(reader) = source else { unreachable!() };
     let mut selection = selection(ip);
     let until = now + Duration::from_secs(3);
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -26,8 +26,8 @@
 use transport::ConnectionPool;
 
 use crate::{
-    change_source::RelayTimes, refused::RecentRefusals, settings::GatewaySettings, shutdown::Shutdown,
-    suspects::SuspectRequests, weights::NamedWeights,
+    change_source::RelayTimes, refused::RecentRefusals, settings::GatewaySettings,
+    shutdown::Shutdown, suspects::SuspectRequests, weights::NamedWeights,
 };
 
 /// What the subset of followed engines was chosen from.
--- a/components/gateway/src/store_follower.rs
+++ b/components/gateway/src/store_follower.rs
@@ -56,7 +56,11 @@
         loop {
             let pause = match self.step().await {
                 Ok(changed) => {
-                    if changed { self.gateway.relay_times().store_pause } else { Duration::ZERO }
+                    if changed {
+                        self.gateway.relay_times().store_pause
+                    } else {
+                        Duration::ZERO
+                    }
                 }
                 Err(ReadError::HistoryGone) => {
                     self.revision = None;
@@ -174,7 +178,12 @@
         self.sources.record_failure(own_ip, now() + backoff);
     }
 
-    fn handle_watched(&mut self, at: StoreRevision, watched: WatchedChanges, confirmed_at: Instant) {
+    fn handle_watched(
+        &mut self,
+        at: StoreRevision,
+        watched: WatchedChanges,
+        confirmed_at: Instant,
+    ) {
         let revision = watched.changes.revision.max(at);
         self.revision = Some(revision);
         self.gateway.history.borrow_mut().push(revision, watched.body, confirmed_at);
--- a/components/stager/src/fetch.rs
+++ b/components/stager/src/fetch.rs
@@ -30,6 +30,8 @@
 const MAX_PIECE_BYTES: usize = 16 << 20;
 /// Maximum time between checks for pieces to fetch, while pieces are missing.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Minimum time between checks; messages of neighbours that arrive meanwhile are handled together.
+const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// Maximum time between checks while no piece is missing; news of another version wakes the task.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum age of a version of which no piece can be staged anywhere yet.
@@ -42,8 +44,7 @@
     pub(crate) async fn fetch_loop(self: Rc<Stager>) {
         loop {
             // Whether notified or timed out, everything is checked again.
-            let interval =
-                if self.is_downloading() { CHECK_INTERVAL } else { IDLE_CHECK_INTERVAL };
+            let interval = if self.is_downloading() { CHECK_INTERVAL } else { IDLE_CHECK_INTERVAL };
             let _ = timeout(interval, self.fetch_wakeup.notified()).await;
             self.start_newest_download();
             let Some(version) = self.download_version() else { continue };
@@ -52,6 +53,7 @@
                 continue;
             }
             self.start_fetches(version);
+            sleep(MIN_CHECK_INTERVAL).await;
         }
     }
 
--- a/components/stager/src/scheduler.rs
+++ b/components/stager/src/scheduler.rs
@@ -5,8 +5,10 @@
 //! other members fetch it within their zone from any member that holds it, rarest pieces first. If
 //! an owner fails, the next candidate takes over its pieces.
 
+mod round;
+
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     net::Ipv4Addr,
     time::{Duration, Instant},
 };
@@ -14,6 +16,8 @@
 use fastrand::Rng;
 use peering::PieceSet;
 
+use self::round::Round;
+
 /// Limits for fetching pieces.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct FetchSettings {
@@ -117,6 +121,8 @@
     in_origin_zone: bool,
     /// Members of this zone in the order of ownership, including this VM.
     zone_members: Vec<Ipv4Addr>,
+    /// The same members, for look-ups.
+    zone_set: HashSet<Ipv4Addr>,
     /// Members of the origin's zone in the order of ownership; empty if it is this zone.
     origin_zone_members: Vec<Ipv4Addr>,
     neighbours: HashMap<Ipv4Addr, Neighbour>,
@@ -175,6 +181,7 @@
             last_progress: now,
             in_origin_zone: true,
             zone_members: vec![own_ip],
+            zone_set: HashSet::from([own_ip]),
             origin_zone_members: Vec::new(),
             neighbours: HashMap::new(),
             last_heard: HashMap::new(),
@@ -194,6 +201,7 @@
         if !self.zone_members.contains(&self.own_ip) {
             self.zone_members.push(self.own_ip);
         }
+        self.zone_set = self.zone_members.iter().copied().collect();
         self.origin_zone_members = origin_zone_members;
     }
 
@@ -244,26 +252,28 @@
 
     /// Selects the fetches to start now.
     pub fn next_fetches(&mut self, now: Instant) -> Vec<Fetch> {
+        if self.is_complete() {
+            return Vec::new();
+        }
         self.backoff_until.retain(|_, until| now < *until);
+        let mut round = Round::new(self, now);
         let mut fetches = Vec::new();
-        for piece in self.missing_pieces(now) {
-            let Some(source) = self.choose_source(piece, now) else { continue };
+        for piece in self.missing_pieces(&round) {
+            let Some(source) = self.choose_source(piece, &round) else { continue };
             self.in_flight.insert(piece, (source, now));
+            round.add_fetch(source, self.is_in_zone(source));
             fetches.push(Fetch { piece, source });
         }
         fetches
     }
 
     /// Pieces that are neither held nor in flight, rarest in the zone first.
-    fn missing_pieces(&mut self, now: Instant) -> Vec<u32> {
+    fn missing_pieces(&mut self, round: &Round) -> Vec<u32> {
         let all = 0..self.piece_count;
         let missing = all.filter(|p| !self.held.contains(*p) && !self.in_flight.contains_key(p));
         let mut missing: Vec<u32> = missing.collect();
         self.rng.shuffle(&mut missing);
-        let holders = |piece: &u32| {
-            self.fresh_neighbours(now).filter(|(_, pieces)| pieces.contains(*piece)).count()
-        };
-        missing.sort_by_cached_key(holders);
+        missing.sort_by_key(|piece| round.holders(*piece).len());
         missing
     }
 
@@ -273,8 +283,12 @@
         self.neighbours.iter().filter(move |(_, n)| is_fresh(n)).map(|(ip, n)| (*ip, &n.pieces))
     }
 
+    fn is_in_zone(&self, source: Source) -> bool {
+        matches!(source, Source::Peer(ip) if self.zone_set.contains(&ip))
+    }
+
     /// Whether one more piece may be fetched from a source.
-    fn has_capacity(&self, source: Source) -> bool {
+    fn has_capacity(&self, source: Source, round: &Round) -> bool {
         if self.backoff_until.contains_key(&source) {
             return false;
         }
@@ -285,44 +299,38 @@
             max_other_zone_fetches,
             ..
         } = self.settings;
-        let is_in_zone =
-            |source: &Source| matches!(source, Source::Peer(ip) if self.zone_members.contains(ip));
-        let busy = |counts: &dyn Fn(&Source) -> bool| {
-            self.in_flight.values().filter(|(source, _)| counts(source)).count()
-        };
         if source == Source::Origin {
-            return busy(&|s| *s == Source::Origin) < max_origin_fetches;
+            return round.busy(source) < max_origin_fetches;
         }
-        if !is_in_zone(&source) {
-            let other_zone = busy(&|s| *s != Source::Origin && !is_in_zone(s));
-            return other_zone < max_other_zone_fetches.min(self.fetch_window());
+        if !self.is_in_zone(source) {
+            return round.busy_elsewhere() < max_other_zone_fetches.min(self.fetch_window());
         }
-        busy(&|s| *s == source) < max_fetches_per_source
-            && busy(&is_in_zone) < max_fetches.min(self.fetch_window())
+        round.busy(source) < max_fetches_per_source
+            && round.busy_in_zone() < max_fetches.min(self.fetch_window())
     }
 
-    fn choose_source(&mut self, piece: u32, now: Instant) -> Option<Source> {
-        let holders = self.fresh_neighbours(now).filter(|(_, pieces)| pieces.contains(piece));
-        let holders: Vec<Source> = holders.map(|(ip, _)| Source::Peer(ip)).collect();
-        let free: Vec<Source> = holders.iter().copied().filter(|s| self.has_capacity(*s)).collect();
+    fn choose_source(&mut self, piece: u32, round: &Round) -> Option<Source> {
+        let holders = round.holders(piece);
+        let sources = holders.iter().map(|ip| Source::Peer(*ip));
+        let free: Vec<Source> = sources.filter(|s| self.has_capacity(*s, round)).collect();
         if !free.is_empty() {
-            return self.fastest(&free);
+            return self.fastest(&free, round);
         }
-        let responsible = self.is_responsible(piece, now);
         // While another member brings the piece into the zone or holds it, it is not fetched from
         // outside again.
         if !holders.is_empty()
-            && self.time_without_progress(now) < self.settings.origin_fallback_delay
+            && self.time_without_progress(round.now) < self.settings.origin_fallback_delay
         {
             return None;
         }
-        if responsible { self.upstream_source(piece, now) } else { None }
+        let responsible = self.is_responsible(piece, round);
+        if responsible { self.upstream_source(piece, round) } else { None }
     }
 
     /// The source with the shortest expected fetch time.
-    fn fastest(&mut self, sources: &[Source]) -> Option<Source> {
+    fn fastest(&mut self, sources: &[Source], round: &Round) -> Option<Source> {
         let expected = |source: &Source| {
-            let busy = self.in_flight.values().filter(|(s, _)| s == source).count() as f64;
+            let busy = round.busy(*source) as f64;
             let mean = self.source_fetch_ms.get(source).copied().unwrap_or(DEFAULT_FETCH_MS);
             // Rounded, as small differences are noise.
             ((busy + 1.0) * mean.max(DEFAULT_FETCH_MS) / DEFAULT_FETCH_MS).round() as u32
@@ -345,7 +353,7 @@
         let took_ms = took.as_secs_f64() * 1e3;
         let mean = self.source_fetch_ms.entry(source).or_insert(took_ms);
         *mean += (took_ms - *mean) * SOURCE_EWMA_WEIGHT;
-        if matches!(source, Source::Peer(ip) if self.zone_members.contains(&ip)) {
+        if self.is_in_zone(source) {
             self.zone_fetch_ms += (took_ms - self.zone_fetch_ms) * ZONE_EWMA_WEIGHT;
         }
     }
@@ -362,37 +370,19 @@
 
     /// Whether this stager must bring a piece into the zone: it owns the piece, or the candidates
     /// before it are silent, lag, or made no progress for too long.
-    fn is_responsible(&self, piece: u32, now: Instant) -> bool {
+    fn is_responsible(&self, piece: u32, round: &Round) -> bool {
+        let now = round.now;
         let before =
             owner_candidates(&self.zone_members, piece).take_while(|ip| *ip != self.own_ip);
         let is_new = self.elapsed(now) < self.settings.inventory_timeout;
         let is_working = |ip: &Ipv4Addr| {
             let alive = self.is_alive(*ip, now) || (is_new && !self.last_heard.contains_key(ip));
-            alive && !self.is_lagging(*ip, now)
+            alive && !round.is_lagging(*ip)
         };
         let working = before.filter(is_working).count() as u32;
         self.time_without_progress(now) >= self.settings.owner_fallback_delay * working
     }
 
-    /// Whether an owner has brought a much smaller part of its pieces into the zone than the other
-    /// owners have.
-    fn is_lagging(&self, owner: Ipv4Addr, now: Instant) -> bool {
-        let is_in_zone = |piece: &u32| {
-            self.held.contains(*piece)
-                || self.fresh_neighbours(now).any(|(_, p)| p.contains(*piece))
-        };
-        let fraction_in_zone = |pieces: &[u32]| {
-            let in_zone = pieces.iter().filter(|piece| is_in_zone(piece)).count();
-            in_zone as f64 / pieces.len().max(1) as f64
-        };
-        let all: Vec<u32> = (0..self.piece_count).collect();
-        let is_owned =
-            |piece: &u32| owner_candidates(&self.zone_members, *piece).next() == Some(owner);
-        let owned: Vec<u32> = all.iter().copied().filter(is_owned).collect();
-        let overall = fraction_in_zone(&all);
-        overall >= MIN_ZONE_FRACTION_FOR_LAG && fraction_in_zone(&owned) < overall * LAG_RATIO
-    }
-
     fn is_alive(&self, ip: Ipv4Addr, now: Instant) -> bool {
         let heard = self.last_heard.get(&ip);
         heard.is_some_and(|at| now.saturating_duration_since(*at) < self.settings.member_timeout)
@@ -404,14 +394,14 @@
     }
 
     /// The source outside the zone for a piece that no member of the zone holds.
-    fn upstream_source(&self, piece: u32, now: Instant) -> Option<Source> {
+    fn upstream_source(&self, piece: u32, round: &Round) -> Option<Source> {
         if self.in_origin_zone {
-            return Some(Source::Origin).filter(|s| self.has_capacity(*s));
+            return Some(Source::Origin).filter(|s| self.has_capacity(*s, round));
         }
         let mut peers = owner_candidates(&self.origin_zone_members, piece).map(Source::Peer);
-        let peer = peers.find(|peer| self.has_capacity(*peer));
-        let late = self.time_without_progress(now) >= self.settings.origin_fallback_delay;
-        peer.or_else(|| Some(Source::Origin).filter(|s| late && self.has_capacity(*s)))
+        let peer = peers.find(|peer| self.has_capacity(*peer, round));
+        let late = self.time_without_progress(round.now) >= self.settings.origin_fallback_delay;
+        peer.or_else(|| Some(Source::Origin).filter(|s| late && self.has_capacity(*s, round)))
     }
 }
 
