Let at most 12 members of a zone own pieces

Cause: in a zone of 53 members each owned two of 96 pieces, so that all fetched from the origin at once; the first piece was through when nearly all were, and nothing was passed on until then.

Change: a piece belongs to one of the first 12 members by address; the others take over as before.

Tests: a_large_zone_reads_the_origin_through_few_members_that_cover_all_pieces, any_member_of_a_large_zone_takes_over_when_the_owners_are_silent.

--- a/components/stager/src/scheduler.rs
+++ b/components/stager/src/scheduler.rs
@@ -1,7 +1,9 @@
 //! Selects which piece of the weights to fetch next and from which source.
 //!
 //! Each piece has one owner in each availability zone, which brings it into that zone once: in the
-//! origin's zone from the origin, in other zones from the piece's owner in the origin's zone. All
+//! origin's zone from the origin, in other zones from the piece's owner in the origin's zone. A
+//! zone has a bounded number of owners: the more fetches share the origin's link, the later the
+//! first of them is through and can be passed on. All
 //! other members fetch it within their zone from any member that holds it, rarest pieces first. If
 //! an owner fails, the next candidate takes over its pieces.
 
@@ -27,6 +29,8 @@
     pub max_fetches_per_source: usize,
     /// Maximum number of concurrent fetches from the origin.
     pub max_origin_fetches: usize,
+    /// Maximum number of members of a zone that own pieces.
+    pub max_owners: usize,
     /// Maximum number of concurrent fetches from other zones, which respond once they hold the
     /// piece.
     pub max_other_zone_fetches: usize,
@@ -51,6 +55,7 @@
             max_fetches: 8,
             max_fetches_per_source: 2,
             max_origin_fetches: 2,
+            max_owners: 12,
             max_other_zone_fetches: 5,
             digest_step: Duration::from_millis(300),
             owner_fallback_delay: Duration::from_millis(1500),
@@ -152,12 +157,22 @@
 /// all pieces.
 const LAG_RATIO: f64 = 0.5;
 
+/// The index of the member that owns a piece, of `count` members.
+fn owner_index(count: usize, max_owners: usize, piece: u32) -> usize {
+    piece as usize % count.min(max_owners).max(1)
+}
+
 /// The members that may bring a piece into their zone: its owner, then the candidates that take
 /// over. The first candidate differs between the pieces of one owner, so that several members share
 /// its work.
-fn owner_candidates(members: &[Ipv4Addr], piece: u32) -> impl Iterator<Item = Ipv4Addr> {
+fn owner_candidates(
+    members: &[Ipv4Addr],
+    max_owners: usize,
+    piece: u32,
+) -> impl Iterator<Item = Ipv4Addr> {
     let count = members.len().max(1);
-    let (owner, round) = (piece as usize % count, piece as usize / count);
+    let owner = owner_index(count, max_owners, piece);
+    let round = piece as usize / count.min(max_owners).max(1);
     let others = (1..count).map(move |i| (owner + 1 + (round + i - 1) % (count - 1)) % count);
     std::iter::once(owner).chain(others).filter_map(|i| members.get(i).copied())
 }
@@ -372,8 +387,8 @@
     /// before it are silent, lag, or made no progress for too long.
     fn is_responsible(&self, piece: u32, round: &Round) -> bool {
         let now = round.now;
-        let before =
-            owner_candidates(&self.zone_members, piece).take_while(|ip| *ip != self.own_ip);
+        let before = owner_candidates(&self.zone_members, self.settings.max_owners, piece)
+            .take_while(|ip| *ip != self.own_ip);
         let is_new = self.elapsed(now) < self.settings.inventory_timeout;
         let is_working = |ip: &Ipv4Addr| {
             let alive = self.is_alive(*ip, now) || (is_new && !self.last_heard.contains_key(ip));
@@ -398,7 +413,9 @@
         if self.in_origin_zone {
             return Some(Source::Origin).filter(|s| self.has_capacity(*s, round));
         }
-        let mut peers = owner_candidates(&self.origin_zone_members, piece).map(Source::Peer);
+        let members = &self.origin_zone_members;
+        let candidates = owner_candidates(members, self.settings.max_owners, piece);
+        let mut peers = candidates.map(Source::Peer);
         let peer = peers.find(|peer| self.has_capacity(*peer, round));
         let late = self.time_without_progress(round.now) >= self.settings.origin_fallback_delay;
         peer.or_else(|| Some(Source::Origin).filter(|s| late && self.has_capacity(*s, round)))
--- a/components/stager/src/scheduler/round.rs
+++ b/components/stager/src/scheduler/round.rs
@@ -7,7 +7,7 @@
     time::Instant,
 };
 
-use super::{FetchScheduler, LAG_RATIO, MIN_ZONE_FRACTION_FOR_LAG, Source};
+use super::{FetchScheduler, LAG_RATIO, MIN_ZONE_FRACTION_FOR_LAG, Source, owner_index};
 
 /// State of the zone and of the fetches in flight at the start of a round.
 pub(super) struct Round {
@@ -100,7 +100,7 @@
     let mut overall = Progress::default();
     for (piece, holders) in (0..).zip(holders) {
         let in_zone = u32::from(!holders.is_empty() || scheduler.held.contains(piece));
-        let owner = piece as usize % members.len().max(1);
+        let owner = owner_index(members.len(), scheduler.settings.max_owners, piece);
         for progress in progress.get_mut(owner).into_iter().chain([&mut overall]) {
             progress.owned += 1;
             progress.in_zone += in_zone;
@@ -110,7 +110,8 @@
     if overall < MIN_ZONE_FRACTION_FOR_LAG {
         return HashSet::new();
     }
-    let of_members = members.iter().zip(&progress);
-    let lagging = of_members.filter(|(_, progress)| progress.fraction() < overall * LAG_RATIO);
+    let is_lagging =
+        |progress: &Progress| progress.owned > 0 && progress.fraction() < overall * LAG_RATIO;
+    let lagging = members.iter().zip(&progress).filter(|(_, progress)| is_lagging(progress));
     lagging.map(|(ip, _)| *ip).collect()
 }
--- a/components/stager/src/scheduler/tests.rs
+++ b/components/stager/src/scheduler/tests.rs
@@ -297,3 +297,36 @@
     assert!(settings.digest_delay(1) < settings.digest_delay(2));
     assert_eq!(settings.digest_delay(usize::MAX), settings.owner_fallback_delay);
 }
+
+#[test]
+fn a_large_zone_reads_the_origin_through_few_members_that_cover_all_pieces() {
+    let now = Instant::now();
+    let members: Vec<u8> = (1..=53).collect();
+    let mut fetching = 0;
+    let mut owned = PieceSet::default();
+    for me in &members {
+        let mut scheduler = scheduler(*me, 96, &members, &[], now);
+        let fetches = scheduler.next_fetches(now);
+        assert!(fetches.iter().all(|fetch| fetch.source == Source::Origin));
+        fetching += usize::from(!fetches.is_empty());
+        let mut next = fetches;
+        while let Some(fetch) = next.pop() {
+            owned.insert(fetch.piece);
+            scheduler.mark_held(fetch.piece, now);
+            next.extend(scheduler.next_fetches(now));
+        }
+    }
+    assert_eq!(fetching, FetchSettings::default().max_owners);
+    assert_eq!(owned.len(), 96);
+}
+
+#[test]
+fn any_member_of_a_large_zone_takes_over_when_the_owners_are_silent() {
+    let now = Instant::now();
+    let members: Vec<u8> = (1..=53).collect();
+    let settings = FetchSettings::default();
+    let late = now + settings.member_timeout.max(settings.inventory_timeout);
+    let mut scheduler = scheduler(40, 96, &members, &[], now);
+    assert_eq!(scheduler.next_fetches(now), []);
+    assert!(!scheduler.next_fetches(late).is_empty());
+}
