Read the store itself for a while after another gateway failed

Change: after a failure a gateway reads the store itself for the length of the bound. A gateway that failed is not asked again for eight times that, unless all have failed. One failure of the store is taken for one of the connection and the store is asked again.

--- a/components/gateway/src/change_source.rs
+++ b/components/gateway/src/change_source.rs
@@ -36,7 +36,10 @@
     pub(crate) relay_timeout: Duration,
     /// Age from which the knowledge of a gateway is too old to rely on.
     pub(crate) max_age: Duration,
-    /// Time for which a gateway that failed is not asked again.
+    /// Time for which a gateway reads the store itself after another one failed.
+    pub(crate) direct_time: Duration,
+    /// Time for which a gateway that failed is not asked again. Longer than `direct_time`, so that
+    /// one that is cut off is not asked again before others were.
     pub(crate) failure_backoff: Duration,
 }
 
@@ -49,7 +52,8 @@
             relay_wait: bound / 8,
             relay_timeout: bound / 4,
             max_age: bound * 3 / 5,
-            failure_backoff: bound,
+            direct_time: bound,
+            failure_backoff: bound * 8,
         }
     }
 }
@@ -59,13 +63,17 @@
 pub(crate) struct SourceSelection {
     own_ip: Ipv4Addr,
     zone: Zone,
+    times: RelayTimes,
     /// Gateways that failed, with the time until which they are not asked.
     failed: HashMap<Ipv4Addr, Instant>,
+    /// Until when this gateway reads the store itself, because another one failed. Asking one silent
+    /// gateway after the other would take longer than changes may.
+    direct_until: Option<Instant>,
 }
 
 impl SourceSelection {
-    pub(crate) fn new(own_ip: Ipv4Addr, zone: Zone) -> SourceSelection {
-        SourceSelection { own_ip, zone, failed: HashMap::new() }
+    pub(crate) fn new(own_ip: Ipv4Addr, zone: Zone, times: RelayTimes) -> SourceSelection {
+        SourceSelection { own_ip, zone, times, failed: HashMap::new(), direct_until: None }
     }
 
     /// The source to use now, given the other gateways of the zone.
@@ -74,6 +82,9 @@
         gateways: impl IntoIterator<Item = Ipv4Addr>,
         now: Instant,
     ) -> ChangeSource {
+        if self.direct_until.is_some_and(|until| now < until) {
+            return ChangeSource::Store;
+        }
         self.failed.retain(|_, until| now < *until);
         let members = gateways.into_iter().filter(|ip| *ip != self.own_ip).chain([self.own_ip]);
         let readers = Readers::new(&self.zone, members, READERS_PER_ZONE);
@@ -85,13 +96,26 @@
             return ChangeSource::Store;
         }
         let key = self.own_ip.octets();
-        let chosen = rendezvous_first(&key, &current, |(name, _)| name);
-        chosen.map_or(ChangeSource::Store, |(_, ip)| ChangeSource::Gateway(*ip))
+        match rendezvous_first(&key, &current, |(name, _)| name) {
+            Some((_, ip)) => ChangeSource::Gateway(*ip),
+            None => {
+                // All have failed, the store included: they are tried again in order.
+                self.failed.clear();
+                ChangeSource::Store
+            }
+        }
     }
 
     /// Records that a gateway did not answer, or knows too little.
-    pub(crate) fn record_failure(&mut self, ip: Ipv4Addr, until: Instant) {
-        self.failed.insert(ip, until);
+    pub(crate) fn record_failure(&mut self, ip: Ipv4Addr, now: Instant) {
+        self.failed.insert(ip, now + self.times.failure_backoff);
+        self.direct_until = Some(now + self.times.direct_time);
+    }
+
+    /// Records that this gateway cannot read the store, so that others are to read it.
+    pub(crate) fn record_store_failure(&mut self, now: Instant) {
+        self.failed.insert(self.own_ip, now + self.times.direct_time);
+        self.direct_until = None;
     }
 }
 
--- a/components/gateway/src/store_follower.rs
+++ b/components/gateway/src/store_follower.rs
@@ -38,7 +38,7 @@
     pub(crate) fn new(gateway: Rc<Gateway>, reader: StoreReader) -> StoreFollower {
         let sources = {
             let process = gateway.process.borrow();
-            SourceSelection::new(process.ip, process.zone.clone())
+            SourceSelection::new(process.ip, process.zone.clone(), gateway.relay_times())
         };
         StoreFollower {
             gateway,
@@ -67,8 +67,11 @@
                     Duration::ZERO
                 }
                 Err(err) => {
+                    // The first failure may be one of the connection, so the store is asked again.
+                    if self.lost_at.is_some() {
+                        self.sources.record_store_failure(now());
+                    }
                     self.handle_store_lost(&err);
-                    self.give_way();
                     self.gateway.settings.store_retry_delay
                 }
             };
@@ -165,19 +168,11 @@
             Err(err) => {
                 info!(self.gateway.log, "changes not learned from a gateway";
                     "entry" => %ip, "error" => %err);
-                let backoff = self.gateway.relay_times().failure_backoff;
-                self.sources.record_failure(ip, now() + backoff);
+                self.sources.record_failure(ip, now());
             }
         }
     }
 
-    /// Lets other gateways read the store for a while, as this one cannot.
-    fn give_way(&mut self) {
-        let own_ip = self.gateway.process.borrow().ip;
-        let backoff = self.gateway.relay_times().failure_backoff;
-        self.sources.record_failure(own_ip, now() + backoff);
-    }
-
     fn handle_watched(
         &mut self,
         at: StoreRevision,
