--- a/components/gateway/src/change_source.rs
+++ b/components/gateway/src/change_source.rs
@@ -10,7 +10,7 @@
 
 use base::{Readers, Zone, rendezvous_first};
 
-/// Number of gateways per zone that read the store. Others take over within a fraction of a second.
+/// Number of gateways per zone that read the store. Others take over when it fails.
 const READERS_PER_ZONE: usize = 1;
 
 /// Where changes of the store are learned from.
