--- a/components/gateway/src/change_source.rs
+++ b/components/gateway/src/change_source.rs
@@ -1,6 +1,6 @@
-//! Decides from where a gateway learns of the store's changes. In each availability zone a few
-//! gateways read the store; the others learn from them, and read the store themselves when these
-//! fail. Each gateway decides from what it knows; none coordinates the others.
+//! Decides from where a gateway learns of the store's changes. In each availability zone one
+//! gateway reads the store; the others learn from it, and read the store themselves when it fails.
+//! Each gateway decides from what it knows; none coordinates the others.
 
 use std::{
     collections::HashMap,
