--- a/components/directory/src/history.rs
+++ b/components/directory/src/history.rs
@@ -90,6 +90,11 @@
         }
     }
 
+    /// Revision up to which the store is known; `None` until it was read.
+    pub fn revision(&self) -> Option<StoreRevision> {
+        self.revision
+    }
+
     /// Time since the store was last known to have no newer change.
     pub fn age(&self, now: Instant) -> Option<Duration> {
         self.confirmed_at.map(|at| now.saturating_duration_since(at))
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -7,10 +7,12 @@
 use dispatch::{EndpointOutcome, EndpointView};
 use http::{Request, Response, header::CONTENT_TYPE};
 use http_body_util::{BodyExt, Full};
+use metrics::counter;
 use platform::{
     EndpointHeaders, RequestIdMatch, ResponseClass, classify_response, keep_alive_timeout,
     match_request_id, weights_version,
 };
+use telemetry::names;
 use transport::{Connection, Exchange, ResponseBody, TransportError};
 
 use crate::{
@@ -179,7 +181,7 @@
         exchange: Exchange,
         until: Instant,
     ) -> AttemptOutcome {
-        self.record_version(&assignment, &exchange.response);
+        self.record_version(context, &assignment, &exchange.response);
         let (head, mut body) = exchange.response.into_parts();
         let connection = exchange.connection;
         let until = tokio::time::Instant::from_std(until);
@@ -216,7 +218,7 @@
         exchange: Exchange,
         success: bool,
     ) -> AttemptOutcome {
-        self.record_version(&assignment, &exchange.response);
+        self.record_version(context, &assignment, &exchange.response);
         let idle_timeout = keep_alive_timeout(exchange.response.headers());
         let close = has_connection_close(&exchange);
         let until = tokio::time::Instant::from_std(context.deadline);
@@ -241,13 +243,31 @@
         }
     }
 
-    fn record_version(&self, assignment: &Assignment, response: &Response<ResponseBody>) {
+    fn record_version(
+        &self,
+        context: &RequestContext,
+        assignment: &Assignment,
+        response: &Response<ResponseBody>,
+    ) {
         if let Some(version) = weights_version(response.headers()) {
             let version = WeightsVersion(version);
             self.dispatcher.borrow_mut().record_version(assignment.endpoint, version);
+            self.log_overdue_version(context, version);
         }
     }
 
+    /// Counts and logs a response from weights that should have been replaced by now.
+    fn log_overdue_version(&self, context: &RequestContext, version: WeightsVersion) {
+        let Some(model) = self.model_of(&context.service) else { return };
+        let overdue = self.named_weights.borrow().overdue(&model, version, now());
+        let Some((required, since)) = overdue else { return };
+        counter!(names::OVERDUE_VERSIONS).increment(1);
+        let id = context.facts.id.as_deref().map(String::from_utf8_lossy);
+        slog::warn!(self.log, "response from old weights"; "id" => id.as_deref(),
+            "version" => version.0, "required" => required.0,
+            "overdue_ms" => since.as_millis() as u64);
+    }
+
     /// Handles the loss of a request that may have run. A timeout does not make the request suspect.
     pub(crate) fn handle_loss(
         &self,
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -98,7 +98,7 @@
         digest
     }
 
-    fn model_of(&self, service: &ServiceId) -> Option<ModelId> {
+    pub(crate) fn model_of(&self, service: &ServiceId) -> Option<ModelId> {
         let config = self.config.borrow();
         let engine = config.as_ref()?.services.get(service)?.engine.as_ref()?;
         engine.weights.as_ref().map(|weights| weights.model.clone())
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -43,6 +43,7 @@
     /// none.
     pub(crate) async fn serve_changes(&self, after: StoreRevision) -> Response<ResponseBody> {
         self.relayed_at.set(Some(now()));
+        self.log_behind(after);
         let deadline = Instant::now() + self.relay_times().relay_wait;
         loop {
             let changed = self.store_changed.notified();
@@ -60,6 +61,15 @@
         }
     }
 
+    /// Logs that another gateway knows a newer revision than this one.
+    fn log_behind(&self, after: StoreRevision) {
+        let known = self.history.borrow().revision();
+        if known.is_some_and(|known| known < after) {
+            slog::info!(self.log, "another gateway knows more"; "asked" => after.0,
+                "revision" => known.map(|known| known.0));
+        }
+    }
+
     fn relayed_response(&self, body: &[u8]) -> Response<ResponseBody> {
         let age = self.history.borrow().age(now()).unwrap_or(Duration::MAX);
         match RelayedChanges::new(age, body).encode() {
--- a/components/gateway/src/store_follower.rs
+++ b/components/gateway/src/store_follower.rs
@@ -125,6 +125,8 @@
     }
 
     fn start_from(&mut self, revision: StoreRevision) {
+        let before = self.gateway.history.borrow().revision().map_or(0, |before| before.0);
+        info!(self.gateway.log, "store read"; "revision" => revision.0, "before" => before);
         self.revision = Some(revision);
         self.gateway.history.borrow_mut().restart(revision, now());
     }
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -167,12 +167,20 @@
         let broken_at = now();
         while self.may_resume() && now() < self.context.deadline {
             if !self.gateway.take_retry(&self.context) {
+                self.log_not_resumed("budget");
                 return None;
             }
             let request = self.context.pending_request(&self.history.endpoints, true);
             let assignment = tokio::select! {
                 () = self.sender.closed() => return None,
-                assignment = self.gateway.acquire(request) => assignment.ok()?,
+                assignment = self.gateway.acquire(request) => assignment,
+            };
+            let assignment = match assignment {
+                Ok(assignment) => assignment,
+                Err((reason, _)) => {
+                    self.log_not_resumed(reason.name());
+                    return None;
+                }
             };
             self.history.endpoints.push(assignment.endpoint);
             self.history.sent_count += 1;
@@ -191,12 +199,22 @@
                 AttemptOutcome::Unsent => self.history.sent_count -= 1,
                 AttemptOutcome::Refused | AttemptOutcome::Failed(_) | AttemptOutcome::Lost(_) => {}
                 // A response that is not a stream cannot continue one.
-                AttemptOutcome::Response(_) => return None,
+                AttemptOutcome::Response(_) => {
+                    self.log_not_resumed("no_stream");
+                    return None;
+                }
             }
         }
+        self.log_not_resumed("attempts");
         None
     }
 
+    fn log_not_resumed(&self, reason: &str) {
+        let id = self.context.facts.id.as_deref().map(String::from_utf8_lossy);
+        info!(self.gateway.log, "stream not resumed"; "id" => id.as_deref(), "reason" => reason,
+            "after" => self.events.last_id(), "tried" => self.history.endpoints.len());
+    }
+
     fn log_resumed(&self, broken_at: Instant, opened: &OpenStream) {
         let id = self.context.facts.id.as_ref().map(|id| String::from_utf8_lossy(id).into_owned());
         info!(self.gateway.log, "stream resumed"; "id" => id, "after" => self.events.last_id(),
--- a/components/gateway/src/weights.rs
+++ b/components/gateway/src/weights.rs
@@ -96,6 +96,26 @@
         known.iter().map(required).collect()
     }
 
+    /// Returns the newest version whose bound is over, with the time since then, if `version` is older.
+    pub(crate) fn overdue(
+        &self,
+        model: &ModelId,
+        version: WeightsVersion,
+        now: Instant,
+    ) -> Option<(WeightsVersion, Duration)> {
+        let known = self.models.get(model)?;
+        let bound = |known: &RecordedVersion| match known.inherited {
+            true => self.started + self.bounds.contact_window,
+            false => known.named_at + self.bounds.version_switch,
+        };
+        let newer = known.iter().filter(|known| known.version > version);
+        let overdue = newer.filter_map(|known| {
+            let since = now.checked_duration_since(bound(known))?;
+            Some((known.version, since))
+        });
+        overdue.max_by_key(|(version, _)| *version)
+    }
+
     /// Returns the newest version of a model's weights with its age, as reported to stagers.
     pub(crate) fn newest(&self, model: &ModelId, now: Instant) -> Option<NamedVersion> {
         let known = self.models.get(model)?.last()?;
--- a/components/gateway/src/weights/tests.rs
+++ b/components/gateway/src/weights/tests.rs
@@ -47,3 +47,18 @@
     assert_eq!(from, start + Duration::from_millis(5500));
     assert!(!named.record_named_age(&model(), NamedVersion { version: 2, age_ms: 0 }, now));
 }
+
+#[test]
+fn a_response_is_overdue_only_after_the_bound_of_newer_weights() {
+    let start = Instant::now();
+    let mut named = NamedWeights::new(Bounds::default(), MARGIN, start);
+    let at = start + Duration::from_secs(20);
+    named.record(&model(), WeightsVersion(2), false, at);
+    let overdue = |version, now| named.overdue(&model(), WeightsVersion(version), now);
+    let bound = at + Bounds::default().version_switch;
+    let before = bound - Duration::from_millis(1);
+    assert_eq!(overdue(1, before), None);
+    let later = bound + Duration::from_millis(30);
+    assert_eq!(overdue(1, later), Some((WeightsVersion(2), Duration::from_millis(30))));
+    assert_eq!(overdue(2, later), None);
+}
--- a/components/telemetry/src/names.rs
+++ b/components/telemetry/src/names.rs
@@ -10,6 +10,8 @@
 pub const STARTED: &str = "carawaypaddle_started_total";
 /// Retries, by `allowed`: whether the retry budget allowed them.
 pub const RETRIES: &str = "carawaypaddle_retries_total";
+/// Responses of endpoints whose weights should have been replaced by then.
+pub const OVERDUE_VERSIONS: &str = "carawaypaddle_overdue_versions_total";
 /// Time from a request's arrival to the first byte of its response.
 pub const FIRST_BYTE: &str = "carawaypaddle_first_byte_seconds";
 /// Requests in progress.
@@ -39,6 +41,7 @@
     describe_counter!(ATTEMPTS, "attempts that were made");
     describe_counter!(STARTED, "requests with at least one attempt");
     describe_counter!(RETRIES, "retries, by whether the budget allowed them");
+    describe_counter!(OVERDUE_VERSIONS, "responses from weights that should have been replaced");
     describe_histogram!(FIRST_BYTE, Unit::Seconds, "time to the first byte of an answer");
     describe_gauge!(IN_FLIGHT, "requests in progress");
     describe_gauge!(QUEUED, "requests that wait for an endpoint");
