Ask another endpoint beside a silent one, and keep listening to both

What callers saw: a stream whose endpoint paused for a second ended in the middle, and a request whose endpoint was slow to begin got a 502 (or the failure of the endpoint asked second), though the first endpoint would have answered.

Cause: silence was handled as a loss. An endpoint was given up 0.9 s after the last event, or 0.7 s after the predicted time, before another one had taken over, whether or not budget, attempts and room were there for that.

Ruled out: a longer patience, which only moves the limit and makes callers of dead endpoints wait.

Change: the attempts of a request that have not ended are kept and polled together (gateway::hedge); attempt_plan decides, without network, when another endpoint is asked. An endpoint is left when its connection ends, another one has answered or sent its first event, the caller is gone or the deadline has passed. Attempts count as before, a retry is taken from the budget only when a request is really sent, and what may run once is never sent to a second endpoint. A silence counts once as a loss for the dispatcher, and as an answer when the endpoint goes on; it is no error of the prediction.

Tests of gateway, dispatch and platform pass.

--- a/components/dispatch/src/endpoint.rs
+++ b/components/dispatch/src/endpoint.rs
@@ -31,6 +31,8 @@
     pub expected_ms: f64,
     /// Whether the first event arrived.
     pub first_event_received: bool,
+    /// Whether the endpoint was recorded as silent since it was last heard of.
+    pub is_silent: bool,
 }
 
 /// An agent's report on an engine.
--- a/components/dispatch/src/retries.rs
+++ b/components/dispatch/src/retries.rs
@@ -81,16 +81,21 @@
 
     /// Takes one retry from the budget; returns false if none is left.
     pub fn try_take(&mut self, service: &ServiceId, now: Instant) -> bool {
+        let is_left = self.has_retry(service, now);
+        if is_left && let Some(counts) = self.services.get_mut(service) {
+            counts.retries.push_back(now);
+        }
+        is_left
+    }
+
+    /// Whether a retry is left.
+    pub fn has_retry(&mut self, service: &ServiceId, now: Instant) -> bool {
         let RetrySettings { ratio, extra, window, used_fraction } = self.settings;
         let counts = self.services.entry(service.clone()).or_default();
         drop_expired(&mut counts.requests, window, now);
         drop_expired(&mut counts.retries, window, now);
         let allowed = ratio * counts.requests.len() as f64 + extra / f64::from(self.gateways);
-        if counts.retries.len() as f64 + 1.0 > allowed * used_fraction {
-            return false;
-        }
-        counts.retries.push_back(now);
-        true
+        counts.retries.len() as f64 + 1.0 <= allowed * used_fraction
     }
 }
 
--- a/components/dispatch/src/retries/tests.rs
+++ b/components/dispatch/src/retries/tests.rs
@@ -44,3 +44,12 @@
     taken(&mut budget, now);
     assert!(budget.try_take(&"other".parse().unwrap(), now));
 }
+
+#[test]
+fn asking_whether_a_retry_is_left_takes_none() {
+    let now = Instant::now();
+    let mut budget = budget(20);
+    assert!(budget.has_retry(&service(), now) && budget.has_retry(&service(), now));
+    assert!(budget.try_take(&service(), now));
+    assert!(!budget.has_retry(&service(), now));
+}
--- a/components/dispatch/src/selection.rs
+++ b/components/dispatch/src/selection.rs
@@ -84,6 +84,7 @@
             sent_at: now,
             expected_ms,
             first_event_received: false,
+            is_silent: false,
         };
         let in_flight = self.endpoints[key].in_flight.insert(in_flight);
         let expected = Duration::from_secs_f64(expected_ms.max(0.0) / 1e3);
--- a/components/dispatch/src/state.rs
+++ b/components/dispatch/src/state.rs
@@ -247,12 +247,49 @@
         let Some(tracked) = self.endpoints.get_mut(endpoint) else { return };
         let Some(request) = tracked.in_flight.get_mut(in_flight) else { return };
         request.first_event_received = true;
+        if std::mem::take(&mut request.is_silent) {
+            // The pause says nothing about later predictions.
+            tracked.health.record_result(EndpointOutcome::Answered, now);
+            return;
+        }
         let took = now.saturating_duration_since(request.sent_at).as_secs_f64() * 1e3;
         let bias = self.biases.entry(tracked.listed.service.clone()).or_default();
         bias.record_error(took - request.expected_ms);
     }
 
-    /// Records that a request ended at an endpoint.
+    /// Records that an endpoint has sent nothing of a response for too long. Its attempt goes on.
+    /// Returns false if that was recorded already.
+    pub fn record_silence(
+        &mut self,
+        endpoint: EndpointKey,
+        in_flight: InFlightKey,
+        now: Instant,
+    ) -> bool {
+        let Some(tracked) = self.endpoints.get_mut(endpoint) else { return false };
+        let Some(request) = tracked.in_flight.get_mut(in_flight) else { return false };
+        if std::mem::replace(&mut request.is_silent, true) {
+            return false;
+        }
+        tracked.health.record_result(EndpointOutcome::Lost, now);
+        true
+    }
+
+    /// Records that an endpoint goes on with a response after it was recorded as silent.
+    pub fn record_silence_end(
+        &mut self,
+        endpoint: EndpointKey,
+        in_flight: InFlightKey,
+        now: Instant,
+    ) {
+        let Some(tracked) = self.endpoints.get_mut(endpoint) else { return };
+        let Some(request) = tracked.in_flight.get_mut(in_flight) else { return };
+        if std::mem::take(&mut request.is_silent) {
+            tracked.health.record_result(EndpointOutcome::Answered, now);
+        }
+    }
+
+    /// Records that a request ended at an endpoint. A loss is not counted again if the endpoint was
+    /// recorded as silent.
     pub fn record_result(
         &mut self,
         endpoint: EndpointKey,
@@ -261,8 +298,11 @@
         now: Instant,
     ) {
         if let Some(tracked) = self.endpoints.get_mut(endpoint) {
-            tracked.in_flight.remove(in_flight);
-            tracked.health.record_result(result, now);
+            let request = tracked.in_flight.remove(in_flight);
+            let was_silent = request.is_some_and(|request| request.is_silent);
+            if !was_silent || result != EndpointOutcome::Lost {
+                tracked.health.record_result(result, now);
+            }
         }
     }
 
--- a/components/dispatch/tests/dispatch.rs
+++ b/components/dispatch/tests/dispatch.rs
@@ -302,6 +302,44 @@
     assert_eq!(chosen(&mut dispatcher, 1, later), ["i-1"]);
 }
 
+/// Guards against counting one silence twice, which takes an endpoint that only paused out of use.
+#[test]
+fn a_silent_endpoint_is_lost_once_and_answers_when_it_goes_on() {
+    let now = Instant::now();
+    let usable = |dispatcher: &mut Dispatcher| {
+        !matches!(dispatcher.submit(request(now), now).1, Decision::Refuse { .. } | Decision::Wait)
+    };
+    let mut dispatcher = dispatcher(&[endpoint(1, "a")], now);
+    let (key, lost) = sent(dispatcher.submit(request(now), now).1);
+    assert!(dispatcher.record_silence(key, lost, now));
+    assert!(!dispatcher.record_silence(key, lost, now));
+    dispatcher.record_result(key, lost, EndpointOutcome::Lost, now);
+    assert!(usable(&mut dispatcher), "one loss");
+    let (_, pausing) = sent(dispatcher.submit(request(now), now).1);
+    assert!(dispatcher.record_silence(key, pausing, now));
+    assert!(!usable(&mut dispatcher), "two losses");
+    dispatcher.record_silence_end(key, pausing, now);
+    assert!(usable(&mut dispatcher), "it goes on");
+    dispatcher.record_result(key, pausing, EndpointOutcome::Lost, now);
+    assert!(usable(&mut dispatcher), "one loss since it went on");
+}
+
+/// Guards against a prediction that grows with each pause of an endpoint.
+#[test]
+fn a_first_event_after_a_silence_is_an_answer_and_no_error_of_the_prediction() {
+    let now = Instant::now();
+    let later = now + Duration::from_secs(2);
+    let mut dispatcher = dispatcher(&[endpoint(1, "a")], now);
+    let request = PendingRequest { latency_objective: Duration::from_millis(250), ..request(now) };
+    for _ in 0..20 {
+        let (key, silent) = sent(dispatcher.submit(request.clone(), now).1);
+        assert!(dispatcher.record_silence(key, silent, now));
+        dispatcher.record_first_event(key, silent, later);
+        dispatcher.record_result(key, silent, EndpointOutcome::Answered, later);
+    }
+    sent(dispatcher.submit(request, now).1);
+}
+
 #[test]
 fn an_endpoint_is_not_tried_twice_for_one_request() {
     let now = Instant::now();
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt to run a request at one endpoint.
 
-use std::{net::IpAddr, rc::Rc, time::Instant};
+use std::{net::IpAddr, rc::Rc};
 
 use bytes::Bytes;
 use catalog::{RouteKind, WeightsVersion};
@@ -16,7 +16,6 @@
 use transport::{Connection, Exchange, ResponseBody, TransportError};
 
 use crate::{
-    events::EventSplitter,
     request::RequestContext,
     state::{Assignment, Gateway, now},
 };
@@ -77,25 +76,23 @@
 
 /// Parameters of an attempt besides the request.
 pub(crate) struct AttemptOptions {
-    /// Whether no other endpoint may be tried after this one.
-    pub(crate) is_last: bool,
     /// Id of the event after which a stream is to be resumed.
     pub(crate) resume_after: Option<u64>,
 }
 
 impl Gateway {
-    /// Sends a request to an endpoint and waits for the response, or for the first bytes of a stream.
+    /// Sends a request to an endpoint and waits for the response, or for the first bytes of a stream,
+    /// until the deadline of the request.
     pub(crate) async fn attempt(
         self: &Rc<Gateway>,
         context: &RequestContext,
         mut assignment: Assignment,
         options: AttemptOptions,
     ) -> AttemptOutcome {
-        let view = self.dispatcher.borrow().endpoint(assignment.endpoint, now());
+        let view = self.dispatcher.borrow().endpoint(assignment.in_flight.endpoint, now());
         let Some(view) = view else { return AttemptOutcome::Unsent };
         let request = endpoint_request(context, &view, &options);
-        let until = self.response_deadline(context, &assignment, &options);
-        let exchange = self.exchange(context, &view, request, until).await;
+        let exchange = self.exchange(context, &view, request).await;
         let exchange = match exchange {
             Ok(exchange) => exchange,
             Err(err) if err.is_unsent() => {
@@ -120,7 +117,7 @@
                 self.handle_loss(context, assignment, &view, LossCause::Unusable)
             }
             ResponseClass::Success if is_stream(context, &exchange) => {
-                self.open_stream(context, assignment, view, exchange, until).await
+                self.open_stream(context, assignment, view, exchange).await
             }
             ResponseClass::Success => {
                 self.collect_response(context, assignment, view, exchange, true).await
@@ -131,29 +128,13 @@
         }
     }
 
-    /// Returns how long to wait for the response, or for the first bytes of a stream.
-    fn response_deadline(
-        &self,
-        context: &RequestContext,
-        assignment: &Assignment,
-        options: &AttemptOptions,
-    ) -> Instant {
-        if options.is_last || !context.route.kind.is_retryable() {
-            return context.deadline;
-        }
-        let patience =
-            assignment.expected.max(context.route.target_latency) + self.settings.response_slack;
-        (now() + patience).min(context.deadline)
-    }
-
     async fn exchange(
         &self,
         context: &RequestContext,
         view: &EndpointView,
         request: Request<Full<Bytes>>,
-        until: Instant,
     ) -> Result<Exchange, TransportError> {
-        let until = tokio::time::Instant::from_std(until);
+        let until = tokio::time::Instant::from_std(context.deadline);
         let retryable = context.route.kind.is_retryable();
         // A request that may run only once gets a connection of its own, so that a late response to
         // another request cannot be mistaken for its response.
@@ -179,12 +160,11 @@
         assignment: Assignment,
         view: EndpointView,
         exchange: Exchange,
-        until: Instant,
     ) -> AttemptOutcome {
         self.record_version(context, &assignment, &exchange.response);
         let (head, mut body) = exchange.response.into_parts();
         let connection = exchange.connection;
-        let until = tokio::time::Instant::from_std(until);
+        let until = tokio::time::Instant::from_std(context.deadline);
         let first_bytes = loop {
             match tokio::time::timeout_at(until, body.frame()).await {
                 Err(_) => return self.handle_loss(context, assignment, &view, LossCause::TimedOut),
@@ -251,7 +231,7 @@
     ) {
         if let Some(version) = weights_version(response.headers()) {
             let version = WeightsVersion(version);
-            self.dispatcher.borrow_mut().record_version(assignment.endpoint, version);
+            self.dispatcher.borrow_mut().record_version(assignment.in_flight.endpoint, version);
             self.log_overdue_version(context, version);
         }
     }
@@ -333,10 +313,3 @@
         _ => LossCause::Broken,
     }
 }
-
-impl OpenStream {
-    /// Feeds the first bytes to `events` and returns the complete events among them.
-    pub(crate) fn first_events(&mut self, events: &mut EventSplitter) -> Bytes {
-        self.first_bytes.take().map(|first| events.push(first)).unwrap_or_default()
-    }
-}
--- /dev/null
+++ b/components/gateway/src/hedge.rs
@@ -0,0 +1,305 @@
+//! Hedged requests: sends a request to another endpoint while those that are silent may still answer.
+
+use std::{
+    future::{Future, poll_fn},
+    pin::Pin,
+    rc::Rc,
+    task::Poll,
+    time::{Duration, Instant},
+};
+
+use dispatch::Refusal;
+use metrics::counter;
+use slog::info;
+use telemetry::names;
+
+use crate::{
+    attempt::{AttemptOptions, AttemptOutcome},
+    attempt_plan::{AttemptLimits, AttemptNumber, AttemptPlan, NextStep},
+    request::RequestContext,
+    serve::{AttemptHistory, REFUSED_RETRY_AFTER},
+    state::{Assignment, Gateway, InFlight, now},
+};
+
+type AttemptFuture = Pin<Box<dyn Future<Output = AttemptOutcome>>>;
+type AcquireFuture = Pin<Box<dyn Future<Output = Result<Assignment, (Refusal, Duration)>>>>;
+
+/// An attempt whose endpoint has not answered yet. Dropping it closes its connection.
+struct AttemptInProgress {
+    number: AttemptNumber,
+    in_flight: InFlight,
+    future: AttemptFuture,
+}
+
+/// The stream that is being forwarded.
+struct StreamProgress {
+    /// The request at the endpoint that sends the stream, unless it broke off.
+    source: Option<InFlight>,
+    /// Id of the last event that was forwarded.
+    last_id: Option<u64>,
+    /// Whether the endpoint was recorded as silent since its last event.
+    is_silent: bool,
+}
+
+/// What happened to the attempts of a request.
+pub(crate) enum HedgeEvent {
+    /// An attempt ended.
+    Ended(AttemptOutcome),
+    /// No other endpoint can be asked now.
+    Denied { reason: &'static str, retry_after: Duration },
+    /// No endpoint has the request, and no other one may be asked.
+    Exhausted,
+}
+
+/// The attempts of one request.
+pub(crate) struct Hedge {
+    gateway: Rc<Gateway>,
+    context: Rc<RequestContext>,
+    pub(crate) history: AttemptHistory,
+    plan: AttemptPlan,
+    /// Attempts that have not ended, the oldest first.
+    in_progress: Vec<AttemptInProgress>,
+    /// Waits for an endpoint for the next attempt.
+    acquiring: Option<AcquireFuture>,
+    /// `None` until the first event of a stream arrived.
+    stream: Option<StreamProgress>,
+}
+
+impl Hedge {
+    /// Creates the state of a request of which nothing was sent yet.
+    pub(crate) fn new(gateway: Rc<Gateway>, context: Rc<RequestContext>) -> Hedge {
+        let limits = AttemptLimits {
+            max_attempts: context.route.max_attempts,
+            is_repeatable: context.route.kind.is_retryable(),
+        };
+        Hedge {
+            gateway,
+            context,
+            history: AttemptHistory::default(),
+            plan: AttemptPlan::new(limits, now()),
+            in_progress: Vec::new(),
+            acquiring: None,
+            stream: None,
+        }
+    }
+
+    /// Number of endpoints that the request was sent to.
+    pub(crate) fn sent_count(&self) -> u32 {
+        self.plan.sent_count()
+    }
+
+    /// Whether an endpoint that was asked may still answer.
+    pub(crate) fn is_in_progress(&self) -> bool {
+        let is_open = self.stream.as_ref().is_some_and(|stream| stream.source.is_some());
+        is_open || !self.in_progress.is_empty()
+    }
+
+    /// Records that the stream of an endpoint is forwarded from now on, and ends all other attempts.
+    pub(crate) fn record_stream(&mut self, source: InFlight, last_id: Option<u64>) {
+        self.stream = Some(StreamProgress { source: Some(source), last_id, is_silent: false });
+        self.restart_silence();
+    }
+
+    /// Records that the endpoint whose stream is forwarded has sent something, and ends the attempts
+    /// to resume the stream elsewhere.
+    pub(crate) fn record_event(&mut self, last_id: Option<u64>) {
+        if let Some(stream) = &mut self.stream {
+            stream.last_id = last_id;
+            if let (true, Some(source)) = (stream.is_silent, stream.source) {
+                self.gateway.dispatcher.borrow_mut().record_silence_end(
+                    source.endpoint,
+                    source.key,
+                    now(),
+                );
+            }
+            stream.is_silent = false;
+        }
+        self.restart_silence();
+    }
+
+    /// Records that the stream broke off at its endpoint.
+    pub(crate) fn record_broken_stream(&mut self) {
+        if let Some(stream) = &mut self.stream {
+            stream.source = None;
+        }
+    }
+
+    fn restart_silence(&mut self) {
+        self.in_progress.clear();
+        self.acquiring = None;
+        self.plan.postpone(now() + self.gateway.settings.stream_silence_timeout);
+    }
+
+    /// Waits for the next event, and asks other endpoints when it is time to. May be dropped at any
+    /// point and called again.
+    pub(crate) async fn next(&mut self) -> HedgeEvent {
+        loop {
+            let mut wake_at = None;
+            if self.acquiring.is_none() {
+                match self.plan.next_step(self.is_in_progress(), now()) {
+                    NextStep::Start => {
+                        if let Some(denied) = self.start_acquiring() {
+                            return denied;
+                        }
+                    }
+                    NextStep::Wait(until) => wake_at = until,
+                    NextStep::GiveUp => return HedgeEvent::Exhausted,
+                }
+            }
+            tokio::select! {
+                biased;
+                (number, outcome) = next_end(&mut self.in_progress) => {
+                    self.record_end(number, &outcome);
+                    return HedgeEvent::Ended(outcome);
+                }
+                acquired = next_assignment(&mut self.acquiring) => {
+                    if let Some(denied) = self.handle_acquired(acquired) {
+                        return denied;
+                    }
+                }
+                () = sleep_until(wake_at) => {}
+            }
+        }
+    }
+
+    /// Starts to wait for an endpoint, if the retry budget allows it.
+    fn start_acquiring(&mut self) -> Option<HedgeEvent> {
+        let has_budget = self.sent_count() == 0 || self.has_retry();
+        self.record_silence(has_budget);
+        if !has_budget {
+            return Some(self.deny("budget", REFUSED_RETRY_AFTER));
+        }
+        let request = self.context.pending_request(&self.history.endpoints, self.stream.is_some());
+        let gateway = self.gateway.clone();
+        self.acquiring = Some(Box::pin(async move { gateway.acquire(request).await }));
+        None
+    }
+
+    fn handle_acquired(
+        &mut self,
+        acquired: Result<Assignment, (Refusal, Duration)>,
+    ) -> Option<HedgeEvent> {
+        match acquired {
+            Err((reason, retry_after)) => Some(self.deny(reason.name(), retry_after)),
+            Ok(_) if self.sent_count() > 0 && !self.take_retry() => {
+                Some(self.deny("budget", REFUSED_RETRY_AFTER))
+            }
+            Ok(assignment) => {
+                self.send(assignment);
+                None
+            }
+        }
+    }
+
+    fn send(&mut self, assignment: Assignment) {
+        let expected = assignment.expected;
+        self.history.record_sent(&assignment, now() - self.context.arrived);
+        let patience =
+            expected.max(self.context.route.target_latency) + self.gateway.settings.response_slack;
+        let number = self.plan.record_sent(patience, now());
+        let options =
+            AttemptOptions { resume_after: self.stream.as_ref().and_then(|stream| stream.last_id) };
+        let in_flight = assignment.in_flight;
+        let (gateway, context) = (self.gateway.clone(), self.context.clone());
+        let future = async move { gateway.attempt(&context, assignment, options).await };
+        self.in_progress.push(AttemptInProgress { number, in_flight, future: Box::pin(future) });
+    }
+
+    fn record_end(&mut self, number: AttemptNumber, outcome: &AttemptOutcome) {
+        match outcome {
+            AttemptOutcome::Unsent => self.plan.record_unreached(number, now()),
+            _ => self.plan.record_end(number, self.next_ask()),
+        }
+    }
+
+    /// When another endpoint is asked after one has ended without an answer.
+    fn next_ask(&self) -> Instant {
+        match self.stream {
+            Some(_) => now() + self.gateway.settings.stream_silence_timeout,
+            None => now(),
+        }
+    }
+
+    fn deny(&mut self, reason: &'static str, retry_after: Duration) -> HedgeEvent {
+        let pause = match self.stream {
+            Some(_) => self.gateway.settings.stream_silence_timeout,
+            None => self.gateway.settings.response_slack,
+        };
+        self.plan.postpone(now() + pause);
+        HedgeEvent::Denied { reason, retry_after }
+    }
+
+    /// Whether the retry budget of the service allows another attempt.
+    fn has_retry(&self) -> bool {
+        let mut dispatcher = self.gateway.dispatcher.borrow_mut();
+        let allowed = dispatcher.retry_budget.has_retry(&self.context.service, now());
+        if !allowed {
+            counter!(names::RETRIES, "allowed" => "false").increment(1);
+        }
+        allowed
+    }
+
+    /// Takes one retry from the retry budget of the service. Returns false if the budget is used up.
+    fn take_retry(&self) -> bool {
+        let mut dispatcher = self.gateway.dispatcher.borrow_mut();
+        let taken = dispatcher.retry_budget.try_take(&self.context.service, now());
+        let allowed = if taken { "true" } else { "false" };
+        counter!(names::RETRIES, "allowed" => allowed).increment(1);
+        taken
+    }
+
+    /// Records once that the endpoint that was asked last did not answer in time. One that loads
+    /// weights is not at fault.
+    fn record_silence(&mut self, asks_another: bool) {
+        let newest = self.in_progress.last().map(|attempt| attempt.in_flight);
+        if let (None, Some(stream)) = (newest, &mut self.stream) {
+            stream.is_silent = true;
+        }
+        let source = self.stream.as_ref().and_then(|stream| stream.source);
+        let Some(silent) = newest.or(source) else { return };
+        let mut dispatcher = self.gateway.dispatcher.borrow_mut();
+        let is_loading = dispatcher.is_loading(silent.endpoint, now());
+        if is_loading || !dispatcher.record_silence(silent.endpoint, silent.key, now()) {
+            return;
+        }
+        let id = self.context.facts.id.as_deref().map(String::from_utf8_lossy);
+        let endpoint = dispatcher.endpoint(silent.endpoint, now()).map(|view| view.id.to_string());
+        info!(self.gateway.log, "endpoint silent"; "id" => id.as_deref(), "endpoint" => endpoint,
+            "asks_another" => asks_another);
+    }
+}
+
+/// Waits until an attempt ends and removes it.
+async fn next_end(attempts: &mut Vec<AttemptInProgress>) -> (AttemptNumber, AttemptOutcome) {
+    poll_fn(|cx| {
+        for at in 0..attempts.len() {
+            if let Poll::Ready(outcome) = attempts[at].future.as_mut().poll(cx) {
+                return Poll::Ready((attempts.remove(at).number, outcome));
+            }
+        }
+        Poll::Pending
+    })
+    .await
+}
+
+/// Waits for the endpoint of the next attempt, if one is wanted.
+async fn next_assignment(
+    acquiring: &mut Option<AcquireFuture>,
+) -> Result<Assignment, (Refusal, Duration)> {
+    poll_fn(|cx| {
+        let Some(future) = acquiring else { return Poll::Pending };
+        let polled = future.as_mut().poll(cx);
+        if polled.is_ready() {
+            *acquiring = None;
+        }
+        polled
+    })
+    .await
+}
+
+async fn sleep_until(until: Option<Instant>) {
+    match until {
+        Some(until) => tokio::time::sleep_until(until.into()).await,
+        None => std::future::pending().await,
+    }
+}
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -2,8 +2,10 @@
 //! forwards responses as they arrive. All tasks run on one thread.
 
 mod attempt;
+mod attempt_plan;
 mod change_source;
 mod events;
+mod hedge;
 mod peers;
 mod process;
 mod refused;
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -13,26 +13,21 @@
 use telemetry::names;
 
 use crate::{
-    attempt::{AttemptOptions, AttemptOutcome, LossCause},
+    attempt::{AttemptOutcome, LossCause, OpenStream},
+    hedge::{Hedge, HedgeEvent},
     request::RequestContext,
     response::{ResponseBody, forwarded_response, own_response},
-    state::{Gateway, now},
+    state::{Assignment, Gateway, now},
 };
 
-/// Number of unreachable endpoints after which a request is refused.
-const MAX_UNREACHED: usize = 4;
 /// `Retry-After` for requests that endpoints refused.
-const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(200);
+pub(crate) const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(200);
 
 /// Attempts made so far for one request.
 #[derive(Default)]
 pub(crate) struct AttemptHistory {
     /// Endpoints in the order in which they were tried.
     pub(crate) endpoints: Vec<EndpointKey>,
-    /// Number of endpoints to which the request was sent.
-    pub(crate) sent_count: u32,
-    /// Number of endpoints that could not be reached.
-    unreached_count: usize,
     /// Whether the request may have run.
     may_have_run: bool,
     /// Response of an endpoint at which the request failed.
@@ -45,6 +40,29 @@
     first_byte: Option<Duration>,
 }
 
+impl AttemptHistory {
+    /// Records that the request is sent to an endpoint, `waited` after its arrival.
+    pub(crate) fn record_sent(&mut self, assignment: &Assignment, waited: Duration) {
+        self.endpoints.push(assignment.in_flight.endpoint);
+        self.expected = assignment.expected;
+        self.waited = waited;
+    }
+}
+
+/// What the caller of a request gets.
+enum Answer {
+    /// A complete response.
+    Response(Response<ResponseBody>),
+    /// A stream, whose first bytes have arrived.
+    Stream(Box<OpenStream>),
+}
+
+impl From<Response<ResponseBody>> for Answer {
+    fn from(response: Response<ResponseBody>) -> Answer {
+        Answer::Response(response)
+    }
+}
+
 /// Decrements the number of requests in flight on drop.
 struct InFlightGuard(Rc<Gateway>);
 
@@ -77,80 +95,95 @@
     async fn run(self: &Rc<Gateway>, context: Rc<RequestContext>) -> Response<ResponseBody> {
         self.dispatcher.borrow_mut().retry_budget.record_request(&context.service, now());
         let until = tokio::time::Instant::from_std(context.deadline);
-        let mut history = AttemptHistory::default();
-        match tokio::time::timeout_at(until, self.run_attempts(&context, &mut history)).await {
-            Ok(response) => response,
-            Err(_) if history.may_have_run || history.sent_count > 0 => {
-                self.fail(&context, &history, StatusCode::GATEWAY_TIMEOUT, "timeout")
-            }
-            Err(_) => self.refuse(&context, &history, Refusal::Late.name(), REFUSED_RETRY_AFTER),
+        let mut hedge = Hedge::new(self.clone(), context.clone());
+        match tokio::time::timeout_at(until, self.run_attempts(&context, &mut hedge)).await {
+            Ok(Answer::Response(response)) => response,
+            Ok(Answer::Stream(opened)) => self.stream(context, *opened, hedge),
+            Err(_) => self.respond_late(&context, &mut hedge),
         }
     }
 
     async fn run_attempts(
         self: &Rc<Gateway>,
         context: &Rc<RequestContext>,
-        history: &mut AttemptHistory,
-    ) -> Response<ResponseBody> {
+        hedge: &mut Hedge,
+    ) -> Answer {
         loop {
-            let allowed = history.sent_count < context.route.max_attempts
-                && history.unreached_count < MAX_UNREACHED;
-            if !allowed || (history.sent_count > 0 && !self.take_retry(context)) {
-                return self.give_up(context, history, "attempts", REFUSED_RETRY_AFTER);
-            }
-            let assignment =
-                match self.acquire(context.pending_request(&history.endpoints, false)).await {
-                    Ok(assignment) => assignment,
-                    Err((reason, retry_after)) => {
-                        return self.give_up(context, history, reason.name(), retry_after);
-                    }
-                };
-            history.endpoints.push(assignment.endpoint);
-            history.expected = assignment.expected;
-            history.waited = now() - context.arrived;
-            let options = AttemptOptions {
-                is_last: history.sent_count + 1 >= context.route.max_attempts,
-                resume_after: None,
-            };
-            history.sent_count += 1;
-            match self.attempt(context, assignment, options).await {
-                AttemptOutcome::Unsent => {
-                    history.sent_count -= 1;
-                    history.unreached_count += 1;
+            let outcome = match hedge.next().await {
+                // Attempts time out only at the deadline.
+                HedgeEvent::Ended(AttemptOutcome::Lost(LossCause::TimedOut)) => {
+                    return self.respond_late(context, hedge).into();
                 }
-                AttemptOutcome::Refused => {}
-                AttemptOutcome::Response(response) => {
-                    return self.forward(context, history, response);
+                HedgeEvent::Ended(outcome) => outcome,
+                HedgeEvent::Denied { reason, .. } if hedge.is_in_progress() => {
+                    self.log_not_repeated(context, reason);
+                    continue;
                 }
-                AttemptOutcome::Stream(opened) => {
-                    let first = now() - context.arrived;
-                    history.first_byte = Some(first);
-                    histogram!(names::FIRST_BYTE).record(first.as_secs_f64());
-                    return self.stream(context.clone(), *opened, std::mem::take(history));
+                HedgeEvent::Denied { reason, retry_after } => {
+                    let history = &mut hedge.history;
+                    return self.give_up(context, history, reason, retry_after).into();
                 }
-                AttemptOutcome::Failed(response) if !context.route.kind.is_retryable() => {
-                    return self.forward(context, history, response);
-                }
-                AttemptOutcome::Failed(response) => {
-                    history.may_have_run = true;
-                    history.failure_response = Some(response);
-                }
-                AttemptOutcome::Lost(loss) => {
-                    history.may_have_run = true;
-                    if !context.route.kind.is_retryable() {
-                        return self.respond_lost(context, history, loss);
-                    }
+                HedgeEvent::Exhausted => {
+                    let history = &mut hedge.history;
+                    return self.give_up(context, history, "attempts", REFUSED_RETRY_AFTER).into();
                 }
+            };
+            if let Some(answer) = self.handle_outcome(context, &mut hedge.history, outcome) {
+                return answer;
+            }
+        }
+    }
+
+    /// Returns the answer to the caller, unless another attempt may still bring one.
+    fn handle_outcome(
+        &self,
+        context: &RequestContext,
+        history: &mut AttemptHistory,
+        outcome: AttemptOutcome,
+    ) -> Option<Answer> {
+        match outcome {
+            AttemptOutcome::Unsent | AttemptOutcome::Refused => None,
+            AttemptOutcome::Response(response) => {
+                Some(self.forward(context, history, response).into())
+            }
+            AttemptOutcome::Stream(opened) => {
+                let first = now() - context.arrived;
+                history.first_byte = Some(first);
+                histogram!(names::FIRST_BYTE).record(first.as_secs_f64());
+                Some(Answer::Stream(opened))
+            }
+            AttemptOutcome::Failed(response) if !context.route.kind.is_retryable() => {
+                Some(self.forward(context, history, response).into())
+            }
+            AttemptOutcome::Failed(response) => {
+                history.may_have_run = true;
+                history.failure_response = Some(response);
+                None
+            }
+            AttemptOutcome::Lost(loss) => {
+                history.may_have_run = true;
+                let is_final = !context.route.kind.is_retryable();
+                is_final.then(|| self.respond_lost(context, history, loss).into())
+            }
+        }
+    }
+
+    /// Responds at the deadline.
+    fn respond_late(&self, context: &RequestContext, hedge: &mut Hedge) -> Response<ResponseBody> {
+        let was_sent = hedge.sent_count() > 0;
+        let history = &mut hedge.history;
+        match history.failure_response.take() {
+            Some(failure) => self.forward(context, history, failure),
+            None if history.may_have_run || was_sent => {
+                self.fail(context, history, StatusCode::GATEWAY_TIMEOUT, "timeout")
             }
+            None => self.refuse(context, history, Refusal::Late.name(), REFUSED_RETRY_AFTER),
         }
     }
 
-    /// Takes one retry from the retry budget of the service. Returns false if the budget is used up.
-    pub(crate) fn take_retry(&self, context: &RequestContext) -> bool {
-        let taken = self.dispatcher.borrow_mut().retry_budget.try_take(&context.service, now());
-        let allowed = if taken { "true" } else { "false" };
-        counter!(names::RETRIES, "allowed" => allowed).increment(1);
-        taken
+    fn log_not_repeated(&self, context: &RequestContext, reason: &str) {
+        info!(self.log, "request not repeated"; "id" => id_text(context.facts.id.as_ref()),
+            "reason" => reason);
     }
 
     fn give_up(
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -88,11 +88,17 @@
     pub(crate) zone_gateways: RefCell<HashMap<Ipv4Addr, Instant>>,
 }
 
+/// Identifies a request in flight at an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct InFlight {
+    pub(crate) endpoint: EndpointKey,
+    pub(crate) key: InFlightKey,
+}
+
 /// Request that was assigned to an endpoint. Reports its end to the dispatcher on drop.
 pub(crate) struct Assignment {
     gateway: Rc<Gateway>,
-    pub(crate) endpoint: EndpointKey,
-    flight: InFlightKey,
+    pub(crate) in_flight: InFlight,
     /// Predicted time until the first event.
     pub(crate) expected: Duration,
     end: EndpointOutcome,
@@ -101,7 +107,11 @@
 impl Assignment {
     /// Reports that the first event has arrived.
     pub(crate) fn mark_started(&self) {
-        self.gateway.dispatcher.borrow_mut().record_first_event(self.endpoint, self.flight, now());
+        self.gateway.dispatcher.borrow_mut().record_first_event(
+            self.in_flight.endpoint,
+            self.in_flight.key,
+            now(),
+        );
     }
 
     /// Sets the end that is reported on drop.
@@ -114,8 +124,8 @@
     fn drop(&mut self) {
         let now = now();
         self.gateway.dispatcher.borrow_mut().record_result(
-            self.endpoint,
-            self.flight,
+            self.in_flight.endpoint,
+            self.in_flight.key,
             self.end,
             now,
         );
@@ -213,12 +223,11 @@
             Some(key) => self.wait_for_decision(key).await,
         };
         match decision {
-            Decision::Send { endpoint, in_flight: flight, expected } => {
+            Decision::Send { endpoint, in_flight: key, expected } => {
                 let gateway = self.clone();
                 Ok(Assignment {
                     gateway,
-                    endpoint,
-                    flight,
+                    in_flight: InFlight { endpoint, key },
                     expected,
                     end: EndpointOutcome::Inconclusive,
                 })
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -6,17 +6,18 @@
 use dispatch::EndpointOutcome;
 use http::{Response, StatusCode};
 use http_body_util::BodyExt;
+use hyper::body::Frame;
 use platform::keep_alive_timeout;
 use slog::info;
-use tokio::{sync::mpsc, task::spawn_local, time::timeout_at};
+use tokio::{sync::mpsc, task::spawn_local, time::sleep_until};
 use transport::ResponseAborted;
 
 use crate::{
-    attempt::{AttemptOptions, AttemptOutcome, LossCause, OpenStream},
+    attempt::{AttemptOutcome, LossCause, OpenStream},
     events::EventSplitter,
+    hedge::{Hedge, HedgeEvent},
     request::RequestContext,
     response::{ResponseBody, response_with_head},
-    serve::AttemptHistory,
     state::{Gateway, now},
 };
 
@@ -27,17 +28,35 @@
 struct Relay {
     gateway: Rc<Gateway>,
     context: Rc<RequestContext>,
-    history: AttemptHistory,
+    hedge: Hedge,
     events: EventSplitter,
     sender: mpsc::Sender<Result<Bytes, ResponseAborted>>,
+    /// The stream of the endpoint that was last heard of, until it breaks off.
+    source: Option<OpenStream>,
+    /// Why the last stream broke off.
+    loss: LossCause,
+    /// When the last part of the stream arrived.
+    heard_at: Instant,
 }
 
-/// How the stream of one endpoint ended.
+/// What the relay waits for.
+enum RelayEvent {
+    /// The endpoint sent a part of its stream; `None` is the end of the stream.
+    Frame(Option<Result<Frame<Bytes>, hyper::Error>>),
+    /// Something happened to the attempts to resume the stream elsewhere.
+    Hedge(HedgeEvent),
+    /// The caller disconnected.
+    CallerGone,
+    /// The deadline passed.
+    Late,
+}
+
+/// How the response to the caller ends.
 enum StreamEnd {
     /// The stream is complete.
     Complete,
     /// The stream broke off.
-    Broken(LossCause),
+    Broken,
     /// The caller disconnected.
     CallerGone,
     /// The deadline passed.
@@ -50,7 +69,7 @@
         self: &Rc<Gateway>,
         context: Rc<RequestContext>,
         opened: OpenStream,
-        history: AttemptHistory,
+        hedge: Hedge,
     ) -> Response<ResponseBody> {
         let (sender, parts) = mpsc::channel(MAX_BUFFERED_PARTS);
         let response = response_with_head(
@@ -59,7 +78,18 @@
             ResponseBody::Stream(parts),
         );
         let events = EventSplitter::starting_after(context.facts.last_event_id);
-        let relay = Relay { gateway: self.clone(), context, history, events, sender };
+        let mut relay = Relay {
+            gateway: self.clone(),
+            context,
+            hedge,
+            events,
+            sender,
+            source: None,
+            loss: LossCause::Broken,
+            heard_at: now(),
+        };
+        // Ends the other attempts at once.
+        relay.hedge.record_stream(opened.assignment.in_flight, relay.events.last_id());
         self.in_flight.set(self.in_flight.get() + 1);
         let gateway = self.clone();
         spawn_local(async move {
@@ -72,84 +102,68 @@
 
 impl Relay {
     async fn run(mut self, opened: OpenStream) {
-        let mut next = Some(opened);
-        while let Some(opened) = next.take() {
-            let view = opened.view.clone();
-            let (end, assignment) = self.forward(opened).await;
-            match end {
-                StreamEnd::Complete => {
-                    self.gateway.suspects.borrow_mut().record_answer(&self.context.fingerprint);
-                    self.log_end("answered", "");
-                }
-                StreamEnd::CallerGone => self.log_end("caller-gone", ""),
-                StreamEnd::Late => self.abort("timeout").await,
-                StreamEnd::Broken(loss) => {
-                    let is_loading =
-                        self.gateway.dispatcher.borrow().is_loading(assignment.endpoint, now());
-                    if is_loading {
-                        // The endpoint aborted the stream to load other weights. Neither the request
-                        // nor the endpoint is at fault.
-                        drop(assignment);
-                    } else {
-                        self.gateway.handle_loss(&self.context, assignment, &view, loss);
-                    }
-                    next = self.resume().await;
-                    if next.is_none() {
-                        self.abort(loss.name()).await;
-                    }
-                }
+        let mut end = self.switch_source(opened).await;
+        while end.is_none() {
+            let event = self.next_event().await;
+            end = self.handle(event).await;
+        }
+        match end {
+            Some(StreamEnd::Complete) => {
+                self.gateway.suspects.borrow_mut().record_answer(&self.context.fingerprint);
+                self.log_end("answered", "");
             }
+            Some(StreamEnd::CallerGone) => self.log_end("caller-gone", ""),
+            Some(StreamEnd::Late) => self.abort("timeout").await,
+            Some(StreamEnd::Broken) | None => self.abort(self.loss.name()).await,
         }
     }
 
-    /// Forwards the stream of one endpoint until it ends.
-    async fn forward(&mut self, mut opened: OpenStream) -> (StreamEnd, crate::state::Assignment) {
-        let first = opened.first_events(&mut self.events);
-        let end = match self.send_to_caller(first).await {
-            false => StreamEnd::CallerGone,
-            true => self.forward_rest(&mut opened).await,
-        };
-        let OpenStream { mut assignment, connection, head, .. } = opened;
-        if let StreamEnd::Complete = end {
-            assignment.set_end(EndpointOutcome::Answered);
-            if self.context.route.kind.is_retryable() {
-                self.gateway.pool.put_back(connection, keep_alive_timeout(&head.headers));
-            }
+    /// Waits for whatever comes first. An endpoint that is silent stays the source of the stream until
+    /// another one has taken over.
+    async fn next_event(&mut self) -> RelayEvent {
+        let deadline = tokio::time::Instant::from_std(self.context.deadline);
+        tokio::select! {
+            biased;
+            () = self.sender.closed() => RelayEvent::CallerGone,
+            () = sleep_until(deadline) => RelayEvent::Late,
+            frame = next_frame(&mut self.source) => RelayEvent::Frame(frame),
+            event = self.hedge.next() => RelayEvent::Hedge(event),
         }
-        (end, assignment)
     }
 
-    async fn forward_rest(&mut self, opened: &mut OpenStream) -> StreamEnd {
-        let deadline = tokio::time::Instant::from_std(self.context.deadline);
-        let can_resume = self.may_resume();
-        loop {
-            let silence_end =
-                tokio::time::Instant::now() + self.gateway.settings.stream_silence_timeout;
-            let until = if can_resume { silence_end.min(deadline) } else { deadline };
-            let frame = tokio::select! {
-                biased;
-                () = self.sender.closed() => return StreamEnd::CallerGone,
-                frame = timeout_at(until, opened.body.frame()) => frame,
-            };
-            let data = match frame {
-                Err(_) if until < deadline => return StreamEnd::Broken(LossCause::TimedOut),
-                Err(_) => return StreamEnd::Late,
-                Ok(Some(Err(_))) => return StreamEnd::Broken(LossCause::Broken),
-                Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
-                Ok(None) => {
-                    let rest = self.events.remainder();
-                    return if self.send_to_caller(rest).await {
-                        StreamEnd::Complete
-                    } else {
-                        StreamEnd::CallerGone
-                    };
-                }
-            };
-            let whole = self.events.push(data);
-            if !self.send_to_caller(whole).await {
-                return StreamEnd::CallerGone;
-            }
+    /// Handles an event. Returns how the response ends, if it does.
+    async fn handle(&mut self, event: RelayEvent) -> Option<StreamEnd> {
+        match event {
+            RelayEvent::CallerGone => Some(StreamEnd::CallerGone),
+            RelayEvent::Late => Some(StreamEnd::Late),
+            RelayEvent::Frame(Some(Ok(frame))) => match frame.into_data() {
+                Ok(data) => self.forward(data).await,
+                Err(_) => None,
+            },
+            RelayEvent::Frame(Some(Err(_))) => self.handle_break(),
+            RelayEvent::Frame(None) => Some(self.complete().await),
+            RelayEvent::Hedge(event) => self.handle_hedge(event).await,
+        }
+    }
+
+    /// Makes another endpoint the source of the stream and forwards its first events. The connection
+    /// to the one before is closed.
+    async fn switch_source(&mut self, mut opened: OpenStream) -> Option<StreamEnd> {
+        let first = opened.first_bytes.take().unwrap_or_default();
+        self.hedge.record_stream(opened.assignment.in_flight, self.events.last_id());
+        self.source = Some(opened);
+        self.forward(first).await
+    }
+
+    /// Forwards the complete events that end with `data`.
+    async fn forward(&mut self, data: Bytes) -> Option<StreamEnd> {
+        self.heard_at = now();
+        let whole = self.events.push(data);
+        if !self.send_to_caller(whole).await {
+            return Some(StreamEnd::CallerGone);
         }
+        self.hedge.record_event(self.events.last_id());
+        None
     }
 
     /// Sends events to the caller. Returns false if the caller disconnected.
@@ -157,70 +171,80 @@
         events.is_empty() || self.sender.send(Ok(events)).await.is_ok()
     }
 
-    fn may_resume(&self) -> bool {
-        self.context.route.kind.is_retryable()
-            && self.history.sent_count < self.context.route.max_attempts
+    /// Handles the end of a complete stream.
+    async fn complete(&mut self) -> StreamEnd {
+        let rest = self.events.remainder();
+        if !self.send_to_caller(rest).await {
+            return StreamEnd::CallerGone;
+        }
+        if let Some(OpenStream { mut assignment, connection, head, .. }) = self.source.take() {
+            assignment.set_end(EndpointOutcome::Answered);
+            if self.context.route.kind.is_retryable() {
+                self.gateway.pool.put_back(connection, keep_alive_timeout(&head.headers));
+            }
+        }
+        StreamEnd::Complete
     }
 
-    /// Resumes the stream at another endpoint. Returns `None` if that is not possible.
-    async fn resume(&mut self) -> Option<OpenStream> {
-        let broken_at = now();
-        while self.may_resume() && now() < self.context.deadline {
-            if !self.gateway.take_retry(&self.context) {
-                self.log_not_resumed("budget");
-                return None;
+    /// Handles a stream that broke off at its endpoint.
+    fn handle_break(&mut self) -> Option<StreamEnd> {
+        let OpenStream { assignment, view, .. } = self.source.take()?;
+        self.loss = LossCause::Broken;
+        self.hedge.record_broken_stream();
+        let endpoint = assignment.in_flight.endpoint;
+        let is_loading = self.gateway.dispatcher.borrow().is_loading(endpoint, now());
+        // An endpoint aborts streams to load other weights. Neither the request nor the endpoint is at
+        // fault then.
+        if !is_loading {
+            self.gateway.handle_loss(&self.context, assignment, &view, LossCause::Broken);
+        }
+        match self.context.route.kind.is_retryable() {
+            true => None,
+            false => Some(StreamEnd::Broken),
+        }
+    }
+
+    async fn handle_hedge(&mut self, event: HedgeEvent) -> Option<StreamEnd> {
+        match event {
+            HedgeEvent::Ended(AttemptOutcome::Stream(opened)) => {
+                self.events.resume();
+                self.log_resumed(&opened);
+                return self.switch_source(*opened).await;
             }
-            let request = self.context.pending_request(&self.history.endpoints, true);
-            let assignment = tokio::select! {
-                () = self.sender.closed() => return None,
-                assignment = self.gateway.acquire(request) => assignment,
-            };
-            let assignment = match assignment {
-                Ok(assignment) => assignment,
-                Err((reason, _)) => {
-                    self.log_not_resumed(reason.name());
-                    return None;
-                }
-            };
-            self.history.endpoints.push(assignment.endpoint);
-            self.history.sent_count += 1;
-            let options =
-                AttemptOptions { is_last: !self.may_resume(), resume_after: self.events.last_id() };
-            let result = tokio::select! {
-                () = self.sender.closed() => return None,
-                result = self.gateway.attempt(&self.context, assignment, options) => result,
-            };
-            match result {
-                AttemptOutcome::Stream(opened) => {
-                    self.events.resume();
-                    self.log_resumed(broken_at, &opened);
-                    return Some(*opened);
-                }
-                AttemptOutcome::Unsent => self.history.sent_count -= 1,
-                AttemptOutcome::Refused | AttemptOutcome::Failed(_) | AttemptOutcome::Lost(_) => {}
-                // A response that is not a stream cannot continue one.
-                AttemptOutcome::Response(_) => {
-                    self.log_not_resumed("no_stream");
-                    return None;
+            // A response that is not a stream cannot continue one.
+            HedgeEvent::Ended(AttemptOutcome::Response(_)) => self.log_not_resumed("no_stream"),
+            HedgeEvent::Ended(
+                AttemptOutcome::Unsent
+                | AttemptOutcome::Refused
+                | AttemptOutcome::Failed(_)
+                | AttemptOutcome::Lost(_),
+            ) => {}
+            HedgeEvent::Denied { reason, .. } => {
+                self.log_not_resumed(reason);
+                if !self.hedge.is_in_progress() {
+                    return Some(StreamEnd::Broken);
                 }
             }
+            HedgeEvent::Exhausted => {
+                self.log_not_resumed("attempts");
+                return Some(StreamEnd::Broken);
+            }
         }
-        self.log_not_resumed("attempts");
         None
     }
 
     fn log_not_resumed(&self, reason: &str) {
         let id = self.context.facts.id.as_deref().map(String::from_utf8_lossy);
         info!(self.gateway.log, "stream not resumed"; "id" => id.as_deref(), "reason" => reason,
-            "after" => self.events.last_id(), "tried" => self.history.endpoints.len());
+            "after" => self.events.last_id(), "tried" => self.hedge.history.endpoints.len());
     }
 
-    fn log_resumed(&self, broken_at: Instant, opened: &OpenStream) {
+    fn log_resumed(&self, opened: &OpenStream) {
         let id = self.context.facts.id.as_ref().map(|id| String::from_utf8_lossy(id).into_owned());
         info!(self.gateway.log, "stream resumed"; "id" => id, "after" => self.events.last_id(),
-            "endpoint" => %opened.view.id, "tried" => self.history.endpoints.len(),
+            "endpoint" => %opened.view.id, "tried" => self.hedge.history.endpoints.len(),
             "expected_ms" => opened.assignment.expected.as_millis() as u64,
-            "pause_ms" => (now() - broken_at).as_millis() as u64);
+            "pause_ms" => (now() - self.heard_at).as_millis() as u64);
     }
 
     async fn abort(&mut self, reason: &str) {
@@ -230,6 +254,20 @@
     }
 
     fn log_end(&self, outcome: &'static str, reason: &str) {
-        self.gateway.log_request(&self.context, outcome, reason, StatusCode::OK, &self.history);
+        self.gateway.log_request(
+            &self.context,
+            outcome,
+            reason,
+            StatusCode::OK,
+            &self.hedge.history,
+        );
+    }
+}
+
+/// Waits for the next part of a stream, if there is one.
+async fn next_frame(source: &mut Option<OpenStream>) -> Option<Result<Frame<Bytes>, hyper::Error>> {
+    match source {
+        Some(source) => source.body.frame().await,
+        None => std::future::pending().await,
     }
 }
