End what waits at old weights before the bound, and send it elsewhere

Cause: newer weights are required with a request only when it is sent. One that was sent just before, and waits behind a silent endpoint, could begin at any time until its deadline.

Ruled out: requiring the new version earlier, as a request may wait longer than any margin.

Change: NamedWeights::latest_start says until when a request may begin on a version: the middle of the margin before the bound of the next version, and no later than the requirement for weights that were named before the process started. An attempt that has not begun by then (no first event, no head of a plain response) at an endpoint that still serves older weights is ended, its connection closed. It goes to an endpoint with the required version if it may be repeated, within attempts and budget; a request that may run once gets a 502, as it may have run. Requests that wait are woken when other weights are named.

--- a/components/dispatch/src/state.rs
+++ b/components/dispatch/src/state.rs
@@ -130,6 +130,11 @@
         })
     }
 
+    /// The version of the weights that an endpoint serves, as far as that is known.
+    pub fn served_version(&self, key: EndpointKey, now: Instant) -> Option<WeightsVersion> {
+        self.endpoints.get(key)?.version(self.settings.max_report_age, now)
+    }
+
     /// The service of an endpoint.
     pub fn service_of(&self, key: EndpointKey) -> Option<&ServiceId> {
         self.endpoints.get(key).map(|tracked| &tracked.listed.service)
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt to run a request at one endpoint.
 
-use std::{net::IpAddr, rc::Rc};
+use std::{cell::Cell, net::IpAddr, rc::Rc};
 
 use bytes::Bytes;
 use catalog::{RouteKind, WeightsVersion};
@@ -51,6 +51,8 @@
     TimedOut,
     /// The response cannot be forwarded.
     Unusable,
+    /// The request had not begun when its endpoint's weights were about to be too old.
+    OldWeights,
 }
 
 impl LossCause {
@@ -59,6 +61,7 @@
             LossCause::Broken => "broken",
             LossCause::TimedOut => "silent",
             LossCause::Unusable => "unusable",
+            LossCause::OldWeights => "old_weights",
         }
     }
 }
@@ -78,6 +81,8 @@
 pub(crate) struct AttemptOptions {
     /// Id of the event after which a stream is to be resumed.
     pub(crate) resume_after: Option<u64>,
+    /// Set once the head of a response that is not a stream has arrived.
+    pub(crate) has_begun: Rc<Cell<bool>>,
 }
 
 impl Gateway {
@@ -108,6 +113,8 @@
             return self.handle_loss(context, assignment, &view, LossCause::Unusable);
         }
         let status = head.status();
+        // The head of a stream may arrive before its request begins.
+        options.has_begun.set(!is_stream(context, &exchange));
         match classify_response(status, head.headers()) {
             ResponseClass::Refused | ResponseClass::Misdirected => {
                 assignment.set_end(EndpointOutcome::Refused);
--- a/components/gateway/src/hedge.rs
+++ b/components/gateway/src/hedge.rs
@@ -1,6 +1,7 @@
 //! Hedged requests: sends a request to another endpoint while those that are silent may still answer.
 
 use std::{
+    cell::Cell,
     future::{Future, poll_fn},
     pin::Pin,
     rc::Rc,
@@ -8,13 +9,14 @@
     time::{Duration, Instant},
 };
 
+use catalog::WeightsVersion;
 use dispatch::Refusal;
 use metrics::counter;
 use slog::info;
 use telemetry::names;
 
 use crate::{
-    attempt::{AttemptOptions, AttemptOutcome},
+    attempt::{AttemptOptions, AttemptOutcome, LossCause},
     attempt_plan::{AttemptLimits, AttemptNumber, AttemptPlan, NextStep},
     request::RequestContext,
     serve::{AttemptHistory, REFUSED_RETRY_AFTER},
@@ -29,6 +31,10 @@
     number: AttemptNumber,
     in_flight: InFlight,
     future: AttemptFuture,
+    /// Whether the endpoint certainly began to work on the request.
+    has_begun: Rc<Cell<bool>>,
+    /// Version of the weights that the endpoint had to have, or had, when the request was sent.
+    version: Option<WeightsVersion>,
 }
 
 /// The stream that is being forwarded.
@@ -134,7 +140,10 @@
     /// point and called again.
     pub(crate) async fn next(&mut self) -> HedgeEvent {
         loop {
-            let mut wake_at = None;
+            if let Some(outcome) = self.end_outdated() {
+                return HedgeEvent::Ended(outcome);
+            }
+            let mut wake_at = self.latest_start();
             if self.acquiring.is_none() {
                 match self.plan.next_step(self.is_in_progress(), now()) {
                     NextStep::Start => {
@@ -142,7 +151,7 @@
                             return denied;
                         }
                     }
-                    NextStep::Wait(until) => wake_at = until,
+                    NextStep::Wait(until) => wake_at = earlier(wake_at, until),
                     NextStep::GiveUp => return HedgeEvent::Exhausted,
                 }
             }
@@ -158,6 +167,7 @@
                     }
                 }
                 () = sleep_until(wake_at) => {}
+                () = self.gateway.weights_changed.notified(), if !self.in_progress.is_empty() => {}
             }
         }
     }
@@ -197,12 +207,66 @@
         let patience =
             expected.max(self.context.route.target_latency) + self.gateway.settings.response_slack;
         let number = self.plan.record_sent(patience, now());
-        let options =
-            AttemptOptions { resume_after: self.stream.as_ref().and_then(|stream| stream.last_id) };
+        let has_begun = Rc::new(Cell::new(false));
+        let options = AttemptOptions {
+            resume_after: self.stream.as_ref().and_then(|stream| stream.last_id),
+            has_begun: has_begun.clone(),
+        };
         let in_flight = assignment.in_flight;
+        let version = self.version_at(in_flight);
         let (gateway, context) = (self.gateway.clone(), self.context.clone());
         let future = async move { gateway.attempt(&context, assignment, options).await };
-        self.in_progress.push(AttemptInProgress { number, in_flight, future: Box::pin(future) });
+        let future = Box::pin(future);
+        let attempt = AttemptInProgress { number, in_flight, future, has_begun, version };
+        self.in_progress.push(attempt);
+    }
+
+    /// Returns the version of the weights that an endpoint must have to take a request now, else the
+    /// one that it serves.
+    fn version_at(&self, in_flight: InFlight) -> Option<WeightsVersion> {
+        let dispatcher = self.gateway.dispatcher.borrow();
+        let required = dispatcher.endpoint(in_flight.endpoint, now())?.version;
+        required.or_else(|| dispatcher.served_version(in_flight.endpoint, now()))
+    }
+
+    /// Returns until when an attempt may begin; `None` if it has begun, or may begin at any time.
+    fn latest_start_of(&self, attempt: &AttemptInProgress) -> Option<Instant> {
+        if attempt.has_begun.get() {
+            return None;
+        }
+        let dispatcher = self.gateway.dispatcher.borrow();
+        // The endpoint may have loaded newer weights since the request was sent.
+        let served = dispatcher.served_version(attempt.in_flight.endpoint, now());
+        let version = attempt.version.max(served)?;
+        let model = self.gateway.model_of(&self.context.service)?;
+        self.gateway.named_weights.borrow().latest_start(&model, version)
+    }
+
+    /// Returns the earliest time from which an attempt in progress may not begin any more.
+    fn latest_start(&self) -> Option<Instant> {
+        self.in_progress.iter().filter_map(|attempt| self.latest_start_of(attempt)).min()
+    }
+
+    /// Ends an attempt that may not begin any more. Its connection is closed, so that the endpoint
+    /// drops the request.
+    fn end_outdated(&mut self) -> Option<AttemptOutcome> {
+        let is_outdated = |attempt: &AttemptInProgress| {
+            self.latest_start_of(attempt).is_some_and(|latest| now() >= latest)
+        };
+        let at = self.in_progress.iter().position(is_outdated)?;
+        let ended = self.in_progress.remove(at);
+        self.plan.record_end(ended.number, now());
+        let id = self.context.facts.id.as_deref().map(String::from_utf8_lossy);
+        let endpoint = self.endpoint_name(ended.in_flight);
+        info!(self.gateway.log, "attempt ended before it begins on old weights";
+            "id" => id.as_deref(), "endpoint" => endpoint,
+            "version" => ended.version.map(|version| version.0));
+        Some(AttemptOutcome::Lost(LossCause::OldWeights))
+    }
+
+    fn endpoint_name(&self, in_flight: InFlight) -> Option<String> {
+        let view = self.gateway.dispatcher.borrow().endpoint(in_flight.endpoint, now())?;
+        Some(view.id.to_string())
     }
 
     fn record_end(&mut self, number: AttemptNumber, outcome: &AttemptOutcome) {
@@ -257,13 +321,11 @@
         }
         let source = self.stream.as_ref().and_then(|stream| stream.source);
         let Some(silent) = newest.or(source) else { return };
-        let mut dispatcher = self.gateway.dispatcher.borrow_mut();
-        let is_loading = dispatcher.is_loading(silent.endpoint, now());
-        if is_loading || !dispatcher.record_silence(silent.endpoint, silent.key, now()) {
+        if !self.gateway.record_silence(silent) {
             return;
         }
         let id = self.context.facts.id.as_deref().map(String::from_utf8_lossy);
-        let endpoint = dispatcher.endpoint(silent.endpoint, now()).map(|view| view.id.to_string());
+        let endpoint = self.endpoint_name(silent);
         info!(self.gateway.log, "endpoint silent"; "id" => id.as_deref(), "endpoint" => endpoint,
             "asks_another" => asks_another);
     }
@@ -297,6 +359,11 @@
     .await
 }
 
+/// Returns the earlier of two times, of which `None` is never.
+fn earlier(a: Option<Instant>, b: Option<Instant>) -> Option<Instant> {
+    a.into_iter().chain(b).min()
+}
+
 async fn sleep_until(until: Option<Instant>) {
     match until {
         Some(until) => tokio::time::sleep_until(until.into()).await,
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -210,7 +210,9 @@
     ) -> Response<ResponseBody> {
         let status = match loss {
             LossCause::TimedOut => StatusCode::GATEWAY_TIMEOUT,
-            LossCause::Broken | LossCause::Unusable => StatusCode::BAD_GATEWAY,
+            LossCause::Broken | LossCause::Unusable | LossCause::OldWeights => {
+                StatusCode::BAD_GATEWAY
+            }
         };
         self.fail(context, history, status, loss.name())
     }
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -52,6 +52,8 @@
     pub(crate) socket: PeerSocket,
     pub(crate) suspects: RefCell<SuspectRequests>,
     pub(crate) named_weights: RefCell<NamedWeights>,
+    /// Wakes the requests that wait at endpoints when other weights are required.
+    pub(crate) weights_changed: Notify,
     /// Other gateways as named by stagers, with the time when they were last named.
     pub(crate) other_gateways: RefCell<HashMap<Ipv4Addr, Instant>>,
     /// Number of gateways that asked one stager for reports, by the last report.
@@ -178,6 +180,7 @@
                 settings.version_margin_fraction,
                 now(),
             )),
+            weights_changed: Notify::new(),
             process: RefCell::new(process),
             other_gateways: RefCell::default(),
             gateway_count: Cell::new(1),
@@ -211,6 +214,14 @@
             && self.config.borrow().is_some()
     }
 
+    /// Records that an endpoint is silent, unless it loads weights and is not at fault. Returns whether
+    /// that is new.
+    pub(crate) fn record_silence(&self, silent: InFlight) -> bool {
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        !dispatcher.is_loading(silent.endpoint, now())
+            && dispatcher.record_silence(silent.endpoint, silent.key, now())
+    }
+
     /// Waits until the request is assigned to an endpoint or refused. A refusal carries its reason and
     /// the time after which the caller may retry.
     pub(crate) async fn acquire(
--- a/components/gateway/src/store_follower.rs
+++ b/components/gateway/src/store_follower.rs
@@ -366,5 +366,6 @@
             let Some(weights) = weights else { continue };
             dispatcher.set_version_requirements(&service.name, named.required(&weights.model));
         }
+        self.weights_changed.notify_waiters();
     }
 }
--- a/components/gateway/src/weights.rs
+++ b/components/gateway/src/weights.rs
@@ -96,6 +96,18 @@
         known.iter().map(required).collect()
     }
 
+    /// Returns until when a request may begin on `version` of a model's weights, if a newer version was
+    /// named: until the middle of the margin, so that an attempt that is ended then does not begin
+    /// after the bound, and an endpoint with newer weights still gets the request in time.
+    pub(crate) fn latest_start(&self, model: &ModelId, version: WeightsVersion) -> Option<Instant> {
+        let known = self.models.get(model)?;
+        let latest = |known: &RecordedVersion| match known.inherited {
+            true => self.started + self.bounds.contact_window.saturating_sub(self.margin / 4),
+            false => known.named_at + self.bounds.version_switch.saturating_sub(self.margin / 2),
+        };
+        known.iter().filter(|known| known.version > version).map(latest).min()
+    }
+
     /// Returns the newest version whose bound is over, with the time since then, if `version` is older.
     pub(crate) fn overdue(
         &self,
--- a/components/gateway/src/weights/tests.rs
+++ b/components/gateway/src/weights/tests.rs
@@ -62,3 +62,36 @@
     assert_eq!(overdue(1, later), Some((WeightsVersion(2), Duration::from_millis(30))));
     assert_eq!(overdue(2, later), None);
 }
+
+/// Guards against a request that begins on old weights after the bound, as it was sent before newer
+/// ones were required and waited at a silent endpoint.
+#[test]
+fn a_request_may_begin_on_old_weights_until_the_middle_of_the_margin() {
+    let start = Instant::now();
+    let mut named = NamedWeights::new(Bounds::default(), MARGIN, start);
+    let at = |s| start + Duration::from_secs(s);
+    let bound = Bounds::default().version_switch;
+    let latest =
+        |named: &NamedWeights, version| named.latest_start(&model(), WeightsVersion(version));
+    assert_eq!(latest(&named, 1), None);
+    named.record(&model(), WeightsVersion(2), false, at(20));
+    named.record(&model(), WeightsVersion(3), false, at(22));
+    let half_margin = Duration::from_millis(750);
+    assert_eq!(latest(&named, 1), Some(at(20) + bound - half_margin));
+    assert_eq!(latest(&named, 2), Some(at(22) + bound - half_margin));
+    assert_eq!(latest(&named, 3), None);
+    // It never ends before endpoints with the newer weights are required.
+    for required in named.required(&model()) {
+        let older = required.version.0 - 1;
+        assert!(latest(&named, older).unwrap() > required.effective_at);
+    }
+}
+
+#[test]
+fn a_request_may_begin_on_weights_older_than_those_at_startup_until_they_are_required() {
+    let start = Instant::now();
+    let mut named = NamedWeights::new(Bounds::default(), MARGIN, start);
+    named.record(&model(), WeightsVersion(2), true, start);
+    let required = named.required(&model())[0].effective_at;
+    assert_eq!(named.latest_start(&model(), WeightsVersion(1)), Some(required));
+}
