Ask no other endpoint while a response arrives, and split the attempts off gateway::hedge

Since the change to hedged requests, a plain response whose head had arrived in time, but whose body took longer than the patience, made another endpoint run the request too; before it did not. attempt_plan now knows how far the attempts are: once the head of a response is here, no other endpoint is asked unless its connection ends. The attempts in progress get a module of their own.

--- a/components/gateway/src/attempt_plan.rs
+++ b/components/gateway/src/attempt_plan.rs
@@ -18,6 +18,17 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct AttemptNumber(u32);
 
+/// How far the endpoints that were asked are.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Progress {
+    /// None has the request.
+    Nothing,
+    /// At least one has the request, and none has begun to answer.
+    Waiting,
+    /// One has sent the head of its response.
+    Responding,
+}
+
 /// What to do next for a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum NextStep {
@@ -60,17 +71,17 @@
         self.sent_count
     }
 
-    /// Returns what to do now. `in_progress` says whether an endpoint that was asked may still answer.
-    pub(crate) fn next_step(&self, in_progress: bool, now: Instant) -> NextStep {
+    /// Returns what to do now.
+    pub(crate) fn next_step(&self, progress: Progress, now: Instant) -> NextStep {
         let allowed =
             self.sent_count < self.limits.max_attempts && self.unreached_count < MAX_UNREACHED;
-        match (allowed, in_progress) {
-            (false, false) => NextStep::GiveUp,
-            (true, false) => NextStep::Start,
-            (false, true) => NextStep::Wait(None),
-            (true, true) if !self.limits.is_repeatable => NextStep::Wait(None),
-            (true, true) if now < self.ask_at => NextStep::Wait(Some(self.ask_at)),
-            (true, true) => NextStep::Start,
+        match progress {
+            Progress::Nothing if allowed => NextStep::Start,
+            Progress::Nothing => NextStep::GiveUp,
+            Progress::Responding => NextStep::Wait(None),
+            Progress::Waiting if !allowed || !self.limits.is_repeatable => NextStep::Wait(None),
+            Progress::Waiting if now < self.ask_at => NextStep::Wait(Some(self.ask_at)),
+            Progress::Waiting => NextStep::Start,
         }
     }
 
--- a/components/gateway/src/hedge.rs
+++ b/components/gateway/src/hedge.rs
@@ -17,26 +17,15 @@
 
 use crate::{
     attempt::{AttemptOptions, AttemptOutcome, LossCause},
-    attempt_plan::{AttemptLimits, AttemptNumber, AttemptPlan, NextStep},
+    attempt_plan::{AttemptLimits, AttemptNumber, AttemptPlan, NextStep, Progress},
+    in_progress::{AttemptInProgress, AttemptsInProgress},
     request::RequestContext,
     serve::{AttemptHistory, REFUSED_RETRY_AFTER},
     state::{Assignment, Gateway, InFlight, now},
 };
 
-type AttemptFuture = Pin<Box<dyn Future<Output = AttemptOutcome>>>;
 type AcquireFuture = Pin<Box<dyn Future<Output = Result<Assignment, (Refusal, Duration)>>>>;
 
-/// An attempt whose endpoint has not answered yet. Dropping it closes its connection.
-struct AttemptInProgress {
-    number: AttemptNumber,
-    in_flight: InFlight,
-    future: AttemptFuture,
-    /// Whether the endpoint certainly began to work on the request.
-    has_begun: Rc<Cell<bool>>,
-    /// Version of the weights that the endpoint had to have, or had, when the request was sent.
-    version: Option<WeightsVersion>,
-}
-
 /// The stream that is being forwarded.
 struct StreamProgress {
     /// The request at the endpoint that sends the stream, unless it broke off.
@@ -63,8 +52,7 @@
     context: Rc<RequestContext>,
     pub(crate) history: AttemptHistory,
     plan: AttemptPlan,
-    /// Attempts that have not ended, the oldest first.
-    in_progress: Vec<AttemptInProgress>,
+    in_progress: AttemptsInProgress,
     /// Waits for an endpoint for the next attempt.
     acquiring: Option<AcquireFuture>,
     /// `None` until the first event of a stream arrived.
@@ -83,7 +71,7 @@
             context,
             history: AttemptHistory::default(),
             plan: AttemptPlan::new(limits, now()),
-            in_progress: Vec::new(),
+            in_progress: AttemptsInProgress::default(),
             acquiring: None,
             stream: None,
         }
@@ -96,8 +84,15 @@
 
     /// Whether an endpoint that was asked may still answer.
     pub(crate) fn is_in_progress(&self) -> bool {
+        self.progress() != Progress::Nothing
+    }
+
+    fn progress(&self) -> Progress {
         let is_open = self.stream.as_ref().is_some_and(|stream| stream.source.is_some());
-        is_open || !self.in_progress.is_empty()
+        match self.in_progress.progress() {
+            Progress::Nothing if is_open => Progress::Waiting,
+            progress => progress,
+        }
     }
 
     /// Records that the stream of an endpoint is forwarded from now on, and ends all other attempts.
@@ -143,9 +138,9 @@
             if let Some(outcome) = self.end_outdated() {
                 return HedgeEvent::Ended(outcome);
             }
-            let mut wake_at = self.latest_start();
+            let mut wake_at = self.in_progress.latest_start(&self.gateway, &self.context.service);
             if self.acquiring.is_none() {
-                match self.plan.next_step(self.is_in_progress(), now()) {
+                match self.plan.next_step(self.progress(), now()) {
                     NextStep::Start => {
                         if let Some(denied) = self.start_acquiring() {
                             return denied;
@@ -157,7 +152,7 @@
             }
             tokio::select! {
                 biased;
-                (number, outcome) = next_end(&mut self.in_progress) => {
+                (number, outcome) = self.in_progress.next_end() => {
                     self.record_end(number, &outcome);
                     return HedgeEvent::Ended(outcome);
                 }
@@ -229,32 +224,10 @@
         required.or_else(|| dispatcher.served_version(in_flight.endpoint, now()))
     }
 
-    /// Returns until when an attempt may begin; `None` if it has begun, or may begin at any time.
-    fn latest_start_of(&self, attempt: &AttemptInProgress) -> Option<Instant> {
-        if attempt.has_begun.get() {
-            return None;
-        }
-        let dispatcher = self.gateway.dispatcher.borrow();
-        // The endpoint may have loaded newer weights since the request was sent.
-        let served = dispatcher.served_version(attempt.in_flight.endpoint, now());
-        let version = attempt.version.max(served)?;
-        let model = self.gateway.model_of(&self.context.service)?;
-        self.gateway.named_weights.borrow().latest_start(&model, version)
-    }
-
-    /// Returns the earliest time from which an attempt in progress may not begin any more.
-    fn latest_start(&self) -> Option<Instant> {
-        self.in_progress.iter().filter_map(|attempt| self.latest_start_of(attempt)).min()
-    }
-
     /// Ends an attempt that may not begin any more. Its connection is closed, so that the endpoint
     /// drops the request.
     fn end_outdated(&mut self) -> Option<AttemptOutcome> {
-        let is_outdated = |attempt: &AttemptInProgress| {
-            self.latest_start_of(attempt).is_some_and(|latest| now() >= latest)
-        };
-        let at = self.in_progress.iter().position(is_outdated)?;
-        let ended = self.in_progress.remove(at);
+        let ended = self.in_progress.remove_outdated(&self.gateway, &self.context.service)?;
         self.plan.record_end(ended.number, now());
         let id = self.context.facts.id.as_deref().map(String::from_utf8_lossy);
         let endpoint = self.endpoint_name(ended.in_flight);
@@ -315,7 +288,7 @@
     /// Records once that the endpoint that was asked last did not answer in time. One that loads
     /// weights is not at fault.
     fn record_silence(&mut self, asks_another: bool) {
-        let newest = self.in_progress.last().map(|attempt| attempt.in_flight);
+        let newest = self.in_progress.newest();
         if let (None, Some(stream)) = (newest, &mut self.stream) {
             stream.is_silent = true;
         }
@@ -331,19 +304,6 @@
     }
 }
 
-/// Waits until an attempt ends and removes it.
-async fn next_end(attempts: &mut Vec<AttemptInProgress>) -> (AttemptNumber, AttemptOutcome) {
-    poll_fn(|cx| {
-        for at in 0..attempts.len() {
-            if let Poll::Ready(outcome) = attempts[at].future.as_mut().poll(cx) {
-                return Poll::Ready((attempts.remove(at).number, outcome));
-            }
-        }
-        Poll::Pending
-    })
-    .await
-}
-
 /// Waits for the endpoint of the next attempt, if one is wanted.
 async fn next_assignment(
     acquiring: &mut Option<AcquireFuture>,
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 mod change_source;
 mod events;
 mod hedge;
+mod in_progress;
 mod peers;
 mod process;
 mod refused;
