--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -52,6 +52,8 @@
     pub(crate) socket: PeerSocket,
     pub(crate) suspects: RefCell<SuspectRequests>,
     pub(crate) named_weights: RefCell<NamedWeights>,
+    /// Wakes the requests that wait at endpoints when other weights are required.
+    pub(crate) weights_changed: Notify,
     /// Other gateways as named by stagers, with the time when they were last named.
     pub(crate) other_gateways: RefCell<HashMap<Ipv4Addr, Instant>>,
     /// Number of gateways that asked one stager for reports, by the last report.
@@ -88,11 +90,17 @@
     pub(crate) zone_gateways: RefCell<HashMap<Ipv4Addr, Instant>>,
 }
 
+/// Identifies a request in flight at an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct InFlight {
+    pub(crate) endpoint: EndpointKey,
+    pub(crate) key: InFlightKey,
+}
+
 /// Request that was assigned to an endpoint. Reports its end to the dispatcher on drop.
 pub(crate) struct Assignment {
     gateway: Rc<Gateway>,
-    pub(crate) endpoint: EndpointKey,
-    flight: InFlightKey,
+    pub(crate) in_flight: InFlight,
     /// Predicted time until the first event.
     pub(crate) expected: Duration,
     end: EndpointOutcome,
@@ -101,7 +109,11 @@
 impl Assignment {
     /// Reports that the first event has arrived.
     pub(crate) fn mark_started(&self) {
-        self.gateway.dispatcher.borrow_mut().record_first_event(self.endpoint, self.flight, now());
+        self.gateway.dispatcher.borrow_mut().record_first_event(
+            self.in_flight.endpoint,
+            self.in_flight.key,
+            now(),
+        );
     }
 
     /// Sets the end that is reported on drop.
@@ -114,8 +126,8 @@
     fn drop(&mut self) {
         let now = now();
         self.gateway.dispatcher.borrow_mut().record_result(
-            self.endpoint,
-            self.flight,
+            self.in_flight.endpoint,
+            self.in_flight.key,
             self.end,
             now,
         );
@@ -168,6 +180,7 @@
                 settings.version_margin_fraction,
                 now(),
             )),
+            weights_changed: Notify::new(),
             process: RefCell::new(process),
             other_gateways: RefCell::default(),
             gateway_count: Cell::new(1),
@@ -201,6 +214,14 @@
             && self.config.borrow().is_some()
     }
 
+    /// Records that an endpoint is silent, unless it loads weights and is not at fault. Returns whether
+    /// that is new.
+    pub(crate) fn record_silence(&self, silent: InFlight) -> bool {
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        !dispatcher.is_loading(silent.endpoint, now())
+            && dispatcher.record_silence(silent.endpoint, silent.key, now())
+    }
+
     /// Waits until the request is assigned to an endpoint or refused. A refusal carries its reason and
     /// the time after which the caller may retry.
     pub(crate) async fn acquire(
@@ -213,12 +234,11 @@
             Some(key) => self.wait_for_decision(key).await,
         };
         match decision {
-            Decision::Send { endpoint, in_flight: flight, expected } => {
+            Decision::Send { endpoint, in_flight: key, expected } => {
                 let gateway = self.clone();
                 Ok(Assignment {
                     gateway,
-                    endpoint,
-                    flight,
+                    in_flight: InFlight { endpoint, key },
                     expected,
                     end: EndpointOutcome::Inconclusive,
                 })
