Count weights found in a later read from the last time without them

Cause: all weights found in a full read counted as named before the process started: required at once, and told to stagers as old as the whole bound. A process that had read the store before knows better: the store had not acknowledged them before the time up to which it knew all changes. Change: the bool 'inherited' is an enum, NamingTime; BeforeFirstRead is left to the first read. ChangeHistory keeps known_until, and gateways tell each other its age. The log gives max_age_ms. Why the bound is kept: known_until is never later than the acknowledgement of a change that is unknown. It is the time before a read or a watch was sent; only where a watch ran out without changes it is the end of its waiting time, since the store answers sooner if there is a change. From another gateway it is the time before that one was asked, less the age that it tells, rounded up; an answer after which more changes follow tells none. It is kept apart from confirmed_at, the time of arrival, which decides whether a gateway is recent enough to be asked: that decision is unchanged. Ruled out: the time of the read, which is later than the acknowledgement; the stagers' ages, which come from gateways. Not changed: where the last knowledge is older than the bound less its margin, the weights are still required at once.

--- a/components/directory/src/history.rs
+++ b/components/directory/src/history.rs
@@ -43,6 +43,25 @@
     revision: Option<StoreRevision>,
     /// The latest time at which the store is known to have had no newer change.
     confirmed_at: Option<Instant>,
+    /// Time before which the store acknowledged no change that is unknown here. Never later than the
+    /// acknowledgement of a change that comes next, however late that is learned; `confirmed_at` is
+    /// late by the time that an answer was on its way.
+    known_until: Option<Instant>,
+}
+
+/// Time up to which the answer to a watch tells all changes. The store gives an answer without
+/// changes at the end of the waiting time; it may have given any other one since `sent_at`.
+pub fn known_by_watch(
+    sent_at: Instant,
+    wait: Duration,
+    has_changes: bool,
+    answered_at: Instant,
+) -> Instant {
+    let end = sent_at + wait;
+    match has_changes || answered_at < end {
+        true => sent_at,
+        false => end,
+    }
 }
 
 impl ChangeHistory {
@@ -95,6 +114,24 @@
         self.revision
     }
 
+    /// Records that all changes are known which the store acknowledged before a time.
+    pub fn record_known(&mut self, until: Instant) {
+        self.known_until = self.known_until.max(Some(until));
+    }
+
+    /// Time before which the store acknowledged no change that is unknown here; `None` until it was
+    /// read.
+    pub fn known_until(&self) -> Option<Instant> {
+        self.known_until
+    }
+
+    /// The same for a process that has applied the changes up to `after` and the next ones of
+    /// `since`; `None` if more follow.
+    pub fn known_with_next(&self, after: StoreRevision) -> Option<Instant> {
+        let next = self.batches.iter().filter(|batch| batch.revision > after).count();
+        self.known_until.filter(|_| next <= 1)
+    }
+
     /// Time since the store was last known to have no newer change.
     pub fn age(&self, now: Instant) -> Option<Duration> {
         self.confirmed_at.map(|at| now.saturating_duration_since(at))
--- a/components/directory/src/history/tests.rs
+++ b/components/directory/src/history/tests.rs
@@ -63,3 +63,31 @@
     assert_eq!(history.age(later), Some(Duration::ZERO));
     assert_eq!(ChangeHistory::default().age(later), None);
 }
+
+#[test]
+fn a_watch_that_ran_out_tells_all_changes_up_to_its_end() {
+    let sent_at = Instant::now();
+    let wait = Duration::from_millis(800);
+    let known = |has_changes, ms| {
+        known_by_watch(sent_at, wait, has_changes, sent_at + Duration::from_millis(ms)) - sent_at
+    };
+    assert_eq!(known(false, 801), wait);
+    assert_eq!(known(false, 9000), wait, "the process was frozen before it read the answer");
+    assert_eq!(known(false, 300), Duration::ZERO, "answered early");
+    assert_eq!(known(true, 300), Duration::ZERO, "more may have been named on the way");
+    assert_eq!(known(true, 9000), Duration::ZERO);
+}
+
+#[test]
+fn a_process_that_lacks_more_than_the_next_changes_does_not_know_all() {
+    let start = Instant::now();
+    let mut history = history(start);
+    assert_eq!(history.known_until(), None);
+    history.record_known(start);
+    history.record_known(start - Duration::from_secs(1));
+    assert_eq!(history.known_until(), Some(start));
+    let known = |revision| history.known_with_next(StoreRevision(revision));
+    assert_eq!(known(10), None, "the changes up to 15 are missing");
+    assert_eq!(known(12), Some(start));
+    assert_eq!(known(15), Some(start));
+}
--- a/components/directory/src/lib.rs
+++ b/components/directory/src/lib.rs
@@ -5,5 +5,5 @@
 mod reader;
 
 pub use error::ReadError;
-pub use history::{ChangeHistory, ChangesSince};
+pub use history::{ChangeHistory, ChangesSince, known_by_watch};
 pub use reader::{Snapshot, StoreReader, StoreReaderSettings, WatchedChanges};
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -38,6 +38,17 @@
     TooOld(Duration),
 }
 
+/// Changes that were learned from another gateway.
+pub(crate) struct LearnedChanges {
+    /// The response of the store; empty if there are none.
+    pub(crate) body: Bytes,
+    /// Time since the store was last known to have no newer change.
+    pub(crate) age: Duration,
+    /// Time before which the store acknowledged no change that is still unknown; `None` if more
+    /// changes follow.
+    pub(crate) known_until: Option<std::time::Instant>,
+}
+
 impl Gateway {
     /// Answers another gateway that asks for the changes after a revision. Waits a while if there are
     /// none.
@@ -51,12 +62,12 @@
                 return own_response(StatusCode::SERVICE_UNAVAILABLE, None, None);
             }
             match self.history.borrow().since(after) {
-                ChangesSince::Changes(body) => return self.relayed_response(&body),
+                ChangesSince::Changes(body) => return self.relayed_response(after, &body),
                 ChangesSince::Unknown => return own_response(StatusCode::GONE, None, None),
                 ChangesSince::None => {}
             }
             if timeout_at(deadline, changed).await.is_err() {
-                return self.relayed_response(&[]);
+                return self.relayed_response(after, &[]);
             }
         }
     }
@@ -70,9 +81,14 @@
         }
     }
 
-    fn relayed_response(&self, body: &[u8]) -> Response<ResponseBody> {
-        let age = self.history.borrow().age(now()).unwrap_or(Duration::MAX);
-        match RelayedChanges::new(age, body).encode() {
+    fn relayed_response(&self, after: StoreRevision, body: &[u8]) -> Response<ResponseBody> {
+        let history = self.history.borrow();
+        let age = history.age(now()).unwrap_or(Duration::MAX);
+        let mut changes = RelayedChanges::new(age, body);
+        if let Some(until) = history.known_with_next(after) {
+            changes = changes.with_known_age(now().saturating_duration_since(until));
+        }
+        match changes.encode() {
             Ok(bytes) => Response::new(ResponseBody::Full(Some(Bytes::from(bytes)))),
             Err(err) => {
                 slog::warn!(self.log, "changes cannot be encoded"; "error" => %err);
@@ -81,13 +97,13 @@
         }
     }
 
-    /// Asks another gateway for the changes after a revision. Returns the response of the store, empty
-    /// if there are none, and the age of the knowledge.
+    /// Asks another gateway for the changes after a revision.
     pub(crate) async fn request_changes(
         &self,
         gateway: Ipv4Addr,
         after: StoreRevision,
-    ) -> Result<(Bytes, Duration), RelayError> {
+    ) -> Result<LearnedChanges, RelayError> {
+        let sent_at = now();
         let times = self.relay_times();
         let addr = self.process.borrow().peer_addr(gateway.into());
         let path = PeerRequest::Changes(after.0).path();
@@ -101,6 +117,11 @@
         if changes.age() > times.max_age {
             return Err(RelayError::TooOld(changes.age()));
         }
-        Ok((reply.body.slice_ref(changes.body), changes.age()))
+        Ok(LearnedChanges {
+            body: reply.body.slice_ref(changes.body),
+            age: changes.age(),
+            // The answer may have been on its way since the request was sent.
+            known_until: changes.known_age().and_then(|age| sent_at.checked_sub(age)),
+        })
     }
 }
--- a/components/gateway/src/store_follower.rs
+++ b/components/gateway/src/store_follower.rs
@@ -8,7 +8,7 @@
 };
 
 use catalog::{Config, Endpoint, EndpointUpdate, ModelId, WeightsVersion};
-use directory::{ReadError, StoreReader, WatchedChanges};
+use directory::{ReadError, StoreReader, WatchedChanges, known_by_watch};
 use dispatch::EndpointChange;
 use platform::store::{StoreEntry, StoreRevision, decode_changes, endpoint_id_from_key};
 use slog::{info, warn};
@@ -17,6 +17,7 @@
 use crate::{
     change_source::{ChangeSource, SourceSelection},
     state::{Gateway, now},
+    weights::NamingTime,
 };
 
 /// Applies the contents of the store to the gateway.
@@ -106,37 +107,54 @@
                     "error" => %err),
             }
         }
+        let sent_at = now();
         let snapshot = self.reader.read(false).await?;
         self.handle_store_regained();
-        self.start_from(snapshot.revision);
-        self.apply_snapshot(snapshot.entries);
+        let named = self.naming_time();
+        self.start_from(snapshot.revision, sent_at);
+        self.apply_snapshot(snapshot.entries, named);
         Ok(())
     }
 
     async fn read_stale(&mut self) -> Result<(), ReadError> {
         let snapshot = self.reader.read(true).await?;
         let wait = self.gateway.settings.catch_up_wait;
+        let sent_at = now();
         let watched = self.reader.watch(snapshot.revision, wait).await?;
         self.handle_store_regained();
-        self.start_from(watched.changes.revision.max(snapshot.revision));
-        self.apply_snapshot(snapshot.entries);
-        self.apply_changes(watched.changes.entries, true);
+        let named = self.naming_time();
+        self.start_from(watched.changes.revision.max(snapshot.revision), sent_at);
+        self.apply_snapshot(snapshot.entries, named);
+        self.apply_changes(watched.changes.entries, named);
         Ok(())
     }
 
-    fn start_from(&mut self, revision: StoreRevision) {
+    /// When weights that are learned next can have been named.
+    fn naming_time(&self) -> NamingTime {
+        match self.gateway.history.borrow().known_until() {
+            Some(at) => NamingTime::NotBefore(at),
+            None => NamingTime::BeforeFirstRead,
+        }
+    }
+
+    /// Follows changes from the revision of a read that began at `sent_at`.
+    fn start_from(&mut self, revision: StoreRevision, sent_at: Instant) {
         let before = self.gateway.history.borrow().revision().map_or(0, |before| before.0);
         info!(self.gateway.log, "store read"; "revision" => revision.0, "before" => before);
         self.revision = Some(revision);
-        self.gateway.history.borrow_mut().restart(revision, now());
+        let mut history = self.gateway.history.borrow_mut();
+        history.restart(revision, now());
+        history.record_known(sent_at);
     }
 
     async fn watch_store(&mut self, at: StoreRevision) -> Result<bool, ReadError> {
-        let watched = self.reader.watch(at, self.store_wait()).await?;
+        let (sent_at, wait) = (now(), self.store_wait());
+        let watched = self.reader.watch(at, wait).await?;
         self.handle_store_regained();
         self.log_source(ChangeSource::Store, Duration::ZERO);
         let changed = !watched.changes.entries.is_empty();
-        self.handle_watched(at, watched, now());
+        let known_until = known_by_watch(sent_at, wait, changed, now());
+        self.handle_watched(at, watched, now(), Some(known_until));
         Ok(changed)
     }
 
@@ -152,20 +170,21 @@
 
     /// Learns changes from another gateway; if that fails, it is not asked again for a while.
     async fn follow_gateway(&mut self, ip: Ipv4Addr, at: StoreRevision) {
-        let result = self.gateway.request_changes(ip, at).await.and_then(|(body, age)| {
+        let result = self.gateway.request_changes(ip, at).await.and_then(|learned| {
+            let body = learned.body.clone();
             let watched = match body.is_empty() {
                 true => None,
                 false => Some(WatchedChanges { changes: decode_changes(&body, at)?, body }),
             };
-            Ok((watched, age))
+            Ok((watched, learned))
         });
         match result {
-            Ok((watched, age)) => {
+            Ok((watched, learned)) => {
                 self.handle_store_regained();
-                self.log_source(ChangeSource::Gateway(ip), age);
-                let confirmed_at = now().checked_sub(age).unwrap_or_else(now);
+                self.log_source(ChangeSource::Gateway(ip), learned.age);
+                let confirmed_at = now().checked_sub(learned.age).unwrap_or_else(now);
                 let watched = watched.unwrap_or_else(|| WatchedChanges::none(at));
-                self.handle_watched(at, watched, confirmed_at);
+                self.handle_watched(at, watched, confirmed_at, learned.known_until);
             }
             Err(err) => {
                 info!(self.gateway.log, "changes not learned from a gateway";
@@ -180,12 +199,18 @@
         at: StoreRevision,
         watched: WatchedChanges,
         confirmed_at: Instant,
+        known_until: Option<Instant>,
     ) {
         let revision = watched.changes.revision.max(at);
         self.revision = Some(revision);
-        self.gateway.history.borrow_mut().push(revision, watched.body, confirmed_at);
+        let named = NamingTime::NotBefore(now());
+        {
+            let mut history = self.gateway.history.borrow_mut();
+            history.push(revision, watched.body, confirmed_at);
+            known_until.into_iter().for_each(|until| history.record_known(until));
+        }
         self.gateway.store_changed.notify_waiters();
-        self.apply_changes(watched.changes.entries, false);
+        self.apply_changes(watched.changes.entries, named);
     }
 
     fn log_source(&mut self, source: ChangeSource, age: Duration) {
@@ -227,8 +252,8 @@
         self.reregistration_deadline.filter(|until| now() < *until)
     }
 
-    /// Applies changes. `inherited` means that they may have been made before this process started.
-    fn apply_changes(&mut self, entries: Vec<StoreEntry>, inherited: bool) {
+    /// Applies changes. `named` is when weights among them can have been named.
+    fn apply_changes(&mut self, entries: Vec<StoreEntry>, named: NamingTime) {
         let mut removed = Vec::new();
         for entry in entries {
             match entry {
@@ -238,7 +263,7 @@
                     removed.retain(|id| *id != endpoint.id);
                     self.apply_endpoint_update(EndpointUpdate::Published(endpoint));
                 }
-                other => self.apply_entry(other, inherited),
+                other => self.apply_entry(other, named),
             }
         }
         let changes = self
@@ -249,12 +274,12 @@
         self.gateway.handle_endpoint_changes(changes);
     }
 
-    fn apply_snapshot(&mut self, entries: Vec<StoreEntry>) {
+    fn apply_snapshot(&mut self, entries: Vec<StoreEntry>, named: NamingTime) {
         let mut all: Vec<Endpoint> = Vec::new();
         for entry in entries {
             match entry {
                 StoreEntry::Endpoint(EndpointUpdate::Published(endpoint)) => all.push(endpoint),
-                other => self.apply_entry(other, true),
+                other => self.apply_entry(other, named),
             }
         }
         let reregistration_deadline = self.active_reregistration_deadline();
@@ -267,12 +292,12 @@
         self.gateway.handle_endpoint_changes(changes);
     }
 
-    fn apply_entry(&mut self, entry: StoreEntry, inherited: bool) {
+    fn apply_entry(&mut self, entry: StoreEntry, named: NamingTime) {
         match entry {
             StoreEntry::Endpoint(listing) => self.apply_endpoint_update(listing),
             StoreEntry::Config(config) => self.gateway.apply_config(*config),
             StoreEntry::NamedVersion { model, version } => {
-                self.gateway.handle_named_weights(&model, version, inherited)
+                self.gateway.handle_named_weights(&model, version, named)
             }
             StoreEntry::Unreadable { key, error } => {
                 warn!(self.gateway.log, "entry of the store is not readable";
@@ -345,12 +370,12 @@
         self.poll_soon();
     }
 
-    /// Records weights that the operator named. `inherited` means that they were found in a full read
-    /// of the store rather than in a change.
-    fn handle_named_weights(&self, model: &ModelId, version: WeightsVersion, inherited: bool) {
-        if self.named_weights.borrow_mut().record(model, version, inherited, now()) {
+    /// Records weights that the operator named.
+    fn handle_named_weights(&self, model: &ModelId, version: WeightsVersion, named: NamingTime) {
+        if self.named_weights.borrow_mut().record(model, version, named) {
             info!(self.log, "weights named"; "model" => %model, "version" => version.0,
-                "inherited" => inherited);
+                "inherited" => named == NamingTime::BeforeFirstRead,
+                "max_age_ms" => named.max_age(now()).map(|age| age.as_millis() as u64));
             self.require_weights();
             self.subscribe_notify.notify_one();
         }
--- a/components/gateway/src/weights.rs
+++ b/components/gateway/src/weights.rs
@@ -9,14 +9,30 @@
 use dispatch::VersionRequirement;
 use peering::NamedVersion;
 
+/// When a version of weights was named, as far as this process can know.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum NamingTime {
+    /// At an unknown time before this process first read the store.
+    BeforeFirstRead,
+    /// At this time or later: the store had not acknowledged the version before.
+    NotBefore(Instant),
+}
+
+impl NamingTime {
+    /// Maximum time since the version was named, if it is known.
+    pub(crate) fn max_age(self, now: Instant) -> Option<Duration> {
+        match self {
+            NamingTime::BeforeFirstRead => None,
+            NamingTime::NotBefore(at) => Some(now.saturating_duration_since(at)),
+        }
+    }
+}
+
 #[derive(Debug, Clone, Copy)]
 struct RecordedVersion {
     version: WeightsVersion,
-    /// Latest time at which the version can have been named.
-    named_at: Instant,
-    /// Whether the version was named before this process started, so that `named_at` is only an upper
-    /// bound.
-    inherited: bool,
+    /// Never later than the store's acknowledgement, from which the version bound counts.
+    named: NamingTime,
 }
 
 /// Number of remembered versions per model. By the time a version is dropped, it is already required.
@@ -38,14 +54,12 @@
         NamedWeights { bounds, margin, started, models: HashMap::new() }
     }
 
-    /// Records a named version. `inherited` means that it was in the store when the process first read
-    /// it. Returns whether the version is new.
+    /// Records a named version. Returns whether it is new.
     pub(crate) fn record(
         &mut self,
         model: &ModelId,
         version: WeightsVersion,
-        inherited: bool,
-        now: Instant,
+        named: NamingTime,
     ) -> bool {
         let known = self.models.entry(model.clone()).or_default();
         if known.last().is_some_and(|last| last.version >= version) {
@@ -54,12 +68,12 @@
         if known.len() == KEPT_VERSIONS {
             known.remove(0);
         }
-        known.push(RecordedVersion { version, named_at: now, inherited });
+        known.push(RecordedVersion { version, named });
         true
     }
 
-    /// Corrects the time of an inherited version with the age that a stager reports. Returns whether
-    /// the time was corrected.
+    /// Corrects the time of a version that was named before the first read with the age that a stager
+    /// reports. Returns whether the time was corrected.
     pub(crate) fn record_named_age(
         &mut self,
         model: &ModelId,
@@ -70,9 +84,10 @@
         let known = self.models.get_mut(model).and_then(|known| known.last_mut());
         match (known, named_at) {
             (Some(known), Some(named_at))
-                if known.inherited && known.version.0 == named.version =>
+                if known.named == NamingTime::BeforeFirstRead
+                    && known.version.0 == named.version =>
             {
-                *known = RecordedVersion { version: known.version, named_at, inherited: false };
+                known.named = NamingTime::NotBefore(named_at);
                 true
             }
             _ => false,
@@ -81,21 +96,27 @@
 
     /// Returns the versions of a model's weights that are required, each with the time from which it is.
     ///
-    /// Versions that were named before the process started count as named long ago. The bound does not
+    /// Versions that were named before the first read count as named long ago. The bound does not
     /// apply to a process that has just started, so older weights may be used until it does.
     pub(crate) fn required(&self, model: &ModelId) -> Vec<VersionRequirement> {
         let known = self.models.get(model).map(Vec::as_slice).unwrap_or_default();
-        let required = |known: &RecordedVersion| {
-            let due = known.named_at + self.bounds.version_switch.saturating_sub(self.margin);
-            let start = self.started + self.bounds.contact_window.saturating_sub(self.margin / 4);
-            VersionRequirement {
-                version: known.version,
-                effective_at: if known.inherited { start } else { due },
-            }
+        let required = |known: &RecordedVersion| VersionRequirement {
+            version: known.version,
+            effective_at: self.effective_at(known.named),
         };
         known.iter().map(required).collect()
     }
 
+    fn effective_at(&self, named: NamingTime) -> Instant {
+        let Bounds { contact_window, version_switch, .. } = self.bounds;
+        match named {
+            NamingTime::BeforeFirstRead => {
+                self.started + contact_window.saturating_sub(self.margin / 4)
+            }
+            NamingTime::NotBefore(at) => at + version_switch.saturating_sub(self.margin),
+        }
+    }
+
     /// Returns the newest version whose bound is over, with the time since then, if `version` is older.
     pub(crate) fn overdue(
         &self,
@@ -104,9 +125,9 @@
         now: Instant,
     ) -> Option<(WeightsVersion, Duration)> {
         let known = self.models.get(model)?;
-        let bound = |known: &RecordedVersion| match known.inherited {
-            true => self.started + self.bounds.contact_window,
-            false => known.named_at + self.bounds.version_switch,
+        let bound = |known: &RecordedVersion| match known.named {
+            NamingTime::BeforeFirstRead => self.started + self.bounds.contact_window,
+            NamingTime::NotBefore(at) => at + self.bounds.version_switch,
         };
         let newer = known.iter().filter(|known| known.version > version);
         let overdue = newer.filter_map(|known| {
@@ -119,10 +140,7 @@
     /// Returns the newest version of a model's weights with its age, as reported to stagers.
     pub(crate) fn newest(&self, model: &ModelId, now: Instant) -> Option<NamedVersion> {
         let known = self.models.get(model)?.last()?;
-        let age = match known.inherited {
-            true => self.bounds.version_switch,
-            false => now.saturating_duration_since(known.named_at),
-        };
+        let age = known.named.max_age(now).unwrap_or(self.bounds.version_switch);
         Some(NamedVersion { version: known.version.0, age_ms: age.as_millis() as u32 })
     }
 }
--- a/components/gateway/src/weights/tests.rs
+++ b/components/gateway/src/weights/tests.rs
@@ -12,8 +12,8 @@
     let start = Instant::now();
     let mut named = NamedWeights::new(Bounds::default(), MARGIN, start);
     let at = start + Duration::from_secs(20);
-    assert!(named.record(&model(), WeightsVersion(2), false, at));
-    assert!(!named.record(&model(), WeightsVersion(1), false, at));
+    assert!(named.record(&model(), WeightsVersion(2), NamingTime::NotBefore(at)));
+    assert!(!named.record(&model(), WeightsVersion(1), NamingTime::NotBefore(at)));
     let from = at + Duration::from_millis(6500);
     assert_eq!(
         named.required(&model()),
@@ -26,8 +26,8 @@
     let start = Instant::now();
     let mut named = NamedWeights::new(Bounds::default(), MARGIN, start);
     let seconds = |s| start + Duration::from_secs(s);
-    named.record(&model(), WeightsVersion(2), false, seconds(18));
-    named.record(&model(), WeightsVersion(3), false, seconds(21));
+    named.record(&model(), WeightsVersion(2), NamingTime::NotBefore(seconds(18)));
+    named.record(&model(), WeightsVersion(3), NamingTime::NotBefore(seconds(21)));
     let due: Vec<Instant> = named.required(&model()).iter().map(|r| r.effective_at).collect();
     let early = Duration::from_millis(500);
     assert_eq!(due, [seconds(25) - early, seconds(28) - early]);
@@ -37,7 +37,7 @@
 fn weights_in_the_store_at_startup_count_as_named_long_ago() {
     let start = Instant::now();
     let mut named = NamedWeights::new(Bounds::default(), MARGIN, start);
-    named.record(&model(), WeightsVersion(2), true, start);
+    named.record(&model(), WeightsVersion(2), NamingTime::BeforeFirstRead);
     let from = named.required(&model())[0].effective_at;
     assert!(from <= start + Bounds::default().contact_window);
     // A stager knows the exact age.
@@ -53,7 +53,7 @@
     let start = Instant::now();
     let mut named = NamedWeights::new(Bounds::default(), MARGIN, start);
     let at = start + Duration::from_secs(20);
-    named.record(&model(), WeightsVersion(2), false, at);
+    named.record(&model(), WeightsVersion(2), NamingTime::NotBefore(at));
     let overdue = |version, now| named.overdue(&model(), WeightsVersion(version), now);
     let bound = at + Bounds::default().version_switch;
     let before = bound - Duration::from_millis(1);
@@ -62,3 +62,19 @@
     assert_eq!(overdue(1, later), Some((WeightsVersion(2), Duration::from_millis(30))));
     assert_eq!(overdue(2, later), None);
 }
+
+/// After a dropped history, weights named a moment ago were required at once, though no engine had them
+/// yet, and stagers were told that no time was left.
+#[test]
+fn weights_found_in_a_later_read_count_from_the_last_time_without_them() {
+    let start = Instant::now();
+    let mut named = NamedWeights::new(Bounds::default(), MARGIN, start);
+    let known_until = start + Duration::from_secs(60);
+    named.record(&model(), WeightsVersion(2), NamingTime::NotBefore(known_until));
+    let from = named.required(&model())[0].effective_at;
+    assert_eq!(from, known_until + Duration::from_millis(6500));
+    let read_at = known_until + Duration::from_secs(2);
+    let newest = NamedVersion { version: 2, age_ms: 2000 };
+    assert_eq!(named.newest(&model(), read_at), Some(newest));
+    assert!(!named.record_named_age(&model(), NamedVersion { age_ms: 0, ..newest }, read_at));
+}
--- a/components/peering/src/relay/tests.rs
+++ b/components/peering/src/relay/tests.rs
@@ -7,3 +7,13 @@
     assert_eq!(RelayedChanges::decode(&bytes).unwrap(), changes);
     assert!(RelayedChanges::decode(&bytes[..bytes.len() - 1]).is_err());
 }
+
+#[test]
+fn the_time_for_which_changes_may_be_unknown_is_never_shortened() {
+    let age = Duration::from_micros(70_900);
+    let changes = RelayedChanges::new(age, b"");
+    assert_eq!(changes.known_age(), None);
+    let bytes = changes.with_known_age(age).encode().unwrap();
+    let known = RelayedChanges::decode(&bytes).unwrap().known_age().unwrap();
+    assert!(known >= age, "{known:?}");
+}
--- a/components/stager/src/shared.rs
+++ b/components/stager/src/shared.rs
@@ -27,7 +27,7 @@
 /// The newest weights version and the pieces of it that this VM holds.
 pub(crate) struct Download {
     pub(crate) version: WeightsVersion,
-    /// The latest time at which the version may have been named; `None` if it was not named while
+    /// Time before which the version was not named; `None` if it was not named while
     /// this process ran.
     pub(crate) named_at: Option<Instant>,
     pub(crate) digests: Option<Rc<Vec<Digest>>>,
@@ -79,7 +79,7 @@
     /// Whether a load order is about to be sent or in progress.
     pub(crate) loading: Cell<bool>,
     pub(crate) download: RefCell<Option<Download>>,
-    /// The newest named version and the latest time at which it may have been named.
+    /// The newest named version and a time before which it was not named.
     pub(crate) named: Cell<Option<(u64, Instant)>>,
     /// Wakes the fetch task.
     pub(crate) fetch_wakeup: Notify,
