Count weights named while a gateway was frozen from before the freeze

What callers saw: nothing yet; found by computing the worst case. Weights that a watch tells counted as named when the answer was handled. A request then starts on older weights after the bound if that is later than the acknowledgement by more than the margin, a fifth of the bound. Worst case, from the constants, with a stable core and no disrupted link: - bound 8000 ms, propagation 2000 ms (margin 1600 ms): pause between watches 250 ms, and 500 ms until a reader that ended is given up: 750 ms, kept. A reader that answers but hears nothing from the store is believed for 1200 ms and 250 ms more: 1450 ms, kept with 150 ms left for the start at the endpoint. - bound 13400 ms, propagation 4000 ms (margin 2680 ms): 500 + 1000 ms, kept; 2400 + 500 ms: not kept by 220 ms. - a gateway frozen for F: late by F. It is judged again 3 s after its return, and required the weights 6.4 s (10.72 s) after it: not kept for F over 1.6 s (2.68 s). - the store away: the time counts only from 3 s after its return, a gateway that notices it 3 s late requires the weights 9.4 s (13.72 s) after the return, and the bound ends 11 s (16.4 s) after it: kept. Change: weights that a watch tells are named at the earliest when all changes were last known, as after a full read. The price: they are required earlier, by the waiting time of one watch at most while the store answers (0.8 s where other gateways learn from this one, 2.5 s for the only one of a zone), and by the whole outage of the store after one. Seen: the test, with everything on its thread stopped for 400 ms, failed before ('told as named 49ms ago') and passes.

--- a/components/gateway/src/store_follower.rs
+++ b/components/gateway/src/store_follower.rs
@@ -203,7 +203,7 @@
     ) {
         let revision = watched.changes.revision.max(at);
         self.revision = Some(revision);
-        let named = NamingTime::NotBefore(now());
+        let named = self.naming_time();
         {
             let mut history = self.gateway.history.borrow_mut();
             history.push(revision, watched.body, confirmed_at);
