Do not take endpoints back that left, from an older copy of the store

What callers may see: requests to an endpoint that is shutting down. A store that comes back from a copy some seconds old lists endpoints as ready again that a gateway has seen drain or be removed; the gateway took them back at once. Change: the dispatcher remembers endpoints that were removed (30 s, at most 1024, the oldest go first). replace_listing is told where its list comes from, ListingOrigin; from an older copy, entries of endpoints that are draining, were removed or were replaced by a later run are set aside (logged as change="set aside"). They count as alive once they are written again, changed, or still listed after 6 s, as the store removes the entry of a silent endpoint after three heartbeats. A later start under the same name is used at once; an earlier one is not, as it can only come from the copy. Entries that lapsed during an outage come back as before. The follower passes ListingOrigin::Current until it can tell a copy. Ruled out: to distrust all entries of an older copy, which would leave a gateway without endpoints after each return.

--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -2,6 +2,7 @@
 //! callers pass in events and the current time and get decisions back.
 
 mod bias;
+mod departures;
 mod endpoint;
 mod engine;
 mod health;
@@ -14,6 +15,7 @@
 mod subset;
 
 pub use bias::PredictionBias;
+pub use departures::ListingOrigin;
 pub use endpoint::{EndpointKey, EngineStatus, InFlightKey, InFlightRequest};
 pub use engine::EngineModel;
 pub use health::{EndpointOutcome, Health};
--- a/components/dispatch/src/listing.rs
+++ b/components/dispatch/src/listing.rs
@@ -5,7 +5,8 @@
 use catalog::{Endpoint, EndpointId, EndpointState, EndpointUpdate};
 
 use crate::{
-    EndpointKey,
+    EndpointKey, ListingOrigin,
+    departures::is_later_run,
     endpoint::TrackedEndpoint,
     state::{Dispatcher, EndpointChange},
 };
@@ -26,28 +27,60 @@
     ) -> Option<EndpointChange> {
         match listing {
             EndpointUpdate::Published(endpoint) => self.upsert(endpoint, now),
-            EndpointUpdate::Removed(id) => self.remove_endpoint(&id),
+            EndpointUpdate::Removed(id) => self.remove_departed(&id, now),
         }
     }
 
-    /// Replaces the whole endpoint list. Missing endpoints are removed, except those whose
+    /// Replaces the whole endpoint list, which was read from `origin`. Missing endpoints are removed, except those whose
     /// registrations lapsed while the store was unreachable; these are kept until `lapsing` and may
-    /// come back.
+    /// come back. An older copy does not bring back endpoints that this process saw leave.
     pub fn replace_listing(
         &mut self,
         all: Vec<Endpoint>,
+        origin: ListingOrigin,
         lapsing: Option<Instant>,
         now: Instant,
     ) -> Vec<EndpointChange> {
         let ids: HashSet<EndpointId> = all.iter().map(|endpoint| endpoint.id.clone()).collect();
         let missing: Vec<EndpointId> =
             self.keys_by_id.keys().filter(|id| !ids.contains(*id)).cloned().collect();
-        let mut changes: Vec<EndpointChange> =
-            all.into_iter().filter_map(|endpoint| self.upsert(endpoint, now)).collect();
-        changes.extend(self.handle_missing(missing, lapsing));
+        self.departures.retain_listed(&ids);
+        let listed =
+            all.into_iter().filter_map(|endpoint| self.apply_listed(endpoint, origin, now));
+        let mut changes: Vec<EndpointChange> = listed.collect();
+        changes.extend(self.handle_missing(missing, lapsing, now));
         changes
     }
 
+    /// Applies an entry of a complete list, unless only an older copy says that it is in use.
+    fn apply_listed(
+        &mut self,
+        endpoint: Endpoint,
+        origin: ListingOrigin,
+        now: Instant,
+    ) -> Option<EndpointChange> {
+        match origin {
+            ListingOrigin::Current if self.departures.is_doubtful(&endpoint) => None,
+            ListingOrigin::OlderCopy if self.has_left(&endpoint, now) => {
+                let id = endpoint.id.clone();
+                self.lapsed.remove(&id);
+                self.departures.doubt(endpoint, now);
+                Some(EndpointChange::SetAside(id))
+            }
+            ListingOrigin::Current | ListingOrigin::OlderCopy => self.upsert(endpoint, now),
+        }
+    }
+
+    /// Whether the run of an endpoint that an older copy lists is known to be leaving, gone or replaced.
+    fn has_left(&self, listed: &Endpoint, now: Instant) -> bool {
+        let Some(tracked) = self.keys_by_id.get(&listed.id).map(|key| &self.endpoints[*key]) else {
+            return self.departures.has_left(listed, now);
+        };
+        let is_leaving = tracked.leaving_since.is_some() && listed.state == EndpointState::Ready;
+        is_later_run(&tracked.listed, listed)
+            || (is_leaving && !is_later_run(listed, &tracked.listed))
+    }
+
     /// Handles endpoints that are no longer listed. If many are missing shortly after the store was
     /// unreachable, their registrations lapsed because no process could renew them, so they are
     /// kept until `lapsing` and may come back. A few missing endpoints are removed at once: the
@@ -57,7 +90,9 @@
         &mut self,
         missing: Vec<EndpointId>,
         lapsing: Option<Instant>,
+        now: Instant,
     ) -> Vec<EndpointChange> {
+        missing.iter().for_each(|id| self.departures.drop_entry(id));
         let known: Vec<EndpointId> =
             missing.into_iter().filter(|id| self.keys_by_id.contains_key(id)).collect();
         let fraction = known.len() as f64 / self.keys_by_id.len().max(1) as f64;
@@ -68,7 +103,7 @@
                 }
                 Vec::new()
             }
-            _ => known.iter().filter_map(|id| self.remove_endpoint(id)).collect(),
+            _ => known.iter().filter_map(|id| self.remove_departed(id, now)).collect(),
         }
     }
 
@@ -79,8 +114,16 @@
         due.iter().filter_map(|id| self.remove_endpoint(id)).collect()
     }
 
+    /// Adds endpoints that an older copy brought back and that have been listed since for so long that
+    /// they are alive.
+    pub fn readmit_listed(&mut self, now: Instant) -> Vec<EndpointChange> {
+        let proved = self.departures.take_proved(now);
+        proved.into_iter().filter_map(|endpoint| self.upsert(endpoint, now)).collect()
+    }
+
     fn upsert(&mut self, endpoint: Endpoint, now: Instant) -> Option<EndpointChange> {
         self.lapsed.remove(&endpoint.id);
+        self.departures.forget(&endpoint.id);
         let draining = endpoint.state == EndpointState::Draining;
         let Some(&key) = self.keys_by_id.get(&endpoint.id) else {
             return Some(self.add(endpoint, now));
@@ -117,6 +160,15 @@
         EndpointChange::Added(key)
     }
 
+    /// Removes an endpoint that was seen to leave.
+    fn remove_departed(&mut self, id: &EndpointId, now: Instant) -> Option<EndpointChange> {
+        self.departures.drop_entry(id);
+        if let Some(key) = self.keys_by_id.get(id) {
+            self.departures.record(&self.endpoints[*key].listed, now);
+        }
+        self.remove_endpoint(id)
+    }
+
     fn remove_endpoint(&mut self, id: &EndpointId) -> Option<EndpointChange> {
         self.lapsed.remove(id);
         let key = self.keys_by_id.remove(id)?;
--- a/components/dispatch/src/state.rs
+++ b/components/dispatch/src/state.rs
@@ -14,8 +14,8 @@
 
 use crate::{
     Decision, DispatchSettings, EndpointKey, EngineModel, EngineStatus, InFlightKey,
-    PendingRequest, PredictionBias, RequestKey, RetryBudget, endpoint::TrackedEndpoint,
-    health::EndpointOutcome, requests::VersionRequirement,
+    PendingRequest, PredictionBias, RequestKey, RetryBudget, departures::Departures,
+    endpoint::TrackedEndpoint, health::EndpointOutcome, requests::VersionRequirement,
 };
 
 /// A change of the endpoint list that the process has to react to.
@@ -29,6 +29,9 @@
     Leaving(EndpointKey),
     /// An endpoint is gone.
     Removed(EndpointKey, EndpointId),
+    /// An endpoint that left is listed again by an older copy of the store, and stays out until it is
+    /// proved alive.
+    SetAside(EndpointId),
 }
 
 /// What a process needs to know of an endpoint to send it a request.
@@ -58,6 +61,8 @@
     /// Endpoints that were missing when the store came back, with the time at which they count as
     /// gone.
     pub(crate) lapsed: HashMap<EndpointId, Instant>,
+    /// Endpoints that left a short time ago.
+    pub(crate) departures: Departures,
     pub(crate) engine_models: HashMap<ServiceId, EngineModel>,
     pub(crate) biases: HashMap<ServiceId, PredictionBias>,
     pub(crate) version_requirements: HashMap<ServiceId, Vec<VersionRequirement>>,
@@ -83,6 +88,7 @@
             keys_by_id: HashMap::new(),
             keys_by_ip: HashMap::new(),
             lapsed: HashMap::new(),
+            departures: Departures::default(),
             engine_models: HashMap::new(),
             biases: HashMap::new(),
             version_requirements: HashMap::new(),
--- a/components/dispatch/tests/dispatch.rs
+++ b/components/dispatch/tests/dispatch.rs
@@ -8,7 +8,8 @@
 };
 use dispatch::{
     Decision, DispatchSettings, Dispatcher, EndpointChange, EndpointKey, EndpointOutcome,
-    EngineStatus, GenerationSize, InFlightKey, PendingRequest, Refusal, VersionRequirement,
+    EngineStatus, GenerationSize, InFlightKey, ListingOrigin, PendingRequest, Refusal,
+    VersionRequirement,
 };
 
 fn zone(name: &str) -> Zone {
@@ -185,7 +186,11 @@
 fn endpoints_that_lapsed_during_a_store_outage_get_time_to_come_back() {
     let now = Instant::now();
     let mut dispatcher = dispatcher(&[endpoint(1, "a"), endpoint(2, "a")], now);
-    assert!(dispatcher.replace_listing(Vec::new(), Some(now + RELIST), now).is_empty());
+    assert!(
+        dispatcher
+            .replace_listing(Vec::new(), ListingOrigin::Current, Some(now + RELIST), now)
+            .is_empty()
+    );
     assert_eq!(chosen(&mut dispatcher, 1, now).len(), 1);
     dispatcher.apply_listing(EndpointUpdate::Published(endpoint(1, "a")), now);
     assert!(dispatcher.remove_lapsed(now + RELIST - Duration::from_millis(1)).is_empty());
@@ -201,10 +206,10 @@
     let all: Vec<Endpoint> = (1..=8).map(|n| endpoint(n, "a")).collect();
     let mut dispatcher = dispatcher(&all, now);
     let lapsing = Some(now + RELIST);
-    let changes = dispatcher.handle_missing(vec!["i-3".parse().unwrap()], lapsing);
+    let changes = dispatcher.handle_missing(vec!["i-3".parse().unwrap()], lapsing, now);
     assert!(matches!(&changes[..], [EndpointChange::Removed(_, id)] if id.as_str() == "i-3"));
     let rest = all.into_iter().filter(|e| e.id.as_str() != "i-4" && e.id.as_str() != "i-3");
-    let changes = dispatcher.replace_listing(rest.collect(), lapsing, now);
+    let changes = dispatcher.replace_listing(rest.collect(), ListingOrigin::Current, lapsing, now);
     assert!(
         changes.iter().any(|c| matches!(c, EndpointChange::Removed(_, id) if id.as_str() == "i-4"))
     );
@@ -214,7 +219,8 @@
 fn endpoints_that_are_missing_while_the_store_answers_are_removed_at_once() {
     let now = Instant::now();
     let mut dispatcher = dispatcher(&[endpoint(1, "a"), endpoint(2, "a")], now);
-    let changes = dispatcher.replace_listing(vec![endpoint(1, "a")], None, now);
+    let changes =
+        dispatcher.replace_listing(vec![endpoint(1, "a")], ListingOrigin::Current, None, now);
     assert!(
         changes.iter().any(|c| matches!(c, EndpointChange::Removed(_, id) if id.as_str() == "i-2"))
     );
--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -23,7 +23,7 @@
     response::{ResponseBody, own_response},
     settings::GatewaySettings,
     shutdown::Shutdown,
-    state::Gateway,
+    state::{Gateway, now},
 };
 
 /// File descriptors reserved for other purposes than callers' connections.
@@ -124,12 +124,15 @@
         spawn_local(self.clone().poll_loop());
         spawn_local(self.clone().follow_settings(file));
         let (gateway, page) = (self.clone(), self.metrics.clone());
-        spawn_local(run_maintenance(lines, page, move || gateway.drop_expired_endpoints(), || ()));
+        spawn_local(run_maintenance(lines, page, move || gateway.check_listed_endpoints(), || ()));
     }
 
-    fn drop_expired_endpoints(&self) {
-        let dropped = self.dispatcher.borrow_mut().remove_lapsed(crate::state::now());
-        self.handle_endpoint_changes(dropped);
+    fn check_listed_endpoints(&self) {
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        let mut changes = dispatcher.remove_lapsed(now());
+        changes.extend(dispatcher.readmit_listed(now()));
+        drop(dispatcher);
+        self.handle_endpoint_changes(changes);
     }
 
     async fn follow_settings(self: Rc<Gateway>, file: PathBuf) {
--- a/components/gateway/src/store_follower.rs
+++ b/components/gateway/src/store_follower.rs
@@ -9,7 +9,7 @@
 
 use catalog::{Config, Endpoint, EndpointUpdate, ModelId, WeightsVersion};
 use directory::{ReadError, StoreReader, WatchedChanges, known_by_watch};
-use dispatch::EndpointChange;
+use dispatch::{EndpointChange, ListingOrigin};
 use platform::store::{StoreEntry, StoreRevision, decode_changes, endpoint_id_from_key};
 use slog::{info, warn};
 use tokio::time::sleep;
@@ -266,11 +266,11 @@
                 other => self.apply_entry(other, named),
             }
         }
-        let changes = self
-            .gateway
-            .dispatcher
-            .borrow_mut()
-            .handle_missing(removed, self.active_reregistration_deadline());
+        let changes = self.gateway.dispatcher.borrow_mut().handle_missing(
+            removed,
+            self.active_reregistration_deadline(),
+            now(),
+        );
         self.gateway.handle_endpoint_changes(changes);
     }
 
@@ -285,6 +285,7 @@
         let reregistration_deadline = self.active_reregistration_deadline();
         let changes = self.gateway.dispatcher.borrow_mut().replace_listing(
             all,
+            ListingOrigin::Current,
             reregistration_deadline,
             now(),
         );
@@ -342,6 +343,10 @@
                 info!(self.log, "endpoint"; "change" => "gone", "endpoint" => %id);
                 return;
             }
+            EndpointChange::SetAside(id) => {
+                info!(self.log, "endpoint"; "change" => "set aside", "endpoint" => %id);
+                return;
+            }
             EndpointChange::Updated(_) => return,
         };
         if let Some(view) = self.dispatcher.borrow().endpoint(*key, now()) {
