Take listed entries as a proof of life only while the store answers

Cause: an entry that was set aside counted as alive after that time even if no answer of the store could have told its removal. Change: the time counts up to known_until, before which all changes are known.

--- a/components/dispatch/src/departures.rs
+++ b/components/dispatch/src/departures.rs
@@ -85,8 +85,9 @@
         self.departed.retain(|_, departure| is_recent(departure.at, now));
         if self.departed.len() >= MAX_REMEMBERED {
             let oldest = self.departed.iter().min_by_key(|(_, departure)| departure.at);
-            let oldest = oldest.map(|(id, _)| id.clone());
-            oldest.into_iter().for_each(|id| drop(self.departed.remove(&id)));
+            if let Some(id) = oldest.map(|(id, _)| id.clone()) {
+                self.departed.remove(&id);
+            }
         }
         let departure = Departure { run: Run::of(endpoint), at: now };
         self.departed.insert(endpoint.id.clone(), departure);
@@ -106,7 +107,7 @@
         self.doubtful.remove(id);
     }
 
-    /// Sets an entry of an older copy aside until it is proved or `PROOF_TIME` has passed.
+    /// Sets an entry of an older copy aside until it is written again or was listed for `PROOF_TIME`.
     pub(crate) fn doubt(&mut self, endpoint: Endpoint, now: Instant) {
         let alive_from = now + PROOF_TIME;
         self.doubtful.insert(endpoint.id.clone(), Doubtful { endpoint, alive_from });
@@ -127,9 +128,10 @@
         self.doubtful.retain(|id, _| ids.contains(id));
     }
 
-    /// Takes the entries that have been listed for long enough.
-    pub(crate) fn take_proved(&mut self, now: Instant) -> Vec<Endpoint> {
-        let proved = self.doubtful.extract_if(|_, doubtful| now >= doubtful.alive_from);
+    /// Takes the entries that were listed for long enough, as all changes before `known_until` are
+    /// known.
+    pub(crate) fn take_proved(&mut self, known_until: Instant) -> Vec<Endpoint> {
+        let proved = self.doubtful.extract_if(|_, doubtful| known_until >= doubtful.alive_from);
         proved.map(|(_, doubtful)| doubtful.endpoint).collect()
     }
 }
--- a/components/dispatch/src/listing.rs
+++ b/components/dispatch/src/listing.rs
@@ -31,9 +31,10 @@
         }
     }
 
-    /// Replaces the whole endpoint list, which was read from `origin`. Missing endpoints are removed, except those whose
-    /// registrations lapsed while the store was unreachable; these are kept until `lapsing` and may
-    /// come back. An older copy does not bring back endpoints that this process saw leave.
+    /// Replaces the whole endpoint list, which was read from `origin`. Missing endpoints are removed,
+    /// except those whose registrations lapsed while the store was unreachable; these are kept until
+    /// `lapsing` and may come back. An older copy does not bring back endpoints that this process saw
+    /// leave.
     pub fn replace_listing(
         &mut self,
         all: Vec<Endpoint>,
@@ -114,10 +115,11 @@
         due.iter().filter_map(|id| self.remove_endpoint(id)).collect()
     }
 
-    /// Adds endpoints that an older copy brought back and that have been listed since for so long that
-    /// they are alive.
-    pub fn readmit_listed(&mut self, now: Instant) -> Vec<EndpointChange> {
-        let proved = self.departures.take_proved(now);
+    /// Adds endpoints that an older copy brought back and that were listed since for so long that they
+    /// are alive. All changes before `known_until` are known: while the store does not answer, an entry
+    /// that it has not removed proves nothing.
+    pub fn readmit_listed(&mut self, known_until: Instant, now: Instant) -> Vec<EndpointChange> {
+        let proved = self.departures.take_proved(known_until);
         proved.into_iter().filter_map(|endpoint| self.upsert(endpoint, now)).collect()
     }
 
--- a/components/dispatch/tests/departures.rs
+++ b/components/dispatch/tests/departures.rs
@@ -187,10 +187,11 @@
     // A history that is dropped meanwhile proves nothing.
     read(&mut dispatcher, &copy, ListingOrigin::Current, now + REMOVAL_TIME);
     let proved = now + PROOF_TIME;
-    assert!(dispatcher.readmit_listed(proved - Duration::from_millis(1)).is_empty());
+    // Time alone proves nothing: the store may not have answered since.
+    assert!(dispatcher.readmit_listed(proved - Duration::from_millis(1), proved).is_empty());
     assert_eq!(used_run(&mut dispatcher, 1, now), None);
     assert_eq!(used_run(&mut dispatcher, 2, now), None);
-    assert_eq!(dispatcher.readmit_listed(proved).len(), 2);
+    assert_eq!(dispatcher.readmit_listed(proved, proved).len(), 2);
     assert_eq!(used_run(&mut dispatcher, 1, proved), Some(1));
     assert_eq!(used_run(&mut dispatcher, 2, proved), Some(1));
 }
@@ -205,9 +206,10 @@
     read_copy(&mut dispatcher, &[ready(1, 1), ready(2, 1)], now);
     remove(&mut dispatcher, 1, now + REMOVAL_TIME);
     read(&mut dispatcher, &[], ListingOrigin::Current, now + REMOVAL_TIME);
-    assert!(dispatcher.readmit_listed(now + PROOF_TIME).is_empty());
-    assert_eq!(used_run(&mut dispatcher, 1, now + PROOF_TIME), None);
-    assert_eq!(used_run(&mut dispatcher, 2, now + PROOF_TIME), None);
+    let later = now + PROOF_TIME;
+    assert!(dispatcher.readmit_listed(later, later).is_empty());
+    assert_eq!(used_run(&mut dispatcher, 1, later), None);
+    assert_eq!(used_run(&mut dispatcher, 2, later), None);
 }
 
 #[test]
@@ -328,7 +330,7 @@
 
     fn step(&mut self) {
         self.now += STEP;
-        self.dispatcher.readmit_listed(self.now);
+        self.dispatcher.readmit_listed(self.now, self.now);
         let due = self.repairs.iter().filter(|(_, at)| **at <= self.now);
         let due: Vec<u16> = due.map(|(n, _)| *n).collect();
         for n in due {
--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -128,11 +128,11 @@
     }
 
     fn check_listed_endpoints(&self) {
-        let mut dispatcher = self.dispatcher.borrow_mut();
-        let mut changes = dispatcher.remove_lapsed(now());
-        changes.extend(dispatcher.readmit_listed(now()));
-        drop(dispatcher);
-        self.handle_endpoint_changes(changes);
+        let dropped = self.dispatcher.borrow_mut().remove_lapsed(now());
+        self.handle_endpoint_changes(dropped);
+        let Some(known_until) = self.history.borrow().known_until() else { return };
+        let readmitted = self.dispatcher.borrow_mut().readmit_listed(known_until, now());
+        self.handle_endpoint_changes(readmitted);
     }
 
     async fn follow_settings(self: Rc<Gateway>, file: PathBuf) {
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -39,6 +39,7 @@
 }
 
 /// Changes that were learned from another gateway.
+#[derive(Debug)]
 pub(crate) struct LearnedChanges {
     /// The response of the store; empty if there are none.
     pub(crate) body: Bytes,
--- a/components/gateway/src/store_follower.rs
+++ b/components/gateway/src/store_follower.rs
@@ -207,7 +207,9 @@
         {
             let mut history = self.gateway.history.borrow_mut();
             history.push(revision, watched.body, confirmed_at);
-            known_until.into_iter().for_each(|until| history.record_known(until));
+            if let Some(until) = known_until {
+                history.record_known(until);
+            }
         }
         self.gateway.store_changed.notify_waiters();
         self.apply_changes(watched.changes.entries, named);
