--- a/components/gateway/src/weights/tests.rs
+++ b/components/gateway/src/weights/tests.rs
@@ -12,8 +12,8 @@
     let start = Instant::now();
     let mut named = NamedWeights::new(Bounds::default(), MARGIN, start);
     let at = start + Duration::from_secs(20);
-    assert!(named.record(&model(), WeightsVersion(2), false, at));
-    assert!(!named.record(&model(), WeightsVersion(1), false, at));
+    assert!(named.record(&model(), WeightsVersion(2), NamingTime::NotBefore(at)));
+    assert!(!named.record(&model(), WeightsVersion(1), NamingTime::NotBefore(at)));
     let from = at + Duration::from_millis(6500);
     assert_eq!(
         named.required(&model()),
@@ -26,8 +26,8 @@
     let start = Instant::now();
     let mut named = NamedWeights::new(Bounds::default(), MARGIN, start);
     let seconds = |s| start + Duration::from_secs(s);
-    named.record(&model(), WeightsVersion(2), false, seconds(18));
-    named.record(&model(), WeightsVersion(3), false, seconds(21));
+    named.record(&model(), WeightsVersion(2), NamingTime::NotBefore(seconds(18)));
+    named.record(&model(), WeightsVersion(3), NamingTime::NotBefore(seconds(21)));
     let due: Vec<Instant> = named.required(&model()).iter().map(|r| r.effective_at).collect();
     let early = Duration::from_millis(500);
     assert_eq!(due, [seconds(25) - early, seconds(28) - early]);
@@ -37,7 +37,7 @@
 fn weights_in_the_store_at_startup_count_as_named_long_ago() {
     let start = Instant::now();
     let mut named = NamedWeights::new(Bounds::default(), MARGIN, start);
-    named.record(&model(), WeightsVersion(2), true, start);
+    named.record(&model(), WeightsVersion(2), NamingTime::BeforeFirstRead);
     let from = named.required(&model())[0].effective_at;
     assert!(from <= start + Bounds::default().contact_window);
     // A stager knows the exact age.
@@ -53,7 +53,7 @@
     let start = Instant::now();
     let mut named = NamedWeights::new(Bounds::default(), MARGIN, start);
     let at = start + Duration::from_secs(20);
-    named.record(&model(), WeightsVersion(2), false, at);
+    named.record(&model(), WeightsVersion(2), NamingTime::NotBefore(at));
     let overdue = |version, now| named.overdue(&model(), WeightsVersion(version), now);
     let bound = at + Bounds::default().version_switch;
     let before = bound - Duration::from_millis(1);
@@ -74,8 +74,8 @@
     let latest =
         |named: &NamedWeights, version| named.latest_start(&model(), WeightsVersion(version));
     assert_eq!(latest(&named, 1), None);
-    named.record(&model(), WeightsVersion(2), false, at(20));
-    named.record(&model(), WeightsVersion(3), false, at(22));
+    named.record(&model(), WeightsVersion(2), NamingTime::NotBefore(at(20)));
+    named.record(&model(), WeightsVersion(3), NamingTime::NotBefore(at(22)));
     let half_margin = Duration::from_millis(750);
     assert_eq!(latest(&named, 1), Some(at(20) + bound - half_margin));
     assert_eq!(latest(&named, 2), Some(at(22) + bound - half_margin));
@@ -91,7 +91,23 @@
 fn a_request_may_begin_on_weights_older_than_those_at_startup_until_they_are_required() {
     let start = Instant::now();
     let mut named = NamedWeights::new(Bounds::default(), MARGIN, start);
-    named.record(&model(), WeightsVersion(2), true, start);
+    named.record(&model(), WeightsVersion(2), NamingTime::BeforeFirstRead);
     let required = named.required(&model())[0].effective_at;
     assert_eq!(named.latest_start(&model(), WeightsVersion(1)), Some(required));
 }
+
+/// After a dropped history, weights named a moment ago were required at once, though no engine had them
+/// yet, and stagers were told that no time was left.
+#[test]
+fn weights_found_in_a_later_read_count_from_the_last_time_without_them() {
+    let start = Instant::now();
+    let mut named = NamedWeights::new(Bounds::default(), MARGIN, start);
+    let known_until = start + Duration::from_secs(60);
+    named.record(&model(), WeightsVersion(2), NamingTime::NotBefore(known_until));
+    let from = named.required(&model())[0].effective_at;
+    assert_eq!(from, known_until + Duration::from_millis(6500));
+    let read_at = known_until + Duration::from_secs(2);
+    let newest = NamedVersion { version: 2, age_ms: 2000 };
+    assert_eq!(named.newest(&model(), read_at), Some(newest));
+    assert!(!named.record_named_age(&model(), NamedVersion { age_ms: 0, ..newest }, read_at));
+}
