Tell after which silence a caller abandons a stream

Callers saw nothing: no process uses this yet.

The time without an event after which a caller abandons a stream follows from the route alone. It is a pure function of it now, with a test, so that the gateway can answer before its caller leaves.

--- a/components/catalog/src/config.rs
+++ b/components/catalog/src/config.rs
@@ -66,6 +66,13 @@
     }
 }
 
+/// Minimum time without an event after which a caller abandons a stream.
+const MIN_CALLER_PATIENCE: Duration = Duration::from_secs(2);
+/// Number of latency targets without an event after which a caller abandons a stream.
+const PATIENCE_LATENCIES: u32 = 4;
+/// Number of target event gaps without an event after which a caller abandons a stream.
+const PATIENCE_EVENT_GAPS: u32 = 8;
+
 /// Service that receives a share of a route's requests.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Destination {
@@ -102,6 +109,19 @@
     pub allow_anonymous: bool,
 }
 
+impl Route {
+    /// Returns the time without an event after which a caller abandons a stream, the first event
+    /// included. `None` if the response is not a stream.
+    pub fn caller_patience(&self) -> Option<Duration> {
+        if !self.kind.is_stream() {
+            return None;
+        }
+        let by_latency = self.target_latency * PATIENCE_LATENCIES;
+        let by_gap = self.target_event_gap.unwrap_or_default() * PATIENCE_EVENT_GAPS;
+        Some(MIN_CALLER_PATIENCE.max(by_latency).max(by_gap))
+    }
+}
+
 /// Group of endpoints that run the same requests.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Service {
--- a/components/catalog/src/config/tests.rs
+++ b/components/catalog/src/config/tests.rs
@@ -50,3 +50,21 @@
     assert!(!resumable(vec![stream.clone(), to(RouteKind::Stream { resumable: false }, 2)]));
     assert!(!resumable(vec![stream, to(RouteKind::Idempotent, 1)]));
 }
+
+// Guards against waiting for the first event of a stream until the deadline, long after its caller has
+// left.
+#[test]
+fn a_caller_abandons_a_stream_after_the_longest_of_its_three_limits() {
+    let millis = Duration::from_millis;
+    let stream = |latency, gap| Route {
+        kind: RouteKind::Stream { resumable: true },
+        target_latency: millis(latency),
+        target_event_gap: gap,
+        ..route("h", "/x/")
+    };
+    assert_eq!(stream(400, Some(millis(400))).caller_patience(), Some(millis(3200)));
+    assert_eq!(stream(900, Some(millis(400))).caller_patience(), Some(millis(3600)));
+    assert_eq!(stream(100, Some(millis(100))).caller_patience(), Some(millis(2000)));
+    assert_eq!(stream(100, None).caller_patience(), Some(millis(2000)));
+    assert_eq!(route("h", "/x/").caller_patience(), None);
+}
