Follow the store by era and revision, so that reused revisions are not confused

Cause: revisions go back then and are given out again, and no part of the code told one from the other. A watch from a revision of before got only what came after it in the restored store; a gateway that had read the restored store told the others, which asked from higher revisions, that nothing was new.

Now a position is an era, from the header Store-Era, and a revision. The header is looked at whatever the status. A response of a newer era is not applied and leads to a linearizable read of the whole store; one of an older era, late or from a process that is out of date, is not applied either, and closes the idle connections. Pages of different eras start the read again. What a process has followed and keeps for others is one struct, StoreProgress: it never goes back to an older era, and drops its history as soon as a newer one is seen. Gateways ask each other by era and revision, and a gateway in another era answers that it does not know. A configuration and named weights that are known stay in force, as their versions only grow. The stager, which replaces its fleet by each read, rejects older eras too. New: the log line 'store came back from an older copy' and the gauge carawaypaddle_store_era.

--- a/components/directory/src/error.rs
+++ b/components/directory/src/error.rs
@@ -1,6 +1,6 @@
 //! Errors of reading the store.
 
-use platform::DecodeError;
+use platform::{DecodeError, store::StoreEra};
 use transport::TransportError;
 
 /// Error of a read or watch of the store.
@@ -15,6 +15,17 @@
     /// The requested history has been discarded; the whole store has to be read again.
     #[error("the store has discarded the history after the requested revision")]
     HistoryGone,
+    /// The store came back from an older copy of its data; the whole store has to be read again.
+    #[error("the store came back from an older copy and is in era {0}")]
+    Restored(StoreEra),
+    /// The response is from before the store came back from an older copy and must not be applied.
+    #[error("the store answered from era {answered}, though it is known to be in era {known}")]
+    OlderEra {
+        /// Era of the response.
+        answered: StoreEra,
+        /// Newest era that was seen.
+        known: StoreEra,
+    },
     /// The response could not be decoded.
     #[error("invalid response of the store: {0}")]
     Decode(#[from] DecodeError),
--- a/components/directory/src/history.rs
+++ b/components/directory/src/history.rs
@@ -6,7 +6,7 @@
 };
 
 use bytes::Bytes;
-use platform::store::StoreRevision;
+use platform::store::StorePosition;
 
 /// Time for which changes are kept.
 const MAX_AGE: Duration = Duration::from_secs(15);
@@ -16,50 +16,52 @@
 /// The changes that one watch returned.
 #[derive(Debug, Clone)]
 struct Batch {
-    /// Revision after which the changes begin.
-    after: StoreRevision,
-    /// Revision up to which they go.
-    revision: StoreRevision,
+    /// Position after which the changes begin.
+    after: StorePosition,
+    /// Position up to which they go.
+    position: StorePosition,
     body: Bytes,
     at: Instant,
 }
 
-/// What is known of the changes after a revision.
+/// What is known of the changes after a position.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ChangesSince {
     /// A response of the store that contains the next changes, and perhaps earlier ones.
     Changes(Bytes),
     /// There are none yet.
     None,
-    /// They are no longer here, or the store was not read yet.
+    /// They are no longer here, the position is of another era, or the store was not read yet.
     Unknown,
 }
 
-/// The last changes of the store. The batches are contiguous: each begins where the one before ends.
+/// The last changes of the store, all of one era. The batches are contiguous: each begins where the
+/// one before ends.
 #[derive(Debug, Default)]
 pub struct ChangeHistory {
     batches: VecDeque<Batch>,
-    /// Revision up to which the store is known; `None` until it was read.
-    revision: Option<StoreRevision>,
+    /// Position up to which the store is known; `None` until it was read.
+    position: Option<StorePosition>,
     /// The latest time at which the store is known to have had no newer change.
     confirmed_at: Option<Instant>,
 }
 
 impl ChangeHistory {
     /// Starts anew after the whole store was read.
-    pub fn restart(&mut self, revision: StoreRevision, confirmed_at: Instant) {
+    pub fn restart(&mut self, position: StorePosition, confirmed_at: Instant) {
         self.batches.clear();
-        self.revision = Some(revision);
+        self.position = Some(position);
         self.confirmed_at = Some(confirmed_at);
     }
 
-    /// Adds the response to a watch after the last known revision, which goes up to `revision`.
-    pub fn push(&mut self, revision: StoreRevision, body: Bytes, confirmed_at: Instant) {
-        let Some(after) = self.revision else { return };
+    /// Adds the response to a watch after the last known position, which goes up to `position`.
+    /// Ignores one of another era.
+    pub fn push(&mut self, position: StorePosition, body: Bytes, confirmed_at: Instant) {
+        let Some(after) = self.position.filter(|after| after.era == position.era) else { return };
         self.confirmed_at = self.confirmed_at.max(Some(confirmed_at));
-        if revision > after {
-            self.batches.push_back(Batch { after, revision, body, at: confirmed_at });
-            self.revision = Some(revision);
+        if position > after {
+            self.batches.push_back(Batch { after, position, body, at: confirmed_at });
+            self.position = Some(position);
         }
         self.drop_old(confirmed_at);
     }
@@ -77,24 +79,20 @@
         }
     }
 
-    /// The next changes after a revision.
-    pub fn since(&self, after: StoreRevision) -> ChangesSince {
-        let Some(revision) = self.revision else { return ChangesSince::Unknown };
-        if after >= revision {
+    /// The next changes after a position.
+    pub fn since(&self, after: StorePosition) -> ChangesSince {
+        let known = self.position.filter(|known| known.era == after.era);
+        let Some(known) = known else { return ChangesSince::Unknown };
+        if after >= known {
             return ChangesSince::None;
         }
-        let next = self.batches.iter().find(|batch| batch.revision > after);
+        let next = self.batches.iter().find(|batch| batch.position > after);
         match next.filter(|batch| batch.after <= after) {
             Some(batch) => ChangesSince::Changes(batch.body.clone()),
             None => ChangesSince::Unknown,
         }
     }
 
-    /// Revision up to which the store is known; `None` until it was read.
-    pub fn revision(&self) -> Option<StoreRevision> {
-        self.revision
-    }
-
     /// Time since the store was last known to have no newer change.
     pub fn age(&self, now: Instant) -> Option<Duration> {
         self.confirmed_at.map(|at| now.saturating_duration_since(at))
--- a/components/directory/src/history/tests.rs
+++ b/components/directory/src/history/tests.rs
@@ -1,5 +1,11 @@
+use platform::store::{StoreEra, StoreRevision};
+
 use super::*;
 
+fn position(revision: u64) -> StorePosition {
+    StorePosition { era: StoreEra(1), revision: StoreRevision(revision) }
+}
+
 fn body(text: &'static str) -> Bytes {
     Bytes::from_static(text.as_bytes())
 }
@@ -7,16 +13,16 @@
 /// A history that was read at revision 10 and then saw the changes up to 12 and up to 15.
 fn history(start: Instant) -> ChangeHistory {
     let mut history = ChangeHistory::default();
-    history.restart(StoreRevision(10), start);
-    history.push(StoreRevision(12), body("to 12"), start);
-    history.push(StoreRevision(15), body("to 15"), start);
+    history.restart(position(10), start);
+    history.push(position(12), body("to 12"), start);
+    history.push(position(15), body("to 15"), start);
     history
 }
 
 #[test]
 fn each_change_is_passed_on_once_in_order() {
     let history = history(Instant::now());
-    let since = |revision| history.since(StoreRevision(revision));
+    let since = |revision| history.since(position(revision));
     assert_eq!(since(10), ChangesSince::Changes(body("to 12")));
     assert_eq!(since(12), ChangesSince::Changes(body("to 15")));
     assert_eq!(since(15), ChangesSince::None);
@@ -27,8 +33,8 @@
 #[test]
 fn changes_from_before_the_first_read_are_unknown() {
     let history = history(Instant::now());
-    assert_eq!(history.since(StoreRevision(9)), ChangesSince::Unknown);
-    assert_eq!(ChangeHistory::default().since(StoreRevision(9)), ChangesSince::Unknown);
+    assert_eq!(history.since(position(9)), ChangesSince::Unknown);
+    assert_eq!(ChangeHistory::default().since(position(9)), ChangesSince::Unknown);
 }
 
 #[test]
@@ -36,21 +42,21 @@
     let start = Instant::now();
     let mut history = history(start);
     let later = start + MAX_AGE + Duration::from_secs(1);
-    history.push(StoreRevision(15), body("nothing new"), later);
-    assert_eq!(history.since(StoreRevision(12)), ChangesSince::Unknown);
-    assert_eq!(history.since(StoreRevision(15)), ChangesSince::None);
+    history.push(position(15), body("nothing new"), later);
+    assert_eq!(history.since(position(12)), ChangesSince::Unknown);
+    assert_eq!(history.since(position(15)), ChangesSince::None);
 }
 
 #[test]
 fn large_changes_are_dropped_except_for_the_newest() {
     let start = Instant::now();
     let mut history = ChangeHistory::default();
-    history.restart(StoreRevision(1), start);
+    history.restart(position(1), start);
     for revision in 2..5 {
-        history.push(StoreRevision(revision), Bytes::from(vec![0; MAX_BYTES]), start);
+        history.push(position(revision), Bytes::from(vec![0; MAX_BYTES]), start);
     }
-    assert_eq!(history.since(StoreRevision(2)), ChangesSince::Unknown);
-    assert!(matches!(history.since(StoreRevision(3)), ChangesSince::Changes(_)));
+    assert_eq!(history.since(position(2)), ChangesSince::Unknown);
+    assert!(matches!(history.since(position(3)), ChangesSince::Changes(_)));
 }
 
 #[test]
@@ -59,7 +65,28 @@
     let mut history = history(start);
     let later = start + Duration::from_secs(2);
     assert_eq!(history.age(later), Some(Duration::from_secs(2)));
-    history.push(StoreRevision(15), body("nothing new"), later);
+    history.push(position(15), body("nothing new"), later);
     assert_eq!(history.age(later), Some(Duration::ZERO));
     assert_eq!(ChangeHistory::default().age(later), None);
 }
+
+/// Guards against telling a process that nothing is new, or passing changes on, across eras.
+#[test]
+fn changes_are_unknown_to_a_process_that_knows_another_era() {
+    let history = history(Instant::now());
+    for era in [0, 2] {
+        for revision in [9, 12, 15, 99] {
+            let after = StorePosition { era: StoreEra(era), revision: StoreRevision(revision) };
+            assert_eq!(history.since(after), ChangesSince::Unknown, "{after}");
+        }
+    }
+}
+
+#[test]
+fn changes_of_another_era_are_not_added() {
+    let start = Instant::now();
+    let mut history = history(start);
+    let newer = StorePosition { era: StoreEra(2), revision: StoreRevision(16) };
+    history.push(newer, body("of another era"), start);
+    assert_eq!(history.since(position(15)), ChangesSince::None);
+}
--- a/components/directory/src/lib.rs
+++ b/components/directory/src/lib.rs
@@ -2,8 +2,12 @@
 
 mod error;
 mod history;
+mod progress;
 mod reader;
+mod response;
 
 pub use error::ReadError;
 pub use history::{ChangeHistory, ChangesSince};
-pub use reader::{Snapshot, StoreReader, StoreReaderSettings, WatchedChanges};
+pub use progress::{Recovery, Restoration, StoreProgress};
+pub use reader::{StoreReader, StoreReaderSettings};
+pub use response::{PagedRead, Snapshot, WatchedChanges, accept_response};
--- a/components/directory/src/reader.rs
+++ b/components/directory/src/reader.rs
@@ -3,14 +3,14 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use http::{Method, StatusCode};
-use platform::store::{
-    Changes, StoreEntry, StoreRevision, decode_changes, decode_page, range_path, watch_path,
-};
+use http::Method;
+use platform::store::{StoreEra, StorePosition, range_path, watch_path};
 use tokio::time::Instant;
-use transport::{BufferedResponse, ConnectSettings, ConnectionPool, PoolSettings, request};
+use transport::{
+    BufferedResponse, ConnectSettings, ConnectionPool, PoolSettings, TransportError, request,
+};
 
-use crate::ReadError;
+use crate::{PagedRead, ReadError, Snapshot, WatchedChanges, accept_response};
 
 /// Timeouts and limits of requests to the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -45,33 +45,6 @@
     }
 }
 
-/// All entries of the store.
-#[derive(Debug)]
-pub struct Snapshot {
-    /// The entries.
-    pub entries: Vec<StoreEntry>,
-    /// The revision to watch from: the lowest of all pages. Pages are read one after the other, so
-    /// changes between them are reported again by the watch.
-    pub revision: StoreRevision,
-}
-
-/// Changes that a watch returned.
-#[derive(Debug)]
-pub struct WatchedChanges {
-    /// The changes.
-    pub changes: Changes,
-    /// The response that they were decoded from, to pass it on.
-    pub body: Bytes,
-}
-
-impl WatchedChanges {
-    /// No changes after a revision.
-    pub fn none(revision: StoreRevision) -> WatchedChanges {
-        let changes = Changes { entries: Vec::new(), revision };
-        WatchedChanges { changes, body: Bytes::new() }
-    }
-}
-
 /// Reads and watches the store.
 #[derive(Debug)]
 pub struct StoreReader {
@@ -91,36 +64,55 @@
         StoreReader { addr, settings, pool: ConnectionPool::new(pool) }
     }
 
-    /// Reads the whole store. A stale read is cheaper, but may return data that is seconds old.
-    pub async fn read(&self, stale: bool) -> Result<Snapshot, ReadError> {
-        let mut entries = Vec::new();
-        let mut revision: Option<StoreRevision> = None;
+    /// Reads the whole store in the newest era that is known. A stale read is cheaper, but may return
+    /// data that is seconds old.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store is in another era; if it is in a newer one, the read has to start again.
+    pub async fn read(&self, era: StoreEra, stale: bool) -> Result<Snapshot, ReadError> {
+        let mut read = PagedRead::new(era);
         let mut after: Option<String> = None;
         loop {
             let path = range_path(after.as_deref(), stale);
-            let page = decode_page(&self.call(&path, self.settings.read_timeout).await?.body)?;
-            let lowest = revision.map_or(page.revision, |revision| revision.min(page.revision));
-            revision = Some(lowest);
-            entries.extend(page.entries);
-            match page.next {
-                Some(next) => after = Some(next),
-                None => return Ok(Snapshot { entries, revision: lowest }),
+            let response = self.call(&path, self.settings.read_timeout).await?;
+            after = self.check(read.add_page(response))?;
+            if after.is_none() {
+                return Ok(read.finish());
             }
         }
     }
 
-    /// Waits up to `wait` for changes after a revision.
+    /// Waits up to `wait` for changes after a position.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store is in another era, also if its response could be decoded.
     pub async fn watch(
         &self,
-        after: StoreRevision,
+        after: StorePosition,
         wait: Duration,
     ) -> Result<WatchedChanges, ReadError> {
-        let path = watch_path(after, wait);
-        let body = self.call(&path, wait + self.settings.grace_period).await?.body;
-        Ok(WatchedChanges { changes: decode_changes(&body, after)?, body })
+        let path = watch_path(after.revision, wait);
+        let response = self.call(&path, wait + self.settings.grace_period).await?;
+        let body = self.check(accept_response(response, after.era))?;
+        WatchedChanges::decode(body, after)
+    }
+
+    /// Closes the connections if a response on one of them was of an older era, as they may all lead
+    /// to a process that is out of date.
+    fn check<T>(&self, result: Result<T, ReadError>) -> Result<T, ReadError> {
+        if matches!(result, Err(ReadError::OlderEra { .. })) {
+            self.pool.close_idle(self.addr);
+        }
+        result
     }
 
-    async fn call(&self, path: &str, timeout: Duration) -> Result<BufferedResponse, ReadError> {
+    async fn call(
+        &self,
+        path: &str,
+        timeout: Duration,
+    ) -> Result<BufferedResponse, TransportError> {
         let request = request(Method::GET, self.addr, path, Bytes::new());
         let deadline = Instant::now() + timeout;
         let bytes = self.settings.max_response_bytes;
@@ -128,11 +120,6 @@
         if reply.is_err() {
             self.pool.close_idle(self.addr);
         }
-        let reply = reply?;
-        match reply.status {
-            StatusCode::OK => Ok(reply),
-            StatusCode::GONE => Err(ReadError::HistoryGone),
-            other => Err(ReadError::Status(other.as_u16())),
-        }
+        reply
     }
 }
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -17,7 +17,7 @@
     EngineState, Fleet, FleetWeights, Member, Message, NamedVersion, PeerRequest, StateReport,
     Subscription,
 };
-use platform::store::StoreRevision;
+use platform::store::{StoreEra, StorePosition, StoreRevision};
 use tokio::time::{sleep, timeout};
 
 use crate::{
@@ -246,8 +246,9 @@
         let path = request.uri().path_and_query().map_or("", |path| path.as_str());
         match PeerRequest::parse(path) {
             Some(PeerRequest::Fleet(service, zone)) => self.fleet_response(&service, zone.as_ref()),
-            Some(PeerRequest::Changes(revision)) => {
-                self.serve_changes(StoreRevision(revision)).await
+            Some(PeerRequest::Changes { era, revision }) => {
+                let (era, revision) = (StoreEra(era), StoreRevision(revision));
+                self.serve_changes(StorePosition { era, revision }).await
             }
             _ => own_response(StatusCode::NOT_FOUND, None, None),
         }
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -3,10 +3,10 @@
 use std::{net::Ipv4Addr, time::Duration};
 
 use bytes::Bytes;
-use directory::ChangesSince;
+use directory::{ChangesSince, ReadError, WatchedChanges};
 use http::{Method, Response, StatusCode};
 use peering::{PeerRequest, RelayedChanges};
-use platform::store::StoreRevision;
+use platform::store::StorePosition;
 use tokio::time::{Instant, timeout_at};
 use transport::{TransportError, request};
 
@@ -30,18 +30,18 @@
     /// The response cannot be decoded.
     #[error("invalid response: {0}; the gateway may run another version of the program")]
     Decode(#[from] postcard::Error),
-    /// The changes in the response cannot be decoded.
-    #[error("invalid changes: {0}")]
-    Changes(#[from] platform::DecodeError),
+    /// The changes in the response cannot be decoded or must not be applied.
+    #[error("changes not usable: {0}")]
+    Changes(#[from] ReadError),
     /// The gateway has not heard from the store for too long.
     #[error("the gateway heard from the store {}ms ago", .0.as_millis())]
     TooOld(Duration),
 }
 
 impl Gateway {
-    /// Answers another gateway that asks for the changes after a revision. Waits a while if there are
+    /// Answers another gateway that asks for the changes after a position. Waits a while if there are
     /// none.
-    pub(crate) async fn serve_changes(&self, after: StoreRevision) -> Response<ResponseBody> {
+    pub(crate) async fn serve_changes(&self, after: StorePosition) -> Response<ResponseBody> {
         self.relayed_at.set(Some(now()));
         self.log_behind(after);
         let deadline = Instant::now() + self.relay_times().relay_wait;
@@ -50,7 +50,7 @@
             if self.store_lost.get() || self.stopping.get().is_some() {
                 return own_response(StatusCode::SERVICE_UNAVAILABLE, None, None);
             }
-            match self.history.borrow().since(after) {
+            match self.store_progress.borrow().changes_since(after) {
                 ChangesSince::Changes(body) => return self.relayed_response(&body),
                 ChangesSince::Unknown => return own_response(StatusCode::GONE, None, None),
                 ChangesSince::None => {}
@@ -61,17 +61,17 @@
         }
     }
 
-    /// Logs that another gateway knows a newer revision than this one.
-    fn log_behind(&self, after: StoreRevision) {
-        let known = self.history.borrow().revision();
-        if known.is_some_and(|known| known < after) {
-            slog::info!(self.log, "another gateway knows more"; "asked" => after.0,
-                "revision" => known.map(|known| known.0));
+    /// Logs that another gateway knows a newer position than this one.
+    fn log_behind(&self, after: StorePosition) {
+        let known = self.store_progress.borrow().known();
+        if let Some(known) = known.filter(|known| *known < after) {
+            slog::info!(self.log, "another gateway knows more"; "asked" => %after,
+                "known" => %known);
         }
     }
 
     fn relayed_response(&self, body: &[u8]) -> Response<ResponseBody> {
-        let age = self.history.borrow().age(now()).unwrap_or(Duration::MAX);
+        let age = self.store_progress.borrow().age(now()).unwrap_or(Duration::MAX);
         match RelayedChanges::new(age, body).encode() {
             Ok(bytes) => Response::new(ResponseBody::Full(Some(Bytes::from(bytes)))),
             Err(err) => {
@@ -81,16 +81,16 @@
         }
     }
 
-    /// Asks another gateway for the changes after a revision. Returns the response of the store, empty
-    /// if there are none, and the age of the knowledge.
+    /// Asks another gateway for the changes after a position. Returns them with the age of the
+    /// knowledge.
     pub(crate) async fn request_changes(
         &self,
         gateway: Ipv4Addr,
-        after: StoreRevision,
-    ) -> Result<(Bytes, Duration), RelayError> {
+        after: StorePosition,
+    ) -> Result<(WatchedChanges, Duration), RelayError> {
         let times = self.relay_times();
         let addr = self.process.borrow().peer_addr(gateway.into());
-        let path = PeerRequest::Changes(after.0).path();
+        let path = PeerRequest::Changes { era: after.era.0, revision: after.revision.0 }.path();
         let request = request(Method::GET, addr, &path, Bytes::new());
         let deadline = Instant::now() + times.relay_timeout;
         let reply = self.pool.call(addr, request, MAX_CHANGES_BYTES, deadline).await?;
@@ -101,6 +101,10 @@
         if changes.age() > times.max_age {
             return Err(RelayError::TooOld(changes.age()));
         }
-        Ok((reply.body.slice_ref(changes.body), changes.age()))
+        let watched = match changes.body.is_empty() {
+            true => WatchedChanges::none(after),
+            false => WatchedChanges::decode(reply.body.slice_ref(changes.body), after)?,
+        };
+        Ok((watched, changes.age()))
     }
 }
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -11,7 +11,7 @@
 
 use base::{ServiceId, Zone};
 use catalog::{Config, ProcessSettings};
-use directory::ChangeHistory;
+use directory::StoreProgress;
 use dispatch::{
     Decision, Dispatcher, EndpointKey, EndpointOutcome, InFlightKey, PendingRequest, Refusal,
     RequestKey,
@@ -69,8 +69,8 @@
     pub(crate) subscribe_notify: Notify,
     /// Whether the store was read completely.
     pub(crate) endpoints_listed: Cell<bool>,
-    /// The last changes of the store, for other gateways.
-    pub(crate) history: RefCell<ChangeHistory>,
+    /// How far the store was followed, and its last changes for other gateways.
+    pub(crate) store_progress: RefCell<StoreProgress>,
     /// Whether the last read of the store failed.
     pub(crate) store_lost: Cell<bool>,
     /// Wakes other gateways' requests for changes.
@@ -177,7 +177,7 @@
             poll_notify: Notify::new(),
             subscribe_notify: Notify::new(),
             endpoints_listed: Cell::new(false),
-            history: RefCell::default(),
+            store_progress: RefCell::default(),
             store_lost: Cell::new(false),
             store_changed: Notify::new(),
             relayed_at: Cell::new(None),
--- a/components/gateway/src/store_follower.rs
+++ b/components/gateway/src/store_follower.rs
@@ -8,14 +8,17 @@
 };
 
 use catalog::{Config, Endpoint, EndpointUpdate, ModelId, WeightsVersion};
-use directory::{ReadError, StoreReader, WatchedChanges};
+use directory::{ReadError, Recovery, Restoration, Snapshot, StoreReader, WatchedChanges};
 use dispatch::EndpointChange;
-use platform::store::{StoreEntry, StoreRevision, decode_changes, endpoint_id_from_key};
+use metrics::gauge;
+use platform::store::{StoreEntry, StoreEra, StorePosition, endpoint_id_from_key};
 use slog::{info, warn};
+use telemetry::names;
 use tokio::time::sleep;
 
 use crate::{
     change_source::{ChangeSource, SourceSelection},
+    relay::RelayError,
     state::{Gateway, now},
 };
 
@@ -26,8 +29,6 @@
     sources: SourceSelection,
     /// The source of the last changes, for the log.
     source: ChangeSource,
-    /// Revision up to which changes were applied. `None` until the store was read completely.
-    revision: Option<StoreRevision>,
     /// When the store became unreachable.
     lost_at: Option<Instant>,
     /// Until when a missing endpoint is assumed to have expired during an outage of the store.
@@ -45,7 +46,6 @@
             reader,
             sources,
             source: ChangeSource::Store,
-            revision: None,
             lost_at: None,
             reregistration_deadline: None,
         }
@@ -62,26 +62,35 @@
                         Duration::ZERO
                     }
                 }
-                Err(ReadError::HistoryGone) => {
-                    self.revision = None;
-                    Duration::ZERO
-                }
-                Err(err) => {
-                    // The first failure may be one of the connection, so the store is asked again.
-                    if self.lost_at.is_some() {
-                        self.sources.record_store_failure(now());
-                    }
-                    self.handle_store_lost(&err);
-                    self.gateway.settings.store_retry_delay
-                }
+                Err(err) => self.handle_failure(&err),
             };
             sleep(pause).await;
         }
     }
 
+    /// Handles a failed read or watch. Returns the pause before the next attempt.
+    fn handle_failure(&mut self, err: &ReadError) -> Duration {
+        let recovery = self.gateway.store_progress.borrow_mut().record_failure(err);
+        match recovery {
+            Recovery::ReadAll => {
+                self.gateway.store_changed.notify_waiters();
+                Duration::ZERO
+            }
+            Recovery::Retry => {
+                // The first failure may be one of the connection, so the store is asked again.
+                if self.lost_at.is_some() {
+                    self.sources.record_store_failure(now());
+                }
+                self.handle_store_lost(err);
+                self.gateway.settings.store_retry_delay
+            }
+        }
+    }
+
     /// Reads the whole store, or waits for changes. Returns whether the store sent anything new.
     async fn step(&mut self) -> Result<bool, ReadError> {
-        let Some(at) = self.revision else {
+        let position = self.gateway.store_progress.borrow().position();
+        let Some(at) = position else {
             self.read_all().await?;
             return Ok(true);
         };
@@ -102,41 +111,54 @@
         if is_first {
             match self.read_stale().await {
                 Ok(()) => return Ok(()),
+                Err(err @ ReadError::Restored(_)) => return Err(err),
                 Err(err) => info!(self.gateway.log, "stale read of the store failed";
                     "error" => %err),
             }
         }
-        let snapshot = self.reader.read(false).await?;
-        self.handle_store_regained();
-        self.start_from(snapshot.revision);
-        self.apply_snapshot(snapshot.entries);
-        Ok(())
+        let snapshot = self.reader.read(self.known_era(), false).await?;
+        self.accept_snapshot(snapshot)
     }
 
     async fn read_stale(&mut self) -> Result<(), ReadError> {
-        let snapshot = self.reader.read(true).await?;
+        let mut snapshot = self.reader.read(self.known_era(), true).await?;
         let wait = self.gateway.settings.catch_up_wait;
-        let watched = self.reader.watch(snapshot.revision, wait).await?;
-        self.handle_store_regained();
-        self.start_from(watched.changes.revision.max(snapshot.revision));
-        self.apply_snapshot(snapshot.entries);
-        self.apply_changes(watched.changes.entries, true);
+        let watched = self.reader.watch(snapshot.position, wait).await?;
+        snapshot.position = watched.position;
+        self.accept_snapshot(snapshot)?;
+        self.apply_changes(watched.entries, true);
         Ok(())
     }
 
-    fn start_from(&mut self, revision: StoreRevision) {
-        let before = self.gateway.history.borrow().revision().map_or(0, |before| before.0);
-        info!(self.gateway.log, "store read"; "revision" => revision.0, "before" => before);
-        self.revision = Some(revision);
-        self.gateway.history.borrow_mut().restart(revision, now());
+    fn known_era(&self) -> StoreEra {
+        self.gateway.store_progress.borrow().era()
     }
 
-    async fn watch_store(&mut self, at: StoreRevision) -> Result<bool, ReadError> {
-        let watched = self.reader.watch(at, self.store_wait()).await?;
+    fn accept_snapshot(&mut self, snapshot: Snapshot) -> Result<(), ReadError> {
+        let position = snapshot.position;
+        let (before, restored) = {
+            let mut progress = self.gateway.store_progress.borrow_mut();
+            (progress.known(), progress.accept_snapshot(position, now())?)
+        };
         self.handle_store_regained();
+        info!(self.gateway.log, "store read"; "era" => position.era.0,
+            "revision" => position.revision.0,
+            "before" => before.map_or(0, |before| before.revision.0));
+        if let Some(Restoration { before, after }) = restored {
+            warn!(self.gateway.log, "store came back from an older copy";
+                "before" => %before, "after" => %after);
+        }
+        gauge!(names::STORE_ERA).set(position.era.0 as f64);
+        self.gateway.store_changed.notify_waiters();
+        self.apply_snapshot(snapshot.entries);
+        Ok(())
+    }
+
+    async fn watch_store(&mut self, at: StorePosition) -> Result<bool, ReadError> {
+        let watched = self.reader.watch(at, self.store_wait()).await?;
+        let changed = !watched.entries.is_empty();
+        self.accept_changes(watched, now())?;
         self.log_source(ChangeSource::Store, Duration::ZERO);
-        let changed = !watched.changes.entries.is_empty();
-        self.handle_watched(at, watched, now());
         Ok(changed)
     }
 
@@ -151,22 +173,16 @@
     }
 
     /// Learns changes from another gateway; if that fails, it is not asked again for a while.
-    async fn follow_gateway(&mut self, ip: Ipv4Addr, at: StoreRevision) {
-        let result = self.gateway.request_changes(ip, at).await.and_then(|(body, age)| {
-            let watched = match body.is_empty() {
-                true => None,
-                false => Some(WatchedChanges { changes: decode_changes(&body, at)?, body }),
-            };
-            Ok((watched, age))
-        });
-        match result {
+    async fn follow_gateway(&mut self, ip: Ipv4Addr, at: StorePosition) {
+        let result = match self.gateway.request_changes(ip, at).await {
             Ok((watched, age)) => {
-                self.handle_store_regained();
-                self.log_source(ChangeSource::Gateway(ip), age);
                 let confirmed_at = now().checked_sub(age).unwrap_or_else(now);
-                let watched = watched.unwrap_or_else(|| WatchedChanges::none(at));
-                self.handle_watched(at, watched, confirmed_at);
+                self.accept_changes(watched, confirmed_at).map(|()| age).map_err(RelayError::from)
             }
+            Err(err) => Err(err),
+        };
+        match result {
+            Ok(age) => self.log_source(ChangeSource::Gateway(ip), age),
             Err(err) => {
                 info!(self.gateway.log, "changes not learned from a gateway";
                     "entry" => %ip, "error" => %err);
@@ -175,17 +191,16 @@
         }
     }
 
-    fn handle_watched(
+    fn accept_changes(
         &mut self,
-        at: StoreRevision,
         watched: WatchedChanges,
         confirmed_at: Instant,
-    ) {
-        let revision = watched.changes.revision.max(at);
-        self.revision = Some(revision);
-        self.gateway.history.borrow_mut().push(revision, watched.body, confirmed_at);
+    ) -> Result<(), ReadError> {
+        self.gateway.store_progress.borrow_mut().accept_changes(&watched, confirmed_at)?;
+        self.handle_store_regained();
         self.gateway.store_changed.notify_waiters();
-        self.apply_changes(watched.changes.entries, false);
+        self.apply_changes(watched.entries, false);
+        Ok(())
     }
 
     fn log_source(&mut self, source: ChangeSource, age: Duration) {
--- a/components/peering/src/request.rs
+++ b/components/peering/src/request.rs
@@ -16,8 +16,13 @@
     /// The part of a service's fleet that the stagers of a zone need, or all of it without a zone,
     /// as an encoded `Fleet`.
     Fleet(ServiceId, Option<Zone>),
-    /// The store's changes after a revision, as an encoded `RelayedChanges`.
-    Changes(u64),
+    /// The store's changes after a position, as an encoded `RelayedChanges`.
+    Changes {
+        /// Era of the store in which the revision was given out.
+        era: u64,
+        /// The revision.
+        revision: u64,
+    },
     /// The digests of a version, 32 bytes each.
     Digests(u64),
     /// One piece of a version.
@@ -30,7 +35,7 @@
         match self {
             PeerRequest::Fleet(service, None) => format!("/fleet/{service}"),
             PeerRequest::Fleet(service, Some(zone)) => format!("/fleet/{service}?{ZONE_KEY}{zone}"),
-            PeerRequest::Changes(revision) => format!("/changes/{revision}"),
+            PeerRequest::Changes { era, revision } => format!("/changes/{era}/{revision}"),
             PeerRequest::Digests(version) => format!("/digests/{version}"),
             PeerRequest::Piece(version, piece) => format!("/pieces/{version}/{piece}"),
         }
@@ -45,7 +50,9 @@
                 let zone = query.strip_prefix(ZONE_KEY).and_then(|zone| zone.parse().ok());
                 PeerRequest::Fleet(service.parse().ok()?, zone)
             }
-            ("changes", revision, None) => PeerRequest::Changes(revision.parse().ok()?),
+            ("changes", era, Some(revision)) => {
+                PeerRequest::Changes { era: era.parse().ok()?, revision: revision.parse().ok()? }
+            }
             ("digests", version, None) => PeerRequest::Digests(version.parse().ok()?),
             ("pieces", version, Some(piece)) => {
                 PeerRequest::Piece(version.parse().ok()?, piece.parse().ok()?)
--- a/components/peering/src/request/tests.rs
+++ b/components/peering/src/request/tests.rs
@@ -6,7 +6,7 @@
     for request in [
         PeerRequest::Fleet(service.clone(), None),
         PeerRequest::Fleet(service, "zone-1".parse().ok()),
-        PeerRequest::Changes(41),
+        PeerRequest::Changes { era: 2, revision: 41 },
         PeerRequest::Digests(7),
         PeerRequest::Piece(7, 95),
     ] {
@@ -16,7 +16,9 @@
 
 #[test]
 fn other_paths_are_rejected() {
-    for path in ["", "/", "/fleet", "/fleet/a b", "/digests/x", "/pieces/1", "/pieces/1/2/3"] {
+    for path in
+        ["", "/", "/fleet", "/fleet/a b", "/digests/x", "/pieces/1", "/changes/41", "/pieces/1/2/3"]
+    {
         assert_eq!(PeerRequest::parse(path), None, "{path}");
     }
 }
--- a/components/stager/src/fleet.rs
+++ b/components/stager/src/fleet.rs
@@ -8,10 +8,10 @@
 
 use bytes::Bytes;
 use catalog::{Endpoint, EndpointUpdate};
-use directory::StoreReader;
+use directory::{ReadError, StoreReader};
 use http::{Method, StatusCode};
 use peering::{Fleet, FleetWeights, Member, NamedVersion, PeerRequest, REQUEST_TIMEOUT};
-use platform::store::StoreEntry;
+use platform::store::{StoreEntry, StoreEra};
 use slog::{info, warn};
 use tokio::time::{Instant, sleep, timeout};
 use transport::request;
@@ -32,6 +32,7 @@
             // A gateway subscribed in the meantime; it is asked instead of the seeds.
             () = self.fleet_wakeup.notified() => self.fleet_wakeup.notify_one(),
         }
+        let mut store_era = StoreEra::default();
         loop {
             let notified =
                 timeout(self.settings.store_fallback_delay, self.fleet_wakeup.notified())
@@ -41,7 +42,7 @@
             let fleet = match gateway {
                 Some(gateway) => self.fetch_fleet_from_gateway(gateway).await,
                 None if self.has_gateway() => continue,
-                None => self.read_fleet_from_store(&reader).await,
+                None => self.read_fleet_from_store(&reader, &mut store_era).await,
             };
             match fleet {
                 Some(fleet) => {
@@ -123,9 +124,20 @@
         }
     }
 
-    /// Builds the fleet from the store, as a gateway would; a stale read is acceptable.
-    async fn read_fleet_from_store(&self, reader: &StoreReader) -> Option<Fleet> {
-        match reader.read(true).await {
+    /// Builds the fleet from the store, as a gateway would; a stale read is acceptable. `era` is the
+    /// newest era that was seen.
+    async fn read_fleet_from_store(
+        &self,
+        reader: &StoreReader,
+        era: &mut StoreEra,
+    ) -> Option<Fleet> {
+        let mut result = reader.read(*era, true).await;
+        if let Err(ReadError::Restored(newer)) = result {
+            info!(self.log, "store in a newer era"; "era" => newer.0, "before" => era.0);
+            *era = newer;
+            result = reader.read(newer, true).await;
+        }
+        match result {
             Ok(snapshot) => Some(self.build_fleet(snapshot.entries)),
             Err(err) => {
                 warn!(self.log, "cannot read the store"; "error" => %err);
--- a/components/telemetry/src/names.rs
+++ b/components/telemetry/src/names.rs
@@ -22,6 +22,8 @@
 pub const MANIFEST: &str = "carawaypaddle_manifest_revision";
 /// Revision of the active VM list.
 pub const VMS: &str = "carawaypaddle_vms_revision";
+/// Era of the platform's store: how often it came back from an older copy.
+pub const STORE_ERA: &str = "carawaypaddle_store_era";
 /// Rejected documents.
 pub const REFUSED: &str = "carawaypaddle_documents_refused_total";
 /// Gossip calls, by `result`: `replied` or `missed`.
@@ -47,6 +49,10 @@
     describe_gauge!(QUEUED, "requests that wait for an endpoint");
     describe_gauge!(MANIFEST, "revision of the manifest in force");
     describe_gauge!(VMS, "revision of the VM list in force");
+    describe_gauge!(
+        STORE_ERA,
+        "era of the store, which rises when it comes back from an older copy"
+    );
     describe_counter!(REFUSED, "documents that were refused");
     describe_counter!(GOSSIP, "gossip calls, by result");
     describe_counter!(CHUNK_BYTES, Unit::Bytes, "bytes of chunks fetched, by source");
--- a/components/transport/src/client.rs
+++ b/components/transport/src/client.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use http::{Method, Request, Response, StatusCode, header::HOST};
+use http::{HeaderMap, Method, Request, Response, StatusCode, header::HOST};
 use http_body_util::{BodyExt, Full};
 use hyper::{
     body::Incoming,
@@ -44,6 +44,8 @@
 pub struct BufferedResponse {
     /// The status.
     pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
     /// The body.
     pub body: Bytes,
 }
--- a/components/transport/src/pool.rs
+++ b/components/transport/src/pool.rs
@@ -145,6 +145,6 @@
         let (response, connection) = exchange.read_body(limit, until).await?;
         self.put_back(connection, None);
         let (head, body) = response.into_parts();
-        Ok(BufferedResponse { status: head.status, body })
+        Ok(BufferedResponse { status: head.status, headers: head.headers, body })
     }
 }
