Keep endpoints that a restored store lacks until they have registered again

What callers saw: refusals with reason=no_endpoint after the store came back from an older copy, as the read of the restored store lacks the endpoints that registered since the copy was made. Cause: missing endpoints were kept only after an outage of a second, and only from two endpoints and 30 % on, for which a bare time stood. Now the dispatcher is told why endpoints may be missing: they left, an outage (the rule of before), or a restoration, after which any number is kept for the same time and removed if still missing then. A second full read within that time does not prolong it. What a change of the restored store removes, it had, and is treated as before.

Endpoints that left and stand in the copy are not part of this change.

--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -17,6 +17,7 @@
 pub use endpoint::{EndpointKey, EngineStatus, InFlightKey, InFlightRequest};
 pub use engine::EngineModel;
 pub use health::{EndpointOutcome, Health};
+pub use listing::Absence;
 pub use requests::{
     Decision, GenerationSize, PendingRequest, Refusal, RequestKey, VersionRequirement,
 };
--- a/components/dispatch/src/listing.rs
+++ b/components/dispatch/src/listing.rs
@@ -17,6 +17,42 @@
 /// as lapsed.
 const MIN_LAPSED_FRACTION: f64 = 0.3;
 
+/// Why endpoints may be missing from the list.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Absence {
+    /// They left.
+    Left,
+    /// They left, or their registrations lapsed while the store was unreachable and no process could
+    /// renew them.
+    Outage {
+        /// Until when lapsed registrations may come back.
+        until: Instant,
+    },
+    /// They left, or the store came back from a copy that is older than their registrations.
+    Restoration {
+        /// Until when lost registrations may come back.
+        until: Instant,
+    },
+}
+
+impl Absence {
+    /// Until when missing endpoints are kept, given how many of `all` are missing. After an outage a
+    /// few missing ones are not kept: the store may have been unreachable only from this process, and
+    /// these endpoints really left meanwhile. After a restoration any number is kept, as an older copy
+    /// may lack just one.
+    fn kept_until(self, missing: usize, all: usize) -> Option<Instant> {
+        let fraction = missing as f64 / all.max(1) as f64;
+        match self {
+            Absence::Left => None,
+            Absence::Outage { until } => {
+                let have_lapsed = missing >= MIN_LAPSED && fraction >= MIN_LAPSED_FRACTION;
+                have_lapsed.then_some(until)
+            }
+            Absence::Restoration { until } => Some(until),
+        }
+    }
+}
+
 impl Dispatcher {
     /// Applies one update of the endpoint list.
     pub fn apply_listing(
@@ -30,13 +66,12 @@
         }
     }
 
-    /// Replaces the whole endpoint list. Missing endpoints are removed, except those whose
-    /// registrations lapsed while the store was unreachable; these are kept until `lapsing` and may
-    /// come back.
+    /// Replaces the whole endpoint list. Missing endpoints are removed, unless their `absence` has
+    /// another explanation; then they are kept for a while and may come back.
     pub fn replace_listing(
         &mut self,
         all: Vec<Endpoint>,
-        lapsing: Option<Instant>,
+        absence: Absence,
         now: Instant,
     ) -> Vec<EndpointChange> {
         let ids: HashSet<EndpointId> = all.iter().map(|endpoint| endpoint.id.clone()).collect();
@@ -44,32 +79,26 @@
             self.keys_by_id.keys().filter(|id| !ids.contains(*id)).cloned().collect();
         let mut changes: Vec<EndpointChange> =
             all.into_iter().filter_map(|endpoint| self.upsert(endpoint, now)).collect();
-        changes.extend(self.handle_missing(missing, lapsing));
+        changes.extend(self.handle_missing(missing, absence));
         changes
     }
 
-    /// Handles endpoints that are no longer listed. If many are missing shortly after the store was
-    /// unreachable, their registrations lapsed because no process could renew them, so they are
-    /// kept until `lapsing` and may come back. A few missing endpoints are removed at once: the
-    /// store may have been unreachable only from this process, and these endpoints really left
-    /// meanwhile.
+    /// Handles endpoints that are no longer listed: removes them, or keeps them for a while if their
+    /// `absence` has another explanation.
     pub fn handle_missing(
         &mut self,
         missing: Vec<EndpointId>,
-        lapsing: Option<Instant>,
+        absence: Absence,
     ) -> Vec<EndpointChange> {
         let known: Vec<EndpointId> =
             missing.into_iter().filter(|id| self.keys_by_id.contains_key(id)).collect();
-        let fraction = known.len() as f64 / self.keys_by_id.len().max(1) as f64;
-        match lapsing {
-            Some(until) if known.len() >= MIN_LAPSED && fraction >= MIN_LAPSED_FRACTION => {
-                for id in known {
-                    self.lapsed.entry(id).or_insert(until);
-                }
-                Vec::new()
-            }
-            _ => known.iter().filter_map(|id| self.remove_endpoint(id)).collect(),
+        let Some(until) = absence.kept_until(known.len(), self.keys_by_id.len()) else {
+            return known.iter().filter_map(|id| self.remove_endpoint(id)).collect();
+        };
+        for id in known {
+            self.lapsed.entry(id).or_insert(until);
         }
+        Vec::new()
     }
 
     /// Removes endpoints that were missing when the store came back and have not returned in time.
--- a/components/dispatch/src/state.rs
+++ b/components/dispatch/src/state.rs
@@ -55,7 +55,7 @@
     pub(crate) endpoints: SlotMap<EndpointKey, TrackedEndpoint>,
     pub(crate) keys_by_id: HashMap<EndpointId, EndpointKey>,
     pub(crate) keys_by_ip: HashMap<Ipv4Addr, Vec<EndpointKey>>,
-    /// Endpoints that were missing when the store came back, with the time at which they count as
+    /// Endpoints that were missing when the store came back from an outage or an older copy, with the time at which they count as
     /// gone.
     pub(crate) lapsed: HashMap<EndpointId, Instant>,
     pub(crate) engine_models: HashMap<ServiceId, EngineModel>,
--- a/components/dispatch/tests/dispatch.rs
+++ b/components/dispatch/tests/dispatch.rs
@@ -7,7 +7,7 @@
     Endpoint, EndpointId, EndpointState, EndpointUpdate, EngineProfile, HeldWeights, WeightsVersion,
 };
 use dispatch::{
-    Decision, DispatchSettings, Dispatcher, EndpointChange, EndpointKey, EndpointOutcome,
+    Absence, Decision, DispatchSettings, Dispatcher, EndpointChange, EndpointKey, EndpointOutcome,
     EngineStatus, GenerationSize, InFlightKey, PendingRequest, Refusal, VersionRequirement,
 };
 
@@ -185,7 +185,8 @@
 fn endpoints_that_lapsed_during_a_store_outage_get_time_to_come_back() {
     let now = Instant::now();
     let mut dispatcher = dispatcher(&[endpoint(1, "a"), endpoint(2, "a")], now);
-    assert!(dispatcher.replace_listing(Vec::new(), Some(now + RELIST), now).is_empty());
+    let absence = Absence::Outage { until: now + RELIST };
+    assert!(dispatcher.replace_listing(Vec::new(), absence, now).is_empty());
     assert_eq!(chosen(&mut dispatcher, 1, now).len(), 1);
     dispatcher.apply_listing(EndpointUpdate::Published(endpoint(1, "a")), now);
     assert!(dispatcher.remove_lapsed(now + RELIST - Duration::from_millis(1)).is_empty());
@@ -200,21 +201,54 @@
     let now = Instant::now();
     let all: Vec<Endpoint> = (1..=8).map(|n| endpoint(n, "a")).collect();
     let mut dispatcher = dispatcher(&all, now);
-    let lapsing = Some(now + RELIST);
-    let changes = dispatcher.handle_missing(vec!["i-3".parse().unwrap()], lapsing);
+    let absence = Absence::Outage { until: now + RELIST };
+    let changes = dispatcher.handle_missing(vec!["i-3".parse().unwrap()], absence);
     assert!(matches!(&changes[..], [EndpointChange::Removed(_, id)] if id.as_str() == "i-3"));
     let rest = all.into_iter().filter(|e| e.id.as_str() != "i-4" && e.id.as_str() != "i-3");
-    let changes = dispatcher.replace_listing(rest.collect(), lapsing, now);
+    let changes = dispatcher.replace_listing(rest.collect(), absence, now);
     assert!(
         changes.iter().any(|c| matches!(c, EndpointChange::Removed(_, id) if id.as_str() == "i-4"))
     );
 }
 
+/// Guards against removing a running endpoint: the copy from which the store came back is older than
+/// the endpoint's registration, which is written again a moment later.
+#[test]
+fn an_endpoint_that_a_restored_store_lacks_gets_time_to_come_back() {
+    let now = Instant::now();
+    let all: Vec<Endpoint> = (1..=8).map(|n| endpoint(n, "a")).collect();
+    let mut dispatcher = dispatcher(&all, now);
+    let absence = Absence::Restoration { until: now + RELIST };
+    let removals = |changes: Vec<EndpointChange>| {
+        let removed = |change: EndpointChange| match change {
+            EndpointChange::Removed(_, id) => Some(id.to_string()),
+            _ => None,
+        };
+        changes.into_iter().filter_map(removed).collect::<Vec<_>>()
+    };
+    let copy = all[2..].to_vec();
+    assert!(removals(dispatcher.replace_listing(copy, absence, now)).is_empty());
+    dispatcher.apply_listing(EndpointUpdate::Published(endpoint(1, "a")), now);
+    assert!(dispatcher.remove_lapsed(now + RELIST - Duration::from_millis(1)).is_empty());
+    assert_eq!(removals(dispatcher.remove_lapsed(now + RELIST)), ["i-2"]);
+}
+
+#[test]
+fn a_second_read_of_a_restored_store_does_not_prolong_the_time() {
+    let now = Instant::now();
+    let all = [endpoint(1, "a"), endpoint(2, "a")];
+    let mut dispatcher = dispatcher(&all, now);
+    for until in [now + RELIST, now + 2 * RELIST] {
+        dispatcher.replace_listing(vec![endpoint(1, "a")], Absence::Restoration { until }, now);
+    }
+    assert_eq!(dispatcher.remove_lapsed(now + RELIST).len(), 1);
+}
+
 #[test]
 fn endpoints_that_are_missing_while_the_store_answers_are_removed_at_once() {
     let now = Instant::now();
     let mut dispatcher = dispatcher(&[endpoint(1, "a"), endpoint(2, "a")], now);
-    let changes = dispatcher.replace_listing(vec![endpoint(1, "a")], None, now);
+    let changes = dispatcher.replace_listing(vec![endpoint(1, "a")], Absence::Left, now);
     assert!(
         changes.iter().any(|c| matches!(c, EndpointChange::Removed(_, id) if id.as_str() == "i-2"))
     );
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod refused;
 mod relay;
 mod request;
+mod reregistration;
 mod response;
 mod serve;
 mod settings;
--- a/components/gateway/src/store_follower.rs
+++ b/components/gateway/src/store_follower.rs
@@ -19,6 +19,7 @@
 use crate::{
     change_source::{ChangeSource, SourceSelection},
     relay::RelayError,
+    reregistration::ReregistrationGrace,
     state::{Gateway, now},
 };
 
@@ -31,8 +32,8 @@
     source: ChangeSource,
     /// When the store became unreachable.
     lost_at: Option<Instant>,
-    /// Until when a missing endpoint is assumed to have expired during an outage of the store.
-    reregistration_deadline: Option<Instant>,
+    /// How long endpoints that are missing from the store get to register again.
+    reregistration: ReregistrationGrace,
 }
 
 impl StoreFollower {
@@ -41,13 +42,14 @@
             let process = gateway.process.borrow();
             SourceSelection::new(process.ip, process.zone.clone(), gateway.relay_times())
         };
+        let reregistration = ReregistrationGrace::new(gateway.settings.dispatch.relist_grace);
         StoreFollower {
             gateway,
             reader,
             sources,
             source: ChangeSource::Store,
             lost_at: None,
-            reregistration_deadline: None,
+            reregistration,
         }
     }
 
@@ -147,6 +149,7 @@
         if let Some(Restoration { before, after }) = restored {
             warn!(self.gateway.log, "store came back from an older copy";
                 "before" => %before, "after" => %after);
+            self.reregistration.record_restoration(now());
         }
         gauge!(names::STORE_ERA).set(position.era.0 as f64);
         self.gateway.store_changed.notify_waiters();
@@ -231,17 +234,12 @@
         let now = now();
         let away = now.saturating_duration_since(lost_at);
         if away >= self.gateway.settings.store_outage_threshold {
-            self.reregistration_deadline = Some(now + self.gateway.settings.dispatch.relist_grace);
+            self.reregistration.record_outage(now);
         }
         info!(self.gateway.log, "store regained";
             "away_ms" => away.as_millis() as u64);
     }
 
-    /// Returns until when expired endpoints may register again, if the store had an outage recently.
-    fn active_reregistration_deadline(&self) -> Option<Instant> {
-        self.reregistration_deadline.filter(|until| now() < *until)
-    }
-
     /// Applies changes. `inherited` means that they may have been made before this process started.
     fn apply_changes(&mut self, entries: Vec<StoreEntry>, inherited: bool) {
         let mut removed = Vec::new();
@@ -256,11 +254,8 @@
                 other => self.apply_entry(other, inherited),
             }
         }
-        let changes = self
-            .gateway
-            .dispatcher
-            .borrow_mut()
-            .handle_missing(removed, self.active_reregistration_deadline());
+        let absence = self.reregistration.explain_removed(now());
+        let changes = self.gateway.dispatcher.borrow_mut().handle_missing(removed, absence);
         self.gateway.handle_endpoint_changes(changes);
     }
 
@@ -272,12 +267,9 @@
                 other => self.apply_entry(other, true),
             }
         }
-        let reregistration_deadline = self.active_reregistration_deadline();
-        let changes = self.gateway.dispatcher.borrow_mut().replace_listing(
-            all,
-            reregistration_deadline,
-            now(),
-        );
+        let now = now();
+        let absence = self.reregistration.explain_unlisted(now);
+        let changes = self.gateway.dispatcher.borrow_mut().replace_listing(all, absence, now);
         self.gateway.endpoints_listed.set(true);
         self.gateway.handle_endpoint_changes(changes);
     }
