Ask for the store's era at once after an outage or another source of changes

What callers saw: a configuration in force after its bound once the store had come back from an older copy. Cause: the era is learned from the response to a watch, and a watch waits its full time if the restored store has exactly the known revision. Not covered: a store that is away only in the pause after a change, so that no call fails, and then has exactly the known revision and no other write.

--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -14,7 +14,8 @@
     /// Maximum time that a watch of the store waits for changes. An unresponsive store is detected only
     /// after it.
     pub store_wait: Duration,
-    /// Time that the watch waits which follows the read of the whole store, to catch up with it.
+    /// Time that a watch waits which is to show at once what the store has: after a stale read of the
+    /// whole store, and the first one after a failure.
     pub catch_up_wait: Duration,
     /// Time after the last request of another gateway for changes until which more are expected.
     pub relay_memory: Duration,
--- a/components/gateway/src/store_follower.rs
+++ b/components/gateway/src/store_follower.rs
@@ -165,9 +165,14 @@
         Ok(changed)
     }
 
-    /// Maximum time that a watch waits: shorter if other gateways rely on this one.
+    /// Maximum time that a watch waits: shorter if other gateways rely on this one. The first watch
+    /// after a failure, or after changes were learned from another gateway, is answered at once, as
+    /// its response shows whether the store came back from an older copy meanwhile.
     fn store_wait(&self) -> Duration {
         let settings = &self.gateway.settings;
+        if self.lost_at.is_some() || self.source != ChangeSource::Store {
+            return settings.catch_up_wait;
+        }
         let is_recent = |at| now().saturating_duration_since(at) < settings.relay_memory;
         match self.gateway.relayed_at.get().is_some_and(is_recent) {
             true => self.gateway.relay_times().store_wait.min(settings.store_wait),
