--- a/components/dispatch/tests/departures.rs
+++ b/components/dispatch/tests/departures.rs
@@ -8,8 +8,8 @@
 use base::{ServiceId, Zone};
 use catalog::{Endpoint, EndpointId, EndpointState, EndpointUpdate};
 use dispatch::{
-    Decision, DispatchSettings, Dispatcher, EndpointChange, EndpointOutcome, ListingOrigin,
-    PendingRequest,
+    Absence, Decision, DispatchSettings, Dispatcher, EndpointChange, EndpointOutcome,
+    ListingOrigin, PendingRequest,
 };
 use fastrand::Rng;
 
@@ -56,7 +56,7 @@
 }
 
 fn remove(dispatcher: &mut Dispatcher, n: u16, now: Instant) {
-    dispatcher.handle_missing(vec![id(n)], None, now);
+    dispatcher.handle_missing(vec![id(n)], Absence::Left, now);
 }
 
 fn read(
@@ -65,7 +65,7 @@
     origin: ListingOrigin,
     now: Instant,
 ) -> Vec<EndpointChange> {
-    dispatcher.replace_listing(all.to_vec(), origin, None, now)
+    dispatcher.replace_listing(all.to_vec(), origin, Absence::Left, now)
 }
 
 fn read_copy(dispatcher: &mut Dispatcher, all: &[Endpoint], now: Instant) -> Vec<EndpointChange> {
@@ -220,7 +220,9 @@
     all.iter().for_each(|endpoint| publish(&mut dispatcher, endpoint.clone(), now));
     let until = now + Duration::from_secs(2);
     let origin = ListingOrigin::OlderCopy;
-    assert!(dispatcher.replace_listing(Vec::new(), origin, Some(until), now).is_empty());
+    assert!(
+        dispatcher.replace_listing(Vec::new(), origin, Absence::Outage { until }, now).is_empty()
+    );
     assert_eq!(dispatcher.remove_lapsed(until).len(), 2);
     read_copy(&mut dispatcher, &all, until);
     assert_eq!(used_run(&mut dispatcher, 1, until), Some(1));
@@ -238,7 +240,7 @@
     for n in 0..1023 {
         let other = Endpoint { id: format!("o-{n}").parse().unwrap(), ..ready(3, 1) };
         publish(&mut dispatcher, other.clone(), now);
-        dispatcher.handle_missing(vec![other.id], None, now + Duration::from_secs(1));
+        dispatcher.handle_missing(vec![other.id], Absence::Left, now + Duration::from_secs(1));
     }
     read_copy(&mut dispatcher, &[ready(1, 1), ready(2, 1)], now + Duration::from_secs(2));
     assert_eq!(used_run(&mut dispatcher, 1, now), Some(1), "the oldest of 1025 departures");
--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -130,7 +130,7 @@
     fn check_listed_endpoints(&self) {
         let dropped = self.dispatcher.borrow_mut().remove_lapsed(now());
         self.handle_endpoint_changes(dropped);
-        let Some(known_until) = self.history.borrow().known_until() else { return };
+        let Some(known_until) = self.store_progress.borrow().known_until() else { return };
         let readmitted = self.dispatcher.borrow_mut().readmit_listed(known_until, now());
         self.handle_endpoint_changes(readmitted);
     }
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -3,10 +3,10 @@
 use std::{net::Ipv4Addr, time::Duration};
 
 use bytes::Bytes;
-use directory::ChangesSince;
+use directory::{ChangesSince, ReadError, WatchedChanges};
 use http::{Method, Response, StatusCode};
 use peering::{PeerRequest, RelayedChanges};
-use platform::store::StoreRevision;
+use platform::store::StorePosition;
 use tokio::time::{Instant, timeout_at};
 use transport::{TransportError, request};
 
@@ -30,9 +30,9 @@
     /// The response cannot be decoded.
     #[error("invalid response: {0}; the gateway may run another version of the program")]
     Decode(#[from] postcard::Error),
-    /// The changes in the response cannot be decoded.
-    #[error("invalid changes: {0}")]
-    Changes(#[from] platform::DecodeError),
+    /// The changes in the response cannot be decoded or must not be applied.
+    #[error("changes not usable: {0}")]
+    Changes(#[from] ReadError),
     /// The gateway has not heard from the store for too long.
     #[error("the gateway heard from the store {}ms ago", .0.as_millis())]
     TooOld(Duration),
@@ -41,8 +41,8 @@
 /// Changes that were learned from another gateway.
 #[derive(Debug)]
 pub(crate) struct LearnedChanges {
-    /// The response of the store; empty if there are none.
-    pub(crate) body: Bytes,
+    /// The changes.
+    pub(crate) watched: WatchedChanges,
     /// Time since the store was last known to have no newer change.
     pub(crate) age: Duration,
     /// Time before which the store acknowledged no change that is still unknown; `None` if more
@@ -51,9 +51,9 @@
 }
 
 impl Gateway {
-    /// Answers another gateway that asks for the changes after a revision. Waits a while if there are
+    /// Answers another gateway that asks for the changes after a position. Waits a while if there are
     /// none.
-    pub(crate) async fn serve_changes(&self, after: StoreRevision) -> Response<ResponseBody> {
+    pub(crate) async fn serve_changes(&self, after: StorePosition) -> Response<ResponseBody> {
         self.relayed_at.set(Some(now()));
         self.log_behind(after);
         let deadline = Instant::now() + self.relay_times().relay_wait;
@@ -62,7 +62,7 @@
             if self.store_lost.get() || self.stopping.get().is_some() {
                 return own_response(StatusCode::SERVICE_UNAVAILABLE, None, None);
             }
-            match self.history.borrow().since(after) {
+            match self.store_progress.borrow().changes_since(after) {
                 ChangesSince::Changes(body) => return self.relayed_response(after, &body),
                 ChangesSince::Unknown => return own_response(StatusCode::GONE, None, None),
                 ChangesSince::None => {}
@@ -73,20 +73,20 @@
         }
     }
 
-    /// Logs that another gateway knows a newer revision than this one.
-    fn log_behind(&self, after: StoreRevision) {
-        let known = self.history.borrow().revision();
-        if known.is_some_and(|known| known < after) {
-            slog::info!(self.log, "another gateway knows more"; "asked" => after.0,
-                "revision" => known.map(|known| known.0));
+    /// Logs that another gateway knows a newer position than this one.
+    fn log_behind(&self, after: StorePosition) {
+        let known = self.store_progress.borrow().known();
+        if let Some(known) = known.filter(|known| *known < after) {
+            slog::info!(self.log, "another gateway knows more"; "asked" => %after,
+                "known" => %known);
         }
     }
 
-    fn relayed_response(&self, after: StoreRevision, body: &[u8]) -> Response<ResponseBody> {
-        let history = self.history.borrow();
-        let age = history.age(now()).unwrap_or(Duration::MAX);
+    fn relayed_response(&self, after: StorePosition, body: &[u8]) -> Response<ResponseBody> {
+        let progress = self.store_progress.borrow();
+        let age = progress.age(now()).unwrap_or(Duration::MAX);
         let mut changes = RelayedChanges::new(age, body);
-        if let Some(until) = history.known_with_next(after) {
+        if let Some(until) = progress.known_with_next(after) {
             changes = changes.with_known_age(now().saturating_duration_since(until));
         }
         match changes.encode() {
@@ -98,16 +98,16 @@
         }
     }
 
-    /// Asks another gateway for the changes after a revision.
+    /// Asks another gateway for the changes after a position.
     pub(crate) async fn request_changes(
         &self,
         gateway: Ipv4Addr,
-        after: StoreRevision,
+        after: StorePosition,
     ) -> Result<LearnedChanges, RelayError> {
         let sent_at = now();
         let times = self.relay_times();
         let addr = self.process.borrow().peer_addr(gateway.into());
-        let path = PeerRequest::Changes(after.0).path();
+        let path = PeerRequest::Changes { era: after.era.0, revision: after.revision.0 }.path();
         let request = request(Method::GET, addr, &path, Bytes::new());
         let deadline = Instant::now() + times.relay_timeout;
         let reply = self.pool.call(addr, request, MAX_CHANGES_BYTES, deadline).await?;
@@ -118,8 +118,12 @@
         if changes.age() > times.max_age {
             return Err(RelayError::TooOld(changes.age()));
         }
+        let watched = match changes.body.is_empty() {
+            true => WatchedChanges::none(after),
+            false => WatchedChanges::decode(reply.body.slice_ref(changes.body), after)?,
+        };
         Ok(LearnedChanges {
-            body: reply.body.slice_ref(changes.body),
+            watched,
             age: changes.age(),
             // The answer may have been on its way since the request was sent.
             known_until: changes.known_age().and_then(|age| sent_at.checked_sub(age)),
--- a/components/gateway/src/store_follower.rs
+++ b/components/gateway/src/store_follower.rs
@@ -8,14 +8,20 @@
 };
 
 use catalog::{Config, Endpoint, EndpointUpdate, ModelId, WeightsVersion};
-use directory::{ReadError, StoreReader, WatchedChanges, known_by_watch};
+use directory::{
+    ReadError, Recovery, Restoration, Snapshot, StoreReader, WatchedChanges, known_by_watch,
+};
 use dispatch::{EndpointChange, ListingOrigin};
-use platform::store::{StoreEntry, StoreRevision, decode_changes, endpoint_id_from_key};
+use metrics::gauge;
+use platform::store::{StoreEntry, StoreEra, StorePosition, endpoint_id_from_key};
 use slog::{info, warn};
+use telemetry::names;
 use tokio::time::sleep;
 
 use crate::{
     change_source::{ChangeSource, SourceSelection},
+    relay::RelayError,
+    reregistration::ReregistrationGrace,
     state::{Gateway, now},
     weights::NamingTime,
 };
@@ -27,12 +33,10 @@
     sources: SourceSelection,
     /// The source of the last changes, for the log.
     source: ChangeSource,
-    /// Revision up to which changes were applied. `None` until the store was read completely.
-    revision: Option<StoreRevision>,
     /// When the store became unreachable.
     lost_at: Option<Instant>,
-    /// Until when a missing endpoint is assumed to have expired during an outage of the store.
-    reregistration_deadline: Option<Instant>,
+    /// How long endpoints that are missing from the store get to register again.
+    reregistration: ReregistrationGrace,
 }
 
 impl StoreFollower {
@@ -41,14 +45,14 @@
             let process = gateway.process.borrow();
             SourceSelection::new(process.ip, process.zone.clone(), gateway.relay_times())
         };
+        let reregistration = ReregistrationGrace::new(gateway.settings.dispatch.relist_grace);
         StoreFollower {
             gateway,
             reader,
             sources,
             source: ChangeSource::Store,
-            revision: None,
             lost_at: None,
-            reregistration_deadline: None,
+            reregistration,
         }
     }
 
@@ -63,26 +67,35 @@
                         Duration::ZERO
                     }
                 }
-                Err(ReadError::HistoryGone) => {
-                    self.revision = None;
-                    Duration::ZERO
-                }
-                Err(err) => {
-                    // The first failure may be one of the connection, so the store is asked again.
-                    if self.lost_at.is_some() {
-                        self.sources.record_store_failure(now());
-                    }
-                    self.handle_store_lost(&err);
-                    self.gateway.settings.store_retry_delay
-                }
+                Err(err) => self.handle_failure(&err),
             };
             sleep(pause).await;
         }
     }
 
+    /// Handles a failed read or watch. Returns the pause before the next attempt.
+    fn handle_failure(&mut self, err: &ReadError) -> Duration {
+        let recovery = self.gateway.store_progress.borrow_mut().record_failure(err);
+        match recovery {
+            Recovery::ReadAll => {
+                self.gateway.store_changed.notify_waiters();
+                Duration::ZERO
+            }
+            Recovery::Retry => {
+                // The first failure may be one of the connection, so the store is asked again.
+                if self.lost_at.is_some() {
+                    self.sources.record_store_failure(now());
+                }
+                self.handle_store_lost(err);
+                self.gateway.settings.store_retry_delay
+            }
+        }
+    }
+
     /// Reads the whole store, or waits for changes. Returns whether the store sent anything new.
     async fn step(&mut self) -> Result<bool, ReadError> {
-        let Some(at) = self.revision else {
+        let position = self.gateway.store_progress.borrow().position();
+        let Some(at) = position else {
             self.read_all().await?;
             return Ok(true);
         };
@@ -103,64 +116,94 @@
         if is_first {
             match self.read_stale().await {
                 Ok(()) => return Ok(()),
+                Err(err @ ReadError::Restored(_)) => return Err(err),
                 Err(err) => info!(self.gateway.log, "stale read of the store failed";
                     "error" => %err),
             }
         }
         let sent_at = now();
-        let snapshot = self.reader.read(false).await?;
-        self.handle_store_regained();
+        let snapshot = self.reader.read(self.known_era(), false).await?;
         let named = self.naming_time();
-        self.start_from(snapshot.revision, sent_at);
-        self.apply_snapshot(snapshot.entries, named);
-        Ok(())
+        self.accept_snapshot(snapshot, named, sent_at)
     }
 
     async fn read_stale(&mut self) -> Result<(), ReadError> {
-        let snapshot = self.reader.read(true).await?;
+        let mut snapshot = self.reader.read(self.known_era(), true).await?;
         let wait = self.gateway.settings.catch_up_wait;
         let sent_at = now();
-        let watched = self.reader.watch(snapshot.revision, wait).await?;
-        self.handle_store_regained();
+        let watched = self.reader.watch(snapshot.position, wait).await?;
         let named = self.naming_time();
-        self.start_from(watched.changes.revision.max(snapshot.revision), sent_at);
-        self.apply_snapshot(snapshot.entries, named);
-        self.apply_changes(watched.changes.entries, named);
+        snapshot.position = watched.position;
+        self.accept_snapshot(snapshot, named, sent_at)?;
+        self.apply_changes(watched.entries, named);
         Ok(())
     }
 
     /// When weights that are learned next can have been named.
     fn naming_time(&self) -> NamingTime {
-        match self.gateway.history.borrow().known_until() {
+        match self.gateway.store_progress.borrow().known_until() {
             Some(at) => NamingTime::NotBefore(at),
             None => NamingTime::BeforeFirstRead,
         }
     }
 
-    /// Follows changes from the revision of a read that began at `sent_at`.
-    fn start_from(&mut self, revision: StoreRevision, sent_at: Instant) {
-        let before = self.gateway.history.borrow().revision().map_or(0, |before| before.0);
-        info!(self.gateway.log, "store read"; "revision" => revision.0, "before" => before);
-        self.revision = Some(revision);
-        let mut history = self.gateway.history.borrow_mut();
-        history.restart(revision, now());
-        history.record_known(sent_at);
+    fn known_era(&self) -> StoreEra {
+        self.gateway.store_progress.borrow().era()
     }
 
-    async fn watch_store(&mut self, at: StoreRevision) -> Result<bool, ReadError> {
+    /// Applies a read of the whole store that began at `sent_at`. `named` is when weights in it can
+    /// have been named.
+    fn accept_snapshot(
+        &mut self,
+        snapshot: Snapshot,
+        named: NamingTime,
+        sent_at: Instant,
+    ) -> Result<(), ReadError> {
+        let position = snapshot.position;
+        let (before, restored) = {
+            let mut progress = self.gateway.store_progress.borrow_mut();
+            let before = progress.known();
+            let restored = progress.accept_snapshot(position, now())?;
+            progress.record_known(sent_at);
+            (before, restored)
+        };
+        let origin = match restored {
+            Some(_) => ListingOrigin::OlderCopy,
+            None => ListingOrigin::Current,
+        };
+        self.handle_store_regained();
+        info!(self.gateway.log, "store read"; "era" => position.era.0,
+            "revision" => position.revision.0,
+            "before" => before.map_or(0, |before| before.revision.0));
+        if let Some(Restoration { before, after }) = restored {
+            warn!(self.gateway.log, "store came back from an older copy";
+                "before" => %before, "after" => %after);
+            self.reregistration.record_restoration(now());
+        }
+        gauge!(names::STORE_ERA).set(position.era.0 as f64);
+        self.gateway.store_changed.notify_waiters();
+        self.apply_snapshot(snapshot.entries, origin, named);
+        Ok(())
+    }
+
+    async fn watch_store(&mut self, at: StorePosition) -> Result<bool, ReadError> {
         let (sent_at, wait) = (now(), self.store_wait());
         let watched = self.reader.watch(at, wait).await?;
-        self.handle_store_regained();
-        self.log_source(ChangeSource::Store, Duration::ZERO);
-        let changed = !watched.changes.entries.is_empty();
+        let changed = !watched.entries.is_empty();
         let known_until = known_by_watch(sent_at, wait, changed, now());
-        self.handle_watched(at, watched, now(), Some(known_until));
+        self.accept_changes(watched, now(), Some(known_until))?;
+        self.log_source(ChangeSource::Store, Duration::ZERO);
         Ok(changed)
     }
 
-    /// Maximum time that a watch waits: shorter if other gateways rely on this one.
+    /// Maximum time that a watch waits: shorter if other gateways rely on this one. The first watch
+    /// after a failure, or after changes were learned from another gateway, is answered at once, as
+    /// its response shows whether the store came back from an older copy meanwhile.
     fn store_wait(&self) -> Duration {
         let settings = &self.gateway.settings;
+        if self.lost_at.is_some() || self.source != ChangeSource::Store {
+            return settings.catch_up_wait;
+        }
         let is_recent = |at| now().saturating_duration_since(at) < settings.relay_memory;
         match self.gateway.relayed_at.get().is_some_and(is_recent) {
             true => self.gateway.relay_times().store_wait.min(settings.store_wait),
@@ -169,23 +212,18 @@
     }
 
     /// Learns changes from another gateway; if that fails, it is not asked again for a while.
-    async fn follow_gateway(&mut self, ip: Ipv4Addr, at: StoreRevision) {
-        let result = self.gateway.request_changes(ip, at).await.and_then(|learned| {
-            let body = learned.body.clone();
-            let watched = match body.is_empty() {
-                true => None,
-                false => Some(WatchedChanges { changes: decode_changes(&body, at)?, body }),
-            };
-            Ok((watched, learned))
-        });
-        match result {
-            Ok((watched, learned)) => {
-                self.handle_store_regained();
-                self.log_source(ChangeSource::Gateway(ip), learned.age);
+    async fn follow_gateway(&mut self, ip: Ipv4Addr, at: StorePosition) {
+        let result = match self.gateway.request_changes(ip, at).await {
+            Ok(learned) => {
                 let confirmed_at = now().checked_sub(learned.age).unwrap_or_else(now);
-                let watched = watched.unwrap_or_else(|| WatchedChanges::none(at));
-                self.handle_watched(at, watched, confirmed_at, learned.known_until);
+                self.accept_changes(learned.watched, confirmed_at, learned.known_until)
+                    .map(|()| learned.age)
+                    .map_err(RelayError::from)
             }
+            Err(err) => Err(err),
+        };
+        match result {
+            Ok(age) => self.log_source(ChangeSource::Gateway(ip), age),
             Err(err) => {
                 info!(self.gateway.log, "changes not learned from a gateway";
                     "entry" => %ip, "error" => %err);
@@ -194,25 +232,24 @@
         }
     }
 
-    fn handle_watched(
+    fn accept_changes(
         &mut self,
-        at: StoreRevision,
         watched: WatchedChanges,
         confirmed_at: Instant,
         known_until: Option<Instant>,
-    ) {
-        let revision = watched.changes.revision.max(at);
-        self.revision = Some(revision);
+    ) -> Result<(), ReadError> {
         let named = self.naming_time();
         {
-            let mut history = self.gateway.history.borrow_mut();
-            history.push(revision, watched.body, confirmed_at);
+            let mut progress = self.gateway.store_progress.borrow_mut();
+            progress.accept_changes(&watched, confirmed_at)?;
             if let Some(until) = known_until {
-                history.record_known(until);
+                progress.record_known(until);
             }
         }
+        self.handle_store_regained();
         self.gateway.store_changed.notify_waiters();
-        self.apply_changes(watched.changes.entries, named);
+        self.apply_changes(watched.entries, named);
+        Ok(())
     }
 
     fn log_source(&mut self, source: ChangeSource, age: Duration) {
@@ -243,17 +280,12 @@
         let now = now();
         let away = now.saturating_duration_since(lost_at);
         if away >= self.gateway.settings.store_outage_threshold {
-            self.reregistration_deadline = Some(now + self.gateway.settings.dispatch.relist_grace);
+            self.reregistration.record_outage(now);
         }
         info!(self.gateway.log, "store regained";
             "away_ms" => away.as_millis() as u64);
     }
 
-    /// Returns until when expired endpoints may register again, if the store had an outage recently.
-    fn active_reregistration_deadline(&self) -> Option<Instant> {
-        self.reregistration_deadline.filter(|until| now() < *until)
-    }
-
     /// Applies changes. `named` is when weights among them can have been named.
     fn apply_changes(&mut self, entries: Vec<StoreEntry>, named: NamingTime) {
         let mut removed = Vec::new();
@@ -268,15 +300,18 @@
                 other => self.apply_entry(other, named),
             }
         }
-        let changes = self.gateway.dispatcher.borrow_mut().handle_missing(
-            removed,
-            self.active_reregistration_deadline(),
-            now(),
-        );
+        let now = now();
+        let absence = self.reregistration.explain_removed(now);
+        let changes = self.gateway.dispatcher.borrow_mut().handle_missing(removed, absence, now);
         self.gateway.handle_endpoint_changes(changes);
     }
 
-    fn apply_snapshot(&mut self, entries: Vec<StoreEntry>, named: NamingTime) {
+    fn apply_snapshot(
+        &mut self,
+        entries: Vec<StoreEntry>,
+        origin: ListingOrigin,
+        named: NamingTime,
+    ) {
         let mut all: Vec<Endpoint> = Vec::new();
         for entry in entries {
             match entry {
@@ -284,13 +319,10 @@
                 other => self.apply_entry(other, named),
             }
         }
-        let reregistration_deadline = self.active_reregistration_deadline();
-        let changes = self.gateway.dispatcher.borrow_mut().replace_listing(
-            all,
-            ListingOrigin::Current,
-            reregistration_deadline,
-            now(),
-        );
+        let now = now();
+        let absence = self.reregistration.explain_unlisted(now);
+        let changes =
+            self.gateway.dispatcher.borrow_mut().replace_listing(all, origin, absence, now);
         self.gateway.endpoints_listed.set(true);
         self.gateway.handle_endpoint_changes(changes);
     }
