End a stopping gateway only once its responses are written

What callers saw: an answer that ends before it is complete, or a connection that closes without one, around SIGTERM of a gateway.

Cause: a request counted as done once its response was handed to the connection, or the last part of a stream to a channel; the process then ended with megabytes still unwritten. A connection whose request had arrived but was not read yet was closed as idle, and one that was opened while the others were closed was closed at once, before its request came.

Ruled out: the deadline and the grace period (the process logged `stopped busy=0` 2.3 s into 20 s).

Change: after the idle connections are closed, the process also waits for those on which a request arrived, within the grace period as before. A connection lets the runtime look for bytes that have arrived before it closes as idle. A new connection serves one request meanwhile.

--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -17,7 +17,7 @@
 use slog::{Logger, info};
 use telemetry::{LogBuffer, MetricsHandle};
 use tokio::{sync::watch, task::spawn_local, time::sleep};
-use transport::{AcceptSettings, ConnectionPool, PoolSettings, StopPhase};
+use transport::{AcceptSettings, ConnectionPool, OpenConnections, PoolSettings, StopPhase};
 
 use crate::{
     response::{ResponseBody, own_response},
@@ -70,23 +70,28 @@
     let gateway = Gateway::new(settings, process, dispatcher, pool, socket, log, metrics);
     let gateway = Rc::new(gateway);
     let (stop, stopped) = watch::channel(StopPhase::Accepting);
-    gateway.clone().listen(&stopped).await?;
+    let callers = gateway.clone().listen(&stopped).await?;
     gateway.clone().start_tasks(lines.clone(), file);
-    gateway.stop(&stop).await?;
+    gateway.stop(&stop, &callers).await?;
     lines.flush();
     sleep(IDLE_POLL_INTERVAL).await;
     Ok(())
 }
 
 impl Gateway {
-    async fn listen(self: Rc<Gateway>, stopped: &watch::Receiver<StopPhase>) -> anyhow::Result<()> {
+    /// Starts all listeners and returns the count of callers' connections.
+    async fn listen(
+        self: Rc<Gateway>,
+        stopped: &watch::Receiver<StopPhase>,
+    ) -> anyhow::Result<Rc<OpenConnections>> {
+        let mut connections = Rc::default();
         let process = self.process.borrow().clone();
         let inner = internal_accept_settings(INTERNAL_IDLE_TIMEOUT);
         if process.roles.contains(&ProcessRole::Callers) {
             let callers = process.caller_addr.context("settings name no address for callers")?;
             let gateway = self.clone();
             let call = move |request| gateway.clone().serve(request);
-            listen(callers, self.caller_settings(), stopped, call).await?;
+            connections = listen(callers, self.caller_settings(), stopped, call).await?;
         }
         for addr in [process.readiness_addr, process.control_addr].into_iter().flatten() {
             let gateway = self.clone();
@@ -99,7 +104,7 @@
         listen(peers, inner, stopped, call).await?;
         let page = self.metrics.clone();
         serve_metrics(process.ip.into(), INTERNAL_IDLE_TIMEOUT, page, stopped, &self.log).await;
-        Ok(())
+        Ok(connections)
     }
 
     fn caller_settings(&self) -> AcceptSettings {
@@ -156,9 +161,13 @@
         own_response(status, None, None)
     }
 
-    /// Waits for the stop signal, then until requests in progress have ended or the grace period is
-    /// nearly over.
-    async fn stop(&self, stop: &watch::Sender<StopPhase>) -> anyhow::Result<()> {
+    /// Waits for the stop signal, then until requests in progress have ended and their responses are
+    /// written, or the grace period is nearly over.
+    async fn stop(
+        &self,
+        stop: &watch::Sender<StopPhase>,
+        callers: &OpenConnections,
+    ) -> anyhow::Result<()> {
         wait_for_stop_signal().await?;
         let bounds = self.process.borrow().bounds;
         let started = tokio::time::Instant::now();
@@ -169,10 +178,12 @@
         stop.send_replace(StopPhase::Closing);
         // Leaves connections a moment to read requests that are already on their way.
         sleep(IDLE_POLL_INTERVAL).await;
-        while self.in_flight.get() > 0 && started.elapsed() < end {
+        let is_busy = || self.in_flight.get() > 0 || callers.used_count() > 0;
+        while is_busy() && started.elapsed() < end {
             sleep(IDLE_POLL_INTERVAL).await;
         }
-        info!(self.log, "stopped"; "busy" => self.in_flight.get());
+        info!(self.log, "stopped"; "busy" => self.in_flight.get(),
+            "connections" => callers.used_count());
         Ok(())
     }
 }
--- a/components/lifecycle/src/listen.rs
+++ b/components/lifecycle/src/listen.rs
@@ -33,14 +33,14 @@
     }
 }
 
-/// Handles requests to `addr` with `handle` in a separate task until the process stops. Fails if
-/// the address cannot be bound.
+/// Handles requests to `addr` with `handle` in a separate task until the process stops. Returns the
+/// count of the listener's connections. Fails if the address cannot be bound.
 pub async fn listen<H, F, B>(
     addr: SocketAddr,
     settings: AcceptSettings,
     stopped: &watch::Receiver<StopPhase>,
     handle: H,
-) -> anyhow::Result<()>
+) -> anyhow::Result<Rc<OpenConnections>>
 where
     H: Fn(Request<Incoming>) -> F + Clone + 'static,
     F: Future<Output = Response<B>> + 'static,
@@ -48,14 +48,9 @@
 {
     let listener = TcpListener::bind(addr).await.with_context(|| format!("bind {addr}"))?;
     let handle = move |request, _| handle(request);
-    spawn_local(serve(
-        listener,
-        settings,
-        stopped.clone(),
-        Rc::new(OpenConnections::default()),
-        handle,
-    ));
-    Ok(())
+    let connections = Rc::new(OpenConnections::default());
+    spawn_local(serve(listener, settings, stopped.clone(), connections.clone(), handle));
+    Ok(connections)
 }
 
 /// Serves the metrics page. If its address cannot be bound, the process runs without it.
--- a/components/transport/src/server.rs
+++ b/components/transport/src/server.rs
@@ -16,7 +16,7 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
-    task::spawn_local,
+    task::{spawn_local, yield_now},
 };
 
 /// Pause after a failed accept, for example because no file descriptors are left.
@@ -44,8 +44,8 @@
     /// Normal operation: connections are accepted.
     #[default]
     Accepting,
-    /// Idle connections are closed now, others after their response. New connections are still
-    /// served.
+    /// Idle connections are closed now, others after their response. New connections still serve one
+    /// request each.
     Closing,
 }
 
@@ -53,6 +53,8 @@
 #[derive(Debug, Default)]
 pub struct OpenConnections {
     connections: Cell<usize>,
+    /// Connections on which a request arrived.
+    used: Cell<usize>,
 }
 
 impl OpenConnections {
@@ -60,6 +62,12 @@
     pub fn count(&self) -> usize {
         self.connections.get()
     }
+
+    /// Returns the number of open connections on which a request arrived. Once the others are closed
+    /// in [`StopPhase::Closing`], these are the ones whose last response is not written completely.
+    pub fn used_count(&self) -> usize {
+        self.used.get()
+    }
 }
 
 /// Error of a response body that ends before it is complete.
@@ -67,11 +75,31 @@
 #[error("the response was aborted")]
 pub struct ResponseAborted;
 
-struct ConnectionGuard(Rc<OpenConnections>);
+/// Counts one connection while it is open.
+struct ConnectionGuard {
+    server: Rc<OpenConnections>,
+    is_used: Cell<bool>,
+}
+
+impl ConnectionGuard {
+    fn new(server: Rc<OpenConnections>) -> ConnectionGuard {
+        server.connections.set(server.connections.get() + 1);
+        ConnectionGuard { server, is_used: Cell::new(false) }
+    }
+
+    /// Records that a request arrived.
+    fn set_used(&self) {
+        if !self.is_used.replace(true) {
+            self.server.used.set(self.server.used.get() + 1);
+        }
+    }
+}
 
 impl Drop for ConnectionGuard {
     fn drop(&mut self) {
-        self.0.connections.set(self.0.connections.get() - 1);
+        let server = &self.server;
+        server.connections.set(server.connections.get() - 1);
+        server.used.set(server.used.get() - usize::from(self.is_used.get()));
     }
 }
 
@@ -99,24 +127,25 @@
             drop(stream);
             continue;
         }
-        server.connections.set(server.connections.get() + 1);
-        let guard = ConnectionGuard(server.clone());
+        let guard = ConnectionGuard::new(server.clone());
         let (handle, stop) = (handle.clone(), stop.clone());
         spawn_local(async move {
-            let _guard = guard;
-            serve_connection(stream, peer, settings, stop, handle).await;
+            let handle = |request| {
+                guard.set_used();
+                handle(request, peer)
+            };
+            serve_connection(stream, settings, stop, handle).await;
         });
     }
 }
 
 async fn serve_connection<H, F, B>(
     stream: TcpStream,
-    peer: SocketAddr,
     settings: AcceptSettings,
     mut stop: watch::Receiver<StopPhase>,
     handle: H,
 ) where
-    H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + 'static,
+    H: Fn(Request<Incoming>) -> F,
     F: Future<Output = Response<B>> + 'static,
     B: Body<Data = bytes::Bytes, Error = ResponseAborted> + 'static,
 {
@@ -128,7 +157,7 @@
         .with_retries(2);
     let _ = SockRef::from(&stream).set_tcp_keepalive(&keepalive);
     let service = service_fn(move |request| {
-        let response = handle(request, peer);
+        let response = handle(request);
         async move { Ok::<_, Infallible>(response.await) }
     });
     let mut builder = http1::Builder::new();
@@ -136,12 +165,21 @@
         .timer(TokioTimer::new())
         .header_read_timeout(settings.idle_timeout)
         .max_buf_size(settings.max_header_bytes.max(MIN_BUFFER_BYTES));
+    // A connection that is accepted while the process closes the others serves one request.
+    let is_closing = *stop.borrow() == StopPhase::Closing;
+    builder.keep_alive(!is_closing);
     let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    let closing = async {
+        // Fails only if the process ends.
+        let _ = stop.wait_for(|stop| *stop == StopPhase::Closing).await;
+        // The runtime learns which bytes have arrived, so that a request among them is still read.
+        yield_now().await;
+    };
+    // Errors of a connection are caused by the caller: it disconnected or sent an invalid request.
     tokio::select! {
-        // Errors here are caused by the caller: it disconnected or sent an invalid request.
+        biased;
         _ = connection.as_mut() => return,
-        _ = stop.wait_for(|stop| *stop == StopPhase::Closing) => {}
+        () = closing, if !is_closing => connection.as_mut().graceful_shutdown(),
     }
-    connection.as_mut().graceful_shutdown();
     let _ = connection.await;
 }
