Sum the weights of a route without overflow

What callers saw: none did yet; with weights that sum to over 2^32 - 1, a connection that closes without an answer, or requests spread by a sum that wrapped round.

Cause: the sum had the type of one weight.

Change: the sum and the drawn offset are wider.

Measured: the test that was listed as known red passes, with the largest timeouts, deadlines, token counts and event ids beside the weights.

--- a/components/gateway/src/request.rs
+++ b/components/gateway/src/request.rs
@@ -194,14 +194,14 @@
 }
 
 fn choose_service(destinations: &[Destination]) -> Option<ServiceId> {
-    let total: u32 = destinations.iter().map(|d| d.weight).sum();
+    let total: u64 = destinations.iter().map(|d| u64::from(d.weight)).sum();
     if total == 0 {
         return destinations.first().map(|d| d.service.clone());
     }
-    let mut offset = fastrand::u32(..total);
+    let mut offset = fastrand::u64(..total);
     let chosen = destinations.iter().find(|d| {
-        let selected = offset < d.weight;
-        offset = offset.saturating_sub(d.weight);
+        let selected = offset < u64::from(d.weight);
+        offset = offset.saturating_sub(d.weight.into());
         selected
     });
     chosen.map(|d| d.service.clone())
