Bound the predicted time of a request

What callers saw: none did yet; with figures of an engine that predict over 2^64 s, all requests that have to wait are refused at their deadline until the gateway starts again.

Cause: the prediction did not fit its type, and the task that decides on waiting requests panicked.

Change: a prediction is at most one hour where it is turned into a time, whatever the figures, so that no combination of them has to be excluded where they are decoded.

--- a/components/dispatch/src/selection.rs
+++ b/components/dispatch/src/selection.rs
@@ -37,9 +37,16 @@
 const REMOTE_SHARED_COST_FACTOR: f64 = 4.0;
 /// Penalty of an endpoint at which a resumed stream may be interrupted again.
 const RELOAD_COST_MS: f64 = 400.0;
+/// Maximum predicted time until the first event; figures of an engine may predict any number.
+const MAX_EXPECTED: Duration = Duration::from_secs(3600);
 /// Expected time of a request at a plain service, of which no latency is predicted.
 const DEFAULT_PLAIN_MS: f64 = 60.0;
 
+/// Converts a predicted time in milliseconds.
+fn predicted_time(ms: f64) -> Duration {
+    Duration::try_from_secs_f64(ms.max(0.0) / 1e3).unwrap_or(MAX_EXPECTED).min(MAX_EXPECTED)
+}
+
 impl Dispatcher {
     pub(crate) fn decide(&mut self, request: &PendingRequest, now: Instant) -> Decision {
         if now >= request.deadline {
@@ -86,7 +93,7 @@
             first_event_received: false,
         };
         let in_flight = self.endpoints[key].in_flight.insert(in_flight);
-        let expected = Duration::from_secs_f64(expected_ms.max(0.0) / 1e3);
+        let expected = predicted_time(expected_ms);
         Decision::Send { endpoint: key, in_flight, expected }
     }
 
