Answer a stream that does not begin before its caller leaves

Callers of a stream leave after 2 s, four latency targets or eight event gaps without an event; a gateway waited for the first event until the deadline, 6 s, so that callers left unanswered and endpoints on frozen VMs went on. Change: a stream has to begin 150 ms before its caller leaves, else it is answered then as at the deadline, and what runs is ended.

--- a/components/gateway/src/request.rs
+++ b/components/gateway/src/request.rs
@@ -21,6 +21,10 @@
     suspects::fingerprint,
 };
 
+/// Time before a caller gives up by which it gets a response: more than a request and its response are
+/// on their way.
+const CALLER_MARGIN: Duration = Duration::from_millis(150);
+
 /// Admitted request with everything needed to send it to endpoints.
 pub(crate) struct RequestContext {
     pub(crate) facts: CallerHeaders,
@@ -259,6 +263,15 @@
         }
     }
 
+    /// Returns the time by which the response has to begin: the deadline, or a moment before the caller
+    /// of a stream gives up waiting for the first event.
+    pub(crate) fn response_deadline(&self) -> Instant {
+        let patience = self.route.caller_patience();
+        let gives_up = patience.map(|patience| self.arrived + patience);
+        let respond_by = gives_up.and_then(|at| at.checked_sub(CALLER_MARGIN));
+        respond_by.map_or(self.deadline, |at| at.min(self.deadline))
+    }
+
     /// Returns the time until the deadline.
     pub(crate) fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(now())
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -94,7 +94,7 @@
 
     async fn run(self: &Rc<Gateway>, context: Rc<RequestContext>) -> Response<ResponseBody> {
         self.dispatcher.borrow_mut().retry_budget.record_request(&context.service, now());
-        let until = tokio::time::Instant::from_std(context.deadline);
+        let until = tokio::time::Instant::from_std(context.response_deadline());
         let mut hedge = Hedge::new(self.clone(), context.clone());
         match tokio::time::timeout_at(until, self.run_attempts(&context, &mut hedge)).await {
             Ok(Answer::Response(response)) => response,
@@ -168,7 +168,7 @@
         }
     }
 
-    /// Responds at the deadline.
+    /// Responds when no response has begun in time.
     fn respond_late(&self, context: &RequestContext, hedge: &mut Hedge) -> Response<ResponseBody> {
         let was_sent = hedge.sent_count() > 0;
         let history = &mut hedge.history;
