Count named weights from when they are learned, unless the process was paused

Cause: as a gateway could have been frozen while weights were named, counted all weights that a watch tells from the last time at which the store was known without them. Change: lifecycle::Pauses finds the times in which the process did not run: more than three rounds of the loop that sends news (360 ms) between two observations, by the steady clock or by the boot time, which also counts suspensions. Weights in a watch or from another gateway count from the moment at which they are learned; after a pause since the last knowledge from the beginning of that pause; after a request for changes that failed since, from the last knowledge as before. Weights found in a read of the whole store count as before. Why not only pauses since the watch was sent: weights can also be named, and the process frozen, between two watches. Ruled out: a freeze before the first round; the creation of the state counts as the first observation.

--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -29,6 +29,9 @@
 const GATEWAY_EXPIRY: Duration = Duration::from_secs(6);
 /// Interval between two messages about refusals and suspect requests. Callers retry later than that.
 const NEWS_INTERVAL: Duration = Duration::from_millis(120);
+/// Time between two rounds of `news_loop` from which the process counts as paused. The platform may
+/// stop a process that has used up its quota for up to 100 ms.
+pub(crate) const MAX_NEWS_GAP: Duration = NEWS_INTERVAL.saturating_mul(3);
 /// Maximum number of refusals per message.
 const MAX_REFUSALS_PER_MESSAGE: usize = 80;
 /// Maximum number of suspicions per message.
@@ -216,10 +219,11 @@
     }
 
     /// Periodically reports refusals to the other gateways of the zone, and suspect requests to all
-    /// other gateways.
+    /// other gateways. Observes whether the process was paused.
     pub(crate) async fn news_loop(self: Rc<Gateway>) {
         loop {
             sleep(NEWS_INTERVAL).await;
+            self.observe_pauses();
             let refusals = self.refusals.borrow_mut().take_pending(MAX_REFUSALS_PER_MESSAGE, now());
             if !refusals.is_empty() {
                 self.send_to(&self.zone_gateways.borrow(), &Message::Refused(refusals));
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -16,8 +16,9 @@
     Decision, Dispatcher, EndpointKey, EndpointOutcome, InFlightKey, PendingRequest, Refusal,
     RequestKey,
 };
+use lifecycle::{BootTime, Pauses};
 use peering::PeerSocket;
-use slog::Logger;
+use slog::{Logger, info};
 use telemetry::MetricsHandle;
 use tokio::{
     sync::{Notify, oneshot},
@@ -26,8 +27,9 @@
 use transport::ConnectionPool;
 
 use crate::{
-    change_source::RelayTimes, refused::RecentRefusals, settings::GatewaySettings,
-    shutdown::Shutdown, suspects::SuspectRequests, weights::NamedWeights,
+    change_source::RelayTimes, peers::MAX_NEWS_GAP, refused::RecentRefusals,
+    settings::GatewaySettings, shutdown::Shutdown, suspects::SuspectRequests,
+    weights::NamedWeights,
 };
 
 /// What the subset of followed engines was chosen from.
@@ -79,6 +81,8 @@
     pub(crate) store_changed: Notify,
     /// When another gateway last asked for changes.
     pub(crate) relayed_at: Cell<Option<Instant>>,
+    /// Observed by `news_loop`, and before what it decides on.
+    pub(crate) pauses: RefCell<Pauses>,
     /// Set once the process received SIGTERM.
     pub(crate) stopping: Cell<Option<Shutdown>>,
     /// Number of requests in progress, streams included.
@@ -194,6 +198,7 @@
             store_lost: Cell::new(false),
             store_changed: Notify::new(),
             relayed_at: Cell::new(None),
+            pauses: RefCell::new(Pauses::new(MAX_NEWS_GAP, now(), BootTime::now())),
             stopping: Cell::new(None),
             in_flight: Cell::new(0),
             body_bytes: Cell::new(0),
@@ -207,6 +212,14 @@
         RelayTimes::for_bound(self.process.borrow().bounds.config_propagation)
     }
 
+    /// Records that the process runs, and logs a pause that has just ended.
+    pub(crate) fn observe_pauses(&self) {
+        let ended = self.pauses.borrow_mut().observe(now(), BootTime::now());
+        if let Some(pause) = ended {
+            info!(self.log, "process was paused"; "paused_ms" => pause.length.as_millis() as u64);
+        }
+    }
+
     /// Returns whether the gateway accepts new connections.
     pub(crate) fn is_ready(&self) -> bool {
         self.stopping.get().is_none()
--- a/components/gateway/src/store_follower.rs
+++ b/components/gateway/src/store_follower.rs
@@ -29,6 +29,8 @@
     source: ChangeSource,
     /// Revision up to which changes were applied. `None` until the store was read completely.
     revision: Option<StoreRevision>,
+    /// Whether a request for changes failed since changes were last learned.
+    interrupted: bool,
     /// When the store became unreachable.
     lost_at: Option<Instant>,
     /// Until when a missing endpoint is assumed to have expired during an outage of the store.
@@ -47,6 +49,7 @@
             sources,
             source: ChangeSource::Store,
             revision: None,
+            interrupted: false,
             lost_at: None,
             reregistration_deadline: None,
         }
@@ -68,6 +71,7 @@
                     Duration::ZERO
                 }
                 Err(err) => {
+                    self.interrupted = true;
                     // The first failure may be one of the connection, so the store is asked again.
                     if self.lost_at.is_some() {
                         self.sources.record_store_failure(now());
@@ -129,7 +133,7 @@
         Ok(())
     }
 
-    /// When weights that are learned next can have been named.
+    /// When weights that a read of the whole store finds can have been named.
     fn naming_time(&self) -> NamingTime {
         match self.gateway.history.borrow().known_until() {
             Some(at) => NamingTime::NotBefore(at),
@@ -137,6 +141,19 @@
         }
     }
 
+    /// When weights among the next changes can have been named. They are learned within the margin of
+    /// the version bound, unless the process was paused or requests for changes failed.
+    fn naming_time_of_changes(&self) -> NamingTime {
+        self.gateway.observe_pauses();
+        match self.naming_time() {
+            NamingTime::NotBefore(known_until) if !self.interrupted => {
+                let pauses = self.gateway.pauses.borrow();
+                NamingTime::NotBefore(pauses.learned_since(known_until, now()))
+            }
+            named => named,
+        }
+    }
+
     /// Follows changes from the revision of a read that began at `sent_at`.
     fn start_from(&mut self, revision: StoreRevision, sent_at: Instant) {
         let before = self.gateway.history.borrow().revision().map_or(0, |before| before.0);
@@ -145,6 +162,7 @@
         let mut history = self.gateway.history.borrow_mut();
         history.restart(revision, now());
         history.record_known(sent_at);
+        self.interrupted = false;
     }
 
     async fn watch_store(&mut self, at: StoreRevision) -> Result<bool, ReadError> {
@@ -189,6 +207,7 @@
             Err(err) => {
                 info!(self.gateway.log, "changes not learned from a gateway";
                     "entry" => %ip, "error" => %err);
+                self.interrupted = true;
                 self.sources.record_failure(ip, now());
             }
         }
@@ -203,12 +222,13 @@
     ) {
         let revision = watched.changes.revision.max(at);
         self.revision = Some(revision);
-        let named = self.naming_time();
+        let named = self.naming_time_of_changes();
         {
             let mut history = self.gateway.history.borrow_mut();
             history.push(revision, watched.body, confirmed_at);
             if let Some(until) = known_until {
                 history.record_known(until);
+                self.interrupted = false;
             }
         }
         self.gateway.store_changed.notify_waiters();
--- /dev/null
+++ b/components/lifecycle/src/pauses.rs
@@ -0,0 +1,84 @@
+//! Detects times in which the process did not run: the VM was frozen or suspended.
+
+use std::{
+    collections::VecDeque,
+    time::{Duration, Instant},
+};
+
+use rustix::time::{ClockId, clock_gettime};
+
+/// Number of remembered pauses. More do not fit into the time of one watch of the store.
+const KEPT_PAUSES: usize = 16;
+
+/// Time since the VM booted, suspensions included. `Instant` does not count those.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct BootTime(Duration);
+
+impl BootTime {
+    /// Reads the clock of the VM.
+    pub fn now() -> BootTime {
+        let time = clock_gettime(ClockId::Boottime);
+        BootTime(Duration::new(time.tv_sec as u64, time.tv_nsec as u32))
+    }
+}
+
+/// A time in which the process did not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Pause {
+    /// When the process was last seen to run before.
+    began: Instant,
+    /// When it was first seen to run again.
+    ended: Instant,
+    /// Total length.
+    pub length: Duration,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Observation {
+    at: Instant,
+    boot: BootTime,
+}
+
+/// The last pauses of the process. A periodic task calls `observe`; a longer gap between two calls
+/// than that task explains is a pause.
+#[derive(Debug)]
+pub struct Pauses {
+    /// Maximum time between two observations of a process that runs.
+    max_gap: Duration,
+    last: Observation,
+    recent: VecDeque<Pause>,
+}
+
+impl Pauses {
+    /// Detects gaps between observations that are longer than `max_gap`. The process runs now.
+    pub fn new(max_gap: Duration, at: Instant, boot: BootTime) -> Pauses {
+        Pauses { max_gap, last: Observation { at, boot }, recent: VecDeque::new() }
+    }
+
+    /// Records that the process runs. Returns the pause that has just ended, if there was one.
+    pub fn observe(&mut self, at: Instant, boot: BootTime) -> Option<Pause> {
+        let last = std::mem::replace(&mut self.last, Observation { at, boot });
+        let counted = at.saturating_duration_since(last.at);
+        let length = boot.0.saturating_sub(last.boot.0).max(counted);
+        if length <= self.max_gap {
+            return None;
+        }
+        let pause = Pause { began: last.at, ended: at, length };
+        if self.recent.len() == KEPT_PAUSES {
+            self.recent.pop_front();
+        }
+        self.recent.push_back(pause);
+        Some(pause)
+    }
+
+    /// The earliest time at which something can have happened that is learned at `now`, if all that
+    /// happened before `known_until` is known: `now`, unless the process was paused in between. `now`
+    /// must have been observed.
+    pub fn learned_since(&self, known_until: Instant, now: Instant) -> Instant {
+        let first = self.recent.iter().find(|pause| pause.ended > known_until);
+        first.map_or(now, |pause| pause.began.max(known_until))
+    }
+}
+
+#[cfg(test)]
+mod tests;
