Require weights named before a suspension of a gateway within their bound

What callers saw: nothing yet; found by reading. A gateway whose VM was suspended after weights were named requires them late by the length of the suspension, after the bound if that is longer than the margin, a fifth of the bound. Cause: the steady clock, from which all times of the gateway come, does not count a suspension; the boot time does. Change: a pause tells the part of it that the steady clock has not counted. The times of named weights and of the knowledge of the store (also what is told to other gateways) move back by it when the pause is noticed, as do the times at which requests in progress were sent. Ruled out: freezes, which the steady clock counts, correct nothing. Not changed: other times of the gateway, such as deadlines of requests and the ages of reports. No test suspends a real process, as no test can without privileges.

--- a/components/directory/src/history.rs
+++ b/components/directory/src/history.rs
@@ -132,6 +132,12 @@
         self.known_until.filter(|_| next <= 1)
     }
 
+    /// Corrects the times after the clock has not counted a suspension of the VM.
+    pub fn correct_times(&mut self, corrected: impl Fn(Instant) -> Instant) {
+        self.confirmed_at = self.confirmed_at.map(&corrected);
+        self.known_until = self.known_until.map(&corrected);
+    }
+
     /// Time since the store was last known to have no newer change.
     pub fn age(&self, now: Instant) -> Option<Duration> {
         self.confirmed_at.map(|at| now.saturating_duration_since(at))
--- a/components/directory/src/history/tests.rs
+++ b/components/directory/src/history/tests.rs
@@ -91,3 +91,16 @@
     assert_eq!(known(12), Some(start));
     assert_eq!(known(15), Some(start));
 }
+
+/// A gateway that was suspended took its knowledge for newer than it was.
+#[test]
+fn knowledge_from_before_a_suspension_is_older_by_its_length() {
+    let start = Instant::now();
+    let mut history = ChangeHistory::default();
+    history.restart(StoreRevision(5), start);
+    history.record_known(start);
+    let suspended = Duration::from_millis(1);
+    history.correct_times(|at| at - suspended);
+    assert_eq!(history.age(start), Some(suspended));
+    assert_eq!(history.known_until(), Some(start - suspended));
+}
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -83,6 +83,7 @@
     }
 
     fn relayed_response(&self, after: StoreRevision, body: &[u8]) -> Response<ResponseBody> {
+        self.observe_pauses();
         let history = self.history.borrow();
         let age = history.age(now()).unwrap_or(Duration::MAX);
         let mut changes = RelayedChanges::new(age, body);
@@ -114,6 +115,7 @@
         if reply.status != StatusCode::OK {
             return Err(RelayError::Status(reply.status.as_u16()));
         }
+        let sent_at = self.corrected_time(sent_at);
         let changes = RelayedChanges::decode(&reply.body)?;
         if changes.age() > times.max_age {
             return Err(RelayError::TooOld(changes.age()));
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -212,14 +212,26 @@
         RelayTimes::for_bound(self.process.borrow().bounds.config_propagation)
     }
 
-    /// Records that the process runs, and logs a pause that has just ended.
+    /// Records that the process runs. Logs a pause that has just ended, and corrects the times that are
+    /// kept if the clock has not counted it.
     pub(crate) fn observe_pauses(&self) {
         let ended = self.pauses.borrow_mut().observe(now(), BootTime::now());
-        if let Some(pause) = ended {
-            info!(self.log, "process was paused"; "paused_ms" => pause.length.as_millis() as u64);
+        let Some(pause) = ended else { return };
+        info!(self.log, "process was paused"; "paused_ms" => pause.length.as_millis() as u64,
+            "uncounted_ms" => pause.uncounted.as_millis() as u64);
+        if pause.uncounted > Duration::ZERO {
+            self.history.borrow_mut().correct_times(|at| pause.corrected(at));
+            self.named_weights.borrow_mut().correct_times(|at| pause.corrected(at));
+            self.require_weights();
         }
     }
 
+    /// A time that was read earlier, corrected by suspensions that the clock has not counted since.
+    pub(crate) fn corrected_time(&self, at: Instant) -> Instant {
+        self.observe_pauses();
+        self.pauses.borrow().corrected(at)
+    }
+
     /// Returns whether the gateway accepts new connections.
     pub(crate) fn is_ready(&self) -> bool {
         self.stopping.get().is_none()
--- a/components/gateway/src/store_follower.rs
+++ b/components/gateway/src/store_follower.rs
@@ -113,6 +113,7 @@
         }
         let sent_at = now();
         let snapshot = self.reader.read(false).await?;
+        let sent_at = self.gateway.corrected_time(sent_at);
         self.handle_store_regained();
         let named = self.naming_time();
         self.start_from(snapshot.revision, sent_at);
@@ -125,6 +126,7 @@
         let wait = self.gateway.settings.catch_up_wait;
         let sent_at = now();
         let watched = self.reader.watch(snapshot.revision, wait).await?;
+        let sent_at = self.gateway.corrected_time(sent_at);
         self.handle_store_regained();
         let named = self.naming_time();
         self.start_from(watched.changes.revision.max(snapshot.revision), sent_at);
@@ -168,6 +170,7 @@
     async fn watch_store(&mut self, at: StoreRevision) -> Result<bool, ReadError> {
         let (sent_at, wait) = (now(), self.store_wait());
         let watched = self.reader.watch(at, wait).await?;
+        let sent_at = self.gateway.corrected_time(sent_at);
         self.handle_store_regained();
         self.log_source(ChangeSource::Store, Duration::ZERO);
         let changed = !watched.changes.entries.is_empty();
--- a/components/gateway/src/weights.rs
+++ b/components/gateway/src/weights.rs
@@ -94,6 +94,16 @@
         }
     }
 
+    /// Corrects the times after the clock has not counted a suspension of the VM.
+    pub(crate) fn correct_times(&mut self, corrected: impl Fn(Instant) -> Instant) {
+        self.started = corrected(self.started);
+        for known in self.models.values_mut().flatten() {
+            if let NamingTime::NotBefore(at) = &mut known.named {
+                *at = corrected(*at);
+            }
+        }
+    }
+
     /// Returns the versions of a model's weights that are required, each with the time from which it is.
     ///
     /// Versions that were named before the first read count as named long ago. The bound does not
--- a/components/gateway/src/weights/tests.rs
+++ b/components/gateway/src/weights/tests.rs
@@ -111,3 +111,23 @@
     assert_eq!(named.newest(&model(), read_at), Some(newest));
     assert!(!named.record_named_age(&model(), NamedVersion { age_ms: 0, ..newest }, read_at));
 }
+
+/// A suspension that the clock did not count postponed the requirement past the bound.
+#[test]
+fn weights_named_before_a_suspension_are_required_earlier_by_its_length() {
+    let start = Instant::now();
+    let mut named = NamedWeights::new(Bounds::default(), MARGIN, start);
+    named.record(&model(), WeightsVersion(2), NamingTime::BeforeFirstRead);
+    let named_at = start + Duration::from_secs(60);
+    named.record(&model(), WeightsVersion(3), NamingTime::NotBefore(named_at));
+    let due = |named: &NamedWeights| -> Vec<Instant> {
+        named.required(&model()).iter().map(|required| required.effective_at).collect()
+    };
+    let before = due(&named);
+    let suspended = Duration::from_secs(2);
+    named.correct_times(|at| at - suspended);
+    let earlier: Vec<Instant> = before.iter().map(|at| *at - suspended).collect();
+    assert_eq!(due(&named), earlier);
+    let newest = NamedVersion { version: 3, age_ms: 2000 };
+    assert_eq!(named.newest(&model(), named_at), Some(newest));
+}
--- a/components/lifecycle/src/pauses.rs
+++ b/components/lifecycle/src/pauses.rs
@@ -31,6 +31,19 @@
     ended: Instant,
     /// Total length.
     pub length: Duration,
+    /// Part of the length that `Instant` did not count.
+    pub uncounted: Duration,
+}
+
+impl Pause {
+    /// A time that was read before the end of the pause, moved back by what was not counted: the time
+    /// since then is right again.
+    pub fn corrected(&self, at: Instant) -> Instant {
+        match at < self.ended {
+            true => at.checked_sub(self.uncounted).unwrap_or(at),
+            false => at,
+        }
+    }
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -40,12 +53,13 @@
 }
 
 /// The last pauses of the process. A periodic task calls `observe`; a longer gap between two calls
-/// than that task explains is a pause.
+/// than that task explains is a pause. Whoever keeps times that were read before a pause corrects them.
 #[derive(Debug)]
 pub struct Pauses {
     /// Maximum time between two observations of a process that runs.
     max_gap: Duration,
     last: Observation,
+    /// In ascending order, with times as they were read.
     recent: VecDeque<Pause>,
 }
 
@@ -59,11 +73,12 @@
     pub fn observe(&mut self, at: Instant, boot: BootTime) -> Option<Pause> {
         let last = std::mem::replace(&mut self.last, Observation { at, boot });
         let counted = at.saturating_duration_since(last.at);
-        let length = boot.0.saturating_sub(last.boot.0).max(counted);
+        let uncounted = boot.0.saturating_sub(last.boot.0).saturating_sub(counted);
+        let length = counted + uncounted;
         if length <= self.max_gap {
             return None;
         }
-        let pause = Pause { began: last.at, ended: at, length };
+        let pause = Pause { began: last.at, ended: at, length, uncounted };
         if self.recent.len() == KEPT_PAUSES {
             self.recent.pop_front();
         }
@@ -71,12 +86,17 @@
         Some(pause)
     }
 
+    /// A time as it was read, corrected by all pauses since.
+    pub fn corrected(&self, at: Instant) -> Instant {
+        self.recent.iter().fold(at, |at, pause| pause.corrected(at))
+    }
+
     /// The earliest time at which something can have happened that is learned at `now`, if all that
     /// happened before `known_until` is known: `now`, unless the process was paused in between. `now`
-    /// must have been observed.
+    /// must have been observed, and `known_until` corrected.
     pub fn learned_since(&self, known_until: Instant, now: Instant) -> Instant {
-        let first = self.recent.iter().find(|pause| pause.ended > known_until);
-        first.map_or(now, |pause| pause.began.max(known_until))
+        let first = self.recent.iter().find(|pause| self.corrected(pause.ended) > known_until);
+        first.map_or(now, |pause| self.corrected(pause.began).max(known_until))
     }
 }
 
--- a/components/lifecycle/src/pauses/tests.rs
+++ b/components/lifecycle/src/pauses/tests.rs
@@ -27,6 +27,11 @@
         self.boot.0 += time;
     }
 
+    /// Lets time pass that only the boot time counts.
+    fn suspend(&mut self, time: Duration) {
+        self.boot.0 += time;
+    }
+
     /// Observes at each interval for a while, and returns the pauses that were found.
     fn run(&mut self, time: Duration, interval: Duration) -> Vec<Pause> {
         let end = self.now + time;
@@ -107,10 +112,55 @@
 #[test]
 fn a_suspension_that_only_the_boot_time_counts_is_a_pause() {
     let mut process = Process::start();
-    process.boot.0 += Duration::from_secs(2);
+    process.suspend(Duration::from_secs(2));
     process.pass(TICK);
-    let pause = process.observe();
-    assert_eq!(pause.map(|pause| pause.length), Some(Duration::from_secs(2) + TICK));
+    let pause = process.observe().unwrap();
+    assert_eq!(pause.length, Duration::from_secs(2) + TICK);
+    assert_eq!(pause.uncounted, Duration::from_secs(2));
+    assert_eq!(process.age(pause.corrected(process.start)), pause.length);
+}
+
+/// Weights named before a suspension were required later by its length, after their bound.
+#[test]
+fn a_time_before_a_suspension_is_as_long_ago_as_the_boot_time_says() {
+    let mut process = Process::start();
+    let mut read = Vec::new();
+    for suspended in [Duration::ZERO, Duration::from_secs(2), Duration::from_secs(3)] {
+        read.push((process.now, process.boot));
+        process.run(Duration::from_secs(1), TICK);
+        process.suspend(suspended);
+        process.pass(TICK);
+        process.observe();
+        read.push((process.now, process.boot));
+        process.run(Duration::from_millis(500), TICK);
+    }
+    for (at, boot) in read {
+        let age = process.now - process.pauses.corrected(at);
+        assert_eq!(age, process.boot.0 - boot.0);
+    }
+}
+
+#[test]
+fn a_freeze_that_the_clock_counted_corrects_nothing() {
+    let mut process = Process::start();
+    process.pass(Duration::from_secs(2));
+    let pause = process.observe().unwrap();
+    assert_eq!(pause.corrected(process.start), process.start);
+    assert_eq!(process.pauses.corrected(process.start), process.start);
+}
+
+#[test]
+fn what_is_learned_after_two_suspensions_may_have_happened_in_the_first_one() {
+    let mut process = Process::start();
+    let mut known_until = process.start;
+    for _ in 0..2 {
+        process.suspend(Duration::from_secs(2));
+        process.pass(TICK);
+        known_until = process.observe().unwrap().corrected(known_until);
+    }
+    assert_eq!(process.age(known_until), (Duration::from_secs(2) + TICK) * 2);
+    let between = process.pauses.corrected(process.start + TICK);
+    assert_eq!(process.age(between), Duration::from_secs(2) + TICK);
 }
 
 #[test]
@@ -119,3 +169,17 @@
     assert!(BootTime::now() >= before);
     assert!(before > BootTime(Duration::ZERO));
 }
+
+#[test]
+fn a_pause_before_the_last_knowledge_does_not_count_after_a_suspension() {
+    let mut process = Process::start();
+    process.pass(Duration::from_secs(1));
+    process.observe();
+    process.run(Duration::from_secs(1), TICK);
+    let known_until = process.now;
+    process.run(Duration::from_secs(1), TICK);
+    process.suspend(Duration::from_secs(3));
+    process.pass(TICK);
+    let known_until = process.observe().unwrap().corrected(known_until);
+    assert_eq!(process.age(known_until), Duration::from_secs(3) + TICK);
+}
