Load weights named before a suspension of a stager within their bound

What callers saw: nothing yet; found by reading. A stager whose VM was suspended after weights were named takes them for newer by the length of the suspension: it waits longer for its turn to load, and tells neighbours too low an age. Cause: as at the gateway, the steady clock does not count a suspension. Change: the stager observes its pauses with each flush of the log (every 250 ms, a pause from 750 ms on) and before it takes an age from a message, and moves the times of the named version and of the download back by what was not counted. Not changed: an age in a message that waited while the process was paused counts as sent now. Seen: tests of lifecycle, gateway, directory, stager and platform pass. No test covers the wiring in the stager: the correction is tested in lifecycle, and no test can suspend a process.

--- a/components/stager/src/process.rs
+++ b/components/stager/src/process.rs
@@ -15,8 +15,8 @@
 use http::Request;
 use hyper::body::Incoming;
 use lifecycle::{
-    FLUSH_INTERVAL, SettingsFile, internal_accept_settings, listen, run_maintenance, serve_metrics,
-    wait_for_stop_signal,
+    BootTime, FLUSH_INTERVAL, Pauses, SettingsFile, internal_accept_settings, listen,
+    run_maintenance, serve_metrics, wait_for_stop_signal,
 };
 use peering::PeerSocket;
 use slog::{Logger, info};
@@ -28,7 +28,10 @@
 };
 use transport::{ConnectionPool, PoolSettings, StopPhase};
 
-use crate::{settings::StagerSettings, shared::Stager};
+use crate::{
+    settings::StagerSettings,
+    shared::{MAX_FLUSH_GAP, Stager, now},
+};
 
 /// Runs the process until a signal stops it. `file` is the settings file that `process` was read
 /// from.
@@ -66,6 +69,7 @@
         loading: Cell::default(),
         download: RefCell::default(),
         named: Cell::default(),
+        pauses: RefCell::new(Pauses::new(MAX_FLUSH_GAP, now(), BootTime::now())),
         fetch_wakeup: Notify::new(),
         piece_arrived: Notify::new(),
         load_wakeup: Notify::new(),
@@ -85,8 +89,13 @@
     spawn_local(stager.clone().fetch_loop());
     spawn_local(stager.clone().load_loop());
     spawn_local(stager.clone().watch_settings(file));
-    let (pool, page) = (stager.clone(), stager.metrics.clone());
-    spawn_local(run_maintenance(lines.clone(), page, || (), move || pool.pool.close_expired()));
+    let (observer, pool, page) = (stager.clone(), stager.clone(), stager.metrics.clone());
+    spawn_local(run_maintenance(
+        lines.clone(),
+        page,
+        move || observer.observe_pauses(),
+        move || pool.pool.close_expired(),
+    ));
     wait_for_stop_signal().await?;
     stop.send_replace(StopPhase::Closing);
     info!(stager.log, "stopped");
--- a/components/stager/src/shared.rs
+++ b/components/stager/src/shared.rs
@@ -12,6 +12,7 @@
 use bytes::Bytes;
 use catalog::{EngineReport, LocalEndpoint, ProcessSettings, WeightsVersion};
 use chunks::LinkLimiter;
+use lifecycle::{BootTime, FLUSH_INTERVAL, Pauses};
 use peering::{Inventory, NamedVersion, PeerSocket, PieceSet};
 use slog::{Logger, info};
 use telemetry::MetricsHandle;
@@ -81,6 +82,8 @@
     pub(crate) download: RefCell<Option<Download>>,
     /// The newest named version and a time before which it was not named.
     pub(crate) named: Cell<Option<(u64, Instant)>>,
+    /// Observed with each flush of the log, and before what depends on it.
+    pub(crate) pauses: RefCell<Pauses>,
     /// Wakes the fetch task.
     pub(crate) fetch_wakeup: Notify,
     /// Wakes the requests that wait for a piece or for the digests.
@@ -101,6 +104,8 @@
     tokio::time::Instant::now().into_std()
 }
 
+/// Time between two flushes of the log from which the process counts as paused.
+pub(crate) const MAX_FLUSH_GAP: Duration = FLUSH_INTERVAL.saturating_mul(3);
 /// Time without a message after which a neighbour's last inventory is ignored.
 const NEIGHBOUR_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -127,6 +132,7 @@
     /// Handles a weights version that the operator named, as learned from a gateway, a neighbour or
     /// the store.
     pub(crate) fn handle_named_version(&self, named: NamedVersion) {
+        self.observe_pauses();
         let named_at = now().checked_sub(Duration::from_millis(named.age_ms.into()));
         let named_at = named_at.unwrap_or_else(now);
         let known = self.named.get();
@@ -138,6 +144,20 @@
         }
     }
 
+    /// Records that the process runs. Logs a pause that has just ended, and corrects the times of named
+    /// versions if the clock has not counted it.
+    pub(crate) fn observe_pauses(&self) {
+        let ended = self.pauses.borrow_mut().observe(now(), BootTime::now());
+        let Some(pause) = ended else { return };
+        info!(self.log, "process was paused"; "paused_ms" => pause.length.as_millis() as u64,
+            "uncounted_ms" => pause.uncounted.as_millis() as u64);
+        let corrected = |(version, named_at)| (version, pause.corrected(named_at));
+        self.named.set(self.named.get().map(corrected));
+        if let Some(download) = self.download.borrow_mut().as_mut() {
+            download.named_at = download.named_at.map(|at| pause.corrected(at));
+        }
+    }
+
     /// The newest named version and its current age, for messages to others.
     pub(crate) fn newest_named(&self) -> Option<NamedVersion> {
         let (version, named_at) = self.named.get()?;
