--- a/components/directory/src/history/tests.rs
+++ b/components/directory/src/history/tests.rs
@@ -104,3 +104,13 @@
     assert_eq!(known(true, 300), Duration::ZERO, "more may have been named on the way");
     assert_eq!(known(true, 9000), Duration::ZERO);
 }
+
+/// A gateway that was suspended took its knowledge for newer than it was.
+#[test]
+fn knowledge_from_before_a_suspension_is_older_by_its_length() {
+    let start = Instant::now();
+    let mut history = history(start);
+    let suspended = Duration::from_millis(1);
+    history.correct_times(|at| at - suspended);
+    assert_eq!(history.age(start), Some(suspended));
+}
--- a/components/directory/src/progress.rs
+++ b/components/directory/src/progress.rs
@@ -140,6 +140,12 @@
         self.known_until.filter(|_| self.history.batches_after(after) <= 1)
     }
 
+    /// Corrects the times after the clock has not counted a suspension of the VM.
+    pub fn correct_times(&mut self, corrected: impl Fn(Instant) -> Instant) {
+        self.known_until = self.known_until.map(&corrected);
+        self.history.correct_times(corrected);
+    }
+
     /// Time since the store was last known to have no newer change.
     pub fn age(&self, now: Instant) -> Option<Duration> {
         self.history.age(now)
--- a/components/directory/src/progress/tests.rs
+++ b/components/directory/src/progress/tests.rs
@@ -108,3 +108,15 @@
     assert_eq!(known(22), Some(start));
     assert_eq!(known(25), Some(start));
 }
+
+#[test]
+fn what_was_known_before_a_suspension_is_older_by_its_length() {
+    let start = Instant::now();
+    let mut progress = StoreProgress::default();
+    progress.accept_snapshot(position(1, 20), start).unwrap();
+    progress.record_known(start);
+    let suspended = Duration::from_millis(1);
+    progress.correct_times(|at| at - suspended);
+    assert_eq!(progress.known_until(), Some(start - suspended));
+    assert_eq!(progress.age(start), Some(suspended));
+}
--- a/components/gateway/src/store_follower.rs
+++ b/components/gateway/src/store_follower.rs
@@ -33,6 +33,8 @@
     sources: SourceSelection,
     /// The source of the last changes, for the log.
     source: ChangeSource,
+    /// Whether a request for changes failed since changes were last learned.
+    interrupted: bool,
     /// When the store became unreachable.
     lost_at: Option<Instant>,
     /// How long endpoints that are missing from the store get to register again.
@@ -51,6 +53,7 @@
             reader,
             sources,
             source: ChangeSource::Store,
+            interrupted: false,
             lost_at: None,
             reregistration,
         }
@@ -82,6 +85,7 @@
                 Duration::ZERO
             }
             Recovery::Retry => {
+                self.interrupted = true;
                 // The first failure may be one of the connection, so the store is asked again.
                 if self.lost_at.is_some() {
                     self.sources.record_store_failure(now());
@@ -123,6 +127,7 @@
         }
         let sent_at = now();
         let snapshot = self.reader.read(self.known_era(), false).await?;
+        let sent_at = self.gateway.corrected_time(sent_at);
         let named = self.naming_time();
         self.accept_snapshot(snapshot, named, sent_at)
     }
@@ -132,6 +137,7 @@
         let wait = self.gateway.settings.catch_up_wait;
         let sent_at = now();
         let watched = self.reader.watch(snapshot.position, wait).await?;
+        let sent_at = self.gateway.corrected_time(sent_at);
         let named = self.naming_time();
         snapshot.position = watched.position;
         self.accept_snapshot(snapshot, named, sent_at)?;
@@ -139,7 +145,7 @@
         Ok(())
     }
 
-    /// When weights that are learned next can have been named.
+    /// When weights that a read of the whole store finds can have been named.
     fn naming_time(&self) -> NamingTime {
         match self.gateway.store_progress.borrow().known_until() {
             Some(at) => NamingTime::NotBefore(at),
@@ -147,6 +153,19 @@
         }
     }
 
+    /// When weights among the next changes can have been named. They are learned within the margin of
+    /// the version bound, unless the process was paused or requests for changes failed.
+    fn naming_time_of_changes(&self) -> NamingTime {
+        self.gateway.observe_pauses();
+        match self.naming_time() {
+            NamingTime::NotBefore(known_until) if !self.interrupted => {
+                let pauses = self.gateway.pauses.borrow();
+                NamingTime::NotBefore(pauses.learned_since(known_until, now()))
+            }
+            named => named,
+        }
+    }
+
     fn known_era(&self) -> StoreEra {
         self.gateway.store_progress.borrow().era()
     }
@@ -167,6 +186,7 @@
             progress.record_known(sent_at);
             (before, restored)
         };
+        self.interrupted = false;
         let origin = match restored {
             Some(_) => ListingOrigin::OlderCopy,
             None => ListingOrigin::Current,
@@ -189,6 +209,7 @@
     async fn watch_store(&mut self, at: StorePosition) -> Result<bool, ReadError> {
         let (sent_at, wait) = (now(), self.store_wait());
         let watched = self.reader.watch(at, wait).await?;
+        let sent_at = self.gateway.corrected_time(sent_at);
         let changed = !watched.entries.is_empty();
         let known_until = known_by_watch(sent_at, wait, changed, now());
         self.accept_changes(watched, now(), Some(known_until))?;
@@ -227,6 +248,7 @@
             Err(err) => {
                 info!(self.gateway.log, "changes not learned from a gateway";
                     "entry" => %ip, "error" => %err);
+                self.interrupted = true;
                 self.sources.record_failure(ip, now());
             }
         }
@@ -238,12 +260,13 @@
         confirmed_at: Instant,
         known_until: Option<Instant>,
     ) -> Result<(), ReadError> {
-        let named = self.naming_time();
+        let named = self.naming_time_of_changes();
         {
             let mut progress = self.gateway.store_progress.borrow_mut();
             progress.accept_changes(&watched, confirmed_at)?;
             if let Some(until) = known_until {
                 progress.record_known(until);
+                self.interrupted = false;
             }
         }
         self.handle_store_regained();
