Give the endpoint back when a request leaves after its decision

What callers may see: an endpoint that counts as busy for as long as the gateway runs, so that fewer requests are sent to it and more are refused. Cause: the dispatcher's decision on a queued request was handed over as a bare value. Only a request that was dropped before the decision was handed over was handled.

Change: the channel carries the assignment itself, which reports its end when it is dropped.

Ruled out: a check in the guard of queued requests alone, which would stand beside the one in Assignment.

--- a/components/gateway/src/hedge.rs
+++ b/components/gateway/src/hedge.rs
@@ -10,7 +10,6 @@
 };
 
 use catalog::WeightsVersion;
-use dispatch::Refusal;
 use metrics::counter;
 use slog::info;
 use telemetry::names;
@@ -21,10 +20,10 @@
     in_progress::{AttemptInProgress, AttemptsInProgress},
     request::RequestContext,
     serve::{AttemptHistory, REFUSED_RETRY_AFTER},
-    state::{Assignment, Gateway, InFlight, now},
+    state::{AcquireResult, Assignment, Gateway, InFlight, now},
 };
 
-type AcquireFuture = Pin<Box<dyn Future<Output = Result<Assignment, (Refusal, Duration)>>>>;
+type AcquireFuture = Pin<Box<dyn Future<Output = AcquireResult>>>;
 
 /// The stream that is being forwarded.
 struct StreamProgress {
@@ -180,10 +179,7 @@
         None
     }
 
-    fn handle_acquired(
-        &mut self,
-        acquired: Result<Assignment, (Refusal, Duration)>,
-    ) -> Option<HedgeEvent> {
+    fn handle_acquired(&mut self, acquired: AcquireResult) -> Option<HedgeEvent> {
         match acquired {
             Err((reason, retry_after)) => Some(self.deny(reason.name(), retry_after)),
             Ok(_) if self.sent_count() > 0 && !self.take_retry() => {
@@ -305,9 +301,7 @@
 }
 
 /// Waits for the endpoint of the next attempt, if one is wanted.
-async fn next_assignment(
-    acquiring: &mut Option<AcquireFuture>,
-) -> Result<Assignment, (Refusal, Duration)> {
+async fn next_assignment(acquiring: &mut Option<AcquireFuture>) -> AcquireResult {
     poll_fn(|cx| {
         let Some(future) = acquiring else { return Poll::Pending };
         let polled = future.as_mut().poll(cx);
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -46,8 +46,8 @@
     pub(crate) metrics: MetricsHandle,
     pub(crate) config: RefCell<Option<Arc<Config>>>,
     pub(crate) dispatcher: RefCell<Dispatcher>,
-    /// Channels for the decisions on queued requests.
-    pending_decisions: RefCell<HashMap<RequestKey, oneshot::Sender<Decision>>>,
+    /// Channels for the results of queued requests.
+    pending_results: RefCell<HashMap<RequestKey, oneshot::Sender<AcquireResult>>>,
     pub(crate) pool: ConnectionPool,
     pub(crate) socket: PeerSocket,
     pub(crate) suspects: RefCell<SuspectRequests>,
@@ -106,6 +106,10 @@
     end: EndpointOutcome,
 }
 
+/// The endpoint that a request is assigned to, or why it is refused and the time after which the
+/// caller may retry.
+pub(crate) type AcquireResult = Result<Assignment, (Refusal, Duration)>;
+
 impl Assignment {
     /// Reports that the first event has arrived.
     pub(crate) fn mark_started(&self) {
@@ -148,7 +152,7 @@
 
 impl Drop for PendingGuard<'_> {
     fn drop(&mut self) {
-        if self.gateway.pending_decisions.borrow_mut().remove(&self.key).is_some() {
+        if self.gateway.pending_results.borrow_mut().remove(&self.key).is_some() {
             self.gateway.dispatcher.borrow_mut().cancel(self.key);
         }
     }
@@ -171,7 +175,7 @@
             metrics,
             config: RefCell::default(),
             dispatcher: RefCell::new(dispatcher),
-            pending_decisions: RefCell::default(),
+            pending_results: RefCell::default(),
             pool,
             socket,
             suspects: RefCell::default(),
@@ -222,38 +226,34 @@
             && dispatcher.record_silence(silent.endpoint, silent.key, now())
     }
 
-    /// Waits until the request is assigned to an endpoint or refused. A refusal carries its reason and
-    /// the time after which the caller may retry.
-    pub(crate) async fn acquire(
-        self: &Rc<Gateway>,
-        request: PendingRequest,
-    ) -> Result<Assignment, (Refusal, Duration)> {
+    /// Waits until the request is assigned to an endpoint or refused.
+    pub(crate) async fn acquire(self: &Rc<Gateway>, request: PendingRequest) -> AcquireResult {
         let (key, decision) = self.dispatcher.borrow_mut().submit(request, now());
-        let decision = match key {
-            None => decision,
-            Some(key) => self.wait_for_decision(key).await,
-        };
+        match key {
+            None => self.acquired(decision),
+            Some(key) => self.wait_for_result(key).await,
+        }
+    }
+
+    fn acquired(self: &Rc<Gateway>, decision: Decision) -> AcquireResult {
         match decision {
-            Decision::Send { endpoint, in_flight: key, expected } => {
-                let gateway = self.clone();
-                Ok(Assignment {
-                    gateway,
-                    in_flight: InFlight { endpoint, key },
-                    expected,
-                    end: EndpointOutcome::Inconclusive,
-                })
-            }
+            Decision::Send { endpoint, in_flight: key, expected } => Ok(Assignment {
+                gateway: self.clone(),
+                in_flight: InFlight { endpoint, key },
+                expected,
+                end: EndpointOutcome::Inconclusive,
+            }),
             Decision::Refuse { reason, retry_after } => Err((reason, retry_after)),
             Decision::Wait => Err((Refusal::Overload, self.settings.poll_interval)),
         }
     }
 
-    async fn wait_for_decision(&self, key: RequestKey) -> Decision {
+    async fn wait_for_result(self: &Rc<Gateway>, key: RequestKey) -> AcquireResult {
         let (sender, receiver) = oneshot::channel();
-        self.pending_decisions.borrow_mut().insert(key, sender);
+        self.pending_results.borrow_mut().insert(key, sender);
         let _guard = PendingGuard { gateway: self, key };
         self.poll_notify.notify_one();
-        receiver.await.unwrap_or(Decision::Wait)
+        receiver.await.unwrap_or_else(|_| self.acquired(Decision::Wait))
     }
 
     /// Decides on queued requests after each event that may matter to them, and periodically while
@@ -279,23 +279,16 @@
     }
 
     /// Asks the dispatcher for decisions on queued requests.
-    fn poll(&self) {
-        let now = now();
-        let decided = self.dispatcher.borrow_mut().poll(now);
+    fn poll(self: &Rc<Gateway>) {
+        let decided = self.dispatcher.borrow_mut().poll(now());
         for (key, decision) in decided {
-            let sender = self.pending_decisions.borrow_mut().remove(&key);
-            let delivered = sender.map(|sender| sender.send(decision));
-            if let (Decision::Send { endpoint, in_flight: flight, .. }, None | Some(Err(_))) =
-                (decision, delivered)
-            {
-                // The caller disconnected at the same moment.
-                self.dispatcher.borrow_mut().record_result(
-                    endpoint,
-                    flight,
-                    EndpointOutcome::Inconclusive,
-                    now,
-                );
-            }
+            let result = self.acquired(decision);
+            let sender = self.pending_results.borrow_mut().remove(&key);
+            // If the caller disconnected at the same moment, the assignment ends with the result.
+            let _ = sender.map(|sender| sender.send(result));
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
