Show that second attempts beyond the retry budget fill the queue

What callers may see: 503 with reason=overload for new requests, of any service of the gateway, while endpoints are silent. Cause: a silent request may queue for another endpoint whenever one retry is left, but takes it from the budget only when it is sent. So all silent requests queue for the few retries that are left, and the queue, which all services share, is full. No change of the gateway yet.

--- a/components/gateway/src/hedge.rs
+++ b/components/gateway/src/hedge.rs
@@ -324,3 +324,6 @@
         None => std::future::pending().await,
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -291,4 +291,4 @@
 }
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
--- a/components/gateway/src/state/tests.rs
+++ b/components/gateway/src/state/tests.rs
@@ -9,7 +9,7 @@
 
 use super::*;
 
-const OBJECTIVE: Duration = Duration::from_secs(60);
+pub(crate) const OBJECTIVE: Duration = Duration::from_secs(60);
 
 fn process() -> ProcessSettings {
     ProcessSettings {
@@ -46,7 +46,7 @@
     }
 }
 
-fn request() -> PendingRequest {
+pub(crate) fn request() -> PendingRequest {
     PendingRequest {
         service: "plain".parse().unwrap(),
         size: None,
@@ -62,7 +62,8 @@
     }
 }
 
-async fn gateway() -> Rc<Gateway> {
+/// A gateway with one endpoint, without network.
+pub(crate) async fn gateway() -> Rc<Gateway> {
     let dispatcher = Dispatcher::new(DispatchSettings::default(), "a".parse().unwrap(), Vec::new());
     let socket = PeerSocket::bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
     let log = Logger::root(Discard, o!());
