--- a/components/gateway/src/hedge.rs
+++ b/components/gateway/src/hedge.rs
@@ -9,8 +9,8 @@
     time::{Duration, Instant},
 };
 
+use base::ServiceId;
 use catalog::WeightsVersion;
-use dispatch::Refusal;
 use metrics::counter;
 use slog::info;
 use telemetry::names;
@@ -21,10 +21,10 @@
     in_progress::{AttemptInProgress, AttemptsInProgress},
     request::RequestContext,
     serve::{AttemptHistory, REFUSED_RETRY_AFTER},
-    state::{Assignment, Gateway, InFlight, now},
+    state::{AcquireResult, Assignment, Gateway, InFlight, now},
 };
 
-type AcquireFuture = Pin<Box<dyn Future<Output = Result<Assignment, (Refusal, Duration)>>>>;
+type AcquireFuture = Pin<Box<dyn Future<Output = AcquireResult>>>;
 
 /// The stream that is being forwarded.
 struct StreamProgress {
@@ -36,6 +36,31 @@
     is_silent: bool,
 }
 
+/// A retry that was taken from the budget for a request that waits for an endpoint. Given back on
+/// drop.
+struct ReservedRetry {
+    gateway: Rc<Gateway>,
+    service: ServiceId,
+    taken_at: Instant,
+}
+
+impl ReservedRetry {
+    /// Makes the retry, which counts from now on.
+    fn spend(self) {
+        let (gateway, service) = (self.gateway.clone(), self.service.clone());
+        drop(self);
+        gateway.dispatcher.borrow_mut().retry_budget.try_take(&service, now());
+        counter!(names::RETRIES, "allowed" => "true").increment(1);
+    }
+}
+
+impl Drop for ReservedRetry {
+    fn drop(&mut self) {
+        let mut dispatcher = self.gateway.dispatcher.borrow_mut();
+        dispatcher.retry_budget.give_back(&self.service, self.taken_at);
+    }
+}
+
 /// What happened to the attempts of a request.
 pub(crate) enum HedgeEvent {
     /// An attempt ended.
@@ -55,6 +80,8 @@
     in_progress: AttemptsInProgress,
     /// Waits for an endpoint for the next attempt.
     acquiring: Option<AcquireFuture>,
+    /// The retry for the attempt that waits for an endpoint, unless it is the first one.
+    reserved: Option<ReservedRetry>,
     /// `None` until the first event of a stream arrived.
     stream: Option<StreamProgress>,
 }
@@ -73,6 +100,7 @@
             plan: AttemptPlan::new(limits, now()),
             in_progress: AttemptsInProgress::default(),
             acquiring: None,
+            reserved: None,
             stream: None,
         }
     }
@@ -128,6 +156,7 @@
     fn restart_silence(&mut self) {
         self.in_progress.clear();
         self.acquiring = None;
+        self.reserved = None;
         self.plan.postpone(now() + self.gateway.settings.stream_silence_timeout);
     }
 
@@ -169,10 +198,12 @@
 
     /// Starts to wait for an endpoint, if the retry budget allows it.
     fn start_acquiring(&mut self) -> Option<HedgeEvent> {
-        let has_budget = self.sent_count() == 0 || self.has_retry();
-        self.record_silence(has_budget);
-        if !has_budget {
-            return Some(self.deny("budget", REFUSED_RETRY_AFTER));
+        if self.sent_count() > 0 {
+            self.reserved = self.reserve_retry();
+            self.record_silence(self.reserved.is_some());
+            if self.reserved.is_none() {
+                return Some(self.deny("budget", REFUSED_RETRY_AFTER));
+            }
         }
         let request = self.context.pending_request(&self.history.endpoints, self.stream.is_some());
         let gateway = self.gateway.clone();
@@ -180,16 +211,16 @@
         None
     }
 
-    fn handle_acquired(
-        &mut self,
-        acquired: Result<Assignment, (Refusal, Duration)>,
-    ) -> Option<HedgeEvent> {
+    fn handle_acquired(&mut self, acquired: AcquireResult) -> Option<HedgeEvent> {
         match acquired {
-            Err((reason, retry_after)) => Some(self.deny(reason.name(), retry_after)),
-            Ok(_) if self.sent_count() > 0 && !self.take_retry() => {
-                Some(self.deny("budget", REFUSED_RETRY_AFTER))
+            Err((reason, retry_after)) => {
+                self.reserved = None;
+                Some(self.deny(reason.name(), retry_after))
             }
             Ok(assignment) => {
+                if let Some(reserved) = self.reserved.take() {
+                    reserved.spend();
+                }
                 self.send(assignment);
                 None
             }
@@ -266,23 +297,17 @@
         HedgeEvent::Denied { reason, retry_after }
     }
 
-    /// Whether the retry budget of the service allows another attempt.
-    fn has_retry(&self) -> bool {
+    /// Takes one retry from the retry budget of the service, so that no more requests wait for another
+    /// endpoint than may be sent to one. `None` if the budget is used up.
+    fn reserve_retry(&self) -> Option<ReservedRetry> {
+        let taken_at = now();
+        let service = self.context.service.clone();
         let mut dispatcher = self.gateway.dispatcher.borrow_mut();
-        let allowed = dispatcher.retry_budget.has_retry(&self.context.service, now());
-        if !allowed {
+        if !dispatcher.retry_budget.try_take(&service, taken_at) {
             counter!(names::RETRIES, "allowed" => "false").increment(1);
+            return None;
         }
-        allowed
-    }
-
-    /// Takes one retry from the retry budget of the service. Returns false if the budget is used up.
-    fn take_retry(&self) -> bool {
-        let mut dispatcher = self.gateway.dispatcher.borrow_mut();
-        let taken = dispatcher.retry_budget.try_take(&self.context.service, now());
-        let allowed = if taken { "true" } else { "false" };
-        counter!(names::RETRIES, "allowed" => allowed).increment(1);
-        taken
+        Some(ReservedRetry { gateway: self.gateway.clone(), service, taken_at })
     }
 
     /// Records once that the endpoint that was asked last did not answer in time. One that loads
@@ -305,9 +330,7 @@
 }
 
 /// Waits for the endpoint of the next attempt, if one is wanted.
-async fn next_assignment(
-    acquiring: &mut Option<AcquireFuture>,
-) -> Result<Assignment, (Refusal, Duration)> {
+async fn next_assignment(acquiring: &mut Option<AcquireFuture>) -> AcquireResult {
     poll_fn(|cx| {
         let Some(future) = acquiring else { return Poll::Pending };
         let polled = future.as_mut().poll(cx);
@@ -330,3 +353,6 @@
         None => std::future::pending().await,
     }
 }
+
+#[cfg(test)]
+mod tests;
