Leave the endpoint at the deadline of a stream whose caller does not read

What callers may see: an endpoint's slot taken by a stream that no one reads, and a gateway that keeps the request as in progress. Cause: while the parts that are buffered for a slow caller were full, the relay waited for room alone and noticed no deadline; and at the end of a broken stream it kept its endpoints until the error was handed to the caller.

Change: waiting for room ends at the deadline as well, and the endpoints are left before the caller is told.

--- a/components/gateway/src/hedge.rs
+++ b/components/gateway/src/hedge.rs
@@ -124,9 +124,14 @@
         }
     }
 
-    fn restart_silence(&mut self) {
+    /// Ends all attempts, the one whose stream is forwarded excepted.
+    pub(crate) fn end_attempts(&mut self) {
         self.in_progress.clear();
         self.acquiring = None;
+    }
+
+    fn restart_silence(&mut self) {
+        self.end_attempts();
         self.plan.postpone(now() + self.gateway.settings.stream_silence_timeout);
     }
 
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -159,23 +159,32 @@
     async fn forward(&mut self, data: Bytes) -> Option<StreamEnd> {
         self.heard_at = now();
         let whole = self.events.push(data);
-        if !self.send_to_caller(whole).await {
-            return Some(StreamEnd::CallerGone);
+        if let Some(end) = self.send_to_caller(whole).await {
+            return Some(end);
         }
         self.hedge.record_event(self.events.last_id());
         None
     }
 
-    /// Sends events to the caller. Returns false if the caller disconnected.
-    async fn send_to_caller(&mut self, events: Bytes) -> bool {
-        events.is_empty() || self.sender.send(Ok(events)).await.is_ok()
+    /// Sends events to the caller, which may have to read earlier ones first. Returns how the response
+    /// ends, if it does.
+    async fn send_to_caller(&mut self, events: Bytes) -> Option<StreamEnd> {
+        if events.is_empty() {
+            return None;
+        }
+        let deadline = tokio::time::Instant::from_std(self.context.deadline);
+        tokio::select! {
+            biased;
+            sent = self.sender.send(Ok(events)) => sent.is_err().then_some(StreamEnd::CallerGone),
+            () = sleep_until(deadline) => Some(StreamEnd::Late),
+        }
     }
 
     /// Handles the end of a complete stream.
     async fn complete(&mut self) -> StreamEnd {
         let rest = self.events.remainder();
-        if !self.send_to_caller(rest).await {
-            return StreamEnd::CallerGone;
+        if let Some(end) = self.send_to_caller(rest).await {
+            return end;
         }
         if let Some(OpenStream { mut assignment, connection, head, .. }) = self.source.take() {
             assignment.set_end(EndpointOutcome::Answered);
@@ -247,8 +256,11 @@
             "pause_ms" => (now() - self.heard_at).as_millis() as u64);
     }
 
+    /// Ends the response as broken off. The endpoints are left first, as the caller may read late.
     async fn abort(&mut self, reason: &str) {
         self.log_end("broken-off", reason);
+        self.source = None;
+        self.hedge.end_attempts();
         // Sending fails only if the caller disconnected, and then no one needs the error.
         let _ = self.sender.send(Err(ResponseAborted)).await;
     }
