Let one function end an endpoint's silence, and say what the time of naming is worth

A clean-up after reading the change: record_first_event repeated record_silence_end; the invariant of RecordedVersion said 'never later', which weights learned by a watch have only up to the time that a change is on its way.

--- a/components/dispatch/src/state.rs
+++ b/components/dispatch/src/state.rs
@@ -258,14 +258,13 @@
         let Some(tracked) = self.endpoints.get_mut(endpoint) else { return };
         let Some(request) = tracked.in_flight.get_mut(in_flight) else { return };
         request.first_event_received = true;
-        if std::mem::take(&mut request.is_silent) {
-            // The pause says nothing about later predictions.
-            tracked.health.record_result(EndpointOutcome::Answered, now);
-            return;
-        }
         let took = now.saturating_duration_since(request.sent_at).as_secs_f64() * 1e3;
-        let bias = self.biases.entry(tracked.listed.service.clone()).or_default();
-        bias.record_error(took - request.expected_ms);
+        let error_ms = took - request.expected_ms;
+        let service = tracked.listed.service.clone();
+        // The pause of a silent endpoint says nothing about later predictions.
+        if !self.record_silence_end(endpoint, in_flight, now) {
+            self.biases.entry(service).or_default().record_error(error_ms);
+        }
     }
 
     /// Records that an endpoint has sent nothing of a response for too long. Its attempt goes on.
@@ -285,18 +284,21 @@
         true
     }
 
-    /// Records that an endpoint goes on with a response after it was recorded as silent.
+    /// Records that an endpoint goes on with a response. Returns whether it was recorded as silent
+    /// before.
     pub fn record_silence_end(
         &mut self,
         endpoint: EndpointKey,
         in_flight: InFlightKey,
         now: Instant,
-    ) {
-        let Some(tracked) = self.endpoints.get_mut(endpoint) else { return };
-        let Some(request) = tracked.in_flight.get_mut(in_flight) else { return };
-        if std::mem::take(&mut request.is_silent) {
+    ) -> bool {
+        let Some(tracked) = self.endpoints.get_mut(endpoint) else { return false };
+        let Some(request) = tracked.in_flight.get_mut(in_flight) else { return false };
+        let was_silent = std::mem::take(&mut request.is_silent);
+        if was_silent {
             tracked.health.record_result(EndpointOutcome::Answered, now);
         }
+        was_silent
     }
 
     /// Records that a request ended at an endpoint. A loss is not counted again if the endpoint was
--- a/components/gateway/src/weights.rs
+++ b/components/gateway/src/weights.rs
@@ -14,7 +14,7 @@
 pub(crate) enum NamingTime {
     /// At an unknown time before this process first read the store.
     BeforeFirstRead,
-    /// At this time or later: the store had not acknowledged the version before.
+    /// At this time or later, but for the time that a change is on its way.
     NotBefore(Instant),
 }
 
@@ -31,7 +31,8 @@
 #[derive(Debug, Clone, Copy)]
 struct RecordedVersion {
     version: WeightsVersion,
-    /// Never later than the store's acknowledgement, from which the version bound counts.
+    /// Later than the store's acknowledgement, from which the version bound counts, at most by the time
+    /// that a change is on its way, which is shorter than the margin.
     named: NamingTime,
 }
 
