Keep the platform's header names of tests in its own folder

Two tests of the real program wrote the header that marks an endpoint's response out; they take it from the stand-ins now, as those of the gateway do.

--- a/tests/stop.rs
+++ b/tests/stop.rs
@@ -12,8 +12,8 @@
 
 use rustix::process::{Pid, Signal, kill_process};
 use standin::{
-    ReceivedRequest, Reply, Store, endpoint_entry, free_port, response, run, serve, settings,
-    wait_until,
+    ReceivedRequest, Reply, STAMP_HEADER, Store, endpoint_entry, free_port, response, run, serve,
+    settings, wait_until,
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -82,7 +82,7 @@
 
 fn reply(request: &ReceivedRequest) -> Reply {
     let body = if request.line.contains("/safe/large") { BODY_BYTES } else { 1 };
-    Reply::Send(response("200 OK", "x-server-stamp: s1\r\n", "x".repeat(body)))
+    Reply::Send(response("200 OK", STAMP_HEADER, "x".repeat(body)))
 }
 
 /// Sends a request on a connection that stays open.
--- a/tests/stopping.rs
+++ b/tests/stopping.rs
@@ -13,8 +13,8 @@
 
 use rustix::process::{Pid, Signal, kill_process};
 use standin::{
-    ReceivedRequest, Reply, Store, endpoint_entry, free_port, response, run, serve, settings,
-    wait_until,
+    ReceivedRequest, Reply, STAMP_HEADER, Store, endpoint_entry, free_port, response, run, serve,
+    settings, wait_until,
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -122,14 +122,15 @@
 
 /// The response of the endpoint.
 fn reply(request: &ReceivedRequest) -> Reply {
-    let stamp = "x-server-stamp: s1\r\n";
     Reply::Send(match request.line.split(' ').nth(1).unwrap() {
-        "/safe/large" => response("200 OK", stamp, "x".repeat(LARGE_BYTES - END.len()) + END),
+        "/safe/large" => {
+            response("200 OK", STAMP_HEADER, "x".repeat(LARGE_BYTES - END.len()) + END)
+        }
         "/stream/large" => {
-            let head = format!("{stamp}content-type: text/event-stream\r\n");
+            let head = format!("{STAMP_HEADER}content-type: text/event-stream\r\n");
             response("200 OK", &head, events())
         }
-        _ => response("200 OK", stamp, "small"),
+        _ => response("200 OK", STAMP_HEADER, "small"),
     })
 }
 
