Log how an endpoint ended a stream when its framing leaves that open

A stream whose end is marked by nothing but its connection cannot be told, in the log, from one that was whole, nor one that ended inside an event from one that did not. The gateway now logs what marked the end of such a stream, its last whole event and the size of what came after it. No decision is changed.

--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -10,7 +10,7 @@
 use platform::keep_alive_timeout;
 use slog::info;
 use tokio::{sync::mpsc, task::spawn_local, time::sleep_until};
-use transport::ResponseAborted;
+use transport::{Framing, ResponseAborted};
 
 use crate::{
     attempt::{AttemptOutcome, LossCause, OpenStream},
@@ -183,6 +183,7 @@
     /// Handles the end of a complete stream.
     async fn complete(&mut self) -> StreamEnd {
         let rest = self.events.remainder();
+        self.log_source_end(rest.len());
         if let Some(end) = self.send_to_caller(rest).await {
             return end;
         }
@@ -242,6 +243,19 @@
         None
     }
 
+    /// Logs how the endpoint ended its stream, if its framing or its last event leaves that open.
+    fn log_source_end(&self, rest: usize) {
+        let Some(source) = &self.source else { return };
+        let framing = Framing::of(&source.head.headers);
+        if rest == 0 && framing != Framing::Connection {
+            return;
+        }
+        let id = self.context.facts.id.as_deref().map(String::from_utf8_lossy);
+        info!(self.gateway.log, "endpoint ended its stream"; "id" => id.as_deref(),
+            "endpoint" => %source.view.id, "framing" => framing.name(),
+            "after" => self.events.last_id(), "rest_bytes" => rest);
+    }
+
     fn log_not_resumed(&self, reason: &str) {
         let id = self.context.facts.id.as_deref().map(String::from_utf8_lossy);
         info!(self.gateway.log, "stream not resumed"; "id" => id.as_deref(), "reason" => reason,
--- a/components/transport/src/client.rs
+++ b/components/transport/src/client.rs
@@ -3,7 +3,10 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use http::{HeaderMap, Method, Request, Response, StatusCode, header::HOST};
+use http::{
+    HeaderMap, Method, Request, Response, StatusCode,
+    header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING},
+};
 use http_body_util::{BodyExt, Full};
 use hyper::{
     body::Incoming,
@@ -53,6 +56,39 @@
 /// A response body that is received as a stream.
 pub type ResponseBody = Incoming;
 
+/// What marks the end of a response's body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Framing {
+    /// Its stated length.
+    Length,
+    /// The last chunk.
+    Chunks,
+    /// The end of the connection, which does not tell a complete body from a truncated one.
+    Connection,
+}
+
+impl Framing {
+    /// Returns what marks the end of the body of a response with these headers.
+    pub fn of(headers: &HeaderMap) -> Framing {
+        if headers.contains_key(TRANSFER_ENCODING) {
+            Framing::Chunks
+        } else if headers.contains_key(CONTENT_LENGTH) {
+            Framing::Length
+        } else {
+            Framing::Connection
+        }
+    }
+
+    /// Returns a short name for logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Framing::Length => "length",
+            Framing::Chunks => "chunks",
+            Framing::Connection => "connection",
+        }
+    }
+}
+
 /// Builds a request for `path` at `addr`.
 pub fn request(method: Method, addr: SocketAddr, path: &str, body: Bytes) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(body));
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -7,7 +7,7 @@
 mod pool;
 mod server;
 
-pub use client::{BufferedResponse, Connection, Exchange, ResponseBody, request};
+pub use client::{BufferedResponse, Connection, Exchange, Framing, ResponseBody, request};
 pub use connect::ConnectSettings;
 pub use error::TransportError;
 pub use pool::{ConnectionPool, PoolSettings};
