Show that streams which end inside an event are forwarded as complete

Ruled out: the reset of an unframed response. Two tests of it pass on the unchanged code, as do a whole unframed stream and one with a length.

--- a/components/gateway/src/response.rs
+++ b/components/gateway/src/response.rs
@@ -81,3 +81,6 @@
     *response.headers_mut() = platform::forwarded_headers(headers);
     response
 }
+
+#[cfg(test)]
+mod tests;
