Take a stream that ends inside an event for broken off

Callers got the beginning of a stream as a complete response when its endpoint crashed. A response may have neither a length nor chunks; the HTTP client then reports the end of the connection as the regular end of the body, and the gateway forwarded what there was of the last event and ended its own response as complete.

The splitter of events now knows whether the data ends inside an event. A stream that does, whatever marked its end, or that ends with its connection before its first event, goes the way of one whose connection broke: it is resumed elsewhere or aborted. The bytes of an incomplete event are never forwarded.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -13,7 +13,7 @@
     match_request_id, weights_version,
 };
 use telemetry::names;
-use transport::{Connection, Exchange, ResponseBody, TransportError};
+use transport::{Connection, Exchange, Framing, ResponseBody, TransportError};
 
 use crate::{
     request::RequestContext,
@@ -171,10 +171,15 @@
         self.record_version(context, &assignment, &exchange.response);
         let (head, mut body) = exchange.response.into_parts();
         let connection = exchange.connection;
+        let framing = Framing::of(&head.headers);
         let until = tokio::time::Instant::from_std(context.deadline);
         let first_bytes = loop {
             match tokio::time::timeout_at(until, body.frame()).await {
                 Err(_) => return self.handle_loss(context, assignment, &view, LossCause::TimedOut),
+                // Without a length or chunks, an empty stream is one that broke off.
+                Ok(None) if framing == Framing::Connection => {
+                    return self.handle_loss(context, assignment, &view, LossCause::Broken);
+                }
                 Ok(None) => break None,
                 Ok(Some(Err(_))) => {
                     return self.handle_loss(context, assignment, &view, LossCause::Broken);
--- a/components/gateway/src/events.rs
+++ b/components/gateway/src/events.rs
@@ -9,7 +9,12 @@
 /// Splits the body of one response into complete events.
 #[derive(Debug, Default)]
 pub(crate) struct EventSplitter {
+    /// Bytes that belong to an event whose end has not arrived.
     partial: BytesMut,
+    /// The position of the end of the data.
+    position: EventPosition,
+    /// Whether a complete event has arrived since the stream began or was resumed.
+    has_event: bool,
     /// Id of the last complete event.
     last_id: Option<u64>,
     /// Id of the last event that was forwarded before the stream was resumed. Events up to this one are
@@ -17,6 +22,63 @@
     skip_until: Option<u64>,
 }
 
+/// A position in a stream of events. Lines end with a line feed, before which a carriage return may
+/// stand; an empty line ends an event.
+#[derive(Debug, Clone, Copy, Default)]
+struct EventPosition {
+    line: LineStart,
+    /// Whether a line of the current event is complete.
+    has_line: bool,
+}
+
+/// What the current line holds so far.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum LineStart {
+    #[default]
+    Empty,
+    CarriageReturn,
+    Text,
+}
+
+impl EventPosition {
+    /// Moves past one byte. Returns whether an event ends with it.
+    fn advance(&mut self, byte: u8) -> bool {
+        match (byte, self.line) {
+            (b'\n', LineStart::Text) => {
+                *self = EventPosition { line: LineStart::Empty, has_line: true };
+                false
+            }
+            (b'\n', LineStart::Empty | LineStart::CarriageReturn) => {
+                *self = EventPosition::default();
+                true
+            }
+            (b'\r', LineStart::Empty) => {
+                self.line = LineStart::CarriageReturn;
+                false
+            }
+            _ => {
+                self.line = LineStart::Text;
+                false
+            }
+        }
+    }
+
+    /// Moves past `data`. Returns the number of bytes up to the end of the last event that ends in it.
+    fn advance_all(&mut self, data: &[u8]) -> usize {
+        let mut end = 0;
+        for (at, byte) in data.iter().enumerate() {
+            if self.advance(*byte) {
+                end = at + 1;
+            }
+        }
+        end
+    }
+
+    fn is_inside_event(self) -> bool {
+        self.has_line || self.line != LineStart::Empty
+    }
+}
+
 impl EventSplitter {
     /// Creates a splitter for a response that continues after event `last`.
     pub(crate) fn starting_after(last: Option<u64>) -> EventSplitter {
@@ -28,25 +90,41 @@
         self.last_id
     }
 
+    /// Whether the data ends inside an event.
+    pub(crate) fn is_inside_event(&self) -> bool {
+        self.position.is_inside_event()
+    }
+
+    /// Whether a complete event has arrived since the stream began or was resumed.
+    pub(crate) fn has_event(&self) -> bool {
+        self.has_event
+    }
+
+    /// Number of bytes that wait for the end of their event.
+    pub(crate) fn partial_len(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Prepares for the output of another endpoint that resumes the stream: drops an incomplete event
     /// and skips events that were already forwarded.
     pub(crate) fn resume(&mut self) {
-        self.partial.clear();
-        self.skip_until = self.last_id;
+        *self = EventSplitter {
+            last_id: self.last_id,
+            skip_until: self.last_id,
+            ..EventSplitter::default()
+        };
     }
 
     /// Adds bytes of the body and returns the new complete events.
-    pub(crate) fn push(&mut self, data: Bytes) -> Bytes {
-        if self.partial.is_empty() && self.skip_until.is_none() && ends_event(&data) {
-            self.record_last_id(&data);
-            return data;
+    pub(crate) fn push(&mut self, mut data: Bytes) -> Bytes {
+        let end = self.position.advance_all(&data);
+        let rest = data.split_off(end);
+        let whole = self.complete_partial(data);
+        self.partial.extend_from_slice(&rest);
+        if whole.is_empty() {
+            return self.split_long_event();
         }
-        self.partial.extend_from_slice(&data);
-        let whole = match last_event_end(&self.partial) {
-            Some(end) => self.partial.split_to(end).freeze(),
-            None if self.partial.len() > MAX_EVENT_BYTES => self.partial.split().freeze(),
-            None => return Bytes::new(),
-        };
+        self.has_event = true;
         if self.skip_until.is_some() {
             return self.skip_duplicates(&whole);
         }
@@ -54,11 +132,23 @@
         whole
     }
 
-    /// Returns the incomplete data that is left at the end of the response.
-    pub(crate) fn remainder(&mut self) -> Bytes {
+    /// Adds data that ends with an event and returns all events that are complete now.
+    fn complete_partial(&mut self, data: Bytes) -> Bytes {
+        if self.partial.is_empty() || data.is_empty() {
+            return data;
+        }
+        self.partial.extend_from_slice(&data);
         self.partial.split().freeze()
     }
 
+    /// Returns what there is of an event that is too long to wait for its end.
+    fn split_long_event(&mut self) -> Bytes {
+        match self.partial.len() > MAX_EVENT_BYTES {
+            true => self.partial.split().freeze(),
+            false => Bytes::new(),
+        }
+    }
+
     fn record_last_id(&mut self, events: &[u8]) {
         let ids = events.split(|&b| b == b'\n').rev().filter_map(parse_id_line);
         if let Some(id) = ids.into_iter().next() {
@@ -86,18 +176,10 @@
     std::str::from_utf8(value).ok()?.trim().parse().ok()
 }
 
-fn ends_event(data: &[u8]) -> bool {
-    data.ends_with(b"\n\n") || data.ends_with(b"\r\n\r\n")
-}
-
-/// Returns the position after the last complete event.
-fn last_event_end(data: &[u8]) -> Option<usize> {
-    (1..=data.len()).rev().find(|&end| ends_event(&data[..end]))
-}
-
 /// Returns the position after the first complete event.
 fn first_event_end(data: &[u8]) -> Option<usize> {
-    (1..=data.len()).find(|&end| ends_event(&data[..end]))
+    let mut position = EventPosition::default();
+    data.iter().position(|byte| position.advance(*byte)).map(|at| at + 1)
 }
 
 #[cfg(test)]
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -141,7 +141,7 @@
                 Err(_) => None,
             },
             RelayEvent::Frame(Some(Err(_))) => self.handle_break(),
-            RelayEvent::Frame(None) => Some(self.complete().await),
+            RelayEvent::Frame(None) => self.handle_end(),
             RelayEvent::Hedge(event) => self.handle_hedge(event).await,
         }
     }
@@ -180,20 +180,31 @@
         }
     }
 
-    /// Handles the end of a complete stream.
-    async fn complete(&mut self) -> StreamEnd {
-        let rest = self.events.remainder();
-        self.log_source_end(rest.len());
-        if let Some(end) = self.send_to_caller(rest).await {
-            return end;
+    /// Handles the regular end of the endpoint's response. The stream broke off nevertheless if it ended
+    /// inside an event, or before the first one with nothing but its connection.
+    fn handle_end(&mut self) -> Option<StreamEnd> {
+        self.log_source_end();
+        let is_unframed = self.source_framing() == Some(Framing::Connection);
+        if self.events.is_inside_event() || is_unframed && !self.events.has_event() {
+            return self.handle_break();
         }
-        if let Some(OpenStream { mut assignment, connection, head, .. }) = self.source.take() {
-            assignment.set_end(EndpointOutcome::Answered);
-            if self.context.route.kind.is_retryable() {
-                self.gateway.pool.put_back(connection, keep_alive_timeout(&head.headers));
-            }
+        self.release_source();
+        Some(StreamEnd::Complete)
+    }
+
+    fn source_framing(&self) -> Option<Framing> {
+        self.source.as_ref().map(|source| Framing::of(&source.head.headers))
+    }
+
+    /// Ends the attempt at the endpoint that sent the complete stream.
+    fn release_source(&mut self) {
+        let Some(OpenStream { mut assignment, connection, head, .. }) = self.source.take() else {
+            return;
+        };
+        assignment.set_end(EndpointOutcome::Answered);
+        if self.context.route.kind.is_retryable() {
+            self.gateway.pool.put_back(connection, keep_alive_timeout(&head.headers));
         }
-        StreamEnd::Complete
     }
 
     /// Handles a stream that broke off at its endpoint.
@@ -244,9 +255,10 @@
     }
 
     /// Logs how the endpoint ended its stream, if its framing or its last event leaves that open.
-    fn log_source_end(&self, rest: usize) {
+    fn log_source_end(&self) {
         let Some(source) = &self.source else { return };
         let framing = Framing::of(&source.head.headers);
+        let rest = self.events.partial_len();
         if rest == 0 && framing != Framing::Connection {
             return;
         }
