Abort a stream whose forwarding task ends without a word

A task that panics or is dropped closes the channel on which it sends a stream to the caller's connection. The body of the response took the closed channel for its regular end, so that the caller would have got what there was as complete. The request also stayed counted as in flight for good, and a process that stops would have waited for it.

The body is complete only after an explicit end now, as those of the other listener are already; the count belongs to a guard that the task holds.

--- a/components/gateway/src/response.rs
+++ b/components/gateway/src/response.rs
@@ -2,7 +2,7 @@
 
 use std::{
     pin::Pin,
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
     time::Duration,
 };
 
@@ -17,8 +17,18 @@
 pub(crate) enum ResponseBody {
     /// Complete body, sent in one frame.
     Full(Option<Bytes>),
-    /// Body that arrives in parts. An aborted body ends with an error.
-    Stream(mpsc::Receiver<Result<Bytes, ResponseAborted>>),
+    /// Body that arrives in parts. It is complete only after `StreamPart::End`; if the sender is gone
+    /// before, the response is aborted.
+    Stream(mpsc::Receiver<StreamPart>),
+}
+
+/// A part of a body that arrives in parts.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum StreamPart {
+    /// Complete events.
+    Events(Bytes),
+    /// The end of the complete body.
+    End,
 }
 
 impl Body for ResponseBody {
@@ -31,9 +41,11 @@
     ) -> Poll<Option<Result<Frame<Bytes>, ResponseAborted>>> {
         match self.get_mut() {
             ResponseBody::Full(body) => Poll::Ready(body.take().map(|body| Ok(Frame::data(body)))),
-            ResponseBody::Stream(parts) => {
-                parts.poll_recv(cx).map(|part| part.map(|part| part.map(Frame::data)))
-            }
+            ResponseBody::Stream(parts) => Poll::Ready(match ready!(parts.poll_recv(cx)) {
+                Some(StreamPart::Events(events)) => Some(Ok(Frame::data(events))),
+                Some(StreamPart::End) => None,
+                None => Some(Err(ResponseAborted)),
+            }),
         }
     }
 
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -63,8 +63,15 @@
     }
 }
 
-/// Decrements the number of requests in flight on drop.
-struct InFlightGuard(Rc<Gateway>);
+/// Counts a request as in flight until it is dropped.
+pub(crate) struct InFlightGuard(Rc<Gateway>);
+
+impl InFlightGuard {
+    pub(crate) fn new(gateway: &Rc<Gateway>) -> InFlightGuard {
+        gateway.in_flight.set(gateway.in_flight.get() + 1);
+        InFlightGuard(gateway.clone())
+    }
+}
 
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
@@ -78,8 +85,7 @@
         self: Rc<Gateway>,
         request: Request<Incoming>,
     ) -> Response<ResponseBody> {
-        self.in_flight.set(self.in_flight.get() + 1);
-        let _guard = InFlightGuard(self.clone());
+        let _guard = InFlightGuard::new(&self);
         let facts = parse_caller_headers(request.headers());
         let id = facts.id.clone();
         match self.admit(request, facts).await {
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -10,14 +10,15 @@
 use platform::keep_alive_timeout;
 use slog::info;
 use tokio::{sync::mpsc, task::spawn_local, time::sleep_until};
-use transport::{Framing, ResponseAborted};
+use transport::Framing;
 
 use crate::{
     attempt::{AttemptOutcome, LossCause, OpenStream},
     events::EventSplitter,
     hedge::{Hedge, HedgeEvent},
     request::RequestContext,
-    response::{ResponseBody, response_with_head},
+    response::{ResponseBody, StreamPart, response_with_head},
+    serve::InFlightGuard,
     state::{Gateway, now},
 };
 
@@ -30,7 +31,7 @@
     context: Rc<RequestContext>,
     hedge: Hedge,
     events: EventSplitter,
-    sender: mpsc::Sender<Result<Bytes, ResponseAborted>>,
+    sender: mpsc::Sender<StreamPart>,
     /// The stream of the endpoint that was last heard of, until it breaks off.
     source: Option<OpenStream>,
     /// Why the last stream broke off.
@@ -90,11 +91,10 @@
         };
         // Ends the other attempts at once.
         relay.hedge.record_stream(opened.assignment.in_flight, relay.events.last_id());
-        self.in_flight.set(self.in_flight.get() + 1);
-        let gateway = self.clone();
+        let guard = InFlightGuard::new(self);
         spawn_local(async move {
+            let _guard = guard;
             relay.run(opened).await;
-            gateway.in_flight.set(gateway.in_flight.get() - 1);
         });
         response
     }
@@ -113,8 +113,8 @@
                 self.log_end("answered", "");
             }
             Some(StreamEnd::CallerGone) => self.log_end("caller-gone", ""),
-            Some(StreamEnd::Late) => self.abort("timeout").await,
-            Some(StreamEnd::Broken) | None => self.abort(self.loss.name()).await,
+            Some(StreamEnd::Late) => self.log_end("broken-off", "timeout"),
+            Some(StreamEnd::Broken) | None => self.log_end("broken-off", self.loss.name()),
         }
     }
 
@@ -141,7 +141,7 @@
                 Err(_) => None,
             },
             RelayEvent::Frame(Some(Err(_))) => self.handle_break(),
-            RelayEvent::Frame(None) => self.handle_end(),
+            RelayEvent::Frame(None) => self.handle_end().await,
             RelayEvent::Hedge(event) => self.handle_hedge(event).await,
         }
     }
@@ -159,37 +159,36 @@
     async fn forward(&mut self, data: Bytes) -> Option<StreamEnd> {
         self.heard_at = now();
         let whole = self.events.push(data);
-        if let Some(end) = self.send_to_caller(whole).await {
+        if !whole.is_empty()
+            && let Some(end) = self.send_to_caller(StreamPart::Events(whole)).await
+        {
             return Some(end);
         }
         self.hedge.record_event(self.events.last_id());
         None
     }
 
-    /// Sends events to the caller, which may have to read earlier ones first. Returns how the response
+    /// Sends a part to the caller, which may have to read earlier ones first. Returns how the response
     /// ends, if it does.
-    async fn send_to_caller(&mut self, events: Bytes) -> Option<StreamEnd> {
-        if events.is_empty() {
-            return None;
-        }
+    async fn send_to_caller(&mut self, part: StreamPart) -> Option<StreamEnd> {
         let deadline = tokio::time::Instant::from_std(self.context.deadline);
         tokio::select! {
             biased;
-            sent = self.sender.send(Ok(events)) => sent.is_err().then_some(StreamEnd::CallerGone),
+            sent = self.sender.send(part) => sent.is_err().then_some(StreamEnd::CallerGone),
             () = sleep_until(deadline) => Some(StreamEnd::Late),
         }
     }
 
     /// Handles the regular end of the endpoint's response. The stream broke off nevertheless if it ended
     /// inside an event, or before the first one with nothing but its connection.
-    fn handle_end(&mut self) -> Option<StreamEnd> {
+    async fn handle_end(&mut self) -> Option<StreamEnd> {
         self.log_source_end();
         let is_unframed = self.source_framing() == Some(Framing::Connection);
         if self.events.is_inside_event() || is_unframed && !self.events.has_event() {
             return self.handle_break();
         }
         self.release_source();
-        Some(StreamEnd::Complete)
+        self.send_to_caller(StreamPart::End).await.or(Some(StreamEnd::Complete))
     }
 
     fn source_framing(&self) -> Option<Framing> {
@@ -282,15 +281,6 @@
             "pause_ms" => (now() - self.heard_at).as_millis() as u64);
     }
 
-    /// Ends the response as broken off. The endpoints are left first, as the caller may read late.
-    async fn abort(&mut self, reason: &str) {
-        self.log_end("broken-off", reason);
-        self.source = None;
-        self.hedge.end_attempts();
-        // Sending fails only if the caller disconnected, and then no one needs the error.
-        let _ = self.sender.send(Err(ResponseAborted)).await;
-    }
-
     fn log_end(&self, outcome: &'static str, reason: &str) {
         self.gateway.log_request(
             &self.context,
