Deliver the whole events of a stream before it is aborted

A caller whose stream broke off did not get the events that had arrived together with the break: the HTTP server drops what it has not written when a body fails. The caller had to ask for them again.

The body is pending once before it fails, so that the connection writes first. A caller that does not read may still lose events that its socket had no room for.

--- a/components/gateway/src/response.rs
+++ b/components/gateway/src/response.rs
@@ -20,6 +20,8 @@
     /// Body that arrives in parts. It is complete only after `StreamPart::End`; if the sender is gone
     /// before, the response is aborted.
     Stream(mpsc::Receiver<StreamPart>),
+    /// The end of an aborted body. The connection writes out earlier parts before it polls this.
+    Aborted,
 }
 
 /// A part of a body that arrives in parts.
@@ -39,13 +41,20 @@
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, ResponseAborted>>> {
-        match self.get_mut() {
+        let body = self.get_mut();
+        match body {
             ResponseBody::Full(body) => Poll::Ready(body.take().map(|body| Ok(Frame::data(body)))),
-            ResponseBody::Stream(parts) => Poll::Ready(match ready!(parts.poll_recv(cx)) {
-                Some(StreamPart::Events(events)) => Some(Ok(Frame::data(events))),
-                Some(StreamPart::End) => None,
-                None => Some(Err(ResponseAborted)),
-            }),
+            ResponseBody::Stream(parts) => match ready!(parts.poll_recv(cx)) {
+                Some(StreamPart::Events(events)) => Poll::Ready(Some(Ok(Frame::data(events)))),
+                Some(StreamPart::End) => Poll::Ready(None),
+                // Hyper drops what it has not written when a body fails, and writes when one is pending.
+                None => {
+                    *body = ResponseBody::Aborted;
+                    cx.waker().wake_by_ref();
+                    Poll::Pending
+                }
+            },
+            ResponseBody::Aborted => Poll::Ready(Some(Err(ResponseAborted))),
         }
     }
 
@@ -58,7 +67,7 @@
             ResponseBody::Full(body) => {
                 SizeHint::with_exact(body.as_ref().map_or(0, |body| body.len() as u64))
             }
-            ResponseBody::Stream(_) => SizeHint::default(),
+            ResponseBody::Stream(_) | ResponseBody::Aborted => SizeHint::default(),
         }
     }
 }
