Judge an unframed response without a content type by its events

On a route of streams an endpoint that left out the content type was read to the end of its connection and forwarded with a length: a stream whose endpoint crashed inside an event became a complete response. Such a response is handled as a stream now.

Failed before, passes now: a_stream_without_a_content_type_that_ends_inside_an_event_is_not_complete.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -306,10 +306,15 @@
     request
 }
 
+/// Whether a response is a stream of events. On a route of streams, one without a content type, length
+/// and chunks is: only its events can tell whether it is complete.
 fn is_stream(context: &RequestContext, exchange: &Exchange) -> bool {
-    let content_type = exchange.response.headers().get(CONTENT_TYPE).and_then(|v| v.to_str().ok());
-    matches!(context.route.kind, RouteKind::Stream { .. })
-        && content_type.is_some_and(|value| value.starts_with(EVENT_STREAM))
+    let headers = exchange.response.headers();
+    let is_events = match headers.get(CONTENT_TYPE) {
+        Some(value) => value.as_bytes().starts_with(EVENT_STREAM.as_bytes()),
+        None => Framing::of(headers) == Framing::Connection,
+    };
+    matches!(context.route.kind, RouteKind::Stream { .. }) && is_events
 }
 
 fn has_connection_close(exchange: &Exchange) -> bool {
