Reset the connection of a caller of HTTP/1.0 whose response is aborted

To such a caller a stream is sent without chunks and its end is the end of the connection, so that a stream that broke off looked complete: the same cause as at the endpoints' side, at the other end. The connection is reset now. Callers of HTTP/1.1 miss the last chunk, as before, and keep what was already on its way to them.

Failed before, passes now: a_cut_stream_ends_with_a_reset_for_a_caller_of_an_older_protocol. A whole stream still ends in order for such a caller (test).

--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -5,6 +5,7 @@
 mod connect;
 mod error;
 mod pool;
+mod resettable;
 mod server;
 
 pub use client::{BufferedResponse, Connection, Exchange, Framing, ResponseBody, request};
--- a/components/transport/src/server.rs
+++ b/components/transport/src/server.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use http::{Request, Response};
+use http::{Request, Response, Version};
 use hyper::{
     body::{Body, Incoming},
     server::conn::http1,
@@ -19,6 +19,8 @@
     task::{spawn_local, yield_now},
 };
 
+use crate::resettable::{CloseMode, ResettableStream};
+
 /// Pause after a failed accept, for example because no file descriptors are left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -156,7 +158,9 @@
         .with_interval(settings.keepalive_time)
         .with_retries(2);
     let _ = SockRef::from(&stream).set_tcp_keepalive(&keepalive);
-    let service = service_fn(move |request| {
+    let version = Cell::new(Version::HTTP_11);
+    let service = service_fn(|request: Request<Incoming>| {
+        version.set(request.version());
         let response = handle(request);
         async move { Ok::<_, Infallible>(response.await) }
     });
@@ -168,6 +172,8 @@
     // A connection that is accepted while the process closes the others serves one request.
     let is_closing = *stop.borrow() == StopPhase::Closing;
     builder.keep_alive(!is_closing);
+    let close_mode = Rc::<Cell<CloseMode>>::default();
+    let stream = ResettableStream::new(stream, close_mode.clone());
     let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
     let closing = async {
         // Fails only if the process ends.
@@ -175,11 +181,28 @@
         // The runtime learns which bytes have arrived, so that a request among them is still read.
         yield_now().await;
     };
-    // Errors of a connection are caused by the caller: it disconnected or sent an invalid request.
-    tokio::select! {
+    let ended = tokio::select! {
         biased;
-        _ = connection.as_mut() => return,
-        () = closing, if !is_closing => connection.as_mut().graceful_shutdown(),
+        ended = connection.as_mut() => Some(ended),
+        () = closing, if !is_closing => None,
+    };
+    let ended = match ended {
+        Some(ended) => ended,
+        None => {
+            connection.as_mut().graceful_shutdown();
+            connection.as_mut().await
+        }
+    };
+    // Other errors of a connection are caused by the caller: it disconnected or sent an invalid request.
+    let is_aborted = ended.is_err_and(|err| err.is_user());
+    close_mode.set(close_mode_after(is_aborted, version.get()));
+}
+
+/// Returns how a connection is closed whose last response was or was not aborted. In HTTP/1.0 the end of
+/// the connection marks the end of a response of unknown length.
+fn close_mode_after(is_aborted: bool, version: Version) -> CloseMode {
+    match is_aborted && version == Version::HTTP_10 {
+        true => CloseMode::Reset,
+        false => CloseMode::Graceful,
     }
-    let _ = connection.await;
 }
