Take a stream of a service that ends inside an event for broken off in the agent too

The agent's reader had the cause of the broken streams that looked complete: it takes the end of the connection of an endpoint's response for the end of the response, and the entry then ends its own one in order. A caller of the entry got 'id: 1, data: a, id: 2, da' as a complete stream.

A stream that ends inside an event is resumed at a model engine, else cut off. Between agent and entry the end of a response was an explicit frame with its length already.

--- a/components/agent/src/run.rs
+++ b/components/agent/src/run.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use base::AttemptId;
+use base::{AttemptId, EVENT_STREAM, EventPosition};
 use proto::{ExecutionStatus, Outcome, header as name};
 use settings::EndpointKind;
 use ureq::{Body, http::Response};
@@ -34,6 +34,8 @@
     deadline: Instant,
     /// Failed connections since the last byte.
     failures: u32,
+    /// The end of the data so far, if it is a stream of events.
+    position: EventPosition,
 }
 
 /// Why reading from the endpoint was interrupted.
@@ -57,6 +59,7 @@
             started_at,
             deadline,
             failures: 0,
+            position: EventPosition::default(),
         };
         let end = run.run();
         response.end(end);
@@ -142,14 +145,20 @@
         if wanted.is_some() && head.release.is_some() && head.release != *wanted {
             return Ok(self.abandon());
         }
+        let is_stream = head.content_type.starts_with(EVENT_STREAM);
         self.response.set_head(head);
         let mut reader = response.into_body().into_reader();
         let mut buffer = vec![0; READ_BUFFER_BYTES];
         loop {
             match reader.read(&mut buffer) {
+                // The response may end with its connection, also if the endpoint crashed.
+                Ok(0) if self.position.is_inside_event() => return Err(Interruption::Failed),
                 Ok(0) => return Ok(StreamEnd::Complete),
                 Ok(n) => {
                     self.failures = 0;
+                    if is_stream {
+                        self.position.advance_all(&buffer[..n]);
+                    }
                     let is_late = Instant::now() >= self.deadline;
                     if !self.response.push(&buffer[..n], self.deadline) || is_late {
                         return Ok(self.abandon());
--- a/components/base/src/lib.rs
+++ b/components/base/src/lib.rs
@@ -1,6 +1,8 @@
-//! Types that all other crates share: identifiers, units, digests and validation problems.
+//! Types that all other crates share: identifiers, units, digests, streams of events and
+//! validation problems.
 
 mod digest;
+mod events;
 mod ids;
 mod macros;
 mod problem;
@@ -9,6 +11,7 @@
 mod units;
 
 pub use digest::{Digest, ParseDigestError};
+pub use events::{EVENT_STREAM, EventPosition};
 pub use ids::{
     ArtifactId, AttemptId, Fence, IdempotencyKey, Incarnation, ParseIdError, Region, ReleaseId,
     Revision, RolloutId, ServiceId, VersionId, VmId, WorkspaceId, Zone,
--- a/components/entry/src/sink.rs
+++ b/components/entry/src/sink.rs
@@ -2,7 +2,7 @@
 
 use std::{io::Write, time::Instant};
 
-use base::ReleaseId;
+use base::{EVENT_STREAM, ReleaseId};
 use net::{Request, Response, StreamWriter};
 use proto::header as name;
 
@@ -93,7 +93,7 @@
     }
 
     fn is_stream(&self) -> bool {
-        let stream = |head: &ResponseHead| head.content_type.starts_with("text/event-stream");
+        let stream = |head: &ResponseHead| head.content_type.starts_with(EVENT_STREAM);
         self.head.as_ref().is_some_and(stream)
     }
 
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::{cell::Cell, net::IpAddr, rc::Rc};
 
+use base::EVENT_STREAM;
 use bytes::Bytes;
 use catalog::{RouteKind, WeightsVersion};
 use dispatch::{EndpointOutcome, EndpointView};
@@ -20,8 +21,6 @@
     state::{Assignment, Gateway, now},
 };
 
-/// Content type of a stream of events.
-const EVENT_STREAM: &str = "text/event-stream";
 /// Priority at the endpoint of a request that resumes a stream. Its caller is waiting in the middle of
 /// a response.
 const RESUMED_RANK: u8 = 1;
--- a/components/standins/src/generation.rs
+++ b/components/standins/src/generation.rs
@@ -2,6 +2,7 @@
 
 use std::{io::Write, sync::Arc};
 
+use base::EVENT_STREAM;
 use net::{Request, StreamWriter, header, query_param, read_body, respond_with_error};
 use serde_json::{Value, json};
 
@@ -159,7 +160,7 @@
             let Some(completion) = state.completions.get(id) else { return request.abort() };
             (state.epoch, completion.release.clone(), completion.stream)
         };
-        let kind = if stream { "text/event-stream" } else { "application/json" };
+        let kind = if stream { EVENT_STREAM } else { "application/json" };
         let headers = [("content-type", kind), (proto::header::RELEASE, release.as_str())];
         let Ok(mut out) = StreamWriter::start(request, 200, &headers) else { return };
         let mut sent = offset;
