Let the entry use the shared position in a stream of events

It had its own notion of the end of an event, which two line feeds in one frame made: an event whose last line feed came with the next frame, or whose lines end with a carriage return, got no keep-alive comments, and an error event two needless line feeds.

--- a/components/entry/src/sink.rs
+++ b/components/entry/src/sink.rs
@@ -2,7 +2,7 @@
 
 use std::{io::Write, time::Instant};
 
-use base::{EVENT_STREAM, ReleaseId};
+use base::{EVENT_STREAM, EventPosition, ReleaseId};
 use net::{Request, Response, StreamWriter};
 use proto::header as name;
 
@@ -14,8 +14,6 @@
 
 /// Maximum length of the sent prefix that is kept to compare the response of another attempt with.
 const MAX_PREFIX_BYTES: usize = 256 << 10;
-/// Terminator of an event in an event stream.
-const EVENT_END: &[u8] = b"\n\n";
 /// A comment line of an event stream, which readers skip.
 const KEEPALIVE_COMMENT: &[u8] = b": wait\n\n";
 
@@ -29,8 +27,8 @@
     prefix: Vec<u8>,
     /// Total number of bytes sent.
     sent: u64,
-    /// Whether the stream is between two events.
-    at_event_boundary: bool,
+    /// The end of what was sent of a stream of events.
+    position: EventPosition,
 }
 
 impl CallerSink {
@@ -42,7 +40,7 @@
             head: None,
             prefix: Vec::new(),
             sent: 0,
-            at_event_boundary: true,
+            position: EventPosition::default(),
         }
     }
 
@@ -86,7 +84,7 @@
         if let Some(request) = self.request.take() {
             respond_error(request, refusal);
         } else if let Some(mut writer) = self.writer.take().filter(|_| stream) {
-            let start = if self.at_event_boundary { "" } else { "\n\n" };
+            let start = if self.position.is_inside_event() { "\n\n" } else { "" };
             let event = format!("{start}event: error\ndata: {}\n\n", body(refusal));
             write(&mut writer, event.as_bytes());
         }
@@ -136,7 +134,7 @@
         let remaining = MAX_PREFIX_BYTES.saturating_sub(self.prefix.len());
         self.prefix.extend_from_slice(&new[..new.len().min(remaining)]);
         self.sent += new.len() as u64;
-        self.at_event_boundary = new.ends_with(EVENT_END);
+        self.position.advance_all(new);
         if self.write(new) { Delivery::Sent } else { Delivery::CallerGone }
     }
 
@@ -144,7 +142,8 @@
         if self.is_abandoned() {
             return false;
         }
-        let skip_comment = self.writer.is_none() || !self.is_stream() || !self.at_event_boundary;
+        let skip_comment =
+            self.writer.is_none() || !self.is_stream() || self.position.is_inside_event();
         skip_comment || self.write(KEEPALIVE_COMMENT)
     }
 }
