Deliver what was written of a response before it is aborted

The listener of entries and agents lost the parts of an aborted response that had arrived together with the abort, as the gateway's did: the HTTP server drops what it has not written when a body fails. The body is pending once before.

--- a/components/net/src/stream.rs
+++ b/components/net/src/stream.rs
@@ -41,7 +41,12 @@
 }
 
 /// A response body that is complete only after `Piece::End`.
-struct PieceBody(Option<Receiver<Piece>>);
+enum PieceBody {
+    Open(Receiver<Piece>),
+    Complete,
+    /// Aborted. The connection writes out earlier pieces before it polls this.
+    Aborted,
+}
 
 impl StreamWriter {
     /// Sends the head of the response. Fails if the caller has disconnected.
@@ -49,7 +54,7 @@
         let (pieces, received) = channel(MAX_QUEUED_PIECES);
         let status = StatusCode::from_u16(status).map_err(io::Error::other)?;
         let headers = headers.iter().filter_map(|(name, value)| header(name, value));
-        let response = head(status, headers, PieceBody(Some(received)).boxed());
+        let response = head(status, headers, PieceBody::Open(received).boxed());
         let (io, idle) = request.io();
         if !request.send(Ok(response)) {
             return Err(io::ErrorKind::BrokenPipe.into());
@@ -112,15 +117,23 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
-        let Some(pieces) = &mut self.0 else { return Poll::Ready(None) };
-        let piece = std::task::ready!(pieces.poll_recv(cx));
-        Poll::Ready(match piece {
-            Some(Piece::Data(bytes)) => Some(Ok(Frame::data(bytes))),
+        let pieces = match &mut *self {
+            PieceBody::Open(pieces) => pieces,
+            PieceBody::Complete => return Poll::Ready(None),
+            PieceBody::Aborted => return Poll::Ready(Some(Err(Broken))),
+        };
+        match std::task::ready!(pieces.poll_recv(cx)) {
+            Some(Piece::Data(bytes)) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
             Some(Piece::End) => {
-                self.0 = None;
-                None
+                *self = PieceBody::Complete;
+                Poll::Ready(None)
+            }
+            // Hyper drops what it has not written when a body fails, and writes when one is pending.
+            None => {
+                *self = PieceBody::Aborted;
+                cx.waker().wake_by_ref();
+                Poll::Pending
             }
-            None => Some(Err(Broken)),
-        })
+        }
     }
 }
--- a/components/net/tests/listener.rs
+++ b/components/net/tests/listener.rs
@@ -163,6 +163,21 @@
     assert!(get(server.addr).is_err());
 }
 
+/// What was written before a response was aborted got lost with it.
+#[test]
+fn an_unfinished_stream_delivers_what_was_written() {
+    let server = serve(|request| {
+        let mut out = StreamWriter::start(request, 200, &[]).unwrap();
+        out.write_all(b"part").unwrap();
+    });
+    let mut stream = TcpStream::connect(server.addr).unwrap();
+    stream.set_read_timeout(Some(TIMEOUT)).unwrap();
+    stream.write_all(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n").unwrap();
+    let mut text = String::new();
+    stream.read_to_string(&mut text).unwrap();
+    assert!(text.contains("part") && !text.ends_with("0\r\n\r\n"), "{text:?}");
+}
+
 fn get(addr: SocketAddr) -> Result<Vec<u8>, ureq::Error> {
     let mut response = net::unpooled_client(TIMEOUT).get(format!("http://{addr}/")).call()?;
     response.body_mut().read_to_vec()
