Reset connections of HTTP/1.0 after aborted responses at the other listener too

A caller of an entry who speaks HTTP/1.0 saw the connection of an aborted response end in order, as at a gateway. Both listeners share the stream that is reset, and what decides it.

--- a/components/net/src/listener.rs
+++ b/components/net/src/listener.rs
@@ -18,6 +18,8 @@
     sync::{oneshot, watch},
 };
 
+use transport::{CloseControl, ResettableStream};
+
 use crate::{
     HandlerTracker, Latch, Request, Response,
     response::{self, Body},
@@ -152,19 +154,29 @@
 
     async fn serve_connection(mut self, stream: TcpStream) {
         let (handle, idle) = (self.handle.clone(), self.idle);
-        let service = service_fn(move |request| handle_request(handle.clone(), idle, request));
+        let control = CloseControl::default();
+        let stream = ResettableStream::new(stream, control.clone());
+        let service = service_fn(|request: http::Request<Incoming>| {
+            control.record_request(request.version());
+            handle_request(handle.clone(), idle, request)
+        });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(self.idle)
             .serve_connection(TokioIo::new(stream), service);
         let mut connection = std::pin::pin!(connection);
-        tokio::select! {
-            // If the connection failed, there is no one left to report the error to.
-            _ = connection.as_mut() => return,
-            _ = self.stopping.wait_for(|stopping| *stopping) => {}
-        }
-        connection.as_mut().graceful_shutdown();
-        let _ = connection.await;
+        let ended = tokio::select! {
+            ended = connection.as_mut() => Some(ended),
+            _ = self.stopping.wait_for(|stopping| *stopping) => None,
+        };
+        let ended = match ended {
+            Some(ended) => ended,
+            None => {
+                connection.as_mut().graceful_shutdown();
+                connection.as_mut().await
+            }
+        };
+        control.record_end(&ended);
     }
 }
 
--- a/components/net/tests/listener.rs
+++ b/components/net/tests/listener.rs
@@ -163,6 +163,26 @@
     assert!(get(server.addr).is_err());
 }
 
+/// A caller of HTTP/1.0 sees the end of a response in the end of the connection alone, so that only a reset
+/// tells it that a response was aborted.
+#[test]
+fn an_unfinished_stream_ends_with_a_reset_for_a_caller_of_an_older_protocol() {
+    for (is_finished, is_whole) in [(true, true), (false, false)] {
+        let server = serve(move |request| {
+            let mut out = StreamWriter::start(request, 200, &[]).unwrap();
+            out.write_all(b"part").unwrap();
+            if is_finished {
+                out.finish().unwrap();
+            }
+        });
+        let mut stream = TcpStream::connect(server.addr).unwrap();
+        stream.set_read_timeout(Some(TIMEOUT)).unwrap();
+        stream.write_all(b"GET / HTTP/1.0\r\nhost: x\r\n\r\n").unwrap();
+        let read = stream.read_to_string(&mut String::new());
+        assert_eq!(read.is_ok(), is_whole, "{read:?}");
+    }
+}
+
 /// What was written before a response was aborted got lost with it.
 #[test]
 fn an_unfinished_stream_delivers_what_was_written() {
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -12,4 +12,5 @@
 pub use connect::ConnectSettings;
 pub use error::TransportError;
 pub use pool::{ConnectionPool, PoolSettings};
+pub use resettable::{CloseControl, ResettableStream};
 pub use server::{AcceptSettings, OpenConnections, ResponseAborted, StopPhase, serve};
--- a/components/transport/src/resettable.rs
+++ b/components/transport/src/resettable.rs
@@ -1,45 +1,65 @@
-//! A TCP stream that can be reset when it is closed.
+//! A TCP stream that is reset when it is closed after an aborted response whose end only the end of the
+//! connection marks.
 
 use std::{
-    cell::Cell,
     io::{self, IoSlice},
     pin::Pin,
-    rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering::Relaxed},
+    },
     task::{Context, Poll},
     time::Duration,
 };
 
+use http::Version;
 use socket2::SockRef;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
 };
 
-/// How a connection is closed.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub(crate) enum CloseMode {
-    /// Closed in order: the peer reads all that was sent, and then the end.
-    #[default]
-    Graceful,
-    /// Reset: the peer gets an error.
-    Reset,
+/// Tells a stream how it is to be closed.
+#[derive(Debug, Clone, Default)]
+pub struct CloseControl {
+    /// Whether the last request was one of HTTP/1.0, in which the end of the connection marks the end of a
+    /// response of unknown length.
+    is_old: Arc<AtomicBool>,
+    /// Whether the stream is reset when it is dropped.
+    resets: Arc<AtomicBool>,
 }
 
-/// A TCP stream that is closed as `mode` says when it is dropped.
-pub(crate) struct ResettableStream {
+impl CloseControl {
+    /// Records the version of a request.
+    pub fn record_request(&self, version: Version) {
+        self.is_old.store(version == Version::HTTP_10, Relaxed);
+    }
+
+    /// Records the end of the connection, before the stream is dropped. An error that the caller has not
+    /// caused aborted a response.
+    pub fn record_end(&self, ended: &Result<(), hyper::Error>) {
+        let is_aborted = ended.as_ref().is_err_and(hyper::Error::is_user);
+        self.resets.store(is_aborted && self.is_old.load(Relaxed), Relaxed);
+    }
+}
+
+/// A TCP stream that is closed in order when it is dropped, or reset if its control says so.
+#[derive(Debug)]
+pub struct ResettableStream {
     stream: TcpStream,
-    mode: Rc<Cell<CloseMode>>,
+    control: CloseControl,
 }
 
 impl ResettableStream {
-    pub(crate) fn new(stream: TcpStream, mode: Rc<Cell<CloseMode>>) -> ResettableStream {
-        ResettableStream { stream, mode }
+    /// Wraps a stream.
+    pub fn new(stream: TcpStream, control: CloseControl) -> ResettableStream {
+        ResettableStream { stream, control }
     }
 }
 
 impl Drop for ResettableStream {
     fn drop(&mut self) {
-        if self.mode.get() == CloseMode::Reset {
+        if self.control.resets.load(Relaxed) {
             // Fails only if the peer has reset the connection already.
             let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
         }
--- a/components/transport/src/server.rs
+++ b/components/transport/src/server.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use http::{Request, Response, Version};
+use http::{Request, Response};
 use hyper::{
     body::{Body, Incoming},
     server::conn::http1,
@@ -19,7 +19,7 @@
     task::{spawn_local, yield_now},
 };
 
-use crate::resettable::{CloseMode, ResettableStream};
+use crate::resettable::{CloseControl, ResettableStream};
 
 /// Pause after a failed accept, for example because no file descriptors are left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -158,9 +158,9 @@
         .with_interval(settings.keepalive_time)
         .with_retries(2);
     let _ = SockRef::from(&stream).set_tcp_keepalive(&keepalive);
-    let version = Cell::new(Version::HTTP_11);
+    let control = CloseControl::default();
     let service = service_fn(|request: Request<Incoming>| {
-        version.set(request.version());
+        control.record_request(request.version());
         let response = handle(request);
         async move { Ok::<_, Infallible>(response.await) }
     });
@@ -172,8 +172,7 @@
     // A connection that is accepted while the process closes the others serves one request.
     let is_closing = *stop.borrow() == StopPhase::Closing;
     builder.keep_alive(!is_closing);
-    let close_mode = Rc::<Cell<CloseMode>>::default();
-    let stream = ResettableStream::new(stream, close_mode.clone());
+    let stream = ResettableStream::new(stream, control.clone());
     let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
     let closing = async {
         // Fails only if the process ends.
@@ -193,16 +192,5 @@
             connection.as_mut().await
         }
     };
-    // Other errors of a connection are caused by the caller: it disconnected or sent an invalid request.
-    let is_aborted = ended.is_err_and(|err| err.is_user());
-    close_mode.set(close_mode_after(is_aborted, version.get()));
-}
-
-/// Returns how a connection is closed whose last response was or was not aborted. In HTTP/1.0 the end of
-/// the connection marks the end of a response of unknown length.
-fn close_mode_after(is_aborted: bool, version: Version) -> CloseMode {
-    match is_aborted && version == Version::HTTP_10 {
-        true => CloseMode::Reset,
-        false => CloseMode::Graceful,
-    }
+    control.record_end(&ended);
 }
