Log what an endpoint had sent of a lost request, and the parts of its prompt

The log did not show what the requests at a crash had in common, nor which of them had begun. The parts of a prompt are decoded now, and each loss is logged with them and with the number of events that the endpoint had sent. No decision is changed.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -105,11 +105,11 @@
                     "addr" => %view.addr, "error" => %err);
                 return AttemptOutcome::Unsent;
             }
-            Err(err) => return self.handle_loss(context, assignment, &view, loss_cause(&err)),
+            Err(err) => return self.handle_loss(context, assignment, &view, loss_cause(&err), 0),
         };
         let head = &exchange.response;
         if match_request_id(head.headers(), context.facts.id.as_ref()) == RequestIdMatch::Other {
-            return self.handle_loss(context, assignment, &view, LossCause::Unusable);
+            return self.handle_loss(context, assignment, &view, LossCause::Unusable, 0);
         }
         let status = head.status();
         // The head of a stream may arrive before its request begins.
@@ -120,7 +120,7 @@
                 AttemptOutcome::Refused
             }
             ResponseClass::Unusable => {
-                self.handle_loss(context, assignment, &view, LossCause::Unusable)
+                self.handle_loss(context, assignment, &view, LossCause::Unusable, 0)
             }
             ResponseClass::Success if is_stream(context, &exchange) => {
                 self.open_stream(context, assignment, view, exchange).await
@@ -174,14 +174,16 @@
         let until = tokio::time::Instant::from_std(context.deadline);
         let first_bytes = loop {
             match tokio::time::timeout_at(until, body.frame()).await {
-                Err(_) => return self.handle_loss(context, assignment, &view, LossCause::TimedOut),
+                Err(_) => {
+                    return self.handle_loss(context, assignment, &view, LossCause::TimedOut, 0);
+                }
                 // Without a length or chunks, an empty stream is one that broke off.
                 Ok(None) if framing == Framing::Connection => {
-                    return self.handle_loss(context, assignment, &view, LossCause::Broken);
+                    return self.handle_loss(context, assignment, &view, LossCause::Broken, 0);
                 }
                 Ok(None) => break None,
                 Ok(Some(Err(_))) => {
-                    return self.handle_loss(context, assignment, &view, LossCause::Broken);
+                    return self.handle_loss(context, assignment, &view, LossCause::Broken, 0);
                 }
                 Ok(Some(Ok(frame))) => {
                     if let Ok(data) = frame.into_data() {
@@ -230,7 +232,7 @@
                     AttemptOutcome::Failed(response)
                 }
             }
-            Err(err) => self.handle_loss(context, assignment, &view, loss_cause(&err)),
+            Err(err) => self.handle_loss(context, assignment, &view, loss_cause(&err), 0),
         }
     }
 
@@ -259,21 +261,40 @@
             "overdue_ms" => since.as_millis() as u64);
     }
 
-    /// Handles the loss of a request that may have run. A timeout does not make the request suspect.
+    /// Handles the loss of a request that may have run, after `event_count` events of the endpoint. A
+    /// timeout does not make the request suspect.
     pub(crate) fn handle_loss(
         &self,
         context: &RequestContext,
         mut assignment: Assignment,
         view: &EndpointView,
         loss: LossCause,
+        event_count: u64,
     ) -> AttemptOutcome {
         assignment.set_end(EndpointOutcome::Lost);
         if loss != LossCause::TimedOut {
+            self.log_loss(context, view, loss, event_count);
             self.record_suspicion(context, view);
         }
         AttemptOutcome::Lost(loss)
     }
 
+    /// Logs what was lost at an endpoint, so that the losses of one crash can be compared.
+    fn log_loss(
+        &self,
+        context: &RequestContext,
+        view: &EndpointView,
+        loss: LossCause,
+        event_count: u64,
+    ) {
+        let id = context.facts.id.as_deref().map(String::from_utf8_lossy);
+        let parts: Vec<_> =
+            context.facts.prompt_parts.iter().map(|part| String::from_utf8_lossy(part)).collect();
+        slog::info!(self.log, "request lost at an endpoint"; "id" => id.as_deref(),
+            "endpoint" => %view.id, "cause" => loss.name(), "events" => event_count,
+            "parts" => parts.join(","), "fingerprint" => context.fingerprint.short());
+    }
+
     /// Records a lost request and reports it to the other gateways.
     pub(crate) fn record_suspicion(&self, context: &RequestContext, view: &EndpointView) {
         let IpAddr::V4(vm) = view.addr.ip() else { return };
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -216,7 +216,8 @@
         // An endpoint aborts streams to load other weights. Neither the request nor the endpoint is at
         // fault then.
         if !is_loading {
-            self.gateway.handle_loss(&self.context, assignment, &view, LossCause::Broken);
+            let events = self.events.event_count();
+            self.gateway.handle_loss(&self.context, assignment, &view, LossCause::Broken, events);
         }
         match self.context.route.kind.is_retryable() {
             true => None,
