Refuse requests with a part of their prompt that crashes endpoints

Cause: losses were counted by path, key and body of a request, and no two of these requests are alike. Ruled out: reports between gateways that come too late (most refusals are known everywhere within 0.11 s).

A part that was in progress at three crashes without an answer in between is refused now, by all gateways; which of several parts it is follows from the answers that sound requests with the others get.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -13,12 +13,14 @@
     EndpointHeaders, RequestIdMatch, ResponseClass, classify_response, keep_alive_timeout,
     match_request_id, weights_version,
 };
+use quarantine::PartKey;
 use telemetry::names;
 use transport::{Connection, Exchange, Framing, ResponseBody, TransportError};
 
 use crate::{
     request::RequestContext,
     state::{Assignment, Gateway, now},
+    suspect_parts::ANSWERED_EVENTS,
 };
 
 /// Priority at the endpoint of a request that resumes a stream. Its caller is waiting in the middle of
@@ -227,6 +229,7 @@
                 });
                 if success {
                     self.suspects.borrow_mut().record_answer(&context.fingerprint);
+                    self.record_answered_parts(context);
                     AttemptOutcome::Response(response)
                 } else {
                     AttemptOutcome::Failed(response)
@@ -276,9 +279,35 @@
             self.log_loss(context, view, loss, event_count);
             self.record_suspicion(context, view);
         }
+        if loss == LossCause::Broken && event_count < ANSWERED_EVENTS {
+            self.record_lost_parts(context);
+        }
         AttemptOutcome::Lost(loss)
     }
 
+    /// Records the parts of the prompt of a request whose endpoint may have crashed as it began to answer.
+    fn record_lost_parts(&self, context: &RequestContext) {
+        let mut suspects = self.suspect_parts.borrow_mut();
+        let refused = suspects.record_loss(&context.fingerprint, &context.parts, now());
+        drop(suspects);
+        self.handle_refused_parts(refused);
+    }
+
+    /// Ends the requests in progress that have parts which are refused from now on.
+    pub(crate) fn handle_refused_parts(&self, refused: impl IntoIterator<Item = PartKey>) {
+        for part in refused {
+            slog::warn!(self.log, "part of prompts is refused from now on, as it crashes endpoints";
+                "part" => part.0);
+            counter!(names::REFUSED_PARTS).increment(1);
+            self.part_refused.notify_waiters();
+        }
+    }
+
+    /// Records that an endpoint answers a request, at least its first events.
+    pub(crate) fn record_answered_parts(&self, context: &RequestContext) {
+        self.suspect_parts.borrow_mut().record_answer(&context.parts, now());
+    }
+
     /// Logs what was lost at an endpoint, so that the losses of one crash can be compared.
     fn log_loss(
         &self,
--- a/components/gateway/src/hedge.rs
+++ b/components/gateway/src/hedge.rs
@@ -69,6 +69,8 @@
     Denied { reason: &'static str, retry_after: Duration },
     /// No endpoint has the request, and no other one may be asked.
     Exhausted,
+    /// The request has a part that crashes endpoints. All attempts were ended.
+    Suspect,
 }
 
 /// The attempts of one request.
@@ -172,6 +174,10 @@
             if let Some(outcome) = self.end_outdated() {
                 return HedgeEvent::Ended(outcome);
             }
+            if self.is_suspect() {
+                self.end_suspect();
+                return HedgeEvent::Suspect;
+            }
             let mut wake_at = self.in_progress.latest_start(&self.gateway, &self.context.service);
             if self.acquiring.is_none() {
                 match self.plan.next_step(self.progress(), now()) {
@@ -196,11 +202,28 @@
                     }
                 }
                 () = sleep_until(wake_at) => {}
+                () = self.gateway.part_refused.notified() => {}
                 () = self.gateway.weights_changed.notified(), if !self.in_progress.is_empty() => {}
             }
         }
     }
 
+    /// Whether the request has a part that crashes endpoints. A stream that is being forwarded shows that
+    /// it has none.
+    fn is_suspect(&self) -> bool {
+        let is_open = self.stream.as_ref().is_some_and(|stream| stream.source.is_some());
+        let suspects = self.gateway.suspect_parts.borrow();
+        !is_open && suspects.refused_part(&self.context.parts).is_some()
+    }
+
+    /// Ends all attempts, those included that an endpoint has not begun to answer.
+    fn end_suspect(&mut self) {
+        if !self.in_progress.is_empty() {
+            self.history.record_unknown();
+        }
+        self.end_attempts();
+    }
+
     /// Starts to wait for an endpoint, if the retry budget allows it.
     fn start_acquiring(&mut self) -> Option<HedgeEvent> {
         if self.sent_count() > 0 {
--- a/components/gateway/src/hedge/tests.rs
+++ b/components/gateway/src/hedge/tests.rs
@@ -39,6 +39,7 @@
         headers: Default::default(),
         body: Default::default(),
         fingerprint: Digest([0; 32]),
+        parts: Vec::new(),
         arrived: now(),
         first_requested: now(),
         refused_before: false,
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod state;
 mod store_follower;
 mod stream;
+mod suspect_parts;
 mod suspects;
 mod weights;
 
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -36,6 +36,10 @@
 const MAX_REFUSALS_PER_MESSAGE: usize = 80;
 /// Maximum number of suspicions per message.
 const MAX_SUSPICIONS_PER_MESSAGE: usize = 24;
+/// Interval at which a few other gateways are reminded of refused parts of prompts.
+const REMINDER_INTERVAL: Duration = Duration::from_secs(1);
+/// Number of gateways that are reminded at a time.
+const REMINDED_GATEWAYS: usize = 4;
 /// Minimum interval between two rounds of requests for reports.
 const MIN_SUBSCRIBE_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -122,6 +126,7 @@
         dispatcher.retry_budget.set_gateways(gateways);
         drop(dispatcher);
         self.suspects.borrow_mut().expire(now);
+        self.suspect_parts.borrow_mut().expire(now);
         self.refusals.borrow_mut().expire(now);
         self.zone_gateways
             .borrow_mut()
@@ -157,6 +162,10 @@
                 let mut refusals = self.refusals.borrow_mut();
                 refused.iter().for_each(|refused| refusals.record_remote(refused, now));
             }
+            Message::Parts(news) => {
+                let refused = self.suspect_parts.borrow_mut().record_news(&news, now());
+                self.handle_refused_parts(refused);
+            }
             // Only stagers handle these.
             Message::Subscribe(_) | Message::Holding(_) => {}
         }
@@ -218,9 +227,10 @@
         }
     }
 
-    /// Periodically reports refusals to the other gateways of the zone, and suspect requests to all
-    /// other gateways. Observes whether the process was paused.
+    /// Periodically reports refusals to the other gateways of the zone, and suspect requests and parts of
+    /// prompts to all other gateways. Observes whether the process was paused.
     pub(crate) async fn news_loop(self: Rc<Gateway>) {
+        let mut reminded_at = now();
         loop {
             sleep(NEWS_INTERVAL).await;
             self.observe_pauses();
@@ -233,6 +243,24 @@
             if !suspicions.is_empty() {
                 self.send_to(&self.other_gateways.borrow(), &Message::Suspicions(suspicions));
             }
+            let news = self.suspect_parts.borrow_mut().take_news(now());
+            if let Some(news) = news {
+                self.send_to(&self.other_gateways.borrow(), &Message::Parts(news));
+            }
+            if now() - reminded_at >= REMINDER_INTERVAL {
+                reminded_at = now();
+                self.remind_of_refused_parts();
+            }
+        }
+    }
+
+    /// Tells a few other gateways which parts are refused, as they may have started since or missed it.
+    fn remind_of_refused_parts(&self) {
+        let Some(refusals) = self.suspect_parts.borrow().refusals(now()) else { return };
+        let message = Message::Parts(refusals);
+        let gateways: Vec<Ipv4Addr> = self.other_gateways.borrow().keys().copied().collect();
+        for ip in fastrand::choose_multiple(gateways, REMINDED_GATEWAYS) {
+            self.socket.send(ip, &message);
         }
     }
 
--- a/components/gateway/src/request.rs
+++ b/components/gateway/src/request.rs
@@ -15,9 +15,11 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use platform::CallerHeaders;
+use quarantine::PartKey;
 
 use crate::{
     state::{Gateway, now},
+    suspect_parts::part_keys,
     suspects::fingerprint,
 };
 
@@ -25,6 +27,9 @@
 /// on their way.
 const CALLER_MARGIN: Duration = Duration::from_millis(150);
 
+/// `Retry-After` for requests that crash endpoints.
+pub(crate) const SUSPECT_RETRY_AFTER: Duration = Duration::from_secs(30);
+
 /// Admitted request with everything needed to send it to endpoints.
 pub(crate) struct RequestContext {
     pub(crate) facts: CallerHeaders,
@@ -36,6 +41,8 @@
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
     pub(crate) fingerprint: Digest,
+    /// The parts of the prompt that other requests may share.
+    pub(crate) parts: Vec<PartKey>,
     pub(crate) arrived: Instant,
     /// When the caller first sent this request, if it was refused before, else the time of arrival.
     pub(crate) first_requested: Instant,
@@ -62,7 +69,7 @@
     BodyIncomplete,
     /// Request bodies already use all the memory allowed for them.
     MemoryLimit,
-    /// The request was repeatedly lost at endpoints.
+    /// The request, or requests with a part of its prompt, were repeatedly lost at endpoints.
     Suspect,
 }
 
@@ -85,7 +92,7 @@
             // Another gateway can take the request at once.
             Denied::Stopping => Some(Duration::from_millis(50)),
             Denied::MemoryLimit => Some(Duration::from_secs(1)),
-            Denied::Suspect => Some(Duration::from_secs(30)),
+            Denied::Suspect => Some(SUSPECT_RETRY_AFTER),
             _ => None,
         }
     }
@@ -155,6 +162,10 @@
             return Err(Denied::Suspect);
         }
         let service = choose_service(&route.destinations).ok_or(Denied::NoRoute)?;
+        let parts = part_keys(&service, &facts.prompt_parts);
+        if self.suspect_parts.borrow().refused_part(&parts).is_some() {
+            return Err(Denied::Suspect);
+        }
         let timeout = facts.deadline.unwrap_or(route.timeout);
         let first_requested = self.refusals.borrow().first_requested(&fingerprint, arrived);
         Ok((
@@ -172,6 +183,7 @@
                 headers,
                 body,
                 fingerprint,
+                parts,
             },
             reservation,
         ))
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -15,7 +15,7 @@
 use crate::{
     attempt::{AttemptOutcome, LossCause, OpenStream},
     hedge::{Hedge, HedgeEvent},
-    request::RequestContext,
+    request::{RequestContext, SUSPECT_RETRY_AFTER},
     response::{ResponseBody, forwarded_response, own_response},
     state::{Assignment, Gateway, now},
 };
@@ -47,6 +47,11 @@
         self.expected = assignment.expected;
         self.waited = waited;
     }
+
+    /// Records that an attempt was ended that may have run.
+    pub(crate) fn record_unknown(&mut self) {
+        self.may_have_run = true;
+    }
 }
 
 /// What the caller of a request gets.
@@ -129,6 +134,10 @@
                     let history = &mut hedge.history;
                     return self.give_up(context, history, reason, retry_after).into();
                 }
+                HedgeEvent::Suspect => {
+                    let history = &mut hedge.history;
+                    return self.give_up(context, history, "suspect", SUSPECT_RETRY_AFTER).into();
+                }
                 HedgeEvent::Exhausted => {
                     let history = &mut hedge.history;
                     return self.give_up(context, history, "attempts", REFUSED_RETRY_AFTER).into();
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -28,8 +28,8 @@
 
 use crate::{
     change_source::RelayTimes, peers::MAX_NEWS_GAP, refused::RecentRefusals,
-    settings::GatewaySettings, shutdown::Shutdown, suspects::SuspectRequests,
-    weights::NamedWeights,
+    settings::GatewaySettings, shutdown::Shutdown, suspect_parts::SuspectParts,
+    suspects::SuspectRequests, weights::NamedWeights,
 };
 
 /// What the subset of followed engines was chosen from.
@@ -53,6 +53,9 @@
     pub(crate) pool: ConnectionPool,
     pub(crate) socket: PeerSocket,
     pub(crate) suspects: RefCell<SuspectRequests>,
+    pub(crate) suspect_parts: RefCell<SuspectParts>,
+    /// Wakes the requests in progress when another part of prompts is refused.
+    pub(crate) part_refused: Notify,
     pub(crate) named_weights: RefCell<NamedWeights>,
     /// Wakes the requests that wait at endpoints when other weights are required.
     pub(crate) weights_changed: Notify,
@@ -183,6 +186,8 @@
             pool,
             socket,
             suspects: RefCell::default(),
+            suspect_parts: RefCell::default(),
+            part_refused: Notify::new(),
             named_weights: RefCell::new(NamedWeights::new(
                 process.bounds,
                 settings.version_margin_fraction,
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -20,6 +20,7 @@
     response::{ResponseBody, StreamPart, response_with_head},
     serve::InFlightGuard,
     state::{Gateway, now},
+    suspect_parts::ANSWERED_EVENTS,
 };
 
 /// Number of parts of a stream that are buffered for a slow caller.
@@ -110,6 +111,7 @@
         match end {
             Some(StreamEnd::Complete) => {
                 self.gateway.suspects.borrow_mut().record_answer(&self.context.fingerprint);
+                self.gateway.record_answered_parts(&self.context);
                 self.log_end("answered", "");
             }
             Some(StreamEnd::CallerGone) => self.log_end("caller-gone", ""),
@@ -165,6 +167,9 @@
             return Some(end);
         }
         self.hedge.record_event(self.events.last_id());
+        if self.events.event_count() >= ANSWERED_EVENTS {
+            self.gateway.record_answered_parts(&self.context);
+        }
         None
     }
 
@@ -246,6 +251,10 @@
                     return Some(StreamEnd::Broken);
                 }
             }
+            HedgeEvent::Suspect => {
+                self.log_not_resumed("suspect");
+                return Some(StreamEnd::Broken);
+            }
             HedgeEvent::Exhausted => {
                 self.log_not_resumed("attempts");
                 return Some(StreamEnd::Broken);
--- a/components/peering/src/message.rs
+++ b/components/peering/src/message.rs
@@ -23,6 +23,8 @@
     Suspicions(Vec<Suspicion>),
     /// A gateway tells the others of its zone which requests it refused, as the callers will retry.
     Refused(Vec<RefusedRequest>),
+    /// A gateway tells others about parts of prompts that may crash endpoints.
+    Parts(PartNews),
 }
 
 /// A weights version that the operator named.
@@ -134,6 +136,37 @@
     pub age_ms: u32,
 }
 
+/// What a gateway learned of parts of prompts.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartNews {
+    /// Requests that were lost at endpoints that had not begun to answer them.
+    pub lost: Vec<LostParts>,
+    /// Parts that were answered although they had been lost before.
+    pub answered: Vec<PartAge>,
+    /// Parts that are refused, with the ages of their last crashes.
+    pub refused: Vec<PartAge>,
+}
+
+/// A lost request and the parts of its prompt that others may share.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LostParts {
+    /// Identifies the request without revealing its content.
+    pub request: u64,
+    /// The parts, in order.
+    pub parts: Vec<u64>,
+    /// Milliseconds since the loss.
+    pub age_ms: u32,
+}
+
+/// A part of a prompt, and how long ago something happened to it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartAge {
+    /// Identifies the part within its service.
+    pub part: u64,
+    /// Milliseconds since then.
+    pub age_ms: u32,
+}
+
 impl Message {
     /// Decodes a datagram. Fails if it does not follow this protocol.
     pub fn decode(bytes: &[u8]) -> Result<Message, MessageError> {
--- a/components/stager/src/peers.rs
+++ b/components/stager/src/peers.rs
@@ -38,7 +38,13 @@
                 }
                 Ok((from, Message::Holding(inventory))) => self.handle_inventory(from, inventory),
                 // These are meant for gateways.
-                Ok((_, Message::State(_) | Message::Suspicions(_) | Message::Refused(_))) => {}
+                Ok((
+                    _,
+                    Message::State(_)
+                    | Message::Suspicions(_)
+                    | Message::Refused(_)
+                    | Message::Parts(_),
+                )) => {}
                 Err(err) => {
                     warn!(self.log, "cannot receive datagrams"; "error" => %err);
                     sleep(self.settings.retry_delay).await;
--- a/components/telemetry/src/names.rs
+++ b/components/telemetry/src/names.rs
@@ -12,6 +12,8 @@
 pub const RETRIES: &str = "carawaypaddle_retries_total";
 /// Responses of endpoints whose weights should have been replaced by then.
 pub const OVERDUE_VERSIONS: &str = "carawaypaddle_overdue_versions_total";
+/// Parts of prompts that were refused because they crash endpoints.
+pub const REFUSED_PARTS: &str = "carawaypaddle_refused_parts_total";
 /// Time from a request's arrival to the first byte of its response.
 pub const FIRST_BYTE: &str = "carawaypaddle_first_byte_seconds";
 /// Requests in progress.
@@ -44,6 +46,7 @@
     describe_counter!(STARTED, "requests with at least one attempt");
     describe_counter!(RETRIES, "retries, by whether the budget allowed them");
     describe_counter!(OVERDUE_VERSIONS, "responses from weights that should have been replaced");
+    describe_counter!(REFUSED_PARTS, "parts of prompts that were refused, as they crash endpoints");
     describe_histogram!(FIRST_BYTE, Unit::Seconds, "time to the first byte of an answer");
     describe_gauge!(IN_FLIGHT, "requests in progress");
     describe_gauge!(QUEUED, "requests that wait for an endpoint");
