End a response whose head or body has no end

An endpoint in trouble may send bytes without end, in a head or a body. A head that goes on with interim responses ('100 Continue' again and again) kept a request until its deadline: the HTTP client limits one head, not their sum. A body of tiny chunks did the same, as four mebibytes of them took longer than the deadline in a build without optimization. Garbage in a head, and bodies in larger pieces, ended at the limits already.

All bytes up to the end of the head count now, at most 64 KiB; the smallest parts of a body count as 256 bytes against its limit, and a stated length above the limit is rejected at once. What is no response is told from a connection that broke, so that it does not count as a crash of the endpoint.

Failed before, pass now: two tests of platform/tests/endless_answers.rs, with 12 kinds of endless heads and bodies each: 502 at once, or the answer of another endpoint, and in all cases the connection is closed.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -375,7 +375,7 @@
 fn loss_cause(err: &TransportError) -> LossCause {
     match err {
         TransportError::Timeout => LossCause::TimedOut,
-        TransportError::TooLarge(_) => LossCause::Unusable,
+        TransportError::TooLarge(_) | TransportError::Invalid(_) => LossCause::Unusable,
         _ => LossCause::Broken,
     }
 }
--- a/components/transport/src/client.rs
+++ b/components/transport/src/client.rs
@@ -9,7 +9,7 @@
 };
 use http_body_util::{BodyExt, Full};
 use hyper::{
-    body::Incoming,
+    body::{Body, Incoming},
     client::conn::http1::{self, SendRequest},
 };
 use hyper_util::rt::TokioIo;
@@ -18,7 +18,15 @@
     time::{Instant, timeout_at},
 };
 
-use crate::{ConnectSettings, TransportError, connect::connect};
+use crate::{
+    ConnectSettings, TransportError,
+    connect::connect,
+    head_limit::{HeadLimit, LimitedStream, MAX_HEAD_BYTES},
+};
+
+/// Size in bytes as which a smaller part of a body counts, as it takes about as much time as one of this
+/// size.
+const MIN_FRAME_SIZE: usize = 256;
 
 /// A client connection. Dropping it closes the connection and cancels the running request.
 #[derive(Debug)]
@@ -32,6 +40,7 @@
     pub(crate) idle_since: Instant,
     /// Maximum time that it may stay idle.
     pub(crate) idle_limit: Duration,
+    head_limit: HeadLimit,
 }
 
 /// A request whose response has started, at least with its head, and the connection it uses.
@@ -113,12 +122,24 @@
         settings: &ConnectSettings,
     ) -> Result<Connection, TransportError> {
         let stream = connect(addr, settings).await?;
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let head_limit = HeadLimit::default();
+        let stream = LimitedStream::new(stream, head_limit.clone());
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(MAX_HEAD_BYTES);
+        let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(TransportError::Broken)?;
         // The sender reports it when the connection ends.
         let task = spawn_local(async move { drop(connection.await) }).abort_handle();
         let idle_since = Instant::now();
-        Ok(Connection { sender, task, addr, used: false, idle_since, idle_limit: Duration::ZERO })
+        Ok(Connection {
+            sender,
+            task,
+            addr,
+            used: false,
+            idle_since,
+            idle_limit: Duration::ZERO,
+            head_limit,
+        })
     }
 
     /// The peer's address.
@@ -151,11 +172,17 @@
         if !self.sender.is_ready() && self.sender.ready().await.is_err() {
             return Err(TransportError::Unsent);
         }
+        self.head_limit.start();
         let sending = timeout_at(until, self.sender.send_request(request)).await;
         let response = sending.map_err(|_| TransportError::Timeout)?.map_err(|err| {
             // Hyper cancels a request that it has not started to write.
-            if err.is_canceled() { TransportError::Unsent } else { TransportError::Broken(err) }
+            if err.is_canceled() {
+                TransportError::Unsent
+            } else {
+                TransportError::after_sending(err)
+            }
         })?;
+        self.head_limit.stop();
         self.used = true;
         Ok(Exchange { response, connection: self })
     }
@@ -163,20 +190,25 @@
 
 impl Exchange {
     /// Reads the complete body of at most `limit` bytes until `until` and returns the connection for
-    /// reuse.
+    /// reuse. Each frame counts as at least `MIN_FRAME_SIZE` bytes.
     pub async fn read_body(
         self,
         limit: usize,
         until: Instant,
     ) -> Result<(Response<Bytes>, Connection), TransportError> {
         let (head, mut body) = self.response.into_parts();
+        if body.size_hint().lower() > limit as u64 {
+            return Err(TransportError::TooLarge(limit));
+        }
         let mut buffer = BytesMut::new();
+        let mut size = 0;
         loop {
             let frame = timeout_at(until, body.frame()).await;
             let Some(frame) = frame.map_err(|_| TransportError::Timeout)? else { break };
-            let frame = frame.map_err(TransportError::Broken)?;
+            let frame = frame.map_err(TransportError::after_sending)?;
             if let Ok(data) = frame.into_data() {
-                if buffer.len() + data.len() > limit {
+                size += data.len().max(MIN_FRAME_SIZE);
+                if size > limit.max(MIN_FRAME_SIZE) {
                     return Err(TransportError::TooLarge(limit));
                 }
                 buffer.extend_from_slice(&data);
--- a/components/transport/src/error.rs
+++ b/components/transport/src/error.rs
@@ -1,6 +1,8 @@
 //! Connection errors.
 
-use std::io;
+use std::{error::Error, io};
+
+use crate::head_limit::HeadTooLarge;
 
 /// Error of a connection or of a request on it.
 #[derive(Debug, thiserror::Error)]
@@ -17,6 +19,9 @@
     /// The request was sent at least in part, and no complete response was received.
     #[error("no answer: {0}")]
     Broken(hyper::Error),
+    /// The request was sent, and what was received is no response.
+    #[error("no answer but other bytes: {0}")]
+    Invalid(hyper::Error),
     /// The request was sent, and no response was received in time.
     #[error("no answer within the time limit")]
     Timeout,
@@ -32,6 +37,17 @@
         matches!(self, Connect(_) | ConnectTimeout | Unsent)
     }
 
+    /// Returns the error of a request that was sent at least in part.
+    pub(crate) fn after_sending(err: hyper::Error) -> TransportError {
+        let source = err.source().and_then(|source| source.downcast_ref::<io::Error>());
+        let is_head =
+            source.is_some_and(|err| err.get_ref().is_some_and(|err| err.is::<HeadTooLarge>()));
+        match is_head || err.is_parse() {
+            true => TransportError::Invalid(err),
+            false => TransportError::Broken(err),
+        }
+    }
+
     /// Returns a short name for logs and metrics.
     pub fn name(&self) -> &'static str {
         match self {
@@ -39,6 +55,7 @@
             TransportError::ConnectTimeout => "connect_timeout",
             TransportError::Unsent => "unsent",
             TransportError::Broken(_) => "broken",
+            TransportError::Invalid(_) => "invalid",
             TransportError::Timeout => "timeout",
             TransportError::TooLarge(_) => "too_long",
         }
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -4,6 +4,7 @@
 mod client;
 mod connect;
 mod error;
+mod head_limit;
 mod pool;
 mod resettable;
 mod server;
--- a/components/transport/src/pool.rs
+++ b/components/transport/src/pool.rs
@@ -125,7 +125,9 @@
         let connection = self.get(addr).await?;
         let used = connection.is_used();
         match connection.send(request.clone(), until).await {
-            Err(TransportError::Unsent | TransportError::Broken(_)) if used => {
+            Err(
+                TransportError::Unsent | TransportError::Broken(_) | TransportError::Invalid(_),
+            ) if used => {
                 let connection = Connection::open(addr, &self.settings.connect).await?;
                 connection.send(request, until).await
             }
