Leave an endpoint whose stream goes on without the end of an event

Callers got bytes without end in a stream: after 256 KiB the gateway forwarded what there was of an event, and went on until the deadline. Comments and empty lines without end kept a stream open in the same way.

256 KiB without the end of an event end the attempt now, whether they are data, comments or empty lines; the stream goes on elsewhere or is aborted. Longer events are no longer forwarded in parts: nothing tells them from garbage, and no part of them could be resumed.

--- a/components/gateway/src/events.rs
+++ b/components/gateway/src/events.rs
@@ -4,7 +4,7 @@
 use base::EventPosition;
 use bytes::{Bytes, BytesMut};
 
-/// Maximum size of an event in bytes. A longer event is forwarded in parts and cannot be resumed.
+/// Maximum number of bytes without the end of an event.
 const MAX_EVENT_BYTES: usize = 256 << 10;
 
 /// Splits the body of one response into complete events.
@@ -14,6 +14,8 @@
     partial: BytesMut,
     /// The position of the end of the data since the stream began or was resumed.
     position: EventPosition,
+    /// Number of bytes since the last event ended.
+    idle_bytes: usize,
     /// Id of the last complete event.
     last_id: Option<u64>,
     /// Id of the last event that was forwarded before the stream was resumed. Events up to this one are
@@ -42,6 +44,11 @@
         self.position.event_count()
     }
 
+    /// Whether so many bytes have come without the end of an event that none is to be expected.
+    pub(crate) fn is_endless(&self) -> bool {
+        self.idle_bytes > MAX_EVENT_BYTES
+    }
+
     /// Number of bytes that wait for the end of their event.
     pub(crate) fn partial_len(&self) -> usize {
         self.partial.len()
@@ -59,12 +66,12 @@
 
     /// Adds bytes of the body and returns the new complete events.
     pub(crate) fn push(&mut self, mut data: Bytes) -> Bytes {
-        let end = self.position.advance_all(&data);
+        let end = self.advance(&data);
         let rest = data.split_off(end);
         let whole = self.complete_partial(data);
         self.partial.extend_from_slice(&rest);
         if whole.is_empty() {
-            return self.split_long_event();
+            return whole;
         }
         if self.skip_until.is_some() {
             return self.skip_duplicates(&whole);
@@ -73,6 +80,18 @@
         whole
     }
 
+    /// Moves the position past `data`. Returns the number of bytes that need not wait for more.
+    fn advance(&mut self, data: &[u8]) -> usize {
+        let before = self.position.event_count();
+        let end = self.position.advance_all(data);
+        if self.position.event_count() > before {
+            self.idle_bytes = data.len() - end;
+        } else {
+            self.idle_bytes += data.len();
+        }
+        end
+    }
+
     /// Adds data that ends with an event and returns all events that are complete now.
     fn complete_partial(&mut self, data: Bytes) -> Bytes {
         if self.partial.is_empty() || data.is_empty() {
@@ -82,14 +101,6 @@
         self.partial.split().freeze()
     }
 
-    /// Returns what there is of an event that is too long to wait for its end.
-    fn split_long_event(&mut self) -> Bytes {
-        match self.partial.len() > MAX_EVENT_BYTES {
-            true => self.partial.split().freeze(),
-            false => Bytes::new(),
-        }
-    }
-
     fn record_last_id(&mut self, events: &[u8]) {
         let ids = events.split(|&b| b == b'\n').rev().filter_map(parse_id_line);
         if let Some(id) = ids.into_iter().next() {
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -142,7 +142,7 @@
                 Ok(data) => self.forward(data).await,
                 Err(_) => None,
             },
-            RelayEvent::Frame(Some(Err(_))) => self.handle_break(),
+            RelayEvent::Frame(Some(Err(_))) => self.handle_break(LossCause::Broken),
             RelayEvent::Frame(None) => self.handle_end().await,
             RelayEvent::Hedge(event) => self.handle_hedge(event).await,
         }
@@ -166,6 +166,9 @@
         {
             return Some(end);
         }
+        if self.events.is_endless() {
+            return self.handle_break(LossCause::Unusable);
+        }
         self.hedge.record_event(self.events.last_id());
         if self.events.event_count() >= ANSWERED_EVENTS {
             self.gateway.record_answered_parts(&self.context);
@@ -190,7 +193,7 @@
         self.log_source_end();
         let is_unframed = self.source_framing() == Some(Framing::Connection);
         if self.events.is_inside_event() || is_unframed && self.events.event_count() == 0 {
-            return self.handle_break();
+            return self.handle_break(LossCause::Broken);
         }
         self.release_source();
         self.send_to_caller(StreamPart::End).await.or(Some(StreamEnd::Complete))
@@ -211,10 +214,10 @@
         }
     }
 
-    /// Handles a stream that broke off at its endpoint.
-    fn handle_break(&mut self) -> Option<StreamEnd> {
+    /// Handles a stream that broke off at its endpoint, or whose endpoint is left.
+    fn handle_break(&mut self, loss: LossCause) -> Option<StreamEnd> {
         let OpenStream { assignment, view, .. } = self.source.take()?;
-        self.loss = LossCause::Broken;
+        self.loss = loss;
         self.hedge.record_broken_stream();
         let endpoint = assignment.in_flight.endpoint;
         let is_loading = self.gateway.dispatcher.borrow().is_loading(endpoint, now());
@@ -222,7 +225,7 @@
         // fault then.
         if !is_loading {
             let events = self.events.event_count();
-            self.gateway.handle_loss(&self.context, assignment, &view, LossCause::Broken, events);
+            self.gateway.handle_loss(&self.context, assignment, &view, loss, events);
         }
         match self.context.route.kind.is_retryable() {
             true => None,
