Keep staged pieces as they are while a load order may still be accepted

Endpoints made tokens with pieces of two versions. An endpoint loads what is staged when it accepts an order, and an order without an answer may be accepted seconds later; the stager took it for one that will not happen and let the pieces of the next version replace the staged ones, also between sending the order and the end of its time limit.

An order names the number of orders that the endpoint has accepted, and is rejected once that number has changed. So the stager remembers the order that may still be accepted, with its weights; until the endpoint has answered it or accepted another, pieces of other versions are fetched but not staged, and the order is repeated under the same number, of which the endpoint accepts one. A stager that starts and finds a whole version staged and not loaded takes it for ordered.

--- a/components/stager/src/fetch.rs
+++ b/components/stager/src/fetch.rs
@@ -21,6 +21,7 @@
 use crate::{
     Fetch, FetchFailure, Source,
     fleet_view::WeightsLayout,
+    open_order::Weights,
     shared::{Stager, now},
 };
 
@@ -86,9 +87,16 @@
         }
         self.piece_arrived.notify_waiters();
         self.inventory_wakeup.notify_one();
+        let is_first = !self.looked_back.replace(true);
+        if is_first {
+            self.look_for_open_order(&layout, version).await;
+        }
         if !self.is_recently_named(version) {
             self.reuse_staged(&layout, version).await;
         }
+        if is_first {
+            self.inherit_newest().await;
+        }
         self.fetch_wakeup.notify_one();
     }
 
@@ -155,6 +163,49 @@
         }
     }
 
+    /// Looks for a load order of an earlier run of this process, which may have got no answer: all pieces
+    /// of the version before the newest one are staged and not loaded.
+    async fn look_for_open_order(&self, layout: &WeightsLayout, newest: WeightsVersion) {
+        let Some(version) = newest.0.checked_sub(1).map(WeightsVersion) else { return };
+        let is_served = self.serving_version().is_some_and(|serving| serving >= version);
+        if is_served || version.0 == 0 {
+            return;
+        }
+        let staged = self.list_staged_pieces(&layout.model).await;
+        let is_full = staged.is_ok_and(|staged| staged.len() == layout.pieces as usize);
+        let Ok(report) = self.get_report().await else { return };
+        if !is_full {
+            return;
+        }
+        let Some(digests) = self.fetch_digests_from_origin(layout, version).await else { return };
+        let mut pieces = Vec::with_capacity(digests.len());
+        for (piece, digest) in (0..).zip(&digests) {
+            match self.get_staged_piece(&layout.model, piece).await {
+                Ok(Some(body)) if Digest::of(&body) == *digest => pieces.push(body),
+                // A mix of pieces was never ordered.
+                _ => return,
+            }
+        }
+        info!(self.log, "an earlier run may have ordered a load"; "version" => version.0,
+            "sequence" => report.accepted_orders);
+        let weights = Weights { version, digests: Rc::new(digests), pieces };
+        self.open_orders.borrow_mut().inherit(weights, report.accepted_orders);
+        self.load_wakeup.notify_one();
+    }
+
+    /// Takes the newest version for ordered by an earlier run, if all its pieces are staged and not loaded.
+    async fn inherit_newest(&self) {
+        let staged =
+            self.download.borrow().as_ref().filter(|d| d.is_staged()).and_then(|d| d.weights());
+        let Some(weights) = staged else { return };
+        if self.serving_version().is_some_and(|serving| serving >= weights.version) {
+            return;
+        }
+        if let Ok(report) = self.get_report().await {
+            self.open_orders.borrow_mut().inherit(weights, report.accepted_orders);
+        }
+    }
+
     /// Whether a version was named so recently that none of it can be staged.
     fn is_recently_named(&self, version: WeightsVersion) -> bool {
         let download = self.download.borrow();
@@ -298,8 +349,10 @@
 
     /// Uploads a held piece to the endpoint.
     async fn stage_piece(&self, layout: &WeightsLayout, version: WeightsVersion, piece: u32) {
-        let body = self.held_piece(version, piece);
-        let Some(body) = body else { return };
+        if !self.open_orders.borrow().may_stage(version) {
+            return;
+        }
+        let Some(body) = self.held_piece(version, piece) else { return };
         if let Err(err) = self.put_piece(&layout.model, piece, body).await {
             warn!(self.log, "cannot stage a piece"; "piece" => piece, "error" => %err);
             return;
--- a/components/stager/src/lib.rs
+++ b/components/stager/src/lib.rs
@@ -7,6 +7,7 @@
 mod fleet_view;
 mod load;
 mod load_schedule;
+mod open_order;
 mod peers;
 mod process;
 mod report;
--- a/components/stager/src/load.rs
+++ b/components/stager/src/load.rs
@@ -11,10 +11,11 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::{
-    engine::LoadOrderOutcome,
+    engine::{EngineError, LoadOrderOutcome},
     fleet_view::WeightsLayout,
     load_schedule::may_load,
-    shared::{Stager, now},
+    open_order::{OrderEnd, Weights},
+    shared::{Download, Stager, now},
 };
 
 /// Maximum time between checks whether to load, while new weights wait for it.
@@ -34,10 +35,48 @@
             let pending = self.has_pending_load();
             let interval = if pending { CHECK_INTERVAL } else { IDLE_CHECK_INTERVAL };
             let _ = timeout(interval, self.load_wakeup.notified()).await;
-            let (Some(layout), Some(version)) = (self.weights_layout(), self.due_version()) else {
-                continue;
-            };
-            self.load_version(&layout, version).await;
+            let Some(layout) = self.weights_layout() else { continue };
+            if let Some(weights) = self.overtaken_order() {
+                self.settle_order(&layout, &weights).await;
+            } else if let Some(version) = self.due_version() {
+                self.load_version(&layout, version).await;
+            }
+        }
+    }
+
+    /// The weights of an order that may still be accepted though a newer version is here.
+    fn overtaken_order(&self) -> Option<Weights> {
+        let orders = self.open_orders.borrow();
+        let weights = &orders.current()?.weights;
+        (Some(weights.version) != self.download_version()).then(|| weights.clone())
+    }
+
+    /// Finds out whether an order without an answer was accepted. If it was not, it is sent again: of
+    /// several orders that name the same number the endpoint accepts one, and what is staged must not
+    /// change before.
+    async fn settle_order(self: &Rc<Stager>, layout: &WeightsLayout, weights: &Weights) {
+        let Ok(report) = self.get_report().await else { return };
+        if self.close_order(report.accepted_orders) {
+            self.stage_held(layout).await;
+        } else if !report.is_loading {
+            self.load_weights(layout, weights).await;
+        }
+    }
+
+    /// Closes an order that the endpoint cannot accept any more, by the number of orders that it has
+    /// accepted. Returns whether there was one.
+    fn close_order(&self, accepted_orders: u64) -> bool {
+        let is_over = self.open_orders.borrow_mut().record_sequence(accepted_orders);
+        if is_over {
+            info!(self.log, "order without an answer settled"; "accepted" => accepted_orders);
+        }
+        is_over
+    }
+
+    /// Uploads the pieces of the newest version that an open order has held back.
+    async fn stage_held(&self, layout: &WeightsLayout) {
+        if let Some(version) = self.download_version() {
+            self.stage_missing(layout, version).await;
         }
     }
 
@@ -85,7 +124,15 @@
 
     async fn load_version(self: &Rc<Stager>, layout: &WeightsLayout, version: WeightsVersion) {
         self.stage_missing(layout, version).await;
-        if !self.verify_staged(layout, version).await {
+        let weights = self.download.borrow().as_ref().and_then(Download::weights);
+        if let Some(weights) = weights.filter(|weights| weights.version == version) {
+            self.load_weights(layout, &weights).await;
+        }
+    }
+
+    /// Verifies the staged pieces and orders the endpoint to load them.
+    async fn load_weights(self: &Rc<Stager>, layout: &WeightsLayout, weights: &Weights) {
+        if !self.verify_staged(layout, weights).await {
             sleep(self.settings.retry_delay).await;
             return;
         }
@@ -94,7 +141,7 @@
         self.inventory_wakeup.notify_one();
         // Gateways learn of the load before the endpoint stops taking requests.
         sleep(self.settings.load_notice).await;
-        self.order_load(layout, version).await;
+        self.order_load(layout, weights).await;
         self.loading.set(false);
         self.report_wakeup.notify_one();
         self.inventory_wakeup.notify_one();
@@ -102,9 +149,9 @@
 
     /// Reads the staged pieces back and replaces those that do not match their digest. Returns
     /// whether all pieces are correct now.
-    async fn verify_staged(&self, layout: &WeightsLayout, version: WeightsVersion) -> bool {
-        for piece in 0..layout.pieces {
-            let Some(digest) = self.piece_digest(version, piece) else { return false };
+    async fn verify_staged(&self, layout: &WeightsLayout, weights: &Weights) -> bool {
+        let version = weights.version;
+        for (piece, (digest, body)) in (0..).zip(weights.digests.iter().zip(&weights.pieces)) {
             let staged = match self.get_staged_piece(&layout.model, piece).await {
                 Ok(staged) => staged,
                 Err(err) => {
@@ -112,12 +159,14 @@
                     return false;
                 }
             };
-            if staged.is_some_and(|body| Digest::of(&body) == digest) {
+            if staged.is_some_and(|staged| Digest::of(&staged) == *digest) {
                 continue;
             }
-            let Some(body) = self.held_piece(version, piece) else { return false };
+            if !self.may_order(version) {
+                return false;
+            }
             info!(self.log, "staged piece replaced"; "version" => version.0, "piece" => piece);
-            if let Err(err) = self.put_piece(&layout.model, piece, body).await {
+            if let Err(err) = self.put_piece(&layout.model, piece, body.clone()).await {
                 warn!(self.log, "cannot stage a piece"; "piece" => piece, "error" => %err);
                 return false;
             }
@@ -125,13 +174,13 @@
         true
     }
 
-    fn piece_digest(&self, version: WeightsVersion, piece: u32) -> Option<Digest> {
-        let download = self.download.borrow();
-        let download = download.as_ref().filter(|download| download.version == version)?;
-        download.digests.as_ref()?.get(piece as usize).copied()
+    /// Whether a version may be ordered: that of the open order, else the newest one.
+    fn may_order(&self, version: WeightsVersion) -> bool {
+        let open = self.open_orders.borrow().current().map(|order| order.weights.version);
+        open.or(self.download_version()) == Some(version)
     }
 
-    async fn order_load(&self, layout: &WeightsLayout, version: WeightsVersion) {
+    async fn order_load(&self, layout: &WeightsLayout, weights: &Weights) {
         let report = match self.get_report().await {
             Ok(report) => report,
             Err(err) => {
@@ -139,21 +188,24 @@
                 return;
             }
         };
-        if report.is_loading || self.download_version() != Some(version) {
+        let (version, sequence) = (weights.version, report.accepted_orders);
+        if report.is_loading || !self.may_order(version) || self.close_order(sequence) {
             return;
         }
         let running = match self.interrupts_requests() {
             true => RunningRequests::BreakOff,
             false => RunningRequests::Finish,
         };
-        let result =
-            self.send_load_order(&layout.model, version, running, report.accepted_orders).await;
+        // From here on the staged pieces stay as they are.
+        self.open_orders.borrow_mut().open(weights.clone(), sequence);
+        let result = self.send_load_order(&layout.model, version, running, sequence).await;
+        self.open_orders.borrow_mut().record_end(order_end(&result));
         let accepted = if result.is_ok() { "true" } else { "false" };
         counter!(names::ORDERS, "order" => "load", "accepted" => accepted).increment(1);
         match result {
             Ok(outcome) => {
                 info!(self.log, "order"; "order" => "load", "version" => version.0,
-                    "sequence" => report.accepted_orders, "outcome" => ?outcome,
+                    "sequence" => sequence, "outcome" => ?outcome,
                     "running" => report.running, "mode" => ?running);
                 if outcome == LoadOrderOutcome::Begun {
                     self.await_load(version).await;
@@ -161,10 +213,19 @@
             }
             Err(err) => {
                 warn!(self.log, "order"; "order" => "load", "version" => version.0,
-                    "sequence" => report.accepted_orders, "error" => %err);
+                    "sequence" => sequence, "error" => %err);
                 sleep(self.settings.retry_delay).await;
             }
         }
+        // Pieces of a newer version may have arrived meanwhile.
+        if self.may_order_newest() {
+            self.stage_held(layout).await;
+        }
+    }
+
+    /// Whether no order holds back the newest version.
+    fn may_order_newest(&self) -> bool {
+        self.download_version().is_some_and(|version| self.may_order(version))
     }
 
     /// Waits until the endpoint serves the version or is no longer busy.
@@ -187,3 +248,13 @@
         warn!(self.log, "load has not finished in time"; "version" => version.0);
     }
 }
+
+/// Returns what an answer, or its absence, says about an order.
+fn order_end(result: &Result<LoadOrderOutcome, EngineError>) -> OrderEnd {
+    match result {
+        Ok(LoadOrderOutcome::Begun | LoadOrderOutcome::Done) => OrderEnd::Accepted,
+        Err(EngineError::Status(_)) => OrderEnd::NotAccepted,
+        Err(EngineError::Transport(err)) if err.is_unsent() => OrderEnd::NotAccepted,
+        Err(EngineError::Transport(_) | EngineError::Decode(_)) => OrderEnd::Unanswered,
+    }
+}
--- a/components/stager/src/process.rs
+++ b/components/stager/src/process.rs
@@ -68,6 +68,8 @@
         failed_polls: Cell::default(),
         loading: Cell::default(),
         download: RefCell::default(),
+        open_orders: RefCell::default(),
+        looked_back: Cell::default(),
         named: Cell::default(),
         pauses: RefCell::new(Pauses::new(MAX_FLUSH_GAP, now(), BootTime::now())),
         fetch_wakeup: Notify::new(),
--- a/components/stager/src/shared.rs
+++ b/components/stager/src/shared.rs
@@ -22,6 +22,7 @@
 use crate::{
     FetchScheduler, PeerStatus,
     fleet_view::{FleetView, WeightsLayout},
+    open_order::{OpenOrders, Weights},
     settings::StagerSettings,
 };
 
@@ -41,6 +42,13 @@
 }
 
 impl Download {
+    /// The weights, once all pieces are here.
+    pub(crate) fn weights(&self) -> Option<Weights> {
+        let pieces: Option<Vec<Bytes>> = self.pieces.iter().cloned().collect();
+        let digests = self.digests.clone()?;
+        Some(Weights { version: self.version, digests, pieces: pieces? })
+    }
+
     /// Whether all pieces were uploaded to the endpoint.
     pub(crate) fn is_staged(&self) -> bool {
         self.staged.len() as usize == self.pieces.len()
@@ -80,6 +88,10 @@
     /// Whether a load order is about to be sent or in progress.
     pub(crate) loading: Cell<bool>,
     pub(crate) download: RefCell<Option<Download>>,
+    /// The load order that the endpoint may still accept.
+    pub(crate) open_orders: RefCell<OpenOrders>,
+    /// Whether this process has looked for an order of an earlier run.
+    pub(crate) looked_back: Cell<bool>,
     /// The newest named version and a time before which it was not named.
     pub(crate) named: Cell<Option<(u64, Instant)>>,
     /// Observed with each flush of the log, and before what depends on it.
@@ -214,10 +226,12 @@
 
     /// Whether the newest weights are on this VM but not yet served by the endpoint.
     pub(crate) fn has_pending_load(&self) -> bool {
+        let open = self.open_orders.borrow().current().map(|order| order.weights.version);
         let download = self.download.borrow();
         let serving = self.serving_version();
         download.as_ref().is_some_and(|download| {
-            download.scheduler.is_complete() && serving.is_none_or(|v| v < download.version)
+            open.is_some_and(|open| open < download.version)
+                || download.scheduler.is_complete() && serving.is_none_or(|v| v < download.version)
         })
     }
 
