--- a/components/stager/src/load.rs
+++ b/components/stager/src/load.rs
@@ -145,6 +145,10 @@
         self.loading.set(false);
         self.report_wakeup.notify_one();
         self.inventory_wakeup.notify_one();
+        // Pieces of a newer version may have arrived meanwhile.
+        if self.may_order_newest() {
+            self.stage_held(layout).await;
+        }
     }
 
     /// Reads the staged pieces back and replaces those that do not match their digest. Returns
@@ -217,10 +221,6 @@
                 sleep(self.settings.retry_delay).await;
             }
         }
-        // Pieces of a newer version may have arrived meanwhile.
-        if self.may_order_newest() {
-            self.stage_held(layout).await;
-        }
     }
 
     /// Whether no order holds back the newest version.
@@ -253,8 +253,10 @@
 fn order_end(result: &Result<LoadOrderOutcome, EngineError>) -> OrderEnd {
     match result {
         Ok(LoadOrderOutcome::Begun | LoadOrderOutcome::Done) => OrderEnd::Accepted,
-        Err(EngineError::Status(_)) => OrderEnd::NotAccepted,
+        Err(EngineError::Status(400..=499)) => OrderEnd::NotAccepted,
         Err(EngineError::Transport(err)) if err.is_unsent() => OrderEnd::NotAccepted,
-        Err(EngineError::Transport(_) | EngineError::Decode(_)) => OrderEnd::Unanswered,
+        Err(EngineError::Transport(_) | EngineError::Status(_) | EngineError::Decode(_)) => {
+            OrderEnd::Unanswered
+        }
     }
 }
