Write log lines in blocks that a pipe takes as a whole

A gateway writes all lines of an interval at once; of 8.4 KB the reader got the first 8 KiB. Ruled out: the limit of the buffer, which reports what it drops. Lines are now written in blocks of whole lines of at most 4096 bytes.

--- a/components/telemetry/src/lines.rs
+++ b/components/telemetry/src/lines.rs
@@ -18,6 +18,9 @@
 const BUFFER_BYTES: usize = 128 << 10;
 /// Maximum number of buffers queued for the writer thread.
 const MAX_QUEUED_BUFFERS: usize = 4;
+/// Maximum size in bytes of one write, unless a single line is longer. A pipe takes a write of this size
+/// as a whole, so that lines of several processes do not mix.
+const MAX_WRITE_BYTES: usize = 4096;
 
 /// Collects log lines until `flush` hands them to the writer thread.
 #[derive(Clone)]
@@ -89,9 +92,33 @@
 fn write_buffers(buffers: &Receiver<Vec<u8>>) {
     let mut out = io::stdout();
     for lines in buffers {
-        // Standard output is closed, so the error cannot be reported anywhere.
-        if out.write_all(&lines).and_then(|()| out.flush()).is_err() {
-            return;
+        for block in blocks(&lines) {
+            // Standard output is closed, so the error cannot be reported anywhere.
+            if out.write_all(block).and_then(|()| out.flush()).is_err() {
+                return;
+            }
         }
     }
 }
+
+/// Splits lines into blocks of whole lines that are written at once.
+fn blocks(mut lines: &[u8]) -> impl Iterator<Item = &[u8]> {
+    std::iter::from_fn(move || {
+        let (block, rest) = lines.split_at(block_length(lines));
+        lines = rest;
+        (!block.is_empty()).then_some(block)
+    })
+}
+
+/// Length of the first block: as many whole lines as fit, or one longer line.
+fn block_length(lines: &[u8]) -> usize {
+    if lines.len() <= MAX_WRITE_BYTES {
+        return lines.len();
+    }
+    let is_end = |byte: &u8| *byte == b'\n';
+    let last = lines[..MAX_WRITE_BYTES].iter().rposition(is_end);
+    last.or_else(|| lines.iter().position(is_end)).map_or(lines.len(), |at| at + 1)
+}
+
+#[cfg(test)]
+mod tests;
