--- a/components/gateway/src/store_follower.rs
+++ b/components/gateway/src/store_follower.rs
@@ -37,6 +37,8 @@
     interrupted: bool,
     /// When the store became unreachable.
     lost_at: Option<Instant>,
+    /// Number of failed calls to the store since then, for the log.
+    failures: u32,
     /// How long endpoints that are missing from the store get to register again.
     reregistration: ReregistrationGrace,
 }
@@ -55,6 +57,7 @@
             source: ChangeSource::Store,
             interrupted: false,
             lost_at: None,
+            failures: 0,
             reregistration,
         }
     }
@@ -289,12 +292,16 @@
     }
 
     fn handle_store_lost(&mut self, err: &ReadError) {
-        if self.lost_at.is_none() {
-            self.lost_at = Some(now());
-            self.gateway.store_lost.set(true);
-            self.gateway.store_changed.notify_waiters();
-            warn!(self.gateway.log, "store lost"; "error" => %err);
+        self.failures += 1;
+        if self.lost_at.is_some() {
+            return;
         }
+        self.lost_at = Some(now());
+        self.gateway.store_lost.set(true);
+        self.gateway.store_changed.notify_waiters();
+        let age = self.gateway.store_progress.borrow().age(now());
+        warn!(self.gateway.log, "store lost"; "error" => %err,
+            "age_ms" => age.map(|age| age.as_millis() as u64));
     }
 
     fn handle_store_regained(&mut self) {
@@ -305,7 +312,8 @@
         if away >= self.gateway.settings.store_outage_threshold {
             self.reregistration.record_outage(now);
         }
-        info!(self.gateway.log, "store regained";
+        let failures = std::mem::take(&mut self.failures);
+        info!(self.gateway.log, "store regained"; "failures" => failures,
             "away_ms" => away.as_millis() as u64);
     }
 
