Miss a lost answer of the store within the bound on configurations

Cause: a watch waits for changes for 2.5 s and fails 0.7 s later, then 0.3 s pass before the next one. If its answer is lost, as the store was silent for a moment, the gateway hears of nothing in all that time, though the store answers. Only gateways on which others rely waited for less. The time limits of the follower were a constant and did not follow from the bound that they serve.

Change: waiting time, grace and retry delay derive from the bound, nine tenths of it in all. Who relies on a gateway no longer matters for it.

--- a/components/gateway/src/change_source.rs
+++ b/components/gateway/src/change_source.rs
@@ -22,12 +22,17 @@
     Gateway(Ipv4Addr),
 }
 
-/// Timeouts of learning changes from another gateway, all derived from the time within which a
-/// configuration must be in force.
+/// Timeouts of learning changes, all derived from the time within which a configuration must be in
+/// force.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct RelayTimes {
-    /// Maximum time that a watch of the store waits if other gateways learn from this one.
+pub(crate) struct SourceTimes {
+    /// Maximum time that a watch of the store waits. An answer that is lost is missed only after that,
+    /// `store_grace` and `retry_delay`, which together are shorter than the bound.
     pub(crate) store_wait: Duration,
+    /// Time beyond its waiting time after which a watch fails.
+    pub(crate) store_grace: Duration,
+    /// Delay before a failed read of the store is retried.
+    pub(crate) retry_delay: Duration,
     /// Pause between two watches of the store, which lets changes accumulate.
     pub(crate) store_pause: Duration,
     /// Maximum time that a gateway waits for changes before it answers that there are none.
@@ -43,11 +48,20 @@
     pub(crate) failure_backoff: Duration,
 }
 
-impl RelayTimes {
+/// Maximum time that a watch of the store waits, whatever the bound.
+const MAX_STORE_WAIT: Duration = Duration::from_millis(2500);
+/// Maximum time beyond its waiting time after which a watch fails.
+const MAX_STORE_GRACE: Duration = Duration::from_millis(700);
+/// Maximum delay before a failed read of the store is retried.
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(300);
+
+impl SourceTimes {
     /// The times for a bound on the propagation of configurations.
-    pub(crate) fn for_bound(bound: Duration) -> RelayTimes {
-        RelayTimes {
-            store_wait: bound * 2 / 5,
+    pub(crate) fn for_bound(bound: Duration) -> SourceTimes {
+        SourceTimes {
+            store_wait: (bound * 2 / 5).min(MAX_STORE_WAIT),
+            store_grace: (bound * 7 / 20).min(MAX_STORE_GRACE),
+            retry_delay: (bound * 3 / 20).min(MAX_RETRY_DELAY),
             store_pause: bound / 8,
             relay_wait: bound / 8,
             relay_timeout: bound / 4,
@@ -63,7 +77,7 @@
 pub(crate) struct SourceSelection {
     own_ip: Ipv4Addr,
     zone: Zone,
-    times: RelayTimes,
+    times: SourceTimes,
     /// Gateways that failed, with the time until which they are not asked.
     failed: HashMap<Ipv4Addr, Instant>,
     /// Until when this gateway reads the store itself, because another one failed. Asking one silent
@@ -72,7 +86,7 @@
 }
 
 impl SourceSelection {
-    pub(crate) fn new(own_ip: Ipv4Addr, zone: Zone, times: RelayTimes) -> SourceSelection {
+    pub(crate) fn new(own_ip: Ipv4Addr, zone: Zone, times: SourceTimes) -> SourceSelection {
         SourceSelection { own_ip, zone, times, failed: HashMap::new(), direct_until: None }
     }
 
--- a/components/gateway/src/change_source/tests.rs
+++ b/components/gateway/src/change_source/tests.rs
@@ -7,7 +7,7 @@
 }
 
 fn selection(own_ip: Ipv4Addr) -> SourceSelection {
-    let times = RelayTimes::for_bound(BOUND);
+    let times = SourceTimes::for_bound(BOUND);
     SourceSelection::new(own_ip, "zone-1".parse().unwrap(), times)
 }
 
@@ -45,7 +45,7 @@
 #[test]
 fn gateways_read_the_store_when_readers_fail_in_the_same_second_and_then_agree_on_new_ones() {
     let start = Instant::now();
-    let times = RelayTimes::for_bound(BOUND);
+    let times = SourceTimes::for_bound(BOUND);
     let all = gateways(12);
     let mut failed: Vec<Ipv4Addr> = Vec::new();
     // The gateways that would read are cut off, one after the other, and stay known.
@@ -87,7 +87,7 @@
     selection.record_store_failure(now);
     assert!(matches!(selection.choose(all.iter().copied(), now), ChangeSource::Gateway(_)));
     assert_eq!(selection.choose([], now), ChangeSource::Store);
-    let later = now + RelayTimes::for_bound(BOUND).direct_time;
+    let later = now + SourceTimes::for_bound(BOUND).direct_time;
     assert_eq!(selection.choose(all.iter().copied(), later), ChangeSource::Store);
 }
 
@@ -121,7 +121,7 @@
     let (ip, source) =
         sources(&all, now).into_iter().find(|(_, source)| *source != ChangeSource::Store).unwrap();
     let ChangeSource::Gateway(reader) = source else { unreachable!() };
-    let times = RelayTimes::for_bound(BOUND);
+    let times = SourceTimes::for_bound(BOUND);
     let mut selection = selection(ip);
     selection.record_failure(reader, now);
     assert_eq!(selection.choose(all.iter().copied(), now), ChangeSource::Store);
@@ -133,7 +133,7 @@
 #[test]
 fn a_change_is_known_within_the_bound_even_if_two_readers_fall_silent() {
     for bound in [Duration::from_secs(2), Duration::from_secs(4), Duration::from_secs(10)] {
-        let times = RelayTimes::for_bound(bound);
+        let times = SourceTimes::for_bound(bound);
         // Two readers that do not answer any more, and then a read of the store.
         assert!(times.relay_timeout * 2 < bound);
         // A reader that answers, but is itself cut off from the store.
@@ -143,3 +143,14 @@
         assert!(times.relay_wait < times.relay_timeout);
     }
 }
+
+/// Guards against a watch of the store whose time limits are longer than a change may take.
+#[test]
+fn a_lost_answer_of_the_store_is_missed_within_the_bound() {
+    for seconds in [1, 2, 3, 4, 10, 60] {
+        let bound = Duration::from_secs(seconds);
+        let times = SourceTimes::for_bound(bound);
+        let missed_after = times.store_wait + times.store_grace + times.retry_delay;
+        assert!(missed_after <= bound * 9 / 10, "{bound:?}: {missed_after:?}");
+    }
+}
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -141,7 +141,7 @@
                 Ok((from, message)) => self.handle_message(from, message),
                 Err(err) => {
                     slog::warn!(self.log, "cannot receive datagrams"; "error" => %err);
-                    sleep(self.settings.store_retry_delay).await;
+                    sleep(self.settings.receive_retry_delay).await;
                 }
             }
         }
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -54,9 +54,8 @@
     /// Answers another gateway that asks for the changes after a position. Waits a while if there are
     /// none.
     pub(crate) async fn serve_changes(&self, after: StorePosition) -> Response<ResponseBody> {
-        self.relayed_at.set(Some(now()));
         self.log_behind(after);
-        let deadline = Instant::now() + self.relay_times().relay_wait;
+        let deadline = Instant::now() + self.source_times().relay_wait;
         loop {
             let changed = self.store_changed.notified();
             if self.store_lost.get() || self.stopping.get().is_some() {
@@ -106,7 +105,7 @@
         after: StorePosition,
     ) -> Result<LearnedChanges, RelayError> {
         let sent_at = now();
-        let times = self.relay_times();
+        let times = self.source_times();
         let addr = self.process.borrow().peer_addr(gateway.into());
         let path = PeerRequest::Changes { era: after.era.0, revision: after.revision.0 }.path();
         let request = request(Method::GET, addr, &path, Bytes::new());
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -11,16 +11,11 @@
     pub dispatch: DispatchSettings,
     /// Interval between requests for status reports from stagers.
     pub subscribe_interval: Duration,
-    /// Maximum time that a watch of the store waits for changes. An unresponsive store is detected only
-    /// after it.
-    pub store_wait: Duration,
     /// Time that a watch waits which is to show at once what the store has: after a stale read of the
     /// whole store, and the first one after a failure.
     pub catch_up_wait: Duration,
-    /// Time after the last request of another gateway for changes until which more are expected.
-    pub relay_memory: Duration,
-    /// Delay before a failed read of the store is retried.
-    pub store_retry_delay: Duration,
+    /// Delay before datagrams are received again after a failure.
+    pub receive_retry_delay: Duration,
     /// Minimum outage of the store after which endpoints whose entries expired get time to register
     /// again.
     pub store_outage_threshold: Duration,
@@ -50,10 +45,8 @@
         GatewaySettings {
             dispatch: DispatchSettings::default(),
             subscribe_interval: Duration::from_secs(1),
-            store_wait: Duration::from_millis(2500),
             catch_up_wait: Duration::from_millis(1),
-            relay_memory: Duration::from_secs(5),
-            store_retry_delay: Duration::from_millis(300),
+            receive_retry_delay: Duration::from_millis(300),
             store_outage_threshold: Duration::from_millis(1000),
             version_margin_fraction: 0.2,
             max_response_bytes: 4 << 20,
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -27,7 +27,7 @@
 use transport::ConnectionPool;
 
 use crate::{
-    change_source::RelayTimes, peers::MAX_NEWS_GAP, refused::RecentRefusals,
+    change_source::SourceTimes, peers::MAX_NEWS_GAP, refused::RecentRefusals,
     settings::GatewaySettings, shutdown::Shutdown, suspect_parts::SuspectParts,
     suspects::SuspectRequests, weights::NamedWeights,
 };
@@ -82,8 +82,6 @@
     pub(crate) store_lost: Cell<bool>,
     /// Wakes other gateways' requests for changes.
     pub(crate) store_changed: Notify,
-    /// When another gateway last asked for changes.
-    pub(crate) relayed_at: Cell<Option<Instant>>,
     /// Observed by `news_loop`, and before what it decides on.
     pub(crate) pauses: RefCell<Pauses>,
     /// Set once the process received SIGTERM.
@@ -206,7 +204,6 @@
             store_progress: RefCell::default(),
             store_lost: Cell::new(false),
             store_changed: Notify::new(),
-            relayed_at: Cell::new(None),
             pauses: RefCell::new(Pauses::new(MAX_NEWS_GAP, now(), BootTime::now())),
             stopping: Cell::new(None),
             in_flight: Cell::new(0),
@@ -216,9 +213,9 @@
         }
     }
 
-    /// Timeouts of learning the store's changes from another gateway.
-    pub(crate) fn relay_times(&self) -> RelayTimes {
-        RelayTimes::for_bound(self.process.borrow().bounds.config_propagation)
+    /// Timeouts of learning the store's changes.
+    pub(crate) fn source_times(&self) -> SourceTimes {
+        SourceTimes::for_bound(self.process.borrow().bounds.config_propagation)
     }
 
     /// Records that the process runs. Logs a pause that has just ended, and corrects the times that are
--- a/components/gateway/src/store_follower.rs
+++ b/components/gateway/src/store_follower.rs
@@ -47,7 +47,7 @@
     pub(crate) fn new(gateway: Rc<Gateway>, reader: StoreReader) -> StoreFollower {
         let sources = {
             let process = gateway.process.borrow();
-            SourceSelection::new(process.ip, process.zone.clone(), gateway.relay_times())
+            SourceSelection::new(process.ip, process.zone.clone(), gateway.source_times())
         };
         let reregistration = ReregistrationGrace::new(gateway.settings.dispatch.relist_grace);
         StoreFollower {
@@ -68,7 +68,7 @@
             let pause = match self.step().await {
                 Ok(changed) => {
                     if changed {
-                        self.gateway.relay_times().store_pause
+                        self.gateway.source_times().store_pause
                     } else {
                         Duration::ZERO
                     }
@@ -94,7 +94,7 @@
                     self.sources.record_store_failure(now());
                 }
                 self.handle_store_lost(err);
-                self.gateway.settings.store_retry_delay
+                self.gateway.source_times().retry_delay
             }
         }
     }
@@ -220,19 +220,14 @@
         Ok(changed)
     }
 
-    /// Maximum time that a watch waits: shorter if other gateways rely on this one. The first watch
-    /// after a failure, or after changes were learned from another gateway, is answered at once, as
-    /// its response shows whether the store came back from an older copy meanwhile.
+    /// Maximum time that a watch waits. The first watch after a failure, or after changes were learned
+    /// from another gateway, is answered at once, as its response shows whether the store came back
+    /// from an older copy meanwhile.
     fn store_wait(&self) -> Duration {
-        let settings = &self.gateway.settings;
         if self.lost_at.is_some() || self.source != ChangeSource::Store {
-            return settings.catch_up_wait;
-        }
-        let is_recent = |at| now().saturating_duration_since(at) < settings.relay_memory;
-        match self.gateway.relayed_at.get().is_some_and(is_recent) {
-            true => self.gateway.relay_times().store_wait.min(settings.store_wait),
-            false => settings.store_wait,
+            return self.gateway.settings.catch_up_wait;
         }
+        self.gateway.source_times().store_wait
     }
 
     /// Learns changes from another gateway; if that fails, it is not asked again for a while.
