Let gateways learn changes from any other gateway that knows more

What callers saw: a gateway that the store does not answer, alone in its zone or in a zone of such gateways, kept an old configuration for as long as that lasted, 2 to 4 s and more, though gateways of other zones had the new one (CONFIG is at stake once the machine is in touch again).

Each source fails by time limits in series: 1.2 s until the other's knowledge is too old, 0.7 s for the store, 0.3 s until it is asked again. A gateway that lost the store refused to tell even the changes that it has.

Change: gateways announce the position of the store that they know to four others, chosen at random, each eighth of the bound for the length of the bound after it grew (16 bytes or so each). One that hears of a newer position and is not told it by its own source within a quarter of the bound asks that gateway (PositionNews decides, pure). Changes are told and taken however old the knowledge is that no more follow; its age counts for whether a source can be relied on, as before.

Ruled out: asking all gateways (grows with the fleet); shorter limits alone (they add up still, and another gateway of the zone may have nothing).

--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod hedge;
 mod in_progress;
 mod peers;
+mod position_news;
 mod process;
 mod refused;
 mod relay;
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -14,8 +14,8 @@
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use peering::{
-    EngineState, Fleet, FleetWeights, Member, Message, NamedVersion, PeerRequest, StateReport,
-    Subscription,
+    EngineState, Fleet, FleetWeights, KnownPosition, Member, Message, NamedVersion, PeerRequest,
+    StateReport, Subscription,
 };
 use platform::store::{StoreEra, StorePosition, StoreRevision};
 use tokio::time::{sleep, timeout};
@@ -38,7 +38,7 @@
 const MAX_SUSPICIONS_PER_MESSAGE: usize = 24;
 /// Interval at which a few other gateways are reminded of refused parts of prompts.
 const REMINDER_INTERVAL: Duration = Duration::from_secs(1);
-/// Number of gateways that are reminded at a time.
+/// Number of gateways that are reminded, or told of a position, at a time.
 const REMINDED_GATEWAYS: usize = 4;
 /// Minimum interval between two rounds of requests for reports.
 const MIN_SUBSCRIBE_INTERVAL: Duration = Duration::from_millis(50);
@@ -166,6 +166,7 @@
                 let refused = self.suspect_parts.borrow_mut().record_news(&news, now());
                 self.handle_refused_parts(refused);
             }
+            Message::Known(known) => self.handle_known_position(from, known),
             // Only stagers handle these.
             Message::Subscribe(_) | Message::Holding(_) => {}
         }
@@ -247,6 +248,7 @@
             if let Some(news) = news {
                 self.send_to(&self.other_gateways.borrow(), &Message::Parts(news));
             }
+            self.announce_position();
             if now() - reminded_at >= REMINDER_INTERVAL {
                 reminded_at = now();
                 self.remind_of_refused_parts();
@@ -257,10 +259,28 @@
     /// Tells a few other gateways which parts are refused, as they may have started since or missed it.
     fn remind_of_refused_parts(&self) {
         let Some(refusals) = self.suspect_parts.borrow().refusals(now()) else { return };
-        let message = Message::Parts(refusals);
+        self.send_to_some(&Message::Parts(refusals));
+    }
+
+    /// Tells a few other gateways how far this one knows the store, if that has changed lately.
+    fn announce_position(&self) {
+        let announced = self.position_news.borrow_mut().take_announcement(now());
+        let Some(StorePosition { era, revision }) = announced else { return };
+        self.send_to_some(&Message::Known(KnownPosition { era: era.0, revision: revision.0 }));
+    }
+
+    fn handle_known_position(&self, from: Ipv4Addr, known: KnownPosition) {
+        let position =
+            StorePosition { era: StoreEra(known.era), revision: StoreRevision(known.revision) };
+        self.position_news.borrow_mut().record_remote(from, position, now());
+        self.newer_position.notify_one();
+    }
+
+    /// Sends a message to a few other gateways, chosen at random.
+    fn send_to_some(&self, message: &Message) {
         let gateways: Vec<Ipv4Addr> = self.other_gateways.borrow().keys().copied().collect();
         for ip in fastrand::choose_multiple(gateways, REMINDED_GATEWAYS) {
-            self.socket.send(ip, &message);
+            self.socket.send(ip, message);
         }
     }
 
--- /dev/null
+++ b/components/gateway/src/position_news.rs
@@ -0,0 +1,113 @@
+//! Notices that other gateways know changes of the store that this one does not learn, and tells
+//! others how far this one knows them.
+
+use std::{
+    net::Ipv4Addr,
+    time::{Duration, Instant},
+};
+
+use platform::store::StorePosition;
+
+/// A position of the store that another gateway knows and this one does not.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct NewerPosition {
+    position: StorePosition,
+    gateway: Ipv4Addr,
+    heard_at: Instant,
+}
+
+/// What gateways tell each other of their positions. A gateway has its own source of changes; if that
+/// does not tell it within `patience` what another one knows, it asks that one.
+#[derive(Debug)]
+pub(crate) struct PositionNews {
+    times: NewsTimes,
+    own: StorePosition,
+    /// When `own` last grew.
+    grown_at: Option<Instant>,
+    announced_at: Option<Instant>,
+    /// The first newer position that was heard of since `own` was the newest one.
+    newer: Option<NewerPosition>,
+}
+
+/// Times of the exchange of positions, derived from the time within which a configuration must be in
+/// force.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct NewsTimes {
+    /// Time that the own source of changes gets to tell what another gateway knows.
+    pub(crate) patience: Duration,
+    /// Minimum interval between two announcements.
+    pub(crate) interval: Duration,
+    /// Time for which a position is announced again and again, as datagrams may be lost.
+    pub(crate) duration: Duration,
+}
+
+impl NewsTimes {
+    /// The times for a bound on the propagation of configurations.
+    pub(crate) fn for_bound(bound: Duration) -> NewsTimes {
+        NewsTimes { patience: bound / 4, interval: bound / 8, duration: bound }
+    }
+}
+
+impl PositionNews {
+    pub(crate) fn new(times: NewsTimes) -> PositionNews {
+        PositionNews {
+            times,
+            own: StorePosition::default(),
+            grown_at: None,
+            announced_at: None,
+            newer: None,
+        }
+    }
+
+    /// Records how far this gateway knows the store.
+    pub(crate) fn record_own(&mut self, position: StorePosition, now: Instant) {
+        if position > self.own {
+            self.own = position;
+            self.grown_at = Some(now);
+        }
+        if self.newer.is_some_and(|newer| newer.position <= self.own) {
+            self.newer = None;
+        }
+    }
+
+    /// Records how far another gateway knows the store. Positions of another era are left to the
+    /// reader of the store, as changes after a position of an older era are not known.
+    pub(crate) fn record_remote(
+        &mut self,
+        gateway: Ipv4Addr,
+        position: StorePosition,
+        now: Instant,
+    ) {
+        let is_newer = position.era == self.own.era && position > self.own;
+        if is_newer && self.newer.is_none() {
+            self.newer = Some(NewerPosition { position, gateway, heard_at: now });
+        }
+    }
+
+    /// Records that the gateway that knows more did not tell the changes. The next announcement names
+    /// one to ask.
+    pub(crate) fn record_failure(&mut self) {
+        self.newer = None;
+    }
+
+    /// The gateway to ask for changes, and from when on.
+    pub(crate) fn due_request(&self) -> Option<(Ipv4Addr, Instant)> {
+        let newer = self.newer?;
+        Some((newer.gateway, newer.heard_at + self.times.patience))
+    }
+
+    /// The position to announce now, if there is one.
+    pub(crate) fn take_announcement(&mut self, now: Instant) -> Option<StorePosition> {
+        let elapsed = |at: Instant| now.saturating_duration_since(at);
+        let is_recent = self.grown_at.is_some_and(|at| elapsed(at) < self.times.duration);
+        let is_early = self.announced_at.is_some_and(|at| elapsed(at) < self.times.interval);
+        if !is_recent || is_early {
+            return None;
+        }
+        self.announced_at = Some(now);
+        Some(self.own)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -58,14 +58,14 @@
         let deadline = Instant::now() + self.source_times().relay_wait;
         loop {
             let changed = self.store_changed.notified();
-            if self.store_lost.get() || self.stopping.get().is_some() {
-                return own_response(StatusCode::SERVICE_UNAVAILABLE, None, None);
-            }
             match self.store_progress.borrow().changes_since(after) {
                 ChangesSince::Changes(body) => return self.relayed_response(after, &body),
                 ChangesSince::Unknown => return own_response(StatusCode::GONE, None, None),
                 ChangesSince::None => {}
             }
+            if self.store_lost.get() || self.stopping.get().is_some() {
+                return own_response(StatusCode::SERVICE_UNAVAILABLE, None, None);
+            }
             if timeout_at(deadline, changed).await.is_err() {
                 return self.relayed_response(after, &[]);
             }
@@ -98,6 +98,21 @@
         }
     }
 
+    /// Waits until another gateway is known to know changes that this one's own source does not tell.
+    /// Returns that gateway.
+    pub(crate) async fn wait_until_behind(&self) -> Ipv4Addr {
+        loop {
+            let news = self.newer_position.notified();
+            let can_ask = self.store_progress.borrow().position().is_some();
+            let due = self.position_news.borrow().due_request().filter(|_| can_ask);
+            match due {
+                Some((gateway, due)) if now() >= due => return gateway,
+                Some((_, due)) => drop(timeout_at(due.into(), news).await),
+                None => news.await,
+            }
+        }
+    }
+
     /// Asks another gateway for the changes after a position.
     pub(crate) async fn request_changes(
         &self,
@@ -116,7 +131,8 @@
         }
         let sent_at = self.corrected_time(sent_at);
         let changes = RelayedChanges::decode(&reply.body)?;
-        if changes.age() > times.max_age {
+        // Changes are news, however old the knowledge is that there are no more of them.
+        if changes.body.is_empty() && changes.age() > times.max_age {
             return Err(RelayError::TooOld(changes.age()));
         }
         let watched = match changes.body.is_empty() {
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -27,9 +27,15 @@
 use transport::ConnectionPool;
 
 use crate::{
-    change_source::SourceTimes, peers::MAX_NEWS_GAP, refused::RecentRefusals,
-    settings::GatewaySettings, shutdown::Shutdown, suspect_parts::SuspectParts,
-    suspects::SuspectRequests, weights::NamedWeights,
+    change_source::SourceTimes,
+    peers::MAX_NEWS_GAP,
+    position_news::{NewsTimes, PositionNews},
+    refused::RecentRefusals,
+    settings::GatewaySettings,
+    shutdown::Shutdown,
+    suspect_parts::SuspectParts,
+    suspects::SuspectRequests,
+    weights::NamedWeights,
 };
 
 /// What the subset of followed engines was chosen from.
@@ -82,6 +88,10 @@
     pub(crate) store_lost: Cell<bool>,
     /// Wakes other gateways' requests for changes.
     pub(crate) store_changed: Notify,
+    /// What gateways tell each other of their positions.
+    pub(crate) position_news: RefCell<PositionNews>,
+    /// Wakes the follower of the store when another gateway knows more.
+    pub(crate) newer_position: Notify,
     /// Observed by `news_loop`, and before what it decides on.
     pub(crate) pauses: RefCell<Pauses>,
     /// Set once the process received SIGTERM.
@@ -174,6 +184,7 @@
         log: Logger,
         metrics: MetricsHandle,
     ) -> Gateway {
+        let bound = process.bounds.config_propagation;
         Gateway {
             settings,
             log,
@@ -204,6 +215,8 @@
             store_progress: RefCell::default(),
             store_lost: Cell::new(false),
             store_changed: Notify::new(),
+            position_news: RefCell::new(PositionNews::new(NewsTimes::for_bound(bound))),
+            newer_position: Notify::new(),
             pauses: RefCell::new(Pauses::new(MAX_NEWS_GAP, now(), BootTime::now())),
             stopping: Cell::new(None),
             in_flight: Cell::new(0),
--- a/components/gateway/src/store_follower.rs
+++ b/components/gateway/src/store_follower.rs
@@ -20,7 +20,7 @@
 
 use crate::{
     change_source::{ChangeSource, SourceSelection},
-    relay::RelayError,
+    relay::{LearnedChanges, RelayError},
     reregistration::ReregistrationGrace,
     state::{Gateway, now},
     weights::NamingTime,
@@ -64,21 +64,28 @@
 
     /// Follows the store until the task is dropped.
     pub(crate) async fn run(mut self) {
+        let gateway = self.gateway.clone();
         loop {
-            let pause = match self.step().await {
-                Ok(changed) => {
-                    if changed {
-                        self.gateway.source_times().store_pause
-                    } else {
-                        Duration::ZERO
-                    }
+            let pause = tokio::select! {
+                result = self.step() => self.pause_after(&result),
+                ip = gateway.wait_until_behind() => {
+                    self.catch_up(ip).await;
+                    Duration::ZERO
                 }
-                Err(err) => self.handle_failure(&err),
             };
             sleep(pause).await;
         }
     }
 
+    /// Handles the result of a step. Returns the pause before the next one.
+    fn pause_after(&mut self, result: &Result<bool, ReadError>) -> Duration {
+        match result {
+            Ok(true) => self.gateway.source_times().store_pause,
+            Ok(false) => Duration::ZERO,
+            Err(err) => self.handle_failure(err),
+        }
+    }
+
     /// Handles a failed read or watch. Returns the pause before the next attempt.
     fn handle_failure(&mut self, err: &ReadError) -> Duration {
         let recovery = self.gateway.store_progress.borrow_mut().record_failure(err);
@@ -190,6 +197,7 @@
             (before, restored)
         };
         self.interrupted = false;
+        self.gateway.position_news.borrow_mut().record_own(position, now());
         let origin = match restored {
             Some(_) => ListingOrigin::OlderCopy,
             None => ListingOrigin::Current,
@@ -232,16 +240,8 @@
 
     /// Learns changes from another gateway; if that fails, it is not asked again for a while.
     async fn follow_gateway(&mut self, ip: Ipv4Addr, at: StorePosition) {
-        let result = match self.gateway.request_changes(ip, at).await {
-            Ok(learned) => {
-                let confirmed_at = now().checked_sub(learned.age).unwrap_or_else(now);
-                self.accept_changes(learned.watched, confirmed_at, learned.known_until)
-                    .map(|()| learned.age)
-                    .map_err(RelayError::from)
-            }
-            Err(err) => Err(err),
-        };
-        match result {
+        let learned = self.gateway.request_changes(ip, at).await;
+        match learned.and_then(|learned| self.accept_learned(learned)) {
             Ok(age) => self.log_source(ChangeSource::Gateway(ip), age),
             Err(err) => {
                 info!(self.gateway.log, "changes not learned from a gateway";
@@ -252,6 +252,38 @@
         }
     }
 
+    /// Learns from another gateway what the own source of changes has not told in time.
+    async fn catch_up(&mut self, ip: Ipv4Addr) {
+        let position = self.gateway.store_progress.borrow().position();
+        let Some(at) = position else { return };
+        let learned = self.gateway.request_changes(ip, at).await;
+        // What the own source did not tell can be older than its usual delay.
+        self.interrupted = true;
+        let result = learned.and_then(|learned| self.accept_learned(learned));
+        let known = self.gateway.store_progress.borrow().position();
+        if result.is_err() || known <= Some(at) {
+            self.gateway.position_news.borrow_mut().record_failure();
+        }
+        match result {
+            Ok(age) => {
+                self.source = ChangeSource::Gateway(ip);
+                info!(self.gateway.log, "changes learned from a gateway that knows more";
+                    "entry" => %ip, "age_ms" => age.as_millis() as u64);
+            }
+            Err(err) => {
+                info!(self.gateway.log, "changes not learned from a gateway that knows more";
+                "entry" => %ip, "error" => %err)
+            }
+        }
+    }
+
+    /// Applies changes that were learned from another gateway. Returns the age of its knowledge.
+    fn accept_learned(&mut self, learned: LearnedChanges) -> Result<Duration, RelayError> {
+        let confirmed_at = now().checked_sub(learned.age).unwrap_or_else(now);
+        self.accept_changes(learned.watched, confirmed_at, learned.known_until)?;
+        Ok(learned.age)
+    }
+
     fn accept_changes(
         &mut self,
         watched: WatchedChanges,
@@ -267,6 +299,7 @@
                 self.interrupted = false;
             }
         }
+        self.gateway.position_news.borrow_mut().record_own(watched.position, now());
         self.handle_store_regained();
         self.gateway.store_changed.notify_waiters();
         self.apply_changes(watched.entries, named);
--- a/components/peering/src/lib.rs
+++ b/components/peering/src/lib.rs
@@ -9,8 +9,8 @@
 
 pub use fleet::{Fleet, FleetWeights, Member};
 pub use message::{
-    EngineState, Inventory, LostParts, Message, MessageError, NamedVersion, PartAge, PartNews,
-    PieceSet, RefusedRequest, StateReport, Subscription, Suspicion,
+    EngineState, Inventory, KnownPosition, LostParts, Message, MessageError, NamedVersion, PartAge,
+    PartNews, PieceSet, RefusedRequest, StateReport, Subscription, Suspicion,
 };
 pub use relay::RelayedChanges;
 pub use request::{PeerRequest, REQUEST_TIMEOUT};
--- a/components/peering/src/message.rs
+++ b/components/peering/src/message.rs
@@ -25,6 +25,8 @@
     Refused(Vec<RefusedRequest>),
     /// A gateway tells others about parts of prompts that may crash endpoints.
     Parts(PartNews),
+    /// A gateway tells others how far it knows the store.
+    Known(KnownPosition),
 }
 
 /// A weights version that the operator named.
@@ -36,6 +38,15 @@
     pub age_ms: u32,
 }
 
+/// A position of the platform's store up to which a gateway knows all changes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KnownPosition {
+    /// Era of the store in which the revision was given out.
+    pub era: u64,
+    /// The revision.
+    pub revision: u64,
+}
+
 /// Asks for state reports for the next few seconds.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Subscription {
--- a/components/stager/src/peers.rs
+++ b/components/stager/src/peers.rs
@@ -43,7 +43,8 @@
                     Message::State(_)
                     | Message::Suspicions(_)
                     | Message::Refused(_)
-                    | Message::Parts(_),
+                    | Message::Parts(_)
+                    | Message::Known(_),
                 )) => {}
                 Err(err) => {
                     warn!(self.log, "cannot receive datagrams"; "error" => %err);
