Hear a slow store again after an outage

What callers saw: a gateway that had lost the store got no answer for as long as the store took more than 0.7 s for one, though gateways whose watches were answered by changes heard it all the time; its configuration was up to 2.9 s older than theirs.

A watch without changes of a store that takes 0.8 s fails as well, so that each gateway gets there sooner or later.

Change: StorePatience follows the time that answers take, up to half of the bound; after a timeout long and short limits alternate, so that a silent store is asked as soon as before every other time. The waiting time of a watch gives way, so that a lost answer is missed within the bound as before.

Ruled out: doubling the limit (0.7, 1.4, 2.8 s leave no time within a bound of 4 s; its test failed); a long limit only (a store that is back is found later).

--- a/components/directory/src/reader.rs
+++ b/components/directory/src/reader.rs
@@ -21,8 +21,6 @@
     pub read_timeout: Duration,
     /// Maximum time that a connection stays idle, which has to exceed the time of a watch.
     pub idle_timeout: Duration,
-    /// Time beyond its waiting time after which a watch fails.
-    pub grace_period: Duration,
     /// Maximum size of a response in bytes.
     pub max_response_bytes: usize,
 }
@@ -39,7 +37,6 @@
             connect,
             read_timeout: Duration::from_millis(1500),
             idle_timeout: Duration::from_millis(2500),
-            grace_period: Duration::from_millis(700),
             max_response_bytes: 16 << 20,
         }
     }
@@ -83,7 +80,7 @@
         }
     }
 
-    /// Waits up to `wait` for changes after a position.
+    /// Waits up to `wait` for changes after a position, and up to `grace` longer for the response.
     ///
     /// # Errors
     ///
@@ -92,9 +89,10 @@
         &self,
         after: StorePosition,
         wait: Duration,
+        grace: Duration,
     ) -> Result<WatchedChanges, ReadError> {
         let path = watch_path(after.revision, wait);
-        let response = self.call(&path, wait + self.settings.grace_period).await?;
+        let response = self.call(&path, wait + grace).await?;
         let body = self.check(accept_response(response, after.era))?;
         WatchedChanges::decode(body, after)
     }
--- a/components/gateway/src/change_source.rs
+++ b/components/gateway/src/change_source.rs
@@ -26,11 +26,15 @@
 /// force.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct SourceTimes {
-    /// Maximum time that a watch of the store waits. An answer that is lost is missed only after that,
-    /// `store_grace` and `retry_delay`, which together are shorter than the bound.
+    /// Maximum time that a watch of the store waits.
     pub(crate) store_wait: Duration,
-    /// Time beyond its waiting time after which a watch fails.
+    /// Time beyond its waiting time after which a watch fails, if the store answers fast.
     pub(crate) store_grace: Duration,
+    /// The same if the store answers slowly.
+    pub(crate) max_grace: Duration,
+    /// Time after which a watch fails in any case. A lost answer is missed only after that and
+    /// `retry_delay`, which together are shorter than the bound.
+    pub(crate) store_limit: Duration,
     /// Delay before a failed read of the store is retried.
     pub(crate) retry_delay: Duration,
     /// Pause between two watches of the store, which lets changes accumulate.
@@ -50,7 +54,7 @@
 
 /// Maximum time that a watch of the store waits, whatever the bound.
 const MAX_STORE_WAIT: Duration = Duration::from_millis(2500);
-/// Maximum time beyond its waiting time after which a watch fails.
+/// Maximum time beyond its waiting time after which a watch of a fast store fails.
 const MAX_STORE_GRACE: Duration = Duration::from_millis(700);
 /// Maximum delay before a failed read of the store is retried.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(300);
@@ -61,6 +65,8 @@
         SourceTimes {
             store_wait: (bound * 2 / 5).min(MAX_STORE_WAIT),
             store_grace: (bound * 7 / 20).min(MAX_STORE_GRACE),
+            max_grace: bound / 2,
+            store_limit: bound * 3 / 4,
             retry_delay: (bound * 3 / 20).min(MAX_RETRY_DELAY),
             store_pause: bound / 8,
             relay_wait: bound / 8,
--- a/components/gateway/src/change_source/tests.rs
+++ b/components/gateway/src/change_source/tests.rs
@@ -150,7 +150,8 @@
     for seconds in [1, 2, 3, 4, 10, 60] {
         let bound = Duration::from_secs(seconds);
         let times = SourceTimes::for_bound(bound);
-        let missed_after = times.store_wait + times.store_grace + times.retry_delay;
+        assert!(times.store_wait + times.store_grace <= times.store_limit);
+        let missed_after = times.store_limit + times.retry_delay;
         assert!(missed_after <= bound * 9 / 10, "{bound:?}: {missed_after:?}");
     }
 }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod shutdown;
 mod state;
 mod store_follower;
+mod store_patience;
 mod stream;
 mod suspect_parts;
 mod suspects;
--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -120,9 +120,8 @@
     }
 
     fn start_tasks(self: Rc<Gateway>, lines: LogBuffer, file: PathBuf) {
-        let grace_period = self.source_times().store_grace;
-        let reading = StoreReaderSettings { grace_period, ..StoreReaderSettings::default() };
-        let reader = StoreReader::new(self.process.borrow().store_addr, reading);
+        let reader =
+            StoreReader::new(self.process.borrow().store_addr, StoreReaderSettings::default());
         spawn_local(crate::store_follower::StoreFollower::new(self.clone(), reader).run());
         spawn_local(self.clone().subscribe_loop());
         spawn_local(self.clone().receive_loop());
--- a/components/gateway/src/store_follower.rs
+++ b/components/gateway/src/store_follower.rs
@@ -17,12 +17,14 @@
 use slog::{info, warn};
 use telemetry::names;
 use tokio::time::sleep;
+use transport::TransportError;
 
 use crate::{
     change_source::{ChangeSource, SourceSelection},
     relay::{LearnedChanges, RelayError},
     reregistration::ReregistrationGrace,
     state::{Gateway, now},
+    store_patience::StorePatience,
     weights::NamingTime,
 };
 
@@ -39,6 +41,8 @@
     lost_at: Option<Instant>,
     /// Number of failed calls to the store since then, for the log.
     failures: u32,
+    /// How long answers of the store are waited for.
+    patience: StorePatience,
     /// How long endpoints that are missing from the store get to register again.
     reregistration: ReregistrationGrace,
 }
@@ -49,6 +53,7 @@
             let process = gateway.process.borrow();
             SourceSelection::new(process.ip, process.zone.clone(), gateway.source_times())
         };
+        let patience = StorePatience::new(&gateway.source_times());
         let reregistration = ReregistrationGrace::new(gateway.settings.dispatch.relist_grace);
         StoreFollower {
             gateway,
@@ -58,6 +63,7 @@
             interrupted: false,
             lost_at: None,
             failures: 0,
+            patience,
             reregistration,
         }
     }
@@ -146,7 +152,8 @@
         let mut snapshot = self.reader.read(self.known_era(), true).await?;
         let wait = self.gateway.settings.catch_up_wait;
         let sent_at = now();
-        let watched = self.reader.watch(snapshot.position, wait).await?;
+        let grace = self.patience.grace();
+        let watched = self.reader.watch(snapshot.position, wait, grace).await?;
         let sent_at = self.gateway.corrected_time(sent_at);
         let named = self.naming_time();
         snapshot.position = watched.position;
@@ -219,7 +226,9 @@
 
     async fn watch_store(&mut self, at: StorePosition) -> Result<bool, ReadError> {
         let (sent_at, wait) = (now(), self.store_wait());
-        let watched = self.reader.watch(at, wait).await?;
+        let result = self.reader.watch(at, wait, self.patience.grace()).await;
+        self.record_answer_time(&result, now().saturating_duration_since(sent_at), wait);
+        let watched = result?;
         let sent_at = self.gateway.corrected_time(sent_at);
         let changed = !watched.entries.is_empty();
         let known_until = known_by_watch(sent_at, wait, changed, now());
@@ -228,6 +237,24 @@
         Ok(changed)
     }
 
+    /// Records how long the answer to a watch took. One that came earlier than the store was to wait
+    /// tells nothing.
+    fn record_answer_time(
+        &mut self,
+        result: &Result<WatchedChanges, ReadError>,
+        elapsed: Duration,
+        wait: Duration,
+    ) {
+        let times = self.gateway.source_times();
+        match (result, elapsed.checked_sub(wait)) {
+            (Ok(_), Some(time)) => self.patience.record_answer(time, &times),
+            (Err(ReadError::Transport(TransportError::Timeout)), _) => {
+                self.patience.record_timeout(&times)
+            }
+            _ => {}
+        }
+    }
+
     /// Maximum time that a watch waits. The first watch after a failure, or after changes were learned
     /// from another gateway, is answered at once, as its response shows whether the store came back
     /// from an older copy meanwhile.
@@ -235,7 +262,7 @@
         if self.lost_at.is_some() || self.source != ChangeSource::Store {
             return self.gateway.settings.catch_up_wait;
         }
-        self.gateway.source_times().store_wait
+        self.patience.wait(&self.gateway.source_times()).max(self.gateway.settings.catch_up_wait)
     }
 
     /// Learns changes from another gateway; if that fails, it is not asked again for a while.
