Tell other gateways what they lack after the whole store was read anew

Cause: a gateway whose watch fails as the history was dropped reads the whole store and begins its own history there. To one that asks from before that it answered 410, as all others did that had read anew.

Change: the pages of the last whole read are kept for as long as changes are (15 s) and told to those who ask from before it. They are of one era and not of a stale read, as their position must hold. RelayedChanges says which of the two it carries; gateways of both versions of the program do not understand each other there and read the store, as they would without an answer.

--- a/components/directory/src/history.rs
+++ b/components/directory/src/history.rs
@@ -24,11 +24,22 @@
     at: Instant,
 }
 
+/// The pages of a read of the whole store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StorePages {
+    /// The position after which to ask for changes.
+    pub position: StorePosition,
+    /// The responses of the store, in order.
+    pub pages: Vec<Bytes>,
+}
+
 /// What is known of the changes after a position.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ChangesSince {
     /// A response of the store that contains the next changes, and perhaps earlier ones.
     Changes(Bytes),
+    /// The changes themselves are no longer here, but a later read of the whole store is.
+    All(StorePages),
     /// There are none yet.
     None,
     /// They are no longer here, the position is of another era, or the store was not read yet.
@@ -36,9 +47,11 @@
 }
 
 /// The last changes of the store, all of one era. The batches are contiguous: each begins where the
-/// one before ends.
+/// one before ends, the first one after `read`, if that is there.
 #[derive(Debug, Default)]
 pub struct ChangeHistory {
+    /// The last read of the whole store, with its time.
+    read: Option<(StorePages, Instant)>,
     batches: VecDeque<Batch>,
     /// Position up to which the store is known; `None` until it was read.
     position: Option<StorePosition>,
@@ -64,11 +77,19 @@
 impl ChangeHistory {
     /// Starts anew after the whole store was read.
     pub fn restart(&mut self, position: StorePosition, confirmed_at: Instant) {
+        self.read = None;
         self.batches.clear();
         self.position = Some(position);
         self.confirmed_at = Some(confirmed_at);
     }
 
+    /// Keeps the pages of the read that the history starts from, for those that know an older position.
+    pub fn keep_pages(&mut self, pages: Vec<Bytes>) {
+        if let (Some(position), Some(at)) = (self.position, self.confirmed_at) {
+            self.read = Some((StorePages { position, pages }, at));
+        }
+    }
+
     /// Adds the response to a watch after the last known position, which goes up to `position`.
     /// Ignores one of another era.
     pub fn push(&mut self, position: StorePosition, body: Bytes, confirmed_at: Instant) {
@@ -82,6 +103,7 @@
     }
 
     fn drop_old(&mut self, now: Instant) {
+        self.read.take_if(|(_, at)| now.saturating_duration_since(*at) > MAX_AGE);
         let mut bytes: usize = self.batches.iter().map(|batch| batch.body.len()).sum();
         while let Some(oldest) = self.batches.front() {
             let expired = now.saturating_duration_since(oldest.at) > MAX_AGE;
@@ -101,16 +123,25 @@
         if after >= known {
             return ChangesSince::None;
         }
-        let next = self.batches.iter().find(|batch| batch.position > after);
-        match next.filter(|batch| batch.after <= after) {
-            Some(batch) => ChangesSince::Changes(batch.body.clone()),
-            None => ChangesSince::Unknown,
+        if let Some(batch) = self.next_batch(after) {
+            return ChangesSince::Changes(batch.body.clone());
+        }
+        match &self.read {
+            Some((read, _)) if read.position > after => ChangesSince::All(read.clone()),
+            _ => ChangesSince::Unknown,
         }
     }
 
-    /// Number of kept batches of changes after a position.
-    pub fn batches_after(&self, after: StorePosition) -> usize {
-        self.batches.iter().filter(|batch| batch.position > after).count()
+    /// The batch with the next changes after a position.
+    fn next_batch(&self, after: StorePosition) -> Option<&Batch> {
+        let next = self.batches.iter().find(|batch| batch.position > after);
+        next.filter(|batch| batch.after <= after)
+    }
+
+    /// Whether more changes are here than the next ones after a position.
+    pub fn has_more_than_next(&self, after: StorePosition) -> bool {
+        let later = self.batches.iter().filter(|batch| batch.position > after).count();
+        later > usize::from(self.next_batch(after).is_some())
     }
 
     /// Corrects the times after the clock has not counted a suspension of the VM.
--- a/components/directory/src/history/tests.rs
+++ b/components/directory/src/history/tests.rs
@@ -114,3 +114,26 @@
     history.correct_times(|at| at - suspended);
     assert_eq!(history.age(start), Some(suspended));
 }
+
+#[test]
+fn a_kept_read_tells_those_who_know_an_older_position() {
+    let start = Instant::now();
+    let mut history = history(start);
+    history.restart(position(20), start);
+    assert_eq!(history.since(position(15)), ChangesSince::Unknown);
+    let pages = vec![body("page 1"), body("page 2")];
+    history.keep_pages(pages.clone());
+    let read = ChangesSince::All(StorePages { position: position(20), pages });
+    assert_eq!(history.since(position(15)), read);
+    assert!(!history.has_more_than_next(position(15)));
+    history.push(position(23), body("to 23"), start);
+    assert_eq!(history.since(position(15)), read);
+    assert!(history.has_more_than_next(position(15)), "the changes after the read");
+    assert_eq!(history.since(position(20)), ChangesSince::Changes(body("to 23")));
+    assert!(!history.has_more_than_next(position(20)));
+    let other_era = StorePosition { era: StoreEra(0), ..position(15) };
+    assert_eq!(history.since(other_era), ChangesSince::Unknown);
+    let later = start + MAX_AGE + Duration::from_secs(1);
+    history.push(position(23), body("nothing new"), later);
+    assert_eq!(history.since(position(15)), ChangesSince::Unknown, "the read is dropped");
+}
--- a/components/directory/src/lib.rs
+++ b/components/directory/src/lib.rs
@@ -7,7 +7,7 @@
 mod response;
 
 pub use error::ReadError;
-pub use history::{ChangeHistory, ChangesSince, known_by_watch};
+pub use history::{ChangeHistory, ChangesSince, StorePages, known_by_watch};
 pub use progress::{Recovery, Restoration, StoreProgress};
 pub use reader::{StoreReader, StoreReaderSettings};
 pub use response::{PagedRead, Snapshot, WatchedChanges, accept_response};
--- a/components/directory/src/progress.rs
+++ b/components/directory/src/progress.rs
@@ -5,6 +5,7 @@
     time::{Duration, Instant},
 };
 
+use bytes::Bytes;
 use platform::store::{StoreEra, StorePosition};
 
 use crate::{ChangeHistory, ChangesSince, ReadError, WatchedChanges};
@@ -82,6 +83,11 @@
         Ok(restored.map(|before| Restoration { before, after: position }))
     }
 
+    /// Keeps the pages of the read that was accepted last, for processes that know an older position.
+    pub fn keep_pages(&mut self, pages: Vec<Bytes>) {
+        self.history.keep_pages(pages);
+    }
+
     /// Accepts changes after the current position, which were all there were at `confirmed_at`.
     ///
     /// # Errors
@@ -137,7 +143,7 @@
     /// The same for a process that has applied the changes up to `after` and the next ones of
     /// `changes_since`; `None` if more follow.
     pub fn known_with_next(&self, after: StorePosition) -> Option<Instant> {
-        self.known_until.filter(|_| self.history.batches_after(after) <= 1)
+        self.known_until.filter(|_| !self.history.has_more_than_next(after))
     }
 
     /// Corrects the times after the clock has not counted a suspension of the VM.
--- a/components/directory/src/response.rs
+++ b/components/directory/src/response.rs
@@ -17,6 +17,19 @@
     /// The position to watch from: the lowest of all pages. Pages are read one after the other, so
     /// changes between them are reported again by the watch.
     pub position: StorePosition,
+    /// The responses that they were decoded from, to pass them on.
+    pub pages: Vec<Bytes>,
+}
+
+impl Snapshot {
+    /// Decodes the pages of a read that another process made.
+    pub fn decode(pages: Vec<Bytes>, position: StorePosition) -> Result<Snapshot, ReadError> {
+        let mut entries = Vec::new();
+        for page in &pages {
+            entries.extend(decode_page(page)?.entries);
+        }
+        Ok(Snapshot { entries, position, pages })
+    }
 }
 
 /// Changes that a watch returned.
@@ -50,6 +63,7 @@
 pub struct PagedRead {
     era: StoreEra,
     entries: Vec<StoreEntry>,
+    pages: Vec<Bytes>,
     /// Lowest revision of the pages so far.
     revision: Option<StoreRevision>,
 }
@@ -57,7 +71,7 @@
 impl PagedRead {
     /// Starts a read in the newest era that is known.
     pub fn new(era: StoreEra) -> PagedRead {
-        PagedRead { era, entries: Vec::new(), revision: None }
+        PagedRead { era, entries: Vec::new(), pages: Vec::new(), revision: None }
     }
 
     /// Adds the next page. Returns the key after which the page after it begins, if there is one.
@@ -66,7 +80,9 @@
     ///
     /// Fails if the page is of another era; the read has to start again.
     pub fn add_page(&mut self, response: BufferedResponse) -> Result<Option<String>, ReadError> {
-        let page = decode_page(&accept_response(response, self.era)?)?;
+        let body = accept_response(response, self.era)?;
+        let page = decode_page(&body)?;
+        self.pages.push(body);
         let lowest = self.revision.map_or(page.revision, |revision| revision.min(page.revision));
         self.revision = Some(lowest);
         self.entries.extend(page.entries);
@@ -76,7 +92,8 @@
     /// The entries of all pages.
     pub fn finish(self) -> Snapshot {
         let revision = self.revision.unwrap_or_default();
-        Snapshot { entries: self.entries, position: StorePosition { era: self.era, revision } }
+        let position = StorePosition { era: self.era, revision };
+        Snapshot { entries: self.entries, position, pages: self.pages }
     }
 }
 
--- a/components/directory/tests/restored_store.rs
+++ b/components/directory/tests/restored_store.rs
@@ -53,6 +53,7 @@
 impl Follower {
     fn apply_snapshot(&mut self, snapshot: Snapshot, now: Instant) -> Result<(), ReadError> {
         self.progress.accept_snapshot(snapshot.position, now)?;
+        self.progress.keep_pages(snapshot.pages);
         self.endpoints.clear();
         snapshot.entries.into_iter().for_each(|entry| self.apply(entry));
         Ok(())
@@ -256,6 +257,9 @@
             ChangesSince::Changes(body) => {
                 follower.apply_changes(WatchedChanges::decode(body, after)?, self.now)
             }
+            ChangesSince::All(read) => {
+                follower.apply_snapshot(Snapshot::decode(read.pages, read.position)?, self.now)
+            }
             ChangesSince::None => follower.apply_changes(WatchedChanges::none(after), self.now),
             ChangesSince::Unknown => {
                 follower.reads_directly = true;
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -3,10 +3,10 @@
 use std::{net::Ipv4Addr, time::Duration};
 
 use bytes::Bytes;
-use directory::{ChangesSince, ReadError, WatchedChanges};
+use directory::{ChangesSince, ReadError, Snapshot, WatchedChanges};
 use http::{Method, Response, StatusCode};
-use peering::{PeerRequest, RelayedChanges};
-use platform::store::StorePosition;
+use peering::{PeerRequest, RelayedChanges, RelayedContent};
+use platform::store::{StorePosition, StoreRevision};
 use tokio::time::{Instant, timeout_at};
 use transport::{TransportError, request};
 
@@ -42,7 +42,7 @@
 #[derive(Debug)]
 pub(crate) struct LearnedChanges {
     /// The changes.
-    pub(crate) watched: WatchedChanges,
+    pub(crate) content: LearnedContent,
     /// Time since the store was last known to have no newer change.
     pub(crate) age: Duration,
     /// Time before which the store acknowledged no change that is still unknown; `None` if more
@@ -50,6 +50,15 @@
     pub(crate) known_until: Option<std::time::Instant>,
 }
 
+/// How changes were told by another gateway.
+#[derive(Debug)]
+pub(crate) enum LearnedContent {
+    /// The next changes, if there are any.
+    Changes(WatchedChanges),
+    /// A read of the whole store.
+    All(Snapshot),
+}
+
 impl Gateway {
     /// Answers another gateway that asks for the changes after a position. Waits a while if there are
     /// none.
@@ -59,7 +68,14 @@
         loop {
             let changed = self.store_changed.notified();
             match self.store_progress.borrow().changes_since(after) {
-                ChangesSince::Changes(body) => return self.relayed_response(after, &body),
+                ChangesSince::Changes(body) => {
+                    return self.relayed_response(after, RelayedContent::Changes(&body));
+                }
+                ChangesSince::All(read) => {
+                    let pages = read.pages.iter().map(|page| page.as_ref()).collect();
+                    let revision = read.position.revision.0;
+                    return self.relayed_response(after, RelayedContent::All { revision, pages });
+                }
                 ChangesSince::Unknown => return own_response(StatusCode::GONE, None, None),
                 ChangesSince::None => {}
             }
@@ -67,7 +83,7 @@
                 return own_response(StatusCode::SERVICE_UNAVAILABLE, None, None);
             }
             if timeout_at(deadline, changed).await.is_err() {
-                return self.relayed_response(after, &[]);
+                return self.relayed_response(after, RelayedContent::None);
             }
         }
     }
@@ -81,11 +97,15 @@
         }
     }
 
-    fn relayed_response(&self, after: StorePosition, body: &[u8]) -> Response<ResponseBody> {
+    fn relayed_response(
+        &self,
+        after: StorePosition,
+        content: RelayedContent<'_>,
+    ) -> Response<ResponseBody> {
         self.observe_pauses();
         let progress = self.store_progress.borrow();
         let age = progress.age(now()).unwrap_or(Duration::MAX);
-        let mut changes = RelayedChanges::new(age, body);
+        let mut changes = RelayedChanges::new(age, content);
         if let Some(until) = progress.known_with_next(after) {
             changes = changes.with_known_age(now().saturating_duration_since(until));
         }
@@ -132,18 +152,33 @@
         let sent_at = self.corrected_time(sent_at);
         let changes = RelayedChanges::decode(&reply.body)?;
         // Changes are news, however old the knowledge is that there are no more of them.
-        if changes.body.is_empty() && changes.age() > times.max_age {
+        if changes.content == RelayedContent::None && changes.age() > times.max_age {
             return Err(RelayError::TooOld(changes.age()));
         }
-        let watched = match changes.body.is_empty() {
-            true => WatchedChanges::none(after),
-            false => WatchedChanges::decode(reply.body.slice_ref(changes.body), after)?,
-        };
         Ok(LearnedChanges {
-            watched,
             age: changes.age(),
             // The answer may have been on its way since the request was sent.
             known_until: changes.known_age().and_then(|age| sent_at.checked_sub(age)),
+            content: decode_content(changes.content, &reply.body, after)?,
         })
     }
 }
+
+/// Decodes what another gateway told of the changes after a position, which is a part of `reply`.
+fn decode_content(
+    content: RelayedContent<'_>,
+    reply: &Bytes,
+    after: StorePosition,
+) -> Result<LearnedContent, ReadError> {
+    Ok(match content {
+        RelayedContent::None => LearnedContent::Changes(WatchedChanges::none(after)),
+        RelayedContent::Changes(body) => {
+            LearnedContent::Changes(WatchedChanges::decode(reply.slice_ref(body), after)?)
+        }
+        RelayedContent::All { revision, pages } => {
+            let pages = pages.into_iter().map(|page| reply.slice_ref(page)).collect();
+            let position = StorePosition { revision: StoreRevision(revision), ..after };
+            LearnedContent::All(Snapshot::decode(pages, position)?)
+        }
+    })
+}
--- a/components/gateway/src/store_follower.rs
+++ b/components/gateway/src/store_follower.rs
@@ -21,7 +21,7 @@
 
 use crate::{
     change_source::{ChangeSource, SourceSelection},
-    relay::{LearnedChanges, RelayError},
+    relay::{LearnedChanges, LearnedContent, RelayError},
     reregistration::ReregistrationGrace,
     state::{Gateway, now},
     store_patience::StorePatience,
@@ -145,7 +145,7 @@
         let snapshot = self.reader.read(self.known_era(), false).await?;
         let sent_at = self.gateway.corrected_time(sent_at);
         let named = self.naming_time();
-        self.accept_snapshot(snapshot, named, sent_at)
+        self.accept_snapshot(snapshot, named, now(), Some(sent_at))
     }
 
     async fn read_stale(&mut self) -> Result<(), ReadError> {
@@ -157,7 +157,9 @@
         let sent_at = self.gateway.corrected_time(sent_at);
         let named = self.naming_time();
         snapshot.position = watched.position;
-        self.accept_snapshot(snapshot, named, sent_at)?;
+        // The pages are older than the position by the changes that were watched.
+        snapshot.pages.clear();
+        self.accept_snapshot(snapshot, named, now(), Some(sent_at))?;
         self.apply_changes(watched.entries, named);
         Ok(())
     }
@@ -187,23 +189,29 @@
         self.gateway.store_progress.borrow().era()
     }
 
-    /// Applies a read of the whole store that began at `sent_at`. `named` is when weights in it can
-    /// have been named.
+    /// Applies a read of the whole store, which was all there was at `confirmed_at` and lacks nothing
+    /// from before `known_until`. `named` is when weights in it can have been named.
     fn accept_snapshot(
         &mut self,
         snapshot: Snapshot,
         named: NamingTime,
-        sent_at: Instant,
+        confirmed_at: Instant,
+        known_until: Option<Instant>,
     ) -> Result<(), ReadError> {
         let position = snapshot.position;
         let (before, restored) = {
             let mut progress = self.gateway.store_progress.borrow_mut();
             let before = progress.known();
-            let restored = progress.accept_snapshot(position, now())?;
-            progress.record_known(sent_at);
+            let restored = progress.accept_snapshot(position, confirmed_at)?;
+            if !snapshot.pages.is_empty() {
+                progress.keep_pages(snapshot.pages);
+            }
+            if let Some(until) = known_until {
+                progress.record_known(until);
+                self.interrupted = false;
+            }
             (before, restored)
         };
-        self.interrupted = false;
         self.gateway.position_news.borrow_mut().record_own(position, now());
         let origin = match restored {
             Some(_) => ListingOrigin::OlderCopy,
@@ -307,7 +315,15 @@
     /// Applies changes that were learned from another gateway. Returns the age of its knowledge.
     fn accept_learned(&mut self, learned: LearnedChanges) -> Result<Duration, RelayError> {
         let confirmed_at = now().checked_sub(learned.age).unwrap_or_else(now);
-        self.accept_changes(learned.watched, confirmed_at, learned.known_until)?;
+        match learned.content {
+            LearnedContent::Changes(watched) => {
+                self.accept_changes(watched, confirmed_at, learned.known_until)?
+            }
+            LearnedContent::All(snapshot) => {
+                let named = self.naming_time();
+                self.accept_snapshot(snapshot, named, confirmed_at, learned.known_until)?
+            }
+        }
         Ok(learned.age)
     }
 
--- a/components/peering/src/lib.rs
+++ b/components/peering/src/lib.rs
@@ -12,6 +12,6 @@
     EngineState, Inventory, KnownPosition, LostParts, Message, MessageError, NamedVersion, PartAge,
     PartNews, PieceSet, RefusedRequest, StateReport, Subscription, Suspicion,
 };
-pub use relay::RelayedChanges;
+pub use relay::{RelayedChanges, RelayedContent};
 pub use request::{PeerRequest, REQUEST_TIMEOUT};
 pub use socket::{MAX_DATAGRAM, PeerSocket};
--- a/components/peering/src/relay.rs
+++ b/components/peering/src/relay.rs
@@ -12,15 +12,33 @@
     /// Milliseconds, rounded up, since the time before which the store acknowledged no change that is
     /// unknown to who has these; `None` if more changes follow.
     known_age_ms: Option<u32>,
-    /// A response of the store with the next changes; empty if there are none.
-    pub body: &'a [u8],
+    /// The changes.
+    #[serde(borrow)]
+    pub content: RelayedContent<'a>,
+}
+
+/// How changes of the store are passed on.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RelayedContent<'a> {
+    /// There are none.
+    None,
+    /// A response of the store with the next changes.
+    Changes(&'a [u8]),
+    /// The responses to a read of the whole store, as the changes themselves are no longer known.
+    All {
+        /// The revision after which to ask for changes.
+        revision: u64,
+        /// The responses, in order.
+        #[serde(borrow)]
+        pages: Vec<&'a [u8]>,
+    },
 }
 
 impl<'a> RelayedChanges<'a> {
     /// Changes as known `age` ago.
-    pub fn new(age: Duration, body: &'a [u8]) -> RelayedChanges<'a> {
+    pub fn new(age: Duration, content: RelayedContent<'a>) -> RelayedChanges<'a> {
         let age_ms = u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
-        RelayedChanges { age_ms, known_age_ms: None, body }
+        RelayedChanges { age_ms, known_age_ms: None, content }
     }
 
     /// Adds the time for which changes that are unknown to who has these may exist.
