--- a/components/dispatch/src/state.rs
+++ b/components/dispatch/src/state.rs
@@ -7,7 +7,7 @@
     time::Instant,
 };
 
-use base::{Region, ServiceId, Zone};
+use base::{Rate, Region, ServiceId, Zone};
 use catalog::{Endpoint, EndpointId, EngineProfile, WeightsVersion};
 use fastrand::Rng;
 use slotmap::SlotMap;
@@ -200,6 +200,13 @@
         }
     }
 
+    /// Records the limit that an answer of an endpoint named, if it named one. Returns whether that is
+    /// new.
+    pub fn record_limit(&mut self, key: EndpointKey, limit: Option<Rate>) -> bool {
+        let Some(tracked) = self.endpoints.get_mut(key) else { return false };
+        std::mem::replace(&mut tracked.limit, limit) != limit
+    }
+
     /// Submits a request that is to be sent. If it has to wait, the returned key identifies it in
     /// the results of `poll`.
     pub fn submit(
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -6,12 +6,12 @@
 use bytes::Bytes;
 use catalog::{RouteKind, WeightsVersion};
 use dispatch::{EndpointOutcome, EndpointView};
-use http::{Request, Response, header::CONTENT_TYPE};
+use http::{HeaderMap, Request, Response, header::CONTENT_TYPE};
 use http_body_util::{BodyExt, Full};
 use metrics::counter;
 use platform::{
     EndpointHeaders, RequestIdMatch, ResponseClass, classify_response, keep_alive_timeout,
-    match_request_id, weights_version,
+    match_request_id, request_limit, weights_version,
 };
 use quarantine::PartKey;
 use telemetry::names;
@@ -114,9 +114,13 @@
             return self.handle_loss(context, assignment, &view, LossCause::Unusable, 0);
         }
         let status = head.status();
+        let class = classify_response(status, head.headers());
+        if class != ResponseClass::Unusable {
+            self.record_limit(&assignment, &view, head.headers());
+        }
         // The head of a stream may arrive before its request begins.
         options.has_begun.set(!is_stream(context, &exchange));
-        match classify_response(status, head.headers()) {
+        match class {
             ResponseClass::Refused | ResponseClass::Misdirected => {
                 assignment.set_end(EndpointOutcome::Refused);
                 AttemptOutcome::Refused
@@ -252,6 +256,23 @@
         }
     }
 
+    /// Records the limit that an endpoint names in an answer.
+    fn record_limit(&self, assignment: &Assignment, view: &EndpointView, headers: &HeaderMap) {
+        let limit = match request_limit(headers) {
+            Ok(limit) => limit,
+            Err(err) => {
+                slog::warn!(self.log, "limit of an endpoint is not readable";
+                    "endpoint" => %view.id, "error" => %err);
+                return;
+            }
+        };
+        let endpoint = assignment.in_flight.endpoint;
+        if self.dispatcher.borrow_mut().record_limit(endpoint, limit) {
+            slog::info!(self.log, "endpoint names a limit"; "endpoint" => %view.id,
+                "limit" => limit.map(|limit| limit.to_string()));
+        }
+    }
+
     /// Counts and logs a response from weights that should have been replaced by now.
     fn log_overdue_version(&self, context: &RequestContext, version: WeightsVersion) {
         let Some(model) = self.model_of(&context.service) else { return };
