Share the limit that an endpoint names among the gateways

Change: a gateway that wants to send to such an endpoint tells so, with the limit, to the others that want to and four more; each uses its share of the rate. Of more than four that want to, four send at a time, for ten seconds, as each can save up a request; the order follows from the endpoint's naming time, which the news carry, so that all agree. dispatch::SharedLimit decides, pure. An answer without a limit ends it only if its request was sent after the limit was last seen. Where all endpoints of a service are used up a request waits only if it gets its turn in time; else it is refused at once as not run, with the time to come back.

Ruled out: an equal share for each gateway (most is left unused, as one gateway of the zone sends most); one bucket token for each of many gateways (they save up more together than the bound allows).

--- a/components/dispatch/src/endpoint.rs
+++ b/components/dispatch/src/endpoint.rs
@@ -5,13 +5,13 @@
     time::{Duration, Instant},
 };
 
-use base::Rate;
 use catalog::{Endpoint, EndpointState, WeightsVersion};
 use slotmap::{SlotMap, new_key_type};
 
 use crate::{
     Health,
     engine::{EngineLoad, EngineModel},
+    limits::EndpointLimit,
 };
 
 new_key_type! {
@@ -76,8 +76,8 @@
     pub(crate) others_in_flight: f64,
     /// Those of `others_in_flight` that had no slot.
     pub(crate) others_waiting: f64,
-    /// The limit that its last answer named for the requests of all gateways together.
-    pub(crate) limit: Option<Rate>,
+    /// The limit that it names for the requests of all gateways together.
+    pub(crate) limit: EndpointLimit,
     /// Version of the weights that an answer showed; it may be newer than the listed one.
     pub(crate) observed_version: Option<WeightsVersion>,
 }
@@ -97,7 +97,7 @@
             last_report: None,
             others_in_flight: 0.0,
             others_waiting: 0.0,
-            limit: None,
+            limit: EndpointLimit::default(),
             observed_version: None,
         }
     }
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -6,11 +6,13 @@
 mod endpoint;
 mod engine;
 mod health;
+mod limits;
 mod listing;
 mod requests;
 mod retries;
 mod selection;
 mod settings;
+mod shared_limit;
 mod state;
 mod subset;
 
@@ -25,5 +27,6 @@
 };
 pub use retries::{RetryBudget, RetrySettings};
 pub use settings::DispatchSettings;
+pub use shared_limit::{LimitNews, WantingGateway};
 pub use state::{Dispatcher, EndpointChange, EndpointView};
 pub use subset::SubsetSettings;
--- a/components/dispatch/src/requests.rs
+++ b/components/dispatch/src/requests.rs
@@ -54,6 +54,8 @@
     NoEndpoint,
     /// No endpoint can take the request and meet its objective.
     Overload,
+    /// All endpoints that could take the request name limits that are used up.
+    Limited,
     /// The deadline of the request has passed.
     Late,
 }
@@ -64,6 +66,7 @@
         match self {
             Refusal::NoEndpoint => "no_endpoint",
             Refusal::Overload => "overload",
+            Refusal::Limited => "limit",
             Refusal::Late => "late",
         }
     }
--- a/components/dispatch/src/retries.rs
+++ b/components/dispatch/src/retries.rs
@@ -66,6 +66,11 @@
         self.gateways = gateways.max(1);
     }
 
+    /// Number of gateways that share the budget, at least 1.
+    pub fn gateways(&self) -> u32 {
+        self.gateways
+    }
+
     /// Replaces the limits.
     pub fn set_settings(&mut self, settings: RetrySettings) {
         self.settings = settings;
--- a/components/dispatch/src/selection.rs
+++ b/components/dispatch/src/selection.rs
@@ -7,7 +7,7 @@
 use catalog::interrupts_on_load;
 
 use crate::{
-    Decision, DispatchSettings, EndpointKey, InFlightRequest, PendingRequest, Refusal,
+    Decision, DispatchSettings, EndpointKey, InFlightRequest, PendingRequest, Refusal, RequestKey,
     endpoint::TrackedEndpoint, state::Dispatcher,
 };
 
@@ -23,6 +23,8 @@
     meets_objective: bool,
     /// Whether the endpoint has capacity for a request that will miss its objective.
     has_late_capacity: bool,
+    /// Whether the limit that the endpoint names, if it does, leaves this gateway a request.
+    has_token: bool,
 }
 
 /// Number of waiting requests that lengthens the retry-after time by its minimum once more.
@@ -52,6 +54,7 @@
         if now >= request.deadline {
             return self.refuse(Refusal::Late);
         }
+        self.refill_limits(&request.service, now);
         let candidates = self.candidates(request, now);
         if candidates.is_empty() {
             // A paused endpoint takes requests again before the maximum wait is over.
@@ -60,24 +63,56 @@
                 false => self.refuse(Refusal::NoEndpoint),
             };
         }
-        let best = |fits: fn(&Candidate) -> bool| {
-            let fitting = candidates.iter().filter(|c| fits(c));
-            fitting.min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms))
-        };
-        let chosen = best(|c| c.meets_objective);
         // A request that is late in any case may use the capacity that is left.
         let late = request.was_refused
             || now.saturating_duration_since(request.requested_at) > request.latency_objective;
-        let chosen = chosen.or_else(|| if late { best(|c| c.has_late_capacity) } else { None });
-        match chosen {
-            Some(candidate) => {
-                let (key, expected_ms) = (candidate.key, candidate.expected_ms);
-                self.send(key, request, expected_ms, now)
-            }
-            None => self.wait_or_refuse(request, Refusal::Overload, now),
+        let fits = |c: &&Candidate| c.meets_objective || late && c.has_late_capacity;
+        let best = |needs_token: bool| {
+            let fitting = candidates.iter().filter(|c| fits(c) && (c.has_token || !needs_token));
+            // One that meets the objective comes before one that has late capacity only.
+            fitting.min_by(|a, b| {
+                b.meets_objective.cmp(&a.meets_objective).then(a.cost_ms.total_cmp(&b.cost_ms))
+            })
+        };
+        let wanted = best(false).filter(|c| !c.has_token).map(|c| c.key);
+        if let Some(candidate) = best(true) {
+            let (key, expected_ms) = (candidate.key, candidate.expected_ms);
+            self.record_wanted(wanted, now);
+            return self.send(key, request, expected_ms, now);
+        }
+        let limited = candidates.iter().filter(|c| fits(c)).map(|c| c.key);
+        let limited: Vec<EndpointKey> = limited.collect();
+        self.record_wanted(limited.iter().copied(), now);
+        match candidates.iter().any(|c| c.has_token) || limited.is_empty() {
+            true => self.wait_or_refuse(request, Refusal::Overload, now),
+            false => self.wait_or_refuse_limited(request, &limited, now),
         }
     }
 
+    /// Lets a request wait for a token of a limited endpoint, if it will get one in time.
+    fn wait_or_refuse_limited(
+        &self,
+        request: &PendingRequest,
+        limited: &[EndpointKey],
+        now: Instant,
+    ) -> Decision {
+        let waited = now.saturating_duration_since(request.arrived_at);
+        let max_wait = request.latency_objective.mul_f64(self.settings.max_wait_fraction);
+        let left = max_wait.saturating_sub(waited);
+        let of_service = |key: &&RequestKey| {
+            self.pending.get(**key).is_some_and(|pending| pending.service == request.service)
+        };
+        let ahead = self.waiting.iter().filter(of_service).count() as f64;
+        if self.tokens_within(limited, left, now) >= ahead + 1.0 {
+            return self.wait_or_refuse(request, Refusal::Limited, now);
+        }
+        let DispatchSettings { min_retry_after, max_retry_after, .. } = self.settings;
+        let in_time = |time: &Duration| self.tokens_within(limited, *time, now) >= ahead + 1.0;
+        let steps = (1..).map(|n| min_retry_after * n).take_while(|time| *time < max_retry_after);
+        let retry_after = steps.into_iter().find(in_time).unwrap_or(max_retry_after);
+        Decision::Refuse { reason: Refusal::Limited, retry_after }
+    }
+
     fn send(
         &mut self,
         key: EndpointKey,
@@ -93,18 +128,14 @@
             first_event_received: false,
             is_silent: false,
         };
+        self.take_token(key, now);
         let in_flight = self.endpoints[key].in_flight.insert(in_flight);
         let expected = predicted_time(expected_ms);
         Decision::Send { endpoint: key, in_flight, expected }
     }
 
     /// Lets a request wait, unless it has waited too long or too many requests are waiting.
-    fn wait_or_refuse(
-        &mut self,
-        request: &PendingRequest,
-        reason: Refusal,
-        now: Instant,
-    ) -> Decision {
+    fn wait_or_refuse(&self, request: &PendingRequest, reason: Refusal, now: Instant) -> Decision {
         let waited = now.saturating_duration_since(request.arrived_at);
         let full = self.waiting.len() >= self.settings.max_waiting;
         if full || waited >= request.latency_objective.mul_f64(self.settings.max_wait_fraction) {
@@ -119,7 +150,7 @@
         let factor = 1.0 + self.waiting.len() as f64 / RETRY_AFTER_SCALE;
         let wait = match reason {
             Refusal::NoEndpoint => max_retry_after,
-            Refusal::Overload | Refusal::Late => min_retry_after.mul_f64(factor),
+            Refusal::Overload | Refusal::Limited | Refusal::Late => min_retry_after.mul_f64(factor),
         };
         Decision::Refuse { reason, retry_after: wait.min(max_retry_after) }
     }
@@ -199,6 +230,7 @@
             cost_ms: expected_ms + penalty + reload,
             meets_objective: harmless && expected_ms + bias <= budget,
             has_late_capacity: harmless && total < slots * fraction,
+            has_token: tracked.limit.has_token(),
         }
     }
 
@@ -245,6 +277,7 @@
             cost_ms: DEFAULT_PLAIN_MS * rounds + penalty,
             meets_objective: free,
             has_late_capacity: free,
+            has_token: tracked.limit.has_token(),
         }
     }
 
--- a/components/dispatch/src/settings.rs
+++ b/components/dispatch/src/settings.rs
@@ -1,12 +1,14 @@
 //! Weights and limits used to select endpoints.
 
-use std::time::Duration;
+use std::{net::Ipv4Addr, time::Duration};
 
 use crate::{RetrySettings, SubsetSettings};
 
 /// Weights and limits used to select endpoints.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct DispatchSettings {
+    /// The address of this gateway, by which the others know it.
+    pub own_ip: Ipv4Addr,
     /// Fraction of the objective after which a request that waits for an endpoint is refused.
     pub max_wait_fraction: f64,
     /// Fraction of the objective that a prediction may use up.
@@ -43,6 +45,7 @@
 impl Default for DispatchSettings {
     fn default() -> DispatchSettings {
         DispatchSettings {
+            own_ip: Ipv4Addr::UNSPECIFIED,
             max_wait_fraction: 0.5,
             objective_fraction: 0.95,
             event_gap_fraction: 0.8,
--- /dev/null
+++ b/components/dispatch/src/shared_limit/tests.rs
@@ -0,0 +1,189 @@
+use std::collections::BTreeSet;
+
+use fastrand::Rng;
+
+use super::*;
+
+/// Time in which requests are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+/// Time after an endpoint first named its limit from which the limit binds.
+const CONTACT_WINDOW: Duration = Duration::from_secs(3);
+/// Interval at which a gateway sends news.
+const ROUND: Duration = Duration::from_millis(120);
+/// Time that a datagram takes at most.
+const MAX_DELAY_MS: u64 = 50;
+/// Share of datagrams that are lost.
+const LOSS: f64 = 0.1;
+/// Gateways that are told at random.
+const TOLD: usize = 4;
+/// Gateways that are told as they want to send too.
+const MAX_TOLD_WANTING: usize = 8;
+
+fn ip(index: usize) -> Ipv4Addr {
+    Ipv4Addr::new(10, 0, 0, index as u8 + 1)
+}
+
+fn index_of(ip: Ipv4Addr) -> usize {
+    usize::from(ip.octets()[3]) - 1
+}
+
+/// Gateways that share the limit of one endpoint, in virtual time.
+struct Simulation {
+    rng: Rng,
+    start: Instant,
+    limits: Vec<SharedLimit>,
+    /// Arrival time, receiver, news.
+    datagrams: Vec<(Instant, usize, LimitNews)>,
+    sent: Vec<Instant>,
+}
+
+impl Simulation {
+    fn new(seed: u64, limit: f64, gateways: usize) -> Simulation {
+        let mut rng = Rng::with_seed(seed);
+        let start = Instant::now();
+        let limits = (0..gateways)
+            .map(|_| {
+                let told = start + Duration::from_millis(rng.u64(0..1000));
+                SharedLimit::new(Rate(limit), told, told, told)
+            })
+            .collect();
+        Simulation { rng, start, limits, datagrams: Vec::new(), sent: Vec::new() }
+    }
+
+    fn group(&self, index: usize) -> GatewayGroup {
+        GatewayGroup { own_ip: ip(index), count: self.limits.len() }
+    }
+
+    /// Runs for a time in which each gateway would send `demand` requests a second.
+    fn run(&mut self, time: Duration, demand: impl Fn(usize, Instant) -> f64) {
+        let step = Duration::from_millis(10);
+        for n in 100..(time.as_millis() / step.as_millis()) as u32 {
+            let now = self.start + step * n;
+            self.deliver(now);
+            for index in 0..self.limits.len() {
+                if self.rng.f64() < demand(index, now) * step.as_secs_f64() {
+                    self.request(index, now);
+                }
+                if (n as usize + index).is_multiple_of(ROUND.as_millis() as usize / 10) {
+                    self.tell(index, now);
+                }
+            }
+        }
+    }
+
+    fn request(&mut self, index: usize, now: Instant) {
+        let group = self.group(index);
+        let limit = &mut self.limits[index];
+        limit.record_want(group, now);
+        if limit.has_token() {
+            limit.take_token(group, now);
+            self.sent.push(now);
+        }
+    }
+
+    fn tell(&mut self, index: usize, now: Instant) {
+        let group = self.group(index);
+        let Some(wanting) = self.limits[index].take_news(group, now) else { return };
+        let limit = &self.limits[index];
+        let news = LimitNews {
+            endpoint: "i-1".parse().unwrap(),
+            limit: Some(limit.limit),
+            seen_at: limit.seen_at,
+            named_at: limit.named_at,
+            wanting,
+        };
+        let mut told: BTreeSet<usize> =
+            limit.others().map(index_of).take(MAX_TOLD_WANTING).collect();
+        let others = (0..self.limits.len()).filter(|other| *other != index);
+        told.extend(self.rng.choose_multiple(others, TOLD));
+        for other in told {
+            if self.rng.f64() >= LOSS {
+                let delay = Duration::from_millis(self.rng.u64(1..MAX_DELAY_MS));
+                self.datagrams.push((now + delay, other, news.clone()));
+            }
+        }
+    }
+
+    fn deliver(&mut self, now: Instant) {
+        let (arrived, rest) =
+            std::mem::take(&mut self.datagrams).into_iter().partition(|(at, ..)| *at <= now);
+        self.datagrams = rest;
+        for (_, receiver, news) in arrived {
+            let group = self.group(receiver);
+            self.limits[receiver].record_news(group, &news);
+        }
+    }
+
+    /// The most requests in any window, from when the limit binds.
+    fn most_in_window(&self) -> usize {
+        let bound: Vec<Instant> =
+            self.sent.iter().copied().filter(|at| *at >= self.start + CONTACT_WINDOW).collect();
+        let count_from =
+            |from: &Instant| bound.iter().filter(|at| (*from..*from + WINDOW).contains(at)).count();
+        bound.iter().map(count_from).max().unwrap_or(0)
+    }
+}
+
+/// The most requests that a limit allows in a window.
+fn allowed(limit: f64) -> usize {
+    (1.5 * limit * WINDOW.as_secs_f64() + 5.0) as usize
+}
+
+const LIMITS: [f64; 7] = [0.0, 0.2, 0.5, 1.0, 1.3, 3.0, 10.0];
+const COUNTS: [usize; 7] = [1, 2, 4, 5, 8, 15, 53];
+const TIME: Duration = Duration::from_secs(45);
+
+/// Guards against gateways that together send more than a limit allows.
+#[test]
+fn gateways_together_stay_within_a_limit_whoever_sends() {
+    for (seed, count) in (1..).zip(COUNTS) {
+        for limit in LIMITS {
+            let demands: [fn(usize, Instant, Instant) -> f64; 4] = [
+                |_, _, _| 20.0,
+                |_, _, _| 0.3,
+                |index, _, _| if index == 0 { 20.0 } else { 0.1 },
+                // All at once, after a pause in which tokens could be saved up.
+                |_, start, now| {
+                    if (now - start).as_secs() % 20 < 4 { 20.0 } else { 0.0 }
+                },
+            ];
+            for (pattern, demand) in demands.into_iter().enumerate() {
+                let mut simulation = Simulation::new(seed, limit, count);
+                let start = simulation.start;
+                simulation.run(TIME, |index, now| demand(index, start, now));
+                let most = simulation.most_in_window();
+                assert!(most <= allowed(limit), "{most}: {count} {limit} {pattern}");
+            }
+        }
+    }
+}
+
+/// Guards against a limit that is mostly left unused although requests wait for it.
+#[test]
+fn gateways_use_most_of_a_limit_whoever_sends() {
+    for (seed, count) in (1..).zip(COUNTS) {
+        for limit in [1.0, 1.3, 3.0, 10.0] {
+            let demands: [fn(usize) -> f64; 2] =
+                [|_| 20.0, |index| if index == 0 { 20.0 } else { 0.0 }];
+            for (pattern, demand) in demands.into_iter().enumerate() {
+                let mut simulation = Simulation::new(seed, limit, count);
+                simulation.run(TIME, |index, _| demand(index));
+                let share = simulation.sent.len() as f64 / (limit * TIME.as_secs_f64());
+                assert!(share >= 0.6, "{share}: {count} {limit} {pattern}");
+            }
+        }
+    }
+}
+
+#[test]
+fn a_gateway_that_wants_nothing_tells_nothing() {
+    let now = Instant::now();
+    let mut limit = SharedLimit::new(Rate(1.0), now, now, now);
+    let group = GatewayGroup { own_ip: ip(0), count: 4 };
+    assert_eq!(limit.take_news(group, now), None);
+    limit.record_want(group, now);
+    assert_eq!(limit.take_news(group, now), Some(vec![WantingGateway { ip: ip(0), at: now }]));
+    assert_eq!(limit.take_news(group, now), None, "not again at once");
+    assert!(limit.take_news(group, now + NEWS_INTERVAL).is_some());
+    assert_eq!(limit.take_news(group, now + INTEREST_TIME), None);
+}
--- a/components/dispatch/src/state.rs
+++ b/components/dispatch/src/state.rs
@@ -7,7 +7,7 @@
     time::Instant,
 };
 
-use base::{Rate, Region, ServiceId, Zone};
+use base::{Region, ServiceId, Zone};
 use catalog::{Endpoint, EndpointId, EngineProfile, WeightsVersion};
 use fastrand::Rng;
 use slotmap::SlotMap;
@@ -66,7 +66,7 @@
     pub(crate) engine_models: HashMap<ServiceId, EngineModel>,
     pub(crate) biases: HashMap<ServiceId, PredictionBias>,
     pub(crate) version_requirements: HashMap<ServiceId, Vec<VersionRequirement>>,
-    pending: SlotMap<RequestKey, PendingRequest>,
+    pub(crate) pending: SlotMap<RequestKey, PendingRequest>,
     /// Waiting requests, in order of arrival.
     pub(crate) waiting: Vec<RequestKey>,
     pub(crate) rng: RefCell<Rng>,
@@ -200,13 +200,6 @@
         }
     }
 
-    /// Records the limit that an answer of an endpoint named, if it named one. Returns whether that is
-    /// new.
-    pub fn record_limit(&mut self, key: EndpointKey, limit: Option<Rate>) -> bool {
-        let Some(tracked) = self.endpoints.get_mut(key) else { return false };
-        std::mem::replace(&mut tracked.limit, limit) != limit
-    }
-
     /// Submits a request that is to be sent. If it has to wait, the returned key identifies it in
     /// the results of `poll`.
     pub fn submit(
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -115,9 +115,7 @@
         }
         let status = head.status();
         let class = classify_response(status, head.headers());
-        if class != ResponseClass::Unusable {
-            self.record_limit(&assignment, &view, head.headers());
-        }
+        self.record_limit(&assignment, &view, class, head.headers());
         // The head of a stream may arrive before its request begins.
         options.has_begun.set(!is_stream(context, &exchange));
         match class {
@@ -256,9 +254,20 @@
         }
     }
 
-    /// Records the limit that an endpoint names in an answer.
-    fn record_limit(&self, assignment: &Assignment, view: &EndpointView, headers: &HeaderMap) {
+    /// Records the limit that an endpoint names in an answer. Only the answer to a request that it ran
+    /// tells that it names none any more.
+    fn record_limit(
+        &self,
+        assignment: &Assignment,
+        view: &EndpointView,
+        class: ResponseClass,
+        headers: &HeaderMap,
+    ) {
         let limit = match request_limit(headers) {
+            Ok(None) if class == ResponseClass::Refused => return,
+            Ok(_) if matches!(class, ResponseClass::Misdirected | ResponseClass::Unusable) => {
+                return;
+            }
             Ok(limit) => limit,
             Err(err) => {
                 slog::warn!(self.log, "limit of an endpoint is not readable";
@@ -267,7 +276,8 @@
             }
         };
         let endpoint = assignment.in_flight.endpoint;
-        if self.dispatcher.borrow_mut().record_limit(endpoint, limit) {
+        let sent_at = assignment.sent_at;
+        if self.dispatcher.borrow_mut().record_limit(endpoint, limit, sent_at, now()) {
             slog::info!(self.log, "endpoint names a limit"; "endpoint" => %view.id,
                 "limit" => limit.map(|limit| limit.to_string()));
         }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 mod events;
 mod hedge;
 mod in_progress;
+mod limit_news;
 mod peers;
 mod position_news;
 mod process;
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -166,6 +166,7 @@
                 let refused = self.suspect_parts.borrow_mut().record_news(&news, now());
                 self.handle_refused_parts(refused);
             }
+            Message::Limits(limits) => self.handle_limits(from, &limits),
             Message::Known(known) => self.handle_known_position(from, known),
             // Only stagers handle these.
             Message::Subscribe(_) | Message::Holding(_) => {}
@@ -249,6 +250,7 @@
                 self.send_to(&self.other_gateways.borrow(), &Message::Parts(news));
             }
             self.announce_position();
+            self.tell_limits();
             if now() - reminded_at >= REMINDER_INTERVAL {
                 reminded_at = now();
                 self.remind_of_refused_parts();
@@ -277,7 +279,7 @@
     }
 
     /// Sends a message to a few other gateways, chosen at random.
-    fn send_to_some(&self, message: &Message) {
+    pub(crate) fn send_to_some(&self, message: &Message) {
         let gateways: Vec<Ipv4Addr> = self.other_gateways.borrow().keys().copied().collect();
         for ip in fastrand::choose_multiple(gateways, REMINDED_GATEWAYS) {
             self.socket.send(ip, message);
--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -43,7 +43,8 @@
         ..RetrySettings::default()
     };
     let relist_grace = bounds.relist_time;
-    DispatchSettings { retries, relist_grace, ..DispatchSettings::default() }
+    let own_ip = process.ip;
+    DispatchSettings { own_ip, retries, relist_grace, ..DispatchSettings::default() }
 }
 
 /// Runs the gateway until a signal stops it. `file` is the settings file from which `process` was read.
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -116,6 +116,8 @@
 pub(crate) struct Assignment {
     gateway: Rc<Gateway>,
     pub(crate) in_flight: InFlight,
+    /// When the request was assigned, which is before it is sent.
+    pub(crate) sent_at: Instant,
     /// Predicted time until the first event.
     pub(crate) expected: Duration,
     end: EndpointOutcome,
@@ -280,6 +282,7 @@
             Decision::Send { endpoint, in_flight: key, expected } => Ok(Assignment {
                 gateway: self.clone(),
                 in_flight: InFlight { endpoint, key },
+                sent_at: now(),
                 expected,
                 end: EndpointOutcome::Inconclusive,
             }),
--- a/components/peering/src/lib.rs
+++ b/components/peering/src/lib.rs
@@ -9,8 +9,9 @@
 
 pub use fleet::{Fleet, FleetWeights, Member};
 pub use message::{
-    EngineState, Inventory, KnownPosition, LostParts, Message, MessageError, NamedVersion, PartAge,
-    PartNews, PieceSet, RefusedRequest, StateReport, Subscription, Suspicion,
+    EngineState, Inventory, KnownPosition, LostParts, Message, MessageError, NamedLimit,
+    NamedVersion, PartAge, PartNews, PieceSet, RefusedRequest, StateReport, Subscription,
+    Suspicion, Wanting,
 };
 pub use relay::{RelayedChanges, RelayedContent};
 pub use request::{PeerRequest, REQUEST_TIMEOUT};
--- a/components/peering/src/message.rs
+++ b/components/peering/src/message.rs
@@ -27,6 +27,8 @@
     Parts(PartNews),
     /// A gateway tells others how far it knows the store.
     Known(KnownPosition),
+    /// A gateway tells others of limits that endpoints name.
+    Limits(Vec<NamedLimit>),
 }
 
 /// A weights version that the operator named.
@@ -47,6 +49,30 @@
     pub revision: u64,
 }
 
+/// The limit that an endpoint names for the requests of all gateways together.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NamedLimit {
+    /// Id of the endpoint.
+    pub endpoint: String,
+    /// Thousandths of a request per second; `None` if the endpoint names no limit any more.
+    pub limit: Option<u32>,
+    /// Milliseconds since an answer of the endpoint showed that.
+    pub seen_age_ms: u32,
+    /// Milliseconds since the endpoint first named a limit.
+    pub named_age_ms: u32,
+    /// Gateways that want to send requests to the endpoint.
+    pub wanting: Vec<Wanting>,
+}
+
+/// A gateway that wants to send requests to an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Wanting {
+    /// The gateway.
+    pub gateway: Ipv4Addr,
+    /// Milliseconds since it last wanted to.
+    pub age_ms: u32,
+}
+
 /// Asks for state reports for the next few seconds.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Subscription {
--- a/components/stager/src/peers.rs
+++ b/components/stager/src/peers.rs
@@ -44,7 +44,8 @@
                     | Message::Suspicions(_)
                     | Message::Refused(_)
                     | Message::Parts(_)
-                    | Message::Known(_),
+                    | Message::Known(_)
+                    | Message::Limits(_),
                 )) => {}
                 Err(err) => {
                     warn!(self.log, "cannot receive datagrams"; "error" => %err);
