Expect a share of a limit only from when a gateway may send

In a large group a gateway sends 1.5 s after it begins to want to; until then a request waited for a token that could not come and was refused after half of its objective instead of at once. Test: tokens_are_expected_only_from_when_a_gateway_may_send. News of limits clone no ids of endpoints that name none any more, as they are gathered eight times a second.

--- a/components/dispatch/src/limits.rs
+++ b/components/dispatch/src/limits.rs
@@ -97,10 +97,9 @@
         let mut all = Vec::new();
         let mut gateways = HashSet::new();
         for tracked in self.endpoints.values_mut() {
-            let endpoint = tracked.listed.id.clone();
             if let Some(ended_at) = tracked.limit.recent_end(now) {
                 all.push(LimitNews {
-                    endpoint,
+                    endpoint: tracked.listed.id.clone(),
                     limit: None,
                     seen_at: ended_at,
                     named_at: ended_at,
@@ -111,7 +110,7 @@
             {
                 gateways.extend(current.others());
                 all.push(LimitNews {
-                    endpoint,
+                    endpoint: tracked.listed.id.clone(),
                     limit: Some(current.limit),
                     seen_at: current.seen_at,
                     named_at: current.named_at,
--- a/components/dispatch/src/shared_limit.rs
+++ b/components/dispatch/src/shared_limit.rs
@@ -154,17 +154,23 @@
         self.filled_at = now;
         let share = self.share(group, now);
         let is_sending = share > 0.0 && (group.is_small() || self.is_interested(now));
-        let since = *self.sending_since.get_or_insert(now);
-        if !is_sending {
-            self.sending_since = None;
-        }
-        let has_settled = group.is_small() || now.saturating_duration_since(since) >= SETTLE_TIME;
+        self.sending_since = is_sending.then(|| self.sending_since.unwrap_or(now));
+        let has_settled = self.time_to_settle(group, now).is_zero();
         self.tokens = match is_sending && has_settled {
             true => (self.tokens + share * elapsed).min(self.max_tokens(group)),
             false => 0.0,
         };
     }
 
+    /// Time until this gateway may send, if it wants to from now on and it is its turn.
+    fn time_to_settle(&self, group: GatewayGroup, now: Instant) -> Duration {
+        if group.is_small() {
+            return Duration::ZERO;
+        }
+        let since = self.sending_since.unwrap_or(now);
+        SETTLE_TIME.saturating_sub(now.saturating_duration_since(since))
+    }
+
     /// The most tokens that are saved up. Those of all gateways together stay within what the limit
     /// allows beyond its rate.
     fn max_tokens(&self, group: GatewayGroup) -> f64 {
@@ -203,7 +209,8 @@
 
     /// Number of requests that may be sent within a time from now.
     pub(crate) fn tokens_within(&self, time: Duration, group: GatewayGroup, now: Instant) -> f64 {
-        self.tokens + self.share(group, now) * time.as_secs_f64()
+        let sending = time.saturating_sub(self.time_to_settle(group, now));
+        self.tokens + self.share(group, now) * sending.as_secs_f64()
     }
 
     /// The gateways that others are to be told of now, if any: soon after this one wants to send, and
--- a/components/dispatch/src/shared_limit/tests.rs
+++ b/components/dispatch/src/shared_limit/tests.rs
@@ -187,3 +187,17 @@
     assert!(limit.take_news(group, now + NEWS_INTERVAL).is_some());
     assert_eq!(limit.take_news(group, now + INTEREST_TIME), None);
 }
+
+/// Guards against a request that waits for a token which does not come in time, as its gateway has not
+/// settled yet.
+#[test]
+fn tokens_are_expected_only_from_when_a_gateway_may_send() {
+    let now = Instant::now();
+    let group = GatewayGroup { own_ip: ip(0), count: 15 };
+    let mut limit = SharedLimit::new(Rate(2.0), now, now, now);
+    limit.record_want(group, now);
+    assert_eq!(limit.tokens_within(SETTLE_TIME, group, now), 0.0);
+    assert_eq!(limit.tokens_within(SETTLE_TIME + Duration::from_secs(1), group, now), 2.0);
+    let small = GatewayGroup { count: 4, ..group };
+    assert_eq!(limit.tokens_within(Duration::from_secs(1), small, now), 2.0);
+}
--- a/components/gateway/src/store_follower.rs
+++ b/components/gateway/src/store_follower.rs
@@ -307,7 +307,7 @@
             }
             Err(err) => {
                 info!(self.gateway.log, "changes not learned from a gateway that knows more";
-                "entry" => %ip, "error" => %err)
+                    "entry" => %ip, "error" => %err);
             }
         }
     }
