Do not count small parts of a response with a stated length as more than they are

What callers saw: a 502 in place of a whole answer of almost the maximum size, 4 MiB, if it arrived in parts of which one was shorter than 256 bytes. So it is no matter of slow reading, and load only decides how the answer is split.

Cause: the count of parts that bounds bodies without end also applied to bodies whose length is stated and within the limit.

Test: a_response_of_the_maximum_size_is_passed_on_in_whatever_parts_it_arrives, on a paused clock, fails before with 502 and passes now. The tests of endless answers pass as before.

--- a/components/transport/src/client.rs
+++ b/components/transport/src/client.rs
@@ -24,8 +24,8 @@
     head_limit::{HeadLimit, LimitedStream, MAX_HEAD_BYTES},
 };
 
-/// Size in bytes as which a smaller part of a body counts, as it takes about as much time as one of this
-/// size.
+/// Size in bytes as which a smaller part of a body without a stated length counts, as it takes about as
+/// much time as one of this size.
 const MIN_FRAME_SIZE: usize = 256;
 
 /// A client connection. Dropping it closes the connection and cancels the running request.
@@ -190,7 +190,7 @@
 
 impl Exchange {
     /// Reads the complete body of at most `limit` bytes until `until` and returns the connection for
-    /// reuse. Each frame counts as at least `MIN_FRAME_SIZE` bytes.
+    /// reuse. Without a stated length each frame counts as at least `MIN_FRAME_SIZE` bytes.
     pub async fn read_body(
         self,
         limit: usize,
@@ -200,6 +200,10 @@
         if body.size_hint().lower() > limit as u64 {
             return Err(TransportError::TooLarge(limit));
         }
+        let min_size = match body.size_hint().exact() {
+            Some(_) => 0,
+            None => MIN_FRAME_SIZE,
+        };
         let mut buffer = BytesMut::new();
         let mut size = 0;
         loop {
@@ -207,7 +211,7 @@
             let Some(frame) = frame.map_err(|_| TransportError::Timeout)? else { break };
             let frame = frame.map_err(TransportError::after_sending)?;
             if let Ok(data) = frame.into_data() {
-                size += data.len().max(MIN_FRAME_SIZE);
+                size += data.len().max(min_size);
                 if size > limit.max(MIN_FRAME_SIZE) {
                     return Err(TransportError::TooLarge(limit));
                 }
