Do not hear for a while a gateway that did not tell what it announced

Asking a gateway that knows more ends the watch in progress. One whose datagrams arrive, but which does not answer calls, would have ended each watch of a slow store before its answer came. It is not heard for twice the bound now; others are.

--- a/components/gateway/src/position_news.rs
+++ b/components/gateway/src/position_news.rs
@@ -2,6 +2,7 @@
 //! others how far this one knows them.
 
 use std::{
+    collections::HashMap,
     net::Ipv4Addr,
     time::{Duration, Instant},
 };
@@ -27,6 +28,8 @@
     announced_at: Option<Instant>,
     /// The first newer position that was heard of since `own` was the newest one.
     newer: Option<NewerPosition>,
+    /// Gateways that did not tell what they announced, with the time until which they are not heard.
+    failed: HashMap<Ipv4Addr, Instant>,
 }
 
 /// Times of the exchange of positions, derived from the time within which a configuration must be in
@@ -39,12 +42,20 @@
     pub(crate) interval: Duration,
     /// Time for which a position is announced again and again, as datagrams may be lost.
     pub(crate) duration: Duration,
+    /// Time for which a gateway is not heard that did not tell what it announced. To ask it interrupts
+    /// the own source of changes.
+    pub(crate) failure_backoff: Duration,
 }
 
 impl NewsTimes {
     /// The times for a bound on the propagation of configurations.
     pub(crate) fn for_bound(bound: Duration) -> NewsTimes {
-        NewsTimes { patience: bound / 4, interval: bound / 8, duration: bound }
+        NewsTimes {
+            patience: bound / 4,
+            interval: bound / 8,
+            duration: bound,
+            failure_backoff: bound * 2,
+        }
     }
 }
 
@@ -56,6 +67,7 @@
             grown_at: None,
             announced_at: None,
             newer: None,
+            failed: HashMap::new(),
         }
     }
 
@@ -78,16 +90,18 @@
         position: StorePosition,
         now: Instant,
     ) {
+        self.failed.retain(|_, until| now < *until);
         let is_newer = position.era == self.own.era && position > self.own;
-        if is_newer && self.newer.is_none() {
+        if is_newer && self.newer.is_none() && !self.failed.contains_key(&gateway) {
             self.newer = Some(NewerPosition { position, gateway, heard_at: now });
         }
     }
 
-    /// Records that the gateway that knows more did not tell the changes. The next announcement names
-    /// one to ask.
-    pub(crate) fn record_failure(&mut self) {
+    /// Records that a gateway that knows more did not tell the changes. The next announcement of
+    /// another one names whom to ask.
+    pub(crate) fn record_failure(&mut self, gateway: Ipv4Addr, now: Instant) {
         self.newer = None;
+        self.failed.insert(gateway, now + self.times.failure_backoff);
     }
 
     /// The gateway to ask for changes, and from when on.
--- a/components/gateway/src/position_news/tests.rs
+++ b/components/gateway/src/position_news/tests.rs
@@ -35,15 +35,22 @@
     assert_eq!(news.due_request(), None);
 }
 
+/// Guards against a gateway whose own source of changes is interrupted again and again to ask one that
+/// does not answer.
 #[test]
-fn after_a_failure_the_next_announcement_counts() {
+fn a_gateway_that_did_not_tell_what_it_announced_is_not_heard_for_a_while() {
     let start = Instant::now();
     let mut news = news(start);
     news.record_remote(OTHER, at(1, 7), start);
-    news.record_failure();
+    news.record_failure(OTHER, start);
+    assert_eq!(news.due_request(), None);
+    news.record_remote(OTHER, at(1, 8), start + BOUND);
     assert_eq!(news.due_request(), None);
     news.record_remote(THIRD, at(1, 7), start + BOUND);
     assert_eq!(news.due_request(), Some((THIRD, start + BOUND + BOUND / 4)));
+    news.record_own(at(1, 7), start + BOUND);
+    news.record_remote(OTHER, at(1, 8), start + BOUND * 2);
+    assert_eq!(news.due_request(), Some((OTHER, start + BOUND * 2 + BOUND / 4)));
 }
 
 #[test]
--- a/components/gateway/src/store_follower.rs
+++ b/components/gateway/src/store_follower.rs
@@ -297,7 +297,7 @@
         let result = learned.and_then(|learned| self.accept_learned(learned));
         let known = self.gateway.store_progress.borrow().position();
         if result.is_err() || known <= Some(at) {
-            self.gateway.position_news.borrow_mut().record_failure();
+            self.gateway.position_news.borrow_mut().record_failure(ip, now());
         }
         match result {
             Ok(age) => {
