Move what the store contains out of its follower

store_follower.rs had two jobs: to follow the store, and to apply endpoints, configuration and named weights to the gateway. The second is store_contents.rs now, moved as it was; one function became visible to the other module.

--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod settings;
 mod shutdown;
 mod state;
+mod store_contents;
 mod store_follower;
 mod store_patience;
 mod stream;
--- a/components/gateway/src/store_follower.rs
+++ b/components/gateway/src/store_follower.rs
@@ -3,15 +3,14 @@
 use std::{
     net::Ipv4Addr,
     rc::Rc,
-    sync::Arc,
     time::{Duration, Instant},
 };
 
-use catalog::{Config, Endpoint, EndpointUpdate, ModelId, WeightsVersion};
+use catalog::{Endpoint, EndpointUpdate};
 use directory::{
     ReadError, Recovery, Restoration, Snapshot, StoreReader, WatchedChanges, known_by_watch,
 };
-use dispatch::{EndpointChange, ListingOrigin};
+use dispatch::ListingOrigin;
 use metrics::gauge;
 use platform::store::{StoreEntry, StoreEra, StorePosition, endpoint_id_from_key};
 use slog::{info, warn};
@@ -452,86 +451,3 @@
         self.gateway.handle_endpoint_changes(change.into_iter().collect());
     }
 }
-
-impl Gateway {
-    /// Logs changes of endpoints, requests new reports if needed and checks queued requests.
-    pub(crate) fn handle_endpoint_changes(&self, changes: Vec<EndpointChange>) {
-        if changes.is_empty() {
-            return;
-        }
-        for change in &changes {
-            self.log_endpoint_change(change);
-        }
-        let membership_changed =
-            |change: &EndpointChange| !matches!(change, EndpointChange::Updated(_));
-        if changes.iter().any(membership_changed) {
-            self.fleet_revision.set(self.fleet_revision.get() + 1);
-            self.subscribe_notify.notify_one();
-        }
-        self.poll_soon();
-    }
-
-    fn log_endpoint_change(&self, change: &EndpointChange) {
-        let (kind, key) = match change {
-            EndpointChange::Added(key) => ("added", key),
-            EndpointChange::Leaving(key) => ("leaving", key),
-            EndpointChange::Removed(_, id) => {
-                info!(self.log, "endpoint"; "change" => "gone", "endpoint" => %id);
-                return;
-            }
-            EndpointChange::SetAside(id) => {
-                info!(self.log, "endpoint"; "change" => "set aside", "endpoint" => %id);
-                return;
-            }
-            EndpointChange::Updated(_) => return,
-        };
-        if let Some(view) = self.dispatcher.borrow().endpoint(*key, now()) {
-            info!(self.log, "endpoint"; "change" => kind, "endpoint" => %view.id,
-                "addr" => %view.addr, "service" => %view.service, "zone" => %view.zone);
-        }
-    }
-
-    /// Applies a configuration unless the same or a newer version is in force.
-    pub(crate) fn apply_config(&self, config: Config) {
-        let current = self.config.borrow().as_ref().map(|current| current.version);
-        if current.is_some_and(|current| current >= config.version) {
-            return;
-        }
-        info!(self.log, "configuration in force"; "version" => config.version.0,
-            "routes" => config.route_count(), "replaces" => current.map_or(0, |v| v.0));
-        {
-            let mut dispatcher = self.dispatcher.borrow_mut();
-            for service in config.services.values() {
-                dispatcher.set_engine_profile(&service.name, service.engine.as_ref());
-            }
-        }
-        *self.config.borrow_mut() = Some(Arc::new(config));
-        self.require_weights();
-        self.fleet_revision.set(self.fleet_revision.get() + 1);
-        self.poll_soon();
-    }
-
-    /// Records weights that the operator named.
-    fn handle_named_weights(&self, model: &ModelId, version: WeightsVersion, named: NamingTime) {
-        if self.named_weights.borrow_mut().record(model, version, named) {
-            info!(self.log, "weights named"; "model" => %model, "version" => version.0,
-                "inherited" => named == NamingTime::BeforeFirstRead,
-                "max_age_ms" => named.max_age(now()).map(|age| age.as_millis() as u64));
-            self.require_weights();
-            self.subscribe_notify.notify_one();
-        }
-    }
-
-    /// Tells the dispatcher which weights are required from when on.
-    pub(crate) fn require_weights(&self) {
-        let Some(config) = self.config.borrow().clone() else { return };
-        let named = self.named_weights.borrow();
-        let mut dispatcher = self.dispatcher.borrow_mut();
-        for service in config.services.values() {
-            let weights = service.engine.as_ref().and_then(|engine| engine.weights.as_ref());
-            let Some(weights) = weights else { continue };
-            dispatcher.set_version_requirements(&service.name, named.required(&weights.model));
-        }
-        self.weights_changed.notify_waiters();
-    }
-}
