Show that a limit is exceeded while gateways restart and are cut off

No test had tried. The simulation now restarts gateways and cuts them off; the requests of such a gateway do not count until the contact window is over, as the rule excuses it. The two other simulations keep their assertions.

--- a/components/dispatch/src/shared_limit/tests.rs
+++ b/components/dispatch/src/shared_limit/tests.rs
@@ -8,8 +8,12 @@
 const WINDOW: Duration = Duration::from_secs(4);
 /// Time after an endpoint first named its limit from which the limit binds.
 const CONTACT_WINDOW: Duration = Duration::from_secs(3);
-/// Interval at which a gateway sends news.
-const ROUND: Duration = Duration::from_millis(120);
+/// Time between two steps.
+const STEP: Duration = Duration::from_millis(10);
+/// Steps after which a gateway sends news.
+const ROUND_STEPS: usize = 12;
+/// Steps after which all gateways know of the limit.
+const FIRST_STEP: u32 = 100;
 /// Time that a datagram takes at most.
 const MAX_DELAY_MS: u64 = 50;
 /// Share of datagrams that are lost.
@@ -35,6 +39,12 @@
     /// Arrival time, receiver, news.
     datagrams: Vec<(Instant, usize, LimitNews)>,
     sent: Vec<Instant>,
+    /// Steps that were made.
+    steps: u32,
+    /// Until when each gateway is cut off from the others.
+    cut_until: Vec<Instant>,
+    /// Until when the requests of each gateway do not count, as it was restarted or cut off.
+    excused_until: Vec<Instant>,
 }
 
 impl Simulation {
@@ -47,24 +57,47 @@
                 SharedLimit::new(Rate(limit), told, told, told)
             })
             .collect();
-        Simulation { rng, start, limits, datagrams: Vec::new(), sent: Vec::new() }
+        Simulation {
+            rng,
+            start,
+            limits,
+            datagrams: Vec::new(),
+            sent: Vec::new(),
+            steps: FIRST_STEP,
+            cut_until: vec![start; gateways],
+            excused_until: vec![start; gateways],
+        }
+    }
+
+    /// Restarts a gateway, which then learns of the limit from the next answer.
+    fn restart(&mut self, index: usize, now: Instant) {
+        let limit = self.limits[index].limit;
+        self.limits[index] = SharedLimit::new(limit, now, now, now);
+        self.excused_until[index] = now + CONTACT_WINDOW;
+    }
+
+    /// Cuts a gateway off from the others for a time.
+    fn cut(&mut self, index: usize, time: Duration, now: Instant) {
+        self.cut_until[index] = now + time;
+        self.excused_until[index] = now + time + CONTACT_WINDOW;
     }
 
     fn group(&self, index: usize) -> GatewayGroup {
         GatewayGroup { own_ip: ip(index), count: self.limits.len() }
     }
 
-    /// Runs for a time in which each gateway would send `demand` requests a second.
-    fn run(&mut self, time: Duration, demand: impl Fn(usize, Instant) -> f64) {
-        let step = Duration::from_millis(10);
-        for n in 100..(time.as_millis() / step.as_millis()) as u32 {
-            let now = self.start + step * n;
+    /// Runs until a time after the start, while each gateway would send `demand` requests a second.
+    fn run_until(&mut self, time: Duration, demand: impl Fn(usize, Instant) -> f64) {
+        let last = (time.as_millis() / STEP.as_millis()) as u32;
+        for n in self.steps..last {
+            self.steps = last;
+            let now = self.start + STEP * n;
             self.deliver(now);
             for index in 0..self.limits.len() {
-                if self.rng.f64() < demand(index, now) * step.as_secs_f64() {
+                if self.rng.f64() < demand(index, now) * STEP.as_secs_f64() {
                     self.request(index, now);
                 }
-                if (n as usize + index).is_multiple_of(ROUND.as_millis() as usize / 10) {
+                if (n as usize + index).is_multiple_of(ROUND_STEPS) {
                     self.tell(index, now);
                 }
             }
@@ -77,7 +110,9 @@
         limit.record_want(group, now);
         if limit.has_token() {
             limit.take_token(group, now);
-            self.sent.push(now);
+            if now >= self.excused_until[index] {
+                self.sent.push(now);
+            }
         }
     }
 
@@ -97,7 +132,8 @@
         let others = (0..self.limits.len()).filter(|other| *other != index);
         told.extend(self.rng.choose_multiple(others, TOLD));
         for other in told {
-            if self.rng.f64() >= LOSS {
+            let is_cut = now < self.cut_until[index] || now < self.cut_until[other];
+            if !is_cut && self.rng.f64() >= LOSS {
                 let delay = Duration::from_millis(self.rng.u64(1..MAX_DELAY_MS));
                 self.datagrams.push((now + delay, other, news.clone()));
             }
@@ -150,7 +186,7 @@
             for (pattern, demand) in demands.into_iter().enumerate() {
                 let mut simulation = Simulation::new(seed, limit, count);
                 let start = simulation.start;
-                simulation.run(TIME, |index, now| demand(index, start, now));
+                simulation.run_until(TIME, |index, now| demand(index, start, now));
                 let most = simulation.most_in_window();
                 assert!(most <= allowed(limit), "{most}: {count} {limit} {pattern}");
             }
@@ -167,7 +203,7 @@
                 [|_| 20.0, |index| if index == 0 { 20.0 } else { 0.0 }];
             for (pattern, demand) in demands.into_iter().enumerate() {
                 let mut simulation = Simulation::new(seed, limit, count);
-                simulation.run(TIME, |index, _| demand(index));
+                simulation.run_until(TIME, |index, _| demand(index));
                 let share = simulation.sent.len() as f64 / (limit * TIME.as_secs_f64());
                 assert!(share >= 0.6, "{share}: {count} {limit} {pattern}");
             }
@@ -201,3 +237,33 @@
     let small = GatewayGroup { count: 4, ..group };
     assert_eq!(limit.tokens_within(Duration::from_secs(1), small, now), 2.0);
 }
+
+/// Guards against gateways that stay within a limit only as long as all of them run and hear each other.
+#[test]
+fn gateways_stay_within_a_limit_while_others_restart_and_are_cut_off() {
+    for seed in 1..=6 {
+        for count in COUNTS {
+            for limit in LIMITS {
+                let mut simulation = Simulation::new(seed, limit, count);
+                let mut faults = Rng::with_seed(seed);
+                let mut next = 4;
+                for second in 2..=TIME.as_secs() {
+                    simulation.run_until(Duration::from_secs(second), |_, _| 20.0);
+                    if second >= next {
+                        next = second + faults.u64(1..5);
+                        let now = simulation.start + Duration::from_secs(second);
+                        let index = faults.usize(0..count);
+                        match faults.bool() {
+                            true => simulation.restart(index, now),
+                            false => {
+                                simulation.cut(index, Duration::from_secs(faults.u64(1..9)), now)
+                            }
+                        }
+                    }
+                }
+                let most = simulation.most_in_window();
+                assert!(most <= allowed(limit), "{most}: seed {seed}, {count} at {limit}/s");
+            }
+        }
+    }
+}
