Excuse a gateway that is still cut off when it restarts, in the simulation of limits

The rule excuses a machine that is cut off, and the contact window after it: the later end counts now, and a shorter cut no longer ends a longer one. No code of the product changed.

--- a/components/dispatch/src/shared_limit/tests.rs
+++ b/components/dispatch/src/shared_limit/tests.rs
@@ -73,13 +73,18 @@
     fn restart(&mut self, index: usize, now: Instant) {
         let limit = self.limits[index].limit;
         self.limits[index] = SharedLimit::new(limit, now, now, now);
-        self.excused_until[index] = now + CONTACT_WINDOW;
+        self.excuse(index, now + CONTACT_WINDOW);
     }
 
     /// Cuts a gateway off from the others for a time.
     fn cut(&mut self, index: usize, time: Duration, now: Instant) {
-        self.cut_until[index] = now + time;
-        self.excused_until[index] = now + time + CONTACT_WINDOW;
+        self.cut_until[index] = self.cut_until[index].max(now + time);
+        self.excuse(index, now + time + CONTACT_WINDOW);
+    }
+
+    /// Does not count the requests of a gateway until a time, or longer if an earlier fault lasts longer.
+    fn excuse(&mut self, index: usize, until: Instant) {
+        self.excused_until[index] = self.excused_until[index].max(until);
     }
 
     fn group(&self, index: usize) -> GatewayGroup {
