Log from whom a gateway learned a change, and whether a new endpoint leaves already

A request that reached an endpoint after it had said that it leaves could not be traced to a hop: no line said who told the gateway, up to which revision, and a line for an endpoint that was added did not say whether it leaves. Now each line for an endpoint, a configuration or a whole read has `from`, and `added` has `leaving`.

A call that ended while its answer arrived was logged as one without any answer, which hides the difference between a silent peer and a narrow link; it is an error of its own now, with the bytes that had arrived. Two gauges show the version and the revision at a gateway where logs are cut off.

The part of the follower that applies entries has a file of its own, and what an answer tells of the store is one value in place of three arguments. No decision is changed.

--- a/components/dispatch/src/state.rs
+++ b/components/dispatch/src/state.rs
@@ -45,6 +45,8 @@
     pub service: ServiceId,
     /// Its availability zone.
     pub zone: Zone,
+    /// Whether it gets no new requests, as it is draining.
+    pub is_leaving: bool,
     /// The version of the weights that must answer; set where older weights may no longer answer.
     pub version: Option<WeightsVersion>,
 }
@@ -132,6 +134,7 @@
             addr: listed.addr,
             service: listed.service.clone(),
             zone: listed.zone.clone(),
+            is_leaving: !tracked.is_listed_ready(),
             version: required.map(|required| served.map_or(required, |v| v.max(required))),
         })
     }
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -405,7 +405,7 @@
 
 fn loss_cause(err: &TransportError) -> LossCause {
     match err {
-        TransportError::Timeout => LossCause::TimedOut,
+        TransportError::Timeout | TransportError::Incomplete(_) => LossCause::TimedOut,
         TransportError::TooLarge(_) | TransportError::Invalid(_) => LossCause::Unusable,
         _ => LossCause::Broken,
     }
--- a/components/gateway/src/change_source.rs
+++ b/components/gateway/src/change_source.rs
@@ -4,6 +4,7 @@
 
 use std::{
     collections::HashMap,
+    fmt,
     net::Ipv4Addr,
     time::{Duration, Instant},
 };
@@ -22,6 +23,15 @@
     Gateway(Ipv4Addr),
 }
 
+impl fmt::Display for ChangeSource {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ChangeSource::Store => f.write_str("store"),
+            ChangeSource::Gateway(ip) => ip.fmt(f),
+        }
+    }
+}
+
 /// Timeouts of learning changes, all derived from the time within which a configuration must be in
 /// force.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod attempt;
 mod attempt_plan;
+mod change_origin;
 mod change_source;
 mod events;
 mod hedge;
@@ -23,6 +24,7 @@
 mod store_contents;
 mod store_follower;
 mod store_patience;
+mod store_updates;
 mod stream;
 mod suspect_parts;
 mod suspects;
--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -20,6 +20,7 @@
 use transport::{AcceptSettings, ConnectionPool, OpenConnections, PoolSettings, StopPhase};
 
 use crate::{
+    change_origin::ChangeOrigin,
     response::{ResponseBody, own_response},
     settings::GatewaySettings,
     shutdown::Shutdown,
@@ -135,10 +136,10 @@
 
     fn check_listed_endpoints(&self) {
         let dropped = self.dispatcher.borrow_mut().remove_lapsed(now());
-        self.handle_endpoint_changes(dropped);
+        self.handle_endpoint_changes(dropped, ChangeOrigin::Timer);
         let Some(known_until) = self.store_progress.borrow().known_until() else { return };
         let readmitted = self.dispatcher.borrow_mut().readmit_listed(known_until, now());
-        self.handle_endpoint_changes(readmitted);
+        self.handle_endpoint_changes(readmitted, ChangeOrigin::Timer);
     }
 
     async fn follow_settings(self: Rc<Gateway>, file: PathBuf) {
--- a/components/gateway/src/store_contents.rs
+++ b/components/gateway/src/store_contents.rs
@@ -5,21 +5,28 @@
 
 use catalog::{Config, ModelId, WeightsVersion};
 use dispatch::EndpointChange;
+use metrics::gauge;
 use slog::info;
+use telemetry::names;
 
 use crate::{
+    change_origin::ChangeOrigin,
     state::{Gateway, now},
     weights::NamingTime,
 };
 
 impl Gateway {
     /// Logs changes of endpoints, requests new reports if needed and checks queued requests.
-    pub(crate) fn handle_endpoint_changes(&self, changes: Vec<EndpointChange>) {
+    pub(crate) fn handle_endpoint_changes(
+        &self,
+        changes: Vec<EndpointChange>,
+        origin: ChangeOrigin,
+    ) {
         if changes.is_empty() {
             return;
         }
         for change in &changes {
-            self.log_endpoint_change(change);
+            self.log_endpoint_change(change, origin);
         }
         let membership_changed =
             |change: &EndpointChange| !matches!(change, EndpointChange::Updated(_));
@@ -30,34 +37,39 @@
         self.poll_soon();
     }
 
-    fn log_endpoint_change(&self, change: &EndpointChange) {
+    fn log_endpoint_change(&self, change: &EndpointChange, origin: ChangeOrigin) {
         let (kind, key) = match change {
             EndpointChange::Added(key) => ("added", key),
             EndpointChange::Leaving(key) => ("leaving", key),
             EndpointChange::Removed(_, id) => {
-                info!(self.log, "endpoint"; "change" => "gone", "endpoint" => %id);
+                info!(self.log, "endpoint"; "change" => "gone", "endpoint" => %id,
+                    "from" => %origin);
                 return;
             }
             EndpointChange::SetAside(id) => {
-                info!(self.log, "endpoint"; "change" => "set aside", "endpoint" => %id);
+                info!(self.log, "endpoint"; "change" => "set aside", "endpoint" => %id,
+                    "from" => %origin);
                 return;
             }
             EndpointChange::Updated(_) => return,
         };
         if let Some(view) = self.dispatcher.borrow().endpoint(*key, now()) {
             info!(self.log, "endpoint"; "change" => kind, "endpoint" => %view.id,
-                "addr" => %view.addr, "service" => %view.service, "zone" => %view.zone);
+                "from" => %origin, "leaving" => view.is_leaving, "addr" => %view.addr,
+                "service" => %view.service, "zone" => %view.zone);
         }
     }
 
     /// Applies a configuration unless the same or a newer version is in force.
-    pub(crate) fn apply_config(&self, config: Config) {
+    pub(crate) fn apply_config(&self, config: Config, origin: ChangeOrigin) {
         let current = self.config.borrow().as_ref().map(|current| current.version);
         if current.is_some_and(|current| current >= config.version) {
             return;
         }
         info!(self.log, "configuration in force"; "version" => config.version.0,
-            "routes" => config.route_count(), "replaces" => current.map_or(0, |v| v.0));
+            "routes" => config.route_count(), "replaces" => current.map_or(0, |v| v.0),
+            "from" => %origin);
+        gauge!(names::CONFIG_VERSION).set(config.version.0 as f64);
         {
             let mut dispatcher = self.dispatcher.borrow_mut();
             for service in config.services.values() {
--- a/components/gateway/src/store_follower.rs
+++ b/components/gateway/src/store_follower.rs
@@ -6,19 +6,19 @@
     time::{Duration, Instant},
 };
 
-use catalog::{Endpoint, EndpointUpdate};
 use directory::{
     ReadError, Recovery, Restoration, Snapshot, StoreReader, WatchedChanges, known_by_watch,
 };
 use dispatch::ListingOrigin;
 use metrics::gauge;
-use platform::store::{StoreEntry, StoreEra, StorePosition, endpoint_id_from_key};
+use platform::store::{StoreEra, StorePosition};
 use slog::{info, warn};
 use telemetry::names;
 use tokio::time::sleep;
 use transport::TransportError;
 
 use crate::{
+    change_origin::ChangeOrigin,
     change_source::{ChangeSource, SourceSelection},
     relay::{LearnedChanges, LearnedContent, RelayError},
     reregistration::ReregistrationGrace,
@@ -27,9 +27,29 @@
     weights::NamingTime,
 };
 
+/// What an answer of the store, or of another gateway, tells of how far the store is known.
+#[derive(Debug, Clone, Copy)]
+struct Knowledge {
+    source: ChangeSource,
+    /// When the answer was all there was.
+    confirmed_at: Instant,
+    /// Time before which the store acknowledged no change that is still unknown; `None` if more
+    /// changes follow.
+    known_until: Option<Instant>,
+}
+
+impl Knowledge {
+    /// What an answer of the store tells that has just arrived and lacks nothing from before
+    /// `known_until`.
+    fn from_store(known_until: Instant) -> Knowledge {
+        let source = ChangeSource::Store;
+        Knowledge { source, confirmed_at: now(), known_until: Some(known_until) }
+    }
+}
+
 /// Applies the contents of the store to the gateway.
 pub(crate) struct StoreFollower {
-    gateway: Rc<Gateway>,
+    pub(crate) gateway: Rc<Gateway>,
     reader: StoreReader,
     sources: SourceSelection,
     /// The source of the last changes, for the log.
@@ -43,7 +63,7 @@
     /// How long answers of the store are waited for.
     patience: StorePatience,
     /// How long endpoints that are missing from the store get to register again.
-    reregistration: ReregistrationGrace,
+    pub(crate) reregistration: ReregistrationGrace,
 }
 
 impl StoreFollower {
@@ -144,7 +164,7 @@
         let snapshot = self.reader.read(self.known_era(), false).await?;
         let sent_at = self.gateway.corrected_time(sent_at);
         let named = self.naming_time();
-        self.accept_snapshot(snapshot, named, now(), Some(sent_at))
+        self.accept_snapshot(snapshot, named, Knowledge::from_store(sent_at))
     }
 
     async fn read_stale(&mut self) -> Result<(), ReadError> {
@@ -158,8 +178,9 @@
         snapshot.position = watched.position;
         // The pages are older than the position by the changes that were watched.
         snapshot.pages.clear();
-        self.accept_snapshot(snapshot, named, now(), Some(sent_at))?;
-        self.apply_changes(watched.entries, named);
+        let origin = ChangeOrigin::learned(ChangeSource::Store, snapshot.position);
+        self.accept_snapshot(snapshot, named, Knowledge::from_store(sent_at))?;
+        self.apply_changes(watched.entries, named, origin);
         Ok(())
     }
 
@@ -188,37 +209,35 @@
         self.gateway.store_progress.borrow().era()
     }
 
-    /// Applies a read of the whole store, which was all there was at `confirmed_at` and lacks nothing
-    /// from before `known_until`. `named` is when weights in it can have been named.
+    /// Applies a read of the whole store. `named` is when weights in it can have been named.
     fn accept_snapshot(
         &mut self,
         snapshot: Snapshot,
         named: NamingTime,
-        confirmed_at: Instant,
-        known_until: Option<Instant>,
+        knowledge: Knowledge,
     ) -> Result<(), ReadError> {
         let position = snapshot.position;
         let (before, restored) = {
             let mut progress = self.gateway.store_progress.borrow_mut();
             let before = progress.known();
-            let restored = progress.accept_snapshot(position, confirmed_at)?;
+            let restored = progress.accept_snapshot(position, knowledge.confirmed_at)?;
             if !snapshot.pages.is_empty() {
                 progress.keep_pages(snapshot.pages);
             }
-            if let Some(until) = known_until {
+            if let Some(until) = knowledge.known_until {
                 progress.record_known(until);
                 self.interrupted = false;
             }
             (before, restored)
         };
-        self.gateway.position_news.borrow_mut().record_own(position, now());
-        let origin = match restored {
+        self.record_position(position);
+        let listing = match restored {
             Some(_) => ListingOrigin::OlderCopy,
             None => ListingOrigin::Current,
         };
         self.handle_store_regained();
-        info!(self.gateway.log, "store read"; "era" => position.era.0,
-            "revision" => position.revision.0,
+        info!(self.gateway.log, "store read"; "from" => %knowledge.source,
+            "era" => position.era.0, "revision" => position.revision.0,
             "before" => before.map_or(0, |before| before.revision.0));
         if let Some(Restoration { before, after }) = restored {
             warn!(self.gateway.log, "store came back from an older copy";
@@ -227,7 +246,8 @@
         }
         gauge!(names::STORE_ERA).set(position.era.0 as f64);
         self.gateway.store_changed.notify_waiters();
-        self.apply_snapshot(snapshot.entries, origin, named);
+        let origin = ChangeOrigin::learned(knowledge.source, position);
+        self.apply_snapshot(snapshot.entries, listing, named, origin);
         Ok(())
     }
 
@@ -239,7 +259,7 @@
         let sent_at = self.gateway.corrected_time(sent_at);
         let changed = !watched.entries.is_empty();
         let known_until = known_by_watch(sent_at, wait, changed, now());
-        self.accept_changes(watched, now(), Some(known_until))?;
+        self.accept_changes(watched, Knowledge::from_store(known_until))?;
         self.log_source(ChangeSource::Store, Duration::ZERO);
         Ok(changed)
     }
@@ -255,9 +275,10 @@
         let times = self.gateway.source_times();
         match (result, elapsed.checked_sub(wait)) {
             (Ok(_), Some(time)) => self.patience.record_answer(time, &times),
-            (Err(ReadError::Transport(TransportError::Timeout)), _) => {
-                self.patience.record_timeout(&times)
-            }
+            (
+                Err(ReadError::Transport(TransportError::Timeout | TransportError::Incomplete(_))),
+                _,
+            ) => self.patience.record_timeout(&times),
             _ => {}
         }
     }
@@ -275,7 +296,7 @@
     /// Learns changes from another gateway; if that fails, it is not asked again for a while.
     async fn follow_gateway(&mut self, ip: Ipv4Addr, at: StorePosition) {
         let learned = self.gateway.request_changes(ip, at).await;
-        match learned.and_then(|learned| self.accept_learned(learned)) {
+        match learned.and_then(|learned| self.accept_learned(ip, learned)) {
             Ok(age) => self.log_source(ChangeSource::Gateway(ip), age),
             Err(err) => {
                 info!(self.gateway.log, "changes not learned from a gateway";
@@ -293,7 +314,7 @@
         let learned = self.gateway.request_changes(ip, at).await;
         // What the own source did not tell can be older than its usual delay.
         self.interrupted = true;
-        let result = learned.and_then(|learned| self.accept_learned(learned));
+        let result = learned.and_then(|learned| self.accept_learned(ip, learned));
         let known = self.gateway.store_progress.borrow().position();
         if result.is_err() || known <= Some(at) {
             self.gateway.position_news.borrow_mut().record_failure(ip, now());
@@ -312,15 +333,21 @@
     }
 
     /// Applies changes that were learned from another gateway. Returns the age of its knowledge.
-    fn accept_learned(&mut self, learned: LearnedChanges) -> Result<Duration, RelayError> {
-        let confirmed_at = now().checked_sub(learned.age).unwrap_or_else(now);
+    fn accept_learned(
+        &mut self,
+        gateway: Ipv4Addr,
+        learned: LearnedChanges,
+    ) -> Result<Duration, RelayError> {
+        let knowledge = Knowledge {
+            source: ChangeSource::Gateway(gateway),
+            confirmed_at: now().checked_sub(learned.age).unwrap_or_else(now),
+            known_until: learned.known_until,
+        };
         match learned.content {
-            LearnedContent::Changes(watched) => {
-                self.accept_changes(watched, confirmed_at, learned.known_until)?
-            }
+            LearnedContent::Changes(watched) => self.accept_changes(watched, knowledge)?,
             LearnedContent::All(snapshot) => {
                 let named = self.naming_time();
-                self.accept_snapshot(snapshot, named, confirmed_at, learned.known_until)?
+                self.accept_snapshot(snapshot, named, knowledge)?
             }
         }
         Ok(learned.age)
@@ -329,35 +356,37 @@
     fn accept_changes(
         &mut self,
         watched: WatchedChanges,
-        confirmed_at: Instant,
-        known_until: Option<Instant>,
+        knowledge: Knowledge,
     ) -> Result<(), ReadError> {
         let named = self.naming_time_of_changes();
         {
             let mut progress = self.gateway.store_progress.borrow_mut();
-            progress.accept_changes(&watched, confirmed_at)?;
-            if let Some(until) = known_until {
+            progress.accept_changes(&watched, knowledge.confirmed_at)?;
+            if let Some(until) = knowledge.known_until {
                 progress.record_known(until);
                 self.interrupted = false;
             }
         }
-        self.gateway.position_news.borrow_mut().record_own(watched.position, now());
+        self.record_position(watched.position);
         self.handle_store_regained();
         self.gateway.store_changed.notify_waiters();
-        self.apply_changes(watched.entries, named);
+        let origin = ChangeOrigin::learned(knowledge.source, watched.position);
+        self.apply_changes(watched.entries, named, origin);
         Ok(())
     }
 
+    /// Records up to which position the store is known.
+    fn record_position(&self, position: StorePosition) {
+        self.gateway.position_news.borrow_mut().record_own(position, now());
+        gauge!(names::STORE_REVISION).set(position.revision.0 as f64);
+    }
+
     fn log_source(&mut self, source: ChangeSource, age: Duration) {
         if self.source == source {
             return;
         }
         self.source = source;
-        let from = match source {
-            ChangeSource::Store => "store".to_owned(),
-            ChangeSource::Gateway(ip) => ip.to_string(),
-        };
-        info!(self.gateway.log, "source of changes"; "from" => from,
+        info!(self.gateway.log, "source of changes"; "from" => %source,
             "age_ms" => age.as_millis() as u64);
     }
 
@@ -386,68 +415,4 @@
         info!(self.gateway.log, "store regained"; "failures" => failures,
             "away_ms" => away.as_millis() as u64);
     }
-
-    /// Applies changes. `named` is when weights among them can have been named.
-    fn apply_changes(&mut self, entries: Vec<StoreEntry>, named: NamingTime) {
-        let mut removed = Vec::new();
-        for entry in entries {
-            match entry {
-                StoreEntry::Endpoint(EndpointUpdate::Removed(id)) => removed.push(id),
-                StoreEntry::Endpoint(EndpointUpdate::Published(endpoint)) => {
-                    // The endpoint was removed and published again within one batch.
-                    removed.retain(|id| *id != endpoint.id);
-                    self.apply_endpoint_update(EndpointUpdate::Published(endpoint));
-                }
-                other => self.apply_entry(other, named),
-            }
-        }
-        let now = now();
-        let absence = self.reregistration.explain_removed(now);
-        let changes = self.gateway.dispatcher.borrow_mut().handle_missing(removed, absence, now);
-        self.gateway.handle_endpoint_changes(changes);
-    }
-
-    fn apply_snapshot(
-        &mut self,
-        entries: Vec<StoreEntry>,
-        origin: ListingOrigin,
-        named: NamingTime,
-    ) {
-        let mut all: Vec<Endpoint> = Vec::new();
-        for entry in entries {
-            match entry {
-                StoreEntry::Endpoint(EndpointUpdate::Published(endpoint)) => all.push(endpoint),
-                other => self.apply_entry(other, named),
-            }
-        }
-        let now = now();
-        let absence = self.reregistration.explain_unlisted(now);
-        let changes =
-            self.gateway.dispatcher.borrow_mut().replace_listing(all, origin, absence, now);
-        self.gateway.endpoints_listed.set(true);
-        self.gateway.handle_endpoint_changes(changes);
-    }
-
-    fn apply_entry(&mut self, entry: StoreEntry, named: NamingTime) {
-        match entry {
-            StoreEntry::Endpoint(listing) => self.apply_endpoint_update(listing),
-            StoreEntry::Config(config) => self.gateway.apply_config(*config),
-            StoreEntry::NamedVersion { model, version } => {
-                self.gateway.handle_named_weights(&model, version, named)
-            }
-            StoreEntry::Unreadable { key, error } => {
-                warn!(self.gateway.log, "entry of the store is not readable";
-                    "key" => &key, "error" => %error);
-                if let Some(id) = endpoint_id_from_key(&key) {
-                    self.apply_endpoint_update(EndpointUpdate::Removed(id));
-                }
-            }
-            StoreEntry::Other => {}
-        }
-    }
-
-    fn apply_endpoint_update(&mut self, listing: EndpointUpdate) {
-        let change = self.gateway.dispatcher.borrow_mut().apply_listing(listing, now());
-        self.gateway.handle_endpoint_changes(change.into_iter().collect());
-    }
 }
--- /dev/null
+++ b/components/gateway/src/store_updates.rs
@@ -0,0 +1,83 @@
+//! Applies entries of the store, in their order.
+
+use catalog::{Endpoint, EndpointUpdate};
+use dispatch::ListingOrigin;
+use platform::store::{StoreEntry, endpoint_id_from_key};
+use slog::warn;
+
+use crate::{
+    change_origin::ChangeOrigin, state::now, store_follower::StoreFollower, weights::NamingTime,
+};
+
+impl StoreFollower {
+    /// Applies changes. `named` is when weights among them can have been named.
+    pub(crate) fn apply_changes(
+        &mut self,
+        entries: Vec<StoreEntry>,
+        named: NamingTime,
+        origin: ChangeOrigin,
+    ) {
+        let mut removed = Vec::new();
+        for entry in entries {
+            match entry {
+                StoreEntry::Endpoint(EndpointUpdate::Removed(id)) => removed.push(id),
+                StoreEntry::Endpoint(EndpointUpdate::Published(endpoint)) => {
+                    // The endpoint was removed and published again within one batch.
+                    removed.retain(|id| *id != endpoint.id);
+                    self.apply_endpoint_update(EndpointUpdate::Published(endpoint), origin);
+                }
+                other => self.apply_entry(other, named, origin),
+            }
+        }
+        let now = now();
+        let absence = self.reregistration.explain_removed(now);
+        let changes = self.gateway.dispatcher.borrow_mut().handle_missing(removed, absence, now);
+        self.gateway.handle_endpoint_changes(changes, origin);
+    }
+
+    /// Applies a read of the whole store. `named` is when weights in it can have been named.
+    pub(crate) fn apply_snapshot(
+        &mut self,
+        entries: Vec<StoreEntry>,
+        listing: ListingOrigin,
+        named: NamingTime,
+        origin: ChangeOrigin,
+    ) {
+        let mut all: Vec<Endpoint> = Vec::new();
+        for entry in entries {
+            match entry {
+                StoreEntry::Endpoint(EndpointUpdate::Published(endpoint)) => all.push(endpoint),
+                other => self.apply_entry(other, named, origin),
+            }
+        }
+        let now = now();
+        let absence = self.reregistration.explain_unlisted(now);
+        let changes =
+            self.gateway.dispatcher.borrow_mut().replace_listing(all, listing, absence, now);
+        self.gateway.endpoints_listed.set(true);
+        self.gateway.handle_endpoint_changes(changes, origin);
+    }
+
+    fn apply_entry(&mut self, entry: StoreEntry, named: NamingTime, origin: ChangeOrigin) {
+        match entry {
+            StoreEntry::Endpoint(listing) => self.apply_endpoint_update(listing, origin),
+            StoreEntry::Config(config) => self.gateway.apply_config(*config, origin),
+            StoreEntry::NamedVersion { model, version } => {
+                self.gateway.handle_named_weights(&model, version, named)
+            }
+            StoreEntry::Unreadable { key, error } => {
+                warn!(self.gateway.log, "entry of the store is not readable";
+                    "key" => &key, "error" => %error);
+                if let Some(id) = endpoint_id_from_key(&key) {
+                    self.apply_endpoint_update(EndpointUpdate::Removed(id), origin);
+                }
+            }
+            StoreEntry::Other => {}
+        }
+    }
+
+    fn apply_endpoint_update(&mut self, listing: EndpointUpdate, origin: ChangeOrigin) {
+        let change = self.gateway.dispatcher.borrow_mut().apply_listing(listing, now());
+        self.gateway.handle_endpoint_changes(change.into_iter().collect(), origin);
+    }
+}
--- a/components/telemetry/src/names.rs
+++ b/components/telemetry/src/names.rs
@@ -26,6 +26,10 @@
 pub const VMS: &str = "carawaypaddle_vms_revision";
 /// Era of the platform's store: how often it came back from an older copy.
 pub const STORE_ERA: &str = "carawaypaddle_store_era";
+/// Version of the configuration in force at a gateway.
+pub const CONFIG_VERSION: &str = "carawaypaddle_config_version";
+/// Revision of the platform's store up to which a gateway knows it.
+pub const STORE_REVISION: &str = "carawaypaddle_store_revision";
 /// Rejected documents.
 pub const REFUSED: &str = "carawaypaddle_documents_refused_total";
 /// Gossip calls, by `result`: `replied` or `missed`.
@@ -56,6 +60,8 @@
         STORE_ERA,
         "era of the store, which rises when it comes back from an older copy"
     );
+    describe_gauge!(CONFIG_VERSION, "version of the configuration in force");
+    describe_gauge!(STORE_REVISION, "revision of the store up to which it is known");
     describe_counter!(REFUSED, "documents that were refused");
     describe_counter!(GOSSIP, "gossip calls, by result");
     describe_counter!(CHUNK_BYTES, Unit::Bytes, "bytes of chunks fetched, by source");
--- a/components/transport/src/client.rs
+++ b/components/transport/src/client.rs
@@ -208,7 +208,8 @@
         let mut size = 0;
         loop {
             let frame = timeout_at(until, body.frame()).await;
-            let Some(frame) = frame.map_err(|_| TransportError::Timeout)? else { break };
+            let frame = frame.map_err(|_| TransportError::Incomplete(buffer.len()))?;
+            let Some(frame) = frame else { break };
             let frame = frame.map_err(TransportError::after_sending)?;
             if let Ok(data) = frame.into_data() {
                 size += data.len().max(min_size);
--- a/components/transport/src/error.rs
+++ b/components/transport/src/error.rs
@@ -25,6 +25,9 @@
     /// The request was sent, and no response was received in time.
     #[error("no answer within the time limit")]
     Timeout,
+    /// The request was sent, and the response had not been received completely in time.
+    #[error("no complete answer within the time limit, after {0} bytes of it")]
+    Incomplete(usize),
     /// The response exceeds the size limit.
     #[error("the answer has more than {0} bytes")]
     TooLarge(usize),
@@ -57,6 +60,7 @@
             TransportError::Broken(_) => "broken",
             TransportError::Invalid(_) => "invalid",
             TransportError::Timeout => "timeout",
+            TransportError::Incomplete(_) => "incomplete",
             TransportError::TooLarge(_) => "too_long",
         }
     }
