Let a large answer arrive as long as it makes progress

What callers saw: on the large fleet requests reached endpoints up to 4.5 s after these had said that they leave (DRAIN, bound 4 s).

Cause: changes of the store arrive in order, and what an endpoint says waits behind a configuration of 1,450 routes. One gateway of a zone passes that on to eleven others over 40 Mbit/s, 5 MB for each version. The time limits of these calls, 1.0 s to a gateway and 0.7 s to the store, were limits of the whole answer: what had arrived was thrown away, and the same bytes were asked for again, at the store, over a link between regions that was then full too, or at a gateway that announced a newer position, for which an answer that was arriving was dropped as well. Class: a time limit that does not depend on the size of what it limits.

Change: a call of a gateway to the store or to another gateway, and of a stager for the list of endpoints, now limits the time until the answer begins, and then the time for each further 16 KiB or the rest. While an answer makes progress, no other gateway is asked for what it contains. The age of knowledge counts from the begin of an answer, not from its end, and so does the time that answers of the store take.

--- a/components/directory/src/lib.rs
+++ b/components/directory/src/lib.rs
@@ -9,5 +9,5 @@
 pub use error::ReadError;
 pub use history::{ChangeHistory, ChangesSince, StorePages, known_by_watch};
 pub use progress::{Recovery, Restoration, StoreProgress};
-pub use reader::{StoreReader, StoreReaderSettings};
+pub use reader::{AnswerLimits, StoreReader, StoreReaderSettings, WatchAnswer};
 pub use response::{PagedRead, Snapshot, WatchedChanges, accept_response};
--- a/components/directory/src/reader.rs
+++ b/components/directory/src/reader.rs
@@ -7,7 +7,8 @@
 use platform::store::{StoreEra, StorePosition, range_path, watch_path};
 use tokio::time::Instant;
 use transport::{
-    BufferedResponse, ConnectSettings, ConnectionPool, PoolSettings, TransportError, request,
+    BodyLimit, BufferedResponse, CallLimits, ConnectSettings, ConnectionPool, PoolSettings,
+    ReceiveProgress, TransportError, request,
 };
 
 use crate::{PagedRead, ReadError, Snapshot, WatchedChanges, accept_response};
@@ -17,8 +18,6 @@
 pub struct StoreReaderSettings {
     /// Timeouts and keep-alive of connections.
     pub connect: ConnectSettings,
-    /// Timeout of a read.
-    pub read_timeout: Duration,
     /// Maximum time that a connection stays idle, which has to exceed the time of a watch.
     pub idle_timeout: Duration,
     /// Maximum size of a response in bytes.
@@ -35,30 +34,57 @@
         };
         StoreReaderSettings {
             connect,
-            read_timeout: Duration::from_millis(1500),
             idle_timeout: Duration::from_millis(2500),
             max_response_bytes: 16 << 20,
         }
     }
 }
 
+/// Time limits of an answer of the store, however large it is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AnswerLimits {
+    /// Time until the answer must have begun, beyond the time for which the store waits for changes.
+    pub begin: Duration,
+    /// Time in which an answer that has begun must make progress.
+    pub stall: Duration,
+}
+
+/// The answer to a watch.
+#[derive(Debug)]
+pub struct WatchAnswer {
+    /// The changes.
+    pub changes: WatchedChanges,
+    /// When it began to arrive.
+    pub begun_at: Instant,
+}
+
 /// Reads and watches the store.
 #[derive(Debug)]
 pub struct StoreReader {
     addr: SocketAddr,
     settings: StoreReaderSettings,
     pool: ConnectionPool,
+    progress: ReceiveProgress,
 }
 
 impl StoreReader {
     /// Creates a reader of the store at `addr`.
     pub fn new(addr: SocketAddr, settings: StoreReaderSettings) -> StoreReader {
+        StoreReader::with_progress(addr, settings, ReceiveProgress::default())
+    }
+
+    /// The same; records in `progress` how answers arrive.
+    pub fn with_progress(
+        addr: SocketAddr,
+        settings: StoreReaderSettings,
+        progress: ReceiveProgress,
+    ) -> StoreReader {
         let pool = PoolSettings {
             connect: settings.connect,
             idle_timeout: settings.idle_timeout,
             ..PoolSettings::default()
         };
-        StoreReader { addr, settings, pool: ConnectionPool::new(pool) }
+        StoreReader { addr, settings, pool: ConnectionPool::new(pool), progress }
     }
 
     /// Reads the whole store in the newest era that is known. A stale read is cheaper, but may return
@@ -67,12 +93,17 @@
     /// # Errors
     ///
     /// Fails if the store is in another era; if it is in a newer one, the read has to start again.
-    pub async fn read(&self, era: StoreEra, stale: bool) -> Result<Snapshot, ReadError> {
+    pub async fn read(
+        &self,
+        era: StoreEra,
+        stale: bool,
+        limits: AnswerLimits,
+    ) -> Result<Snapshot, ReadError> {
         let mut read = PagedRead::new(era);
         let mut after: Option<String> = None;
         loop {
             let path = range_path(after.as_deref(), stale);
-            let response = self.call(&path, self.settings.read_timeout).await?;
+            let response = self.call(&path, limits).await?;
             after = self.check(read.add_page(response))?;
             if after.is_none() {
                 return Ok(read.finish());
@@ -80,7 +111,7 @@
         }
     }
 
-    /// Waits up to `wait` for changes after a position, and up to `grace` longer for the response.
+    /// Waits up to `wait` for changes after a position, and longer for the response.
     ///
     /// # Errors
     ///
@@ -89,12 +120,14 @@
         &self,
         after: StorePosition,
         wait: Duration,
-        grace: Duration,
-    ) -> Result<WatchedChanges, ReadError> {
+        limits: AnswerLimits,
+    ) -> Result<WatchAnswer, ReadError> {
         let path = watch_path(after.revision, wait);
-        let response = self.call(&path, wait + grace).await?;
+        let begin = wait + limits.begin;
+        let response = self.call(&path, AnswerLimits { begin, ..limits }).await?;
+        let begun_at = response.begun_at;
         let body = self.check(accept_response(response, after.era))?;
-        WatchedChanges::decode(body, after)
+        Ok(WatchAnswer { changes: WatchedChanges::decode(body, after)?, begun_at })
     }
 
     /// Closes the connections if a response on one of them was of an older era, as they may all lead
@@ -109,12 +142,16 @@
     async fn call(
         &self,
         path: &str,
-        timeout: Duration,
+        limits: AnswerLimits,
     ) -> Result<BufferedResponse, TransportError> {
         let request = request(Method::GET, self.addr, path, Bytes::new());
-        let deadline = Instant::now() + timeout;
+        let progress = self.progress.clone();
+        let limits = CallLimits {
+            begin: Instant::now() + limits.begin,
+            body: BodyLimit::Stalled { within: limits.stall, progress },
+        };
         let bytes = self.settings.max_response_bytes;
-        let reply = self.pool.call(self.addr, request, bytes, deadline).await;
+        let reply = self.pool.call(self.addr, request, bytes, limits).await;
         if reply.is_err() {
             self.pool.close_idle(self.addr);
         }
--- a/components/directory/src/response/tests.rs
+++ b/components/directory/src/response/tests.rs
@@ -1,4 +1,5 @@
 use http::{HeaderMap, HeaderValue};
+use tokio::time::Instant;
 
 use super::*;
 
@@ -7,7 +8,7 @@
 fn response(status: StatusCode, era: u64) -> BufferedResponse {
     let mut headers = HeaderMap::new();
     headers.insert("store-era", HeaderValue::from(era));
-    BufferedResponse { status, headers, body: Bytes::from_static(PAGE) }
+    BufferedResponse { status, headers, body: Bytes::from_static(PAGE), begun_at: Instant::now() }
 }
 
 /// Guards against taking a watch of a restored store for one whose history was discarded, or for one
--- a/components/directory/tests/model/mod.rs
+++ b/components/directory/tests/model/mod.rs
@@ -5,6 +5,7 @@
 use base64::{Engine, prelude::BASE64_STANDARD};
 use http::{HeaderMap, HeaderValue, StatusCode};
 use platform::store::{StoreEra, StorePosition, StoreRevision};
+use tokio::time::Instant;
 use transport::BufferedResponse;
 
 /// Number of items in a page.
@@ -92,7 +93,7 @@
             http::HeaderName::from_static("store-era"),
             HeaderValue::from(self.era),
         )]);
-        BufferedResponse { status, headers, body: body.into() }
+        BufferedResponse { status, headers, body: body.into(), begun_at: Instant::now() }
     }
 }
 
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -15,7 +15,7 @@
 };
 use quarantine::PartKey;
 use telemetry::names;
-use transport::{Connection, Exchange, Framing, ResponseBody, TransportError};
+use transport::{BodyLimit, Connection, Exchange, Framing, ResponseBody, TransportError};
 
 use crate::{
     request::RequestContext,
@@ -218,7 +218,7 @@
         self.record_version(context, &assignment, &exchange.response);
         let idle_timeout = keep_alive_timeout(exchange.response.headers());
         let close = has_connection_close(&exchange);
-        let until = tokio::time::Instant::from_std(context.deadline);
+        let until = BodyLimit::Until(tokio::time::Instant::from_std(context.deadline));
         match exchange.read_body(self.settings.max_response_bytes, until).await {
             Ok((response, connection)) => {
                 if context.route.kind.is_retryable() && !close {
--- a/components/gateway/src/change_source.rs
+++ b/components/gateway/src/change_source.rs
@@ -42,16 +42,18 @@
     pub(crate) store_grace: Duration,
     /// The same if the store answers slowly.
     pub(crate) max_grace: Duration,
-    /// Time after which a watch fails in any case. A lost answer is missed only after that and
-    /// `retry_delay`, which together are shorter than the bound.
+    /// Time after which a watch fails in any case whose answer has not begun. A lost answer is missed
+    /// only after that and `retry_delay`, which together are shorter than the bound.
     pub(crate) store_limit: Duration,
+    /// Time in which an answer of the store or of a gateway that has begun must make progress.
+    pub(crate) stall: Duration,
     /// Delay before a failed read of the store is retried.
     pub(crate) retry_delay: Duration,
     /// Pause between two watches of the store, which lets changes accumulate.
     pub(crate) store_pause: Duration,
     /// Maximum time that a gateway waits for changes before it answers that there are none.
     pub(crate) relay_wait: Duration,
-    /// Time after which a gateway that has not answered counts as failed.
+    /// Time after which a gateway counts as failed whose answer has not begun.
     pub(crate) relay_timeout: Duration,
     /// Age from which the knowledge of a gateway is too old to rely on.
     pub(crate) max_age: Duration,
@@ -77,6 +79,7 @@
             store_grace: (bound * 7 / 20).min(MAX_STORE_GRACE),
             max_grace: bound / 2,
             store_limit: bound * 3 / 4,
+            stall: bound / 4,
             retry_delay: (bound * 3 / 20).min(MAX_RETRY_DELAY),
             store_pause: bound / 8,
             relay_wait: bound / 8,
--- a/components/gateway/src/position_news.rs
+++ b/components/gateway/src/position_news.rs
@@ -104,10 +104,12 @@
         self.failed.insert(gateway, now + self.times.failure_backoff);
     }
 
-    /// The gateway to ask for changes, and from when on.
-    pub(crate) fn due_request(&self) -> Option<(Ipv4Addr, Instant)> {
+    /// The gateway to ask for changes, and from when on. A large answer last made progress at
+    /// `received_at`: while it does, to ask another gateway would throw away what has arrived.
+    pub(crate) fn due_request(&self, received_at: Option<Instant>) -> Option<(Ipv4Addr, Instant)> {
         let newer = self.newer?;
-        Some((newer.gateway, newer.heard_at + self.times.patience))
+        let waiting_since = received_at.map_or(newer.heard_at, |at| at.max(newer.heard_at));
+        Some((newer.gateway, waiting_since + self.times.patience))
     }
 
     /// The position to announce now, if there is one.
--- a/components/gateway/src/position_news/tests.rs
+++ b/components/gateway/src/position_news/tests.rs
@@ -23,16 +23,16 @@
     let mut news = news(start);
     news.record_remote(OTHER, at(1, 5), start);
     news.record_remote(OTHER, at(1, 4), start);
-    assert_eq!(news.due_request(), None);
+    assert_eq!(news.due_request(None), None);
     news.record_remote(OTHER, at(1, 7), start);
     let due = start + BOUND / 4;
-    assert_eq!(news.due_request(), Some((OTHER, due)));
+    assert_eq!(news.due_request(None), Some((OTHER, due)));
     news.record_remote(THIRD, at(1, 9), due);
-    assert_eq!(news.due_request(), Some((OTHER, due)), "the first one counts");
+    assert_eq!(news.due_request(None), Some((OTHER, due)), "the first one counts");
     news.record_own(at(1, 6), due);
-    assert_eq!(news.due_request(), Some((OTHER, due)), "a part is not enough");
+    assert_eq!(news.due_request(None), Some((OTHER, due)), "a part is not enough");
     news.record_own(at(1, 7), due);
-    assert_eq!(news.due_request(), None);
+    assert_eq!(news.due_request(None), None);
 }
 
 /// Guards against a gateway whose own source of changes is interrupted again and again to ask one that
@@ -43,14 +43,14 @@
     let mut news = news(start);
     news.record_remote(OTHER, at(1, 7), start);
     news.record_failure(OTHER, start);
-    assert_eq!(news.due_request(), None);
+    assert_eq!(news.due_request(None), None);
     news.record_remote(OTHER, at(1, 8), start + BOUND);
-    assert_eq!(news.due_request(), None);
+    assert_eq!(news.due_request(None), None);
     news.record_remote(THIRD, at(1, 7), start + BOUND);
-    assert_eq!(news.due_request(), Some((THIRD, start + BOUND + BOUND / 4)));
+    assert_eq!(news.due_request(None), Some((THIRD, start + BOUND + BOUND / 4)));
     news.record_own(at(1, 7), start + BOUND);
     news.record_remote(OTHER, at(1, 8), start + BOUND * 2);
-    assert_eq!(news.due_request(), Some((OTHER, start + BOUND * 2 + BOUND / 4)));
+    assert_eq!(news.due_request(None), Some((OTHER, start + BOUND * 2 + BOUND / 4)));
 }
 
 #[test]
@@ -59,10 +59,10 @@
     let mut news = news(start);
     news.record_remote(OTHER, at(2, 7), start);
     news.record_remote(OTHER, at(0, 7), start);
-    assert_eq!(news.due_request(), None);
+    assert_eq!(news.due_request(None), None);
     news.record_remote(OTHER, at(1, 7), start);
     news.record_own(at(2, 1), start);
-    assert_eq!(news.due_request(), None);
+    assert_eq!(news.due_request(None), None);
 }
 
 #[test]
@@ -90,6 +90,21 @@
     assert_eq!(news.take_announcement(Instant::now()), None);
 }
 
+/// Guards against a large answer that is thrown away while it arrives, to ask another gateway for the
+/// same.
+#[test]
+fn no_other_gateway_is_asked_while_an_answer_makes_progress() {
+    let start = Instant::now();
+    let mut news = news(start);
+    news.record_remote(OTHER, at(1, 7), start);
+    let due = |received_at| news.due_request(Some(received_at)).unwrap().1;
+    assert_eq!(due(start - BOUND), start + BOUND / 4, "an earlier answer does not count");
+    for parts in 1..50 {
+        let received_at = start + BOUND / 5 * parts;
+        assert_eq!(due(received_at), received_at + BOUND / 4);
+    }
+}
+
 /// Guards against a gateway that learns of changes through others only after the bound, though each
 /// of the two is heard in the worst moment.
 #[test]
--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -122,8 +122,9 @@
     }
 
     fn start_tasks(self: Rc<Gateway>, lines: LogBuffer, file: PathBuf) {
-        let reader =
-            StoreReader::new(self.process.borrow().store_addr, StoreReaderSettings::default());
+        let store = self.process.borrow().store_addr;
+        let settings = StoreReaderSettings::default();
+        let reader = StoreReader::with_progress(store, settings, self.receiving.clone());
         spawn_local(crate::store_follower::StoreFollower::new(self.clone(), reader).run());
         spawn_local(self.clone().subscribe_loop());
         spawn_local(self.clone().receive_loop());
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -8,7 +8,7 @@
 use peering::{PeerRequest, RelayedChanges, RelayedContent};
 use platform::store::{StorePosition, StoreRevision};
 use tokio::time::{Instant, timeout_at};
-use transport::{TransportError, request};
+use transport::{BodyLimit, CallLimits, TransportError, request};
 
 use crate::{
     response::{ResponseBody, own_response},
@@ -43,8 +43,10 @@
 pub(crate) struct LearnedChanges {
     /// The changes.
     pub(crate) content: LearnedContent,
-    /// Time since the store was last known to have no newer change.
+    /// Time since the store was last known to have no newer change, when the answer was sent.
     pub(crate) age: Duration,
+    /// When the store was last known to have no newer change.
+    pub(crate) confirmed_at: std::time::Instant,
     /// Time before which the store acknowledged no change that is still unknown; `None` if more
     /// changes follow.
     pub(crate) known_until: Option<std::time::Instant>,
@@ -118,13 +120,14 @@
         }
     }
 
-    /// Waits until another gateway is known to know changes that this one's own source does not tell.
-    /// Returns that gateway.
+    /// Waits until another gateway is known to know changes that this one's own source does not tell,
+    /// nor sends at the moment. Returns that gateway.
     pub(crate) async fn wait_until_behind(&self) -> Ipv4Addr {
         loop {
             let news = self.newer_position.notified();
             let can_ask = self.store_progress.borrow().position().is_some();
-            let due = self.position_news.borrow().due_request().filter(|_| can_ask);
+            let received_at = self.receiving.last().map(Instant::into_std);
+            let due = self.position_news.borrow().due_request(received_at).filter(|_| can_ask);
             match due {
                 Some((gateway, due)) if now() >= due => return gateway,
                 Some((_, due)) => drop(timeout_at(due.into(), news).await),
@@ -144,8 +147,12 @@
         let addr = self.process.borrow().peer_addr(gateway.into());
         let path = PeerRequest::Changes { era: after.era.0, revision: after.revision.0 }.path();
         let request = request(Method::GET, addr, &path, Bytes::new());
-        let deadline = Instant::now() + times.relay_timeout;
-        let reply = self.pool.call(addr, request, MAX_CHANGES_BYTES, deadline).await?;
+        let progress = self.receiving.clone();
+        let limits = CallLimits {
+            begin: Instant::now() + times.relay_timeout,
+            body: BodyLimit::Stalled { within: times.stall, progress },
+        };
+        let reply = self.pool.call(addr, request, MAX_CHANGES_BYTES, limits).await?;
         if reply.status != StatusCode::OK {
             return Err(RelayError::Status(reply.status.as_u16()));
         }
@@ -155,8 +162,10 @@
         if changes.content == RelayedContent::None && changes.age() > times.max_age {
             return Err(RelayError::TooOld(changes.age()));
         }
+        let begun_at = reply.begun_at.into_std();
         Ok(LearnedChanges {
             age: changes.age(),
+            confirmed_at: begun_at.checked_sub(changes.age()).unwrap_or(begun_at),
             // The answer may have been on its way since the request was sent.
             known_until: changes.known_age().and_then(|age| sent_at.checked_sub(age)),
             content: decode_content(changes.content, &reply.body, after)?,
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -24,7 +24,7 @@
     sync::{Notify, oneshot},
     time::{sleep, timeout},
 };
-use transport::ConnectionPool;
+use transport::{ConnectionPool, ReceiveProgress};
 
 use crate::{
     change_source::SourceTimes,
@@ -92,6 +92,8 @@
     pub(crate) position_news: RefCell<PositionNews>,
     /// Wakes the follower of the store when another gateway knows more.
     pub(crate) newer_position: Notify,
+    /// When a large answer with changes last made progress.
+    pub(crate) receiving: ReceiveProgress,
     /// Observed by `news_loop`, and before what it decides on.
     pub(crate) pauses: RefCell<Pauses>,
     /// Set once the process received SIGTERM.
@@ -219,6 +221,7 @@
             store_changed: Notify::new(),
             position_news: RefCell::new(PositionNews::new(NewsTimes::for_bound(bound))),
             newer_position: Notify::new(),
+            receiving: ReceiveProgress::default(),
             pauses: RefCell::new(Pauses::new(MAX_NEWS_GAP, now(), BootTime::now())),
             stopping: Cell::new(None),
             in_flight: Cell::new(0),
--- a/components/gateway/src/store_follower.rs
+++ b/components/gateway/src/store_follower.rs
@@ -7,7 +7,8 @@
 };
 
 use directory::{
-    ReadError, Recovery, Restoration, Snapshot, StoreReader, WatchedChanges, known_by_watch,
+    AnswerLimits, ReadError, Recovery, Restoration, Snapshot, StoreReader, WatchAnswer,
+    WatchedChanges, known_by_watch,
 };
 use dispatch::ListingOrigin;
 use metrics::gauge;
@@ -39,11 +40,11 @@
 }
 
 impl Knowledge {
-    /// What an answer of the store tells that has just arrived and lacks nothing from before
-    /// `known_until`.
-    fn from_store(known_until: Instant) -> Knowledge {
+    /// What an answer of the store tells that was all there was at `confirmed_at` and lacks nothing
+    /// from before `known_until`.
+    fn from_store(confirmed_at: Instant, known_until: Instant) -> Knowledge {
         let source = ChangeSource::Store;
-        Knowledge { source, confirmed_at: now(), known_until: Some(known_until) }
+        Knowledge { source, confirmed_at, known_until: Some(known_until) }
     }
 }
 
@@ -161,25 +162,25 @@
             }
         }
         let sent_at = now();
-        let snapshot = self.reader.read(self.known_era(), false).await?;
+        let snapshot = self.reader.read(self.known_era(), false, self.read_limits()).await?;
         let sent_at = self.gateway.corrected_time(sent_at);
         let named = self.naming_time();
-        self.accept_snapshot(snapshot, named, Knowledge::from_store(sent_at))
+        self.accept_snapshot(snapshot, named, Knowledge::from_store(sent_at, sent_at))
     }
 
     async fn read_stale(&mut self) -> Result<(), ReadError> {
-        let mut snapshot = self.reader.read(self.known_era(), true).await?;
+        let mut snapshot = self.reader.read(self.known_era(), true, self.read_limits()).await?;
         let wait = self.gateway.settings.catch_up_wait;
         let sent_at = now();
-        let grace = self.patience.grace();
-        let watched = self.reader.watch(snapshot.position, wait, grace).await?;
+        let limits = self.watch_limits();
+        let watched = self.reader.watch(snapshot.position, wait, limits).await?.changes;
         let sent_at = self.gateway.corrected_time(sent_at);
         let named = self.naming_time();
         snapshot.position = watched.position;
         // The pages are older than the position by the changes that were watched.
         snapshot.pages.clear();
         let origin = ChangeOrigin::learned(ChangeSource::Store, snapshot.position);
-        self.accept_snapshot(snapshot, named, Knowledge::from_store(sent_at))?;
+        self.accept_snapshot(snapshot, named, Knowledge::from_store(sent_at, sent_at))?;
         self.apply_changes(watched.entries, named, origin);
         Ok(())
     }
@@ -253,36 +254,54 @@
 
     async fn watch_store(&mut self, at: StorePosition) -> Result<bool, ReadError> {
         let (sent_at, wait) = (now(), self.store_wait());
-        let result = self.reader.watch(at, wait, self.patience.grace()).await;
-        self.record_answer_time(&result, now().saturating_duration_since(sent_at), wait);
-        let watched = result?;
+        let result = self.reader.watch(at, wait, self.watch_limits()).await;
+        self.record_answer_time(&result, sent_at, wait);
+        let answer = result?;
+        let watched = answer.changes;
         let sent_at = self.gateway.corrected_time(sent_at);
         let changed = !watched.entries.is_empty();
         let known_until = known_by_watch(sent_at, wait, changed, now());
-        self.accept_changes(watched, Knowledge::from_store(known_until))?;
+        let confirmed_at = answer.begun_at.into_std();
+        self.accept_changes(watched, Knowledge::from_store(confirmed_at, known_until))?;
         self.log_source(ChangeSource::Store, Duration::ZERO);
         Ok(changed)
     }
 
-    /// Records how long the answer to a watch took. One that came earlier than the store was to wait
-    /// tells nothing.
+    /// Records how long the answer to a watch that was sent at `sent_at` took to begin. One that came
+    /// earlier than the store was to wait tells nothing.
     fn record_answer_time(
         &mut self,
-        result: &Result<WatchedChanges, ReadError>,
-        elapsed: Duration,
+        result: &Result<WatchAnswer, ReadError>,
+        sent_at: Instant,
         wait: Duration,
     ) {
         let times = self.gateway.source_times();
-        match (result, elapsed.checked_sub(wait)) {
-            (Ok(_), Some(time)) => self.patience.record_answer(time, &times),
-            (
-                Err(ReadError::Transport(TransportError::Timeout | TransportError::Incomplete(_))),
-                _,
-            ) => self.patience.record_timeout(&times),
-            _ => {}
+        match result {
+            Ok(answer) => {
+                let elapsed = answer.begun_at.into_std().saturating_duration_since(sent_at);
+                if let Some(time) = elapsed.checked_sub(wait) {
+                    self.patience.record_answer(time, &times);
+                }
+            }
+            Err(ReadError::Transport(TransportError::Timeout)) => {
+                self.patience.record_timeout(&times)
+            }
+            Err(_) => {}
         }
     }
 
+    /// Time limits of a watch, beyond the time for which the store waits.
+    fn watch_limits(&self) -> AnswerLimits {
+        let stall = self.gateway.source_times().stall;
+        AnswerLimits { begin: self.patience.grace(), stall }
+    }
+
+    /// Time limits of a page of the whole store.
+    fn read_limits(&self) -> AnswerLimits {
+        let stall = self.gateway.source_times().stall;
+        AnswerLimits { begin: self.gateway.settings.read_timeout, stall }
+    }
+
     /// Maximum time that a watch waits. The first watch after a failure, or after changes were learned
     /// from another gateway, is answered at once, as its response shows whether the store came back
     /// from an older copy meanwhile.
@@ -340,7 +359,7 @@
     ) -> Result<Duration, RelayError> {
         let knowledge = Knowledge {
             source: ChangeSource::Gateway(gateway),
-            confirmed_at: now().checked_sub(learned.age).unwrap_or_else(now),
+            confirmed_at: learned.confirmed_at,
             known_until: learned.known_until,
         };
         match learned.content {
--- a/components/stager/src/fleet.rs
+++ b/components/stager/src/fleet.rs
@@ -8,13 +8,13 @@
 
 use bytes::Bytes;
 use catalog::{Endpoint, EndpointUpdate};
-use directory::{ReadError, StoreReader};
+use directory::{AnswerLimits, ReadError, StoreReader};
 use http::{Method, StatusCode};
 use peering::{Fleet, FleetWeights, Member, NamedVersion, PeerRequest, REQUEST_TIMEOUT};
 use platform::store::{StoreEntry, StoreEra};
 use slog::{info, warn};
 use tokio::time::{Instant, sleep, timeout};
-use transport::request;
+use transport::{BodyLimit, CallLimits, ReceiveProgress, request};
 
 use crate::{
     fleet_view::FleetView,
@@ -23,6 +23,8 @@
 
 /// Maximum size of a gateway's fleet response in bytes.
 const MAX_FLEET_BYTES: usize = 4 << 20;
+/// Time limits of a page of the store.
+const READ_LIMITS: AnswerLimits = AnswerLimits { begin: REQUEST_TIMEOUT, stall: REQUEST_TIMEOUT };
 
 impl Stager {
     /// Keeps the fleet up to date: from a gateway, or from the store if no gateway is subscribed.
@@ -103,8 +105,13 @@
         let zone = self.process.borrow().zone.clone();
         let path = PeerRequest::Fleet(self.endpoint.service.clone(), Some(zone)).path();
         let request = request(Method::GET, addr, &path, Bytes::new());
-        let deadline = Instant::now() + REQUEST_TIMEOUT;
-        let reply = self.pool.call(addr, request, MAX_FLEET_BYTES, deadline).await;
+        // A list of thousands of endpoints may take longer to arrive than any answer to begin.
+        let progress = ReceiveProgress::default();
+        let limits = CallLimits {
+            begin: Instant::now() + REQUEST_TIMEOUT,
+            body: BodyLimit::Stalled { within: REQUEST_TIMEOUT, progress },
+        };
+        let reply = self.pool.call(addr, request, MAX_FLEET_BYTES, limits).await;
         let reply = match reply {
             Ok(reply) if reply.status == StatusCode::OK => reply,
             Ok(_) => return None,
@@ -131,11 +138,11 @@
         reader: &StoreReader,
         era: &mut StoreEra,
     ) -> Option<Fleet> {
-        let mut result = reader.read(*era, true).await;
+        let mut result = reader.read(*era, true, READ_LIMITS).await;
         if let Err(ReadError::Restored(newer)) = result {
             info!(self.log, "store in a newer era"; "era" => newer.0, "before" => era.0);
             *era = newer;
-            result = reader.read(newer, true).await;
+            result = reader.read(newer, true, READ_LIMITS).await;
         }
         match result {
             Ok(snapshot) => Some(self.build_fleet(snapshot.entries)),
--- a/components/transport/src/client.rs
+++ b/components/transport/src/client.rs
@@ -22,6 +22,7 @@
     ConnectSettings, TransportError,
     connect::connect,
     head_limit::{HeadLimit, LimitedStream, MAX_HEAD_BYTES},
+    limits::{BodyDeadline, BodyLimit},
 };
 
 /// Size in bytes as which a smaller part of a body without a stated length counts, as it takes about as
@@ -60,6 +61,8 @@
     pub headers: HeaderMap,
     /// The body.
     pub body: Bytes,
+    /// When it began to arrive.
+    pub begun_at: Instant,
 }
 
 /// A response body that is received as a stream.
@@ -189,12 +192,12 @@
 }
 
 impl Exchange {
-    /// Reads the complete body of at most `limit` bytes until `until` and returns the connection for
-    /// reuse. Without a stated length each frame counts as at least `MIN_FRAME_SIZE` bytes.
+    /// Reads the complete body of at most `limit` bytes within `time_limit` and returns the connection
+    /// for reuse. Without a stated length each frame counts as at least `MIN_FRAME_SIZE` bytes.
     pub async fn read_body(
         self,
         limit: usize,
-        until: Instant,
+        time_limit: BodyLimit,
     ) -> Result<(Response<Bytes>, Connection), TransportError> {
         let (head, mut body) = self.response.into_parts();
         if body.size_hint().lower() > limit as u64 {
@@ -206,8 +209,9 @@
         };
         let mut buffer = BytesMut::new();
         let mut size = 0;
+        let mut deadline = BodyDeadline::new(time_limit, Instant::now());
         loop {
-            let frame = timeout_at(until, body.frame()).await;
+            let frame = timeout_at(deadline.due(), body.frame()).await;
             let frame = frame.map_err(|_| TransportError::Incomplete(buffer.len()))?;
             let Some(frame) = frame else { break };
             let frame = frame.map_err(TransportError::after_sending)?;
@@ -217,6 +221,7 @@
                     return Err(TransportError::TooLarge(limit));
                 }
                 buffer.extend_from_slice(&data);
+                deadline.record(data.len(), Instant::now());
             }
         }
         Ok((Response::from_parts(head, buffer.freeze()), self.connection))
--- a/components/transport/src/pool.rs
+++ b/components/transport/src/pool.rs
@@ -7,7 +7,7 @@
 use http_body_util::Full;
 use tokio::time::Instant;
 
-use crate::{BufferedResponse, ConnectSettings, Connection, Exchange, TransportError};
+use crate::{BufferedResponse, CallLimits, ConnectSettings, Connection, Exchange, TransportError};
 
 /// Limits of a connection pool.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -141,12 +141,14 @@
         addr: SocketAddr,
         request: Request<Full<Bytes>>,
         limit: usize,
-        until: Instant,
+        limits: impl Into<CallLimits>,
     ) -> Result<BufferedResponse, TransportError> {
-        let exchange = self.send(addr, request, until).await?;
-        let (response, connection) = exchange.read_body(limit, until).await?;
+        let limits = limits.into();
+        let exchange = self.send(addr, request, limits.begin).await?;
+        let begun_at = Instant::now();
+        let (response, connection) = exchange.read_body(limit, limits.body).await?;
         self.put_back(connection, None);
         let (head, body) = response.into_parts();
-        Ok(BufferedResponse { status: head.status, headers: head.headers, body })
+        Ok(BufferedResponse { status: head.status, headers: head.headers, body, begun_at })
     }
 }
