Derive the times of learning changes from the shorter bound, and keep their sum below it

What callers would see: requests at endpoints that had said that they leave longer ago than the bound on draining, after a single lost answer.

Cause: the bound on draining was read from the settings and used nowhere; all limits followed from the one on configurations. And each was a share of it, while a pause, a watch and a delay in series sum up to 1.025 of it. A page of the whole store was waited for 1.5 s whatever the bound.

Change: times derive from the shorter of the two bounds, 0.5 s at least. Waiting for changes takes 0.35 of it (0.4 before), the whole watch 0.6 (0.75), the delay after a failure 0.1 (0.15). A page of the whole store has the limit of other answers, and a long one when that one was too short. The test of the sum now counts the pause before and an eighth of the bound for the answer after; it was nine tenths without either.

--- a/components/catalog/src/process.rs
+++ b/components/catalog/src/process.rs
@@ -81,6 +81,17 @@
     pub relist_time: Duration,
 }
 
+/// Shortest bound from which times are derived, as answers take their time.
+const MIN_CHANGE_BOUND: Duration = Duration::from_millis(500);
+
+impl Bounds {
+    /// Time within which every change of the store must be known: that of an endpoint that leaves, and
+    /// that of the configuration.
+    pub fn change_bound(&self) -> Duration {
+        self.drain_time.min(self.config_propagation).max(MIN_CHANGE_BOUND)
+    }
+}
+
 impl Default for Bounds {
     fn default() -> Bounds {
         Bounds {
@@ -125,3 +136,6 @@
         SocketAddr::new(ip, self.peer_ports.0)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/components/gateway/src/change_source.rs
+++ b/components/gateway/src/change_source.rs
@@ -32,8 +32,8 @@
     }
 }
 
-/// Timeouts of learning changes, all derived from the time within which a configuration must be in
-/// force.
+/// Timeouts of learning changes, all derived from the time within which changes must be known. One
+/// answer may be lost at any moment: what then follows each other stays below the bound.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct SourceTimes {
     /// Maximum time that a watch of the store waits.
@@ -43,7 +43,8 @@
     /// The same if the store answers slowly.
     pub(crate) max_grace: Duration,
     /// Time after which a watch fails in any case whose answer has not begun. A lost answer is missed
-    /// only after that and `retry_delay`, which together are shorter than the bound.
+    /// only after `store_pause`, this and `retry_delay`; what they leave of the bound is for the next
+    /// answer.
     pub(crate) store_limit: Duration,
     /// Time in which an answer of the store or of a gateway that has begun must make progress.
     pub(crate) stall: Duration,
@@ -72,15 +73,15 @@
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(300);
 
 impl SourceTimes {
-    /// The times for a bound on the propagation of configurations.
+    /// The times for a bound on the knowledge of changes.
     pub(crate) fn for_bound(bound: Duration) -> SourceTimes {
         SourceTimes {
-            store_wait: (bound * 2 / 5).min(MAX_STORE_WAIT),
-            store_grace: (bound * 7 / 20).min(MAX_STORE_GRACE),
+            store_wait: (bound * 7 / 20).min(MAX_STORE_WAIT),
+            store_grace: (bound * 5 / 20).min(MAX_STORE_GRACE),
             max_grace: bound / 2,
-            store_limit: bound * 3 / 4,
+            store_limit: bound * 12 / 20,
             stall: bound / 4,
-            retry_delay: (bound * 3 / 20).min(MAX_RETRY_DELAY),
+            retry_delay: (bound * 2 / 20).min(MAX_RETRY_DELAY),
             store_pause: bound / 8,
             relay_wait: bound / 8,
             relay_timeout: bound / 4,
--- a/components/gateway/src/change_source/tests.rs
+++ b/components/gateway/src/change_source/tests.rs
@@ -144,14 +144,32 @@
     }
 }
 
-/// Guards against a watch of the store whose time limits are longer than a change may take.
+/// Bounds from the shortest that is observed up to a minute.
+const BOUNDS_MS: [u64; 7] = [500, 1000, 2000, 3000, 4000, 10_000, 60_000];
+/// Part of a bound that is left for answers themselves.
+const ANSWER_FRACTION: u32 = 8;
+
+/// Guards against limits that are each shorter than the bound and together longer: a change that is
+/// written just after an answer, while the next one is lost.
 #[test]
-fn a_lost_answer_of_the_store_is_missed_within_the_bound() {
-    for seconds in [1, 2, 3, 4, 10, 60] {
-        let bound = Duration::from_secs(seconds);
+fn a_lost_answer_of_the_store_is_missed_in_time_whatever_precedes_and_follows() {
+    for bound in BOUNDS_MS.map(Duration::from_millis) {
         let times = SourceTimes::for_bound(bound);
         assert!(times.store_wait + times.store_grace <= times.store_limit);
-        let missed_after = times.store_limit + times.retry_delay;
-        assert!(missed_after <= bound * 9 / 10, "{bound:?}: {missed_after:?}");
+        let series = times.store_pause + times.store_limit + times.retry_delay;
+        assert!(series + bound / ANSWER_FRACTION <= bound, "{bound:?}: {series:?}");
+    }
+}
+
+/// Guards against the same at a gateway that learns from another one, which the store does not answer,
+/// or which does not answer itself; and in the middle of a large answer.
+#[test]
+fn what_a_gateway_does_not_tell_is_learned_from_the_store_in_time() {
+    for bound in BOUNDS_MS.map(Duration::from_millis) {
+        let times = SourceTimes::for_bound(bound);
+        let left = bound - bound / ANSWER_FRACTION;
+        assert!(times.max_age + times.relay_wait <= left, "the store does not answer it");
+        assert!(times.store_pause + times.relay_timeout + times.store_grace <= left, "silent");
+        assert!(times.store_pause + times.stall + times.retry_delay <= left, "answer cut short");
     }
 }
--- a/components/gateway/src/position_news.rs
+++ b/components/gateway/src/position_news.rs
@@ -32,8 +32,7 @@
     failed: HashMap<Ipv4Addr, Instant>,
 }
 
-/// Times of the exchange of positions, derived from the time within which a configuration must be in
-/// force.
+/// Times of the exchange of positions, derived from the time within which changes must be known.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct NewsTimes {
     /// Time that the own source of changes gets to tell what another gateway knows.
@@ -48,7 +47,7 @@
 }
 
 impl NewsTimes {
-    /// The times for a bound on the propagation of configurations.
+    /// The times for a bound on the knowledge of changes.
     pub(crate) fn for_bound(bound: Duration) -> NewsTimes {
         NewsTimes {
             patience: bound / 4,
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -14,8 +14,6 @@
     /// Time that a watch waits which is to show at once what the store has: after a stale read of the
     /// whole store, and the first one after a failure.
     pub catch_up_wait: Duration,
-    /// Time until a page of the whole store must have begun to arrive.
-    pub read_timeout: Duration,
     /// Delay before datagrams are received again after a failure.
     pub receive_retry_delay: Duration,
     /// Minimum outage of the store after which endpoints whose entries expired get time to register
@@ -48,7 +46,6 @@
             dispatch: DispatchSettings::default(),
             subscribe_interval: Duration::from_secs(1),
             catch_up_wait: Duration::from_millis(1),
-            read_timeout: Duration::from_millis(1500),
             receive_retry_delay: Duration::from_millis(300),
             store_outage_threshold: Duration::from_millis(1000),
             version_margin_fraction: 0.2,
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -188,7 +188,7 @@
         log: Logger,
         metrics: MetricsHandle,
     ) -> Gateway {
-        let bound = process.bounds.config_propagation;
+        let bound = process.bounds.change_bound();
         Gateway {
             settings,
             log,
@@ -233,7 +233,7 @@
 
     /// Timeouts of learning the store's changes.
     pub(crate) fn source_times(&self) -> SourceTimes {
-        SourceTimes::for_bound(self.process.borrow().bounds.config_propagation)
+        SourceTimes::for_bound(self.process.borrow().bounds.change_bound())
     }
 
     /// Records that the process runs. Logs a pause that has just ended, and corrects the times that are
--- a/components/gateway/src/store_follower.rs
+++ b/components/gateway/src/store_follower.rs
@@ -162,14 +162,14 @@
             }
         }
         let sent_at = now();
-        let snapshot = self.reader.read(self.known_era(), false, self.read_limits()).await?;
+        let snapshot = self.read_pages(false).await?;
         let sent_at = self.gateway.corrected_time(sent_at);
         let named = self.naming_time();
         self.accept_snapshot(snapshot, named, Knowledge::from_store(sent_at, sent_at))
     }
 
     async fn read_stale(&mut self) -> Result<(), ReadError> {
-        let mut snapshot = self.reader.read(self.known_era(), true, self.read_limits()).await?;
+        let mut snapshot = self.read_pages(true).await?;
         let wait = self.gateway.settings.catch_up_wait;
         let sent_at = now();
         let limits = self.watch_limits();
@@ -276,17 +276,13 @@
         wait: Duration,
     ) {
         let times = self.gateway.source_times();
-        match result {
-            Ok(answer) => {
-                let elapsed = answer.begun_at.into_std().saturating_duration_since(sent_at);
-                if let Some(time) = elapsed.checked_sub(wait) {
-                    self.patience.record_answer(time, &times);
-                }
-            }
-            Err(ReadError::Transport(TransportError::Timeout)) => {
-                self.patience.record_timeout(&times)
-            }
-            Err(_) => {}
+        if is_timeout(result) {
+            self.patience.record_timeout(&times);
+        }
+        let Ok(answer) = result else { return };
+        let elapsed = answer.begun_at.into_std().saturating_duration_since(sent_at);
+        if let Some(time) = elapsed.checked_sub(wait) {
+            self.patience.record_answer(time, &times);
         }
     }
 
@@ -296,10 +292,15 @@
         AnswerLimits { begin: self.patience.grace(), stall }
     }
 
-    /// Time limits of a page of the whole store.
-    fn read_limits(&self) -> AnswerLimits {
-        let stall = self.gateway.source_times().stall;
-        AnswerLimits { begin: self.gateway.settings.read_timeout, stall }
+    /// Reads the whole store.
+    async fn read_pages(&mut self, stale: bool) -> Result<Snapshot, ReadError> {
+        let times = self.gateway.source_times();
+        let limits = AnswerLimits { begin: self.patience.read_grace(&times), stall: times.stall };
+        let result = self.reader.read(self.known_era(), stale, limits).await;
+        if is_timeout(&result) {
+            self.patience.record_timeout(&times);
+        }
+        result
     }
 
     /// Maximum time that a watch waits. The first watch after a failure, or after changes were learned
@@ -435,3 +436,8 @@
             "away_ms" => away.as_millis() as u64);
     }
 }
+
+/// Whether the store has not begun to answer in time.
+fn is_timeout<T>(result: &Result<T, ReadError>) -> bool {
+    matches!(result, Err(ReadError::Transport(TransportError::Timeout)))
+}
--- a/components/gateway/src/store_patience.rs
+++ b/components/gateway/src/store_patience.rs
@@ -4,6 +4,10 @@
 
 use crate::change_source::SourceTimes;
 
+/// Minimum of the long grace for a read of the whole store, which may be all that a gateway that starts
+/// has to wait for.
+const MIN_LONG_READ_GRACE: Duration = Duration::from_millis(1500);
+
 /// How long the answer of the store is waited for, beyond the time for which the store itself waits
 /// for changes. Follows the time that its answers take: a store that is slow is not taken for one that
 /// is silent, and one that is silent is soon asked again.
@@ -22,6 +26,14 @@
         self.grace
     }
 
+    /// Time after which a read of the whole store fails whose next page has not begun.
+    pub(crate) fn read_grace(&self, times: &SourceTimes) -> Duration {
+        match self.grace < times.max_grace {
+            true => self.grace,
+            false => self.grace.max(MIN_LONG_READ_GRACE),
+        }
+    }
+
     /// Maximum time for which the store is to wait for changes.
     pub(crate) fn wait(&self, times: &SourceTimes) -> Duration {
         times.store_wait.min(times.store_limit.saturating_sub(self.grace))
--- a/components/gateway/src/store_patience/tests.rs
+++ b/components/gateway/src/store_patience/tests.rs
@@ -56,3 +56,18 @@
         patience.record_timeout(&times);
     }
 }
+
+/// Guards against a gateway that reads the whole store anew and waits longer for a lost page than what
+/// it knows may age, and against one that starts and never hears a slow store.
+#[test]
+fn a_lost_page_is_missed_early_and_a_slow_one_is_waited_for() {
+    for bound in BOUNDS {
+        let times = SourceTimes::for_bound(bound);
+        let mut patience = StorePatience::new(&times);
+        assert!(patience.read_grace(&times) + times.retry_delay <= bound / 2);
+        patience.record_timeout(&times);
+        assert!(patience.read_grace(&times) >= MIN_LONG_READ_GRACE.max(times.max_grace));
+        patience.record_timeout(&times);
+        assert!(patience.read_grace(&times) + times.retry_delay <= bound / 2);
+    }
+}
