Keep and pass on large responses of the store compressed

Cause: each version of the configuration is passed on whole, as text in base64, to each gateway of the zone: 5 MB for 1,450 routes and 11 gateways. Gateways kept 1 MiB of changes, which two such versions exceed, so that they answered 410 and the others asked the store.

Change: bodies from 4 KiB on are kept and passed on in the zlib format, once compressed by who read the store. A gateway asks with ?compressed; an earlier version ignores that and answers as before, and is answered as before.

The test of changes that are dropped for their size now uses noise, as zeros become small.

--- a/components/directory/src/error.rs
+++ b/components/directory/src/error.rs
@@ -26,6 +26,12 @@
         /// Newest era that was seen.
         known: StoreEra,
     },
+    /// The response was passed on compressed and could not be decompressed.
+    #[error("compressed response of the store is not readable: {0}")]
+    Decompress(#[source] std::io::Error),
+    /// The response was passed on compressed and is too large.
+    #[error("compressed response of the store has more than {0} bytes")]
+    DecompressedTooLarge(usize),
     /// The response could not be decoded.
     #[error("invalid response of the store: {0}")]
     Decode(#[from] DecodeError),
--- a/components/directory/src/history.rs
+++ b/components/directory/src/history.rs
@@ -5,12 +5,13 @@
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
 use platform::store::StorePosition;
 
+use crate::StoreBody;
+
 /// Time for which changes are kept.
 const MAX_AGE: Duration = Duration::from_secs(15);
-/// Maximum size of all kept changes in bytes, apart from the newest ones.
+/// Maximum size of all kept changes in bytes as they are kept, apart from the newest ones.
 const MAX_BYTES: usize = 1 << 20;
 
 /// The changes that one watch returned.
@@ -20,7 +21,7 @@
     after: StorePosition,
     /// Position up to which they go.
     position: StorePosition,
-    body: Bytes,
+    body: StoreBody,
     at: Instant,
 }
 
@@ -30,14 +31,14 @@
     /// The position after which to ask for changes.
     pub position: StorePosition,
     /// The responses of the store, in order.
-    pub pages: Vec<Bytes>,
+    pub pages: Vec<StoreBody>,
 }
 
 /// What is known of the changes after a position.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ChangesSince {
     /// A response of the store that contains the next changes, and perhaps earlier ones.
-    Changes(Bytes),
+    Changes(StoreBody),
     /// The changes themselves are no longer here, but a later read of the whole store is.
     All(StorePages),
     /// There are none yet.
@@ -84,7 +85,8 @@
     }
 
     /// Keeps the pages of the read that the history starts from, for those that know an older position.
-    pub fn keep_pages(&mut self, pages: Vec<Bytes>) {
+    pub fn keep_pages(&mut self, pages: Vec<StoreBody>) {
+        let pages = pages.into_iter().map(StoreBody::compress).collect();
         if let (Some(position), Some(at)) = (self.position, self.confirmed_at) {
             self.read = Some((StorePages { position, pages }, at));
         }
@@ -92,10 +94,11 @@
 
     /// Adds the response to a watch after the last known position, which goes up to `position`.
     /// Ignores one of another era.
-    pub fn push(&mut self, position: StorePosition, body: Bytes, confirmed_at: Instant) {
+    pub fn push(&mut self, position: StorePosition, body: StoreBody, confirmed_at: Instant) {
         let Some(after) = self.position.filter(|after| after.era == position.era) else { return };
         self.confirmed_at = self.confirmed_at.max(Some(confirmed_at));
         if position > after {
+            let body = body.compress();
             self.batches.push_back(Batch { after, position, body, at: confirmed_at });
             self.position = Some(position);
         }
--- a/components/directory/src/history/tests.rs
+++ b/components/directory/src/history/tests.rs
@@ -1,3 +1,4 @@
+use bytes::Bytes;
 use platform::store::{StoreEra, StoreRevision};
 
 use super::*;
@@ -6,8 +7,8 @@
     StorePosition { era: StoreEra(1), revision: StoreRevision(revision) }
 }
 
-fn body(text: &'static str) -> Bytes {
-    Bytes::from_static(text.as_bytes())
+fn body(text: &'static str) -> StoreBody {
+    StoreBody::Plain(Bytes::from_static(text.as_bytes()))
 }
 
 /// A history that was read at revision 10 and then saw the changes up to 12 and up to 15.
@@ -52,13 +53,32 @@
     let start = Instant::now();
     let mut history = ChangeHistory::default();
     history.restart(position(1), start);
+    let mut rng = fastrand::Rng::with_seed(1);
     for revision in 2..5 {
-        history.push(position(revision), Bytes::from(vec![0; MAX_BYTES]), start);
+        // Noise stays as large as it is.
+        let noise: Vec<u8> = std::iter::repeat_with(|| rng.u8(..)).take(MAX_BYTES).collect();
+        history.push(position(revision), StoreBody::Plain(Bytes::from(noise)), start);
     }
     assert_eq!(history.since(position(2)), ChangesSince::Unknown);
     assert!(matches!(history.since(position(3)), ChangesSince::Changes(_)));
 }
 
+/// Guards against a few large configurations that leave no room for the changes before them, so that
+/// gateways are told nothing and all ask the store.
+#[test]
+fn several_large_configurations_in_a_row_are_kept() {
+    let start = Instant::now();
+    let mut history = ChangeHistory::default();
+    history.restart(position(1), start);
+    let route = |n| format!(r#"{{"name":"r{n}","host":"h{n}","kind":"safe","timeout_ms":400}}"#);
+    let routes: String = (0..10_000).map(route).collect();
+    for revision in 2..10 {
+        let body = StoreBody::Plain(Bytes::from(format!("{revision}{routes}")));
+        history.push(position(revision), body, start);
+    }
+    assert!(matches!(history.since(position(1)), ChangesSince::Changes(_)));
+}
+
 #[test]
 fn the_age_counts_from_the_last_confirmation() {
     let start = Instant::now();
--- a/components/directory/src/progress.rs
+++ b/components/directory/src/progress.rs
@@ -5,10 +5,9 @@
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
 use platform::store::{StoreEra, StorePosition};
 
-use crate::{ChangeHistory, ChangesSince, ReadError, WatchedChanges};
+use crate::{ChangeHistory, ChangesSince, ReadError, StoreBody, WatchedChanges};
 
 /// What to do after a read or a watch that failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -84,7 +83,7 @@
     }
 
     /// Keeps the pages of the read that was accepted last, for processes that know an older position.
-    pub fn keep_pages(&mut self, pages: Vec<Bytes>) {
+    pub fn keep_pages(&mut self, pages: Vec<StoreBody>) {
         self.history.keep_pages(pages);
     }
 
@@ -120,6 +119,8 @@
             ReadError::Transport(_)
             | ReadError::Status(_)
             | ReadError::OlderEra { .. }
+            | ReadError::Decompress(_)
+            | ReadError::DecompressedTooLarge(_)
             | ReadError::Decode(_) => Recovery::Retry,
         }
     }
--- a/components/directory/src/reader.rs
+++ b/components/directory/src/reader.rs
@@ -11,7 +11,7 @@
     ReceiveProgress, TransportError, request,
 };
 
-use crate::{PagedRead, ReadError, Snapshot, WatchedChanges, accept_response};
+use crate::{PagedRead, ReadError, Snapshot, StoreBody, WatchedChanges, accept_response};
 
 /// Timeouts and limits of requests to the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -127,7 +127,10 @@
         let response = self.call(&path, AnswerLimits { begin, ..limits }).await?;
         let begun_at = response.begun_at;
         let body = self.check(accept_response(response, after.era))?;
-        Ok(WatchAnswer { changes: WatchedChanges::decode(body, after)?, begun_at })
+        Ok(WatchAnswer {
+            changes: WatchedChanges::decode(StoreBody::Plain(body), after)?,
+            begun_at,
+        })
     }
 
     /// Closes the connections if a response on one of them was of an older era, as they may all lead
--- a/components/directory/src/response.rs
+++ b/components/directory/src/response.rs
@@ -7,7 +7,7 @@
 };
 use transport::BufferedResponse;
 
-use crate::{ReadError, progress::check_era};
+use crate::{ReadError, StoreBody, progress::check_era};
 
 /// All entries of the store.
 #[derive(Debug)]
@@ -18,15 +18,15 @@
     /// changes between them are reported again by the watch.
     pub position: StorePosition,
     /// The responses that they were decoded from, to pass them on.
-    pub pages: Vec<Bytes>,
+    pub pages: Vec<StoreBody>,
 }
 
 impl Snapshot {
     /// Decodes the pages of a read that another process made.
-    pub fn decode(pages: Vec<Bytes>, position: StorePosition) -> Result<Snapshot, ReadError> {
+    pub fn decode(pages: Vec<StoreBody>, position: StorePosition) -> Result<Snapshot, ReadError> {
         let mut entries = Vec::new();
         for page in &pages {
-            entries.extend(decode_page(page)?.entries);
+            entries.extend(decode_page(&page.decompress()?)?.entries);
         }
         Ok(Snapshot { entries, position, pages })
     }
@@ -40,18 +40,18 @@
     /// The position after which to watch next.
     pub position: StorePosition,
     /// The response that they were decoded from, to pass it on; empty if there was none.
-    pub body: Bytes,
+    pub body: StoreBody,
 }
 
 impl WatchedChanges {
     /// No changes after a position.
     pub fn none(position: StorePosition) -> WatchedChanges {
-        WatchedChanges { entries: Vec::new(), position, body: Bytes::new() }
+        WatchedChanges { entries: Vec::new(), position, body: StoreBody::empty() }
     }
 
     /// Decodes the response to a watch after a position. The response is of the same era.
-    pub fn decode(body: Bytes, after: StorePosition) -> Result<WatchedChanges, ReadError> {
-        let changes = decode_changes(&body, after.revision)?;
+    pub fn decode(body: StoreBody, after: StorePosition) -> Result<WatchedChanges, ReadError> {
+        let changes = decode_changes(&body.decompress()?, after.revision)?;
         let revision = changes.revision.max(after.revision);
         let position = StorePosition { era: after.era, revision };
         Ok(WatchedChanges { entries: changes.entries, position, body })
@@ -63,7 +63,7 @@
 pub struct PagedRead {
     era: StoreEra,
     entries: Vec<StoreEntry>,
-    pages: Vec<Bytes>,
+    pages: Vec<StoreBody>,
     /// Lowest revision of the pages so far.
     revision: Option<StoreRevision>,
 }
@@ -82,7 +82,7 @@
     pub fn add_page(&mut self, response: BufferedResponse) -> Result<Option<String>, ReadError> {
         let body = accept_response(response, self.era)?;
         let page = decode_page(&body)?;
-        self.pages.push(body);
+        self.pages.push(StoreBody::Plain(body));
         let lowest = self.revision.map_or(page.revision, |revision| revision.min(page.revision));
         self.revision = Some(lowest);
         self.entries.extend(page.entries);
--- a/components/directory/tests/restored_store.rs
+++ b/components/directory/tests/restored_store.rs
@@ -10,7 +10,8 @@
 
 use catalog::EndpointUpdate;
 use directory::{
-    ChangesSince, PagedRead, ReadError, Snapshot, StoreProgress, WatchedChanges, accept_response,
+    ChangesSince, PagedRead, ReadError, Snapshot, StoreBody, StoreProgress, WatchedChanges,
+    accept_response,
 };
 use fastrand::Rng;
 use model::{Store, Writers};
@@ -185,7 +186,8 @@
             }
             Some(Call::Watch(after, Some(response))) => {
                 let body = accept_response(response, after.era);
-                let watched = body.and_then(|body| WatchedChanges::decode(body, after));
+                let watched =
+                    body.and_then(|body| WatchedChanges::decode(StoreBody::Plain(body), after));
                 let follower = &mut self.followers[index];
                 watched.and_then(|watched| follower.apply_changes(watched, self.now))
             }
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -300,9 +300,9 @@
         let path = request.uri().path_and_query().map_or("", |path| path.as_str());
         match PeerRequest::parse(path) {
             Some(PeerRequest::Fleet(service, zone)) => self.fleet_response(&service, zone.as_ref()),
-            Some(PeerRequest::Changes { era, revision }) => {
+            Some(PeerRequest::Changes { era, revision, compressed }) => {
                 let (era, revision) = (StoreEra(era), StoreRevision(revision));
-                self.serve_changes(StorePosition { era, revision }).await
+                self.serve_changes(StorePosition { era, revision }, compressed).await
             }
             _ => own_response(StatusCode::NOT_FOUND, None, None),
         }
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -3,9 +3,9 @@
 use std::{net::Ipv4Addr, time::Duration};
 
 use bytes::Bytes;
-use directory::{ChangesSince, ReadError, Snapshot, WatchedChanges};
+use directory::{ChangesSince, ReadError, Snapshot, StoreBody, StorePages, WatchedChanges};
 use http::{Method, Response, StatusCode};
-use peering::{PeerRequest, RelayedChanges, RelayedContent};
+use peering::{PeerRequest, RelayedBody, RelayedChanges, RelayedContent};
 use platform::store::{StorePosition, StoreRevision};
 use tokio::time::{Instant, timeout_at};
 use transport::{BodyLimit, CallLimits, TransportError, request};
@@ -63,21 +63,29 @@
 
 impl Gateway {
     /// Answers another gateway that asks for the changes after a position. Waits a while if there are
-    /// none.
-    pub(crate) async fn serve_changes(&self, after: StorePosition) -> Response<ResponseBody> {
+    /// none. `compressed`: the other gateway understands compressed responses of the store.
+    pub(crate) async fn serve_changes(
+        &self,
+        after: StorePosition,
+        compressed: bool,
+    ) -> Response<ResponseBody> {
         self.log_behind(after);
         let deadline = Instant::now() + self.source_times().relay_wait;
         loop {
             let changed = self.store_changed.notified();
             match self.store_progress.borrow().changes_since(after) {
-                ChangesSince::Changes(body) => {
-                    return self.relayed_response(after, RelayedContent::Changes(&body));
+                ChangesSince::Changes(body) if compressed => {
+                    let content = RelayedContent::ChangesBody(relayed_body(&body));
+                    return self.relayed_response(after, content);
                 }
-                ChangesSince::All(read) => {
-                    let pages = read.pages.iter().map(|page| page.as_ref()).collect();
+                ChangesSince::All(read) if compressed => {
+                    let pages = read.pages.iter().map(relayed_body).collect();
                     let revision = read.position.revision.0;
-                    return self.relayed_response(after, RelayedContent::All { revision, pages });
+                    let content = RelayedContent::AllBodies { revision, pages };
+                    return self.relayed_response(after, content);
                 }
+                ChangesSince::Changes(body) => return self.plain_changes(after, &body),
+                ChangesSince::All(read) => return self.plain_read(after, &read),
                 ChangesSince::Unknown => return own_response(StatusCode::GONE, None, None),
                 ChangesSince::None => {}
             }
@@ -90,6 +98,33 @@
         }
     }
 
+    /// Passes changes on to a gateway that does not understand compressed responses.
+    fn plain_changes(&self, after: StorePosition, body: &StoreBody) -> Response<ResponseBody> {
+        match body.decompress() {
+            Ok(body) => self.relayed_response(after, RelayedContent::Changes(&body)),
+            Err(err) => self.unreadable(&err),
+        }
+    }
+
+    /// Passes a read of the whole store on to such a gateway.
+    fn plain_read(&self, after: StorePosition, read: &StorePages) -> Response<ResponseBody> {
+        let pages: Result<Vec<Bytes>, ReadError> =
+            read.pages.iter().map(StoreBody::decompress).collect();
+        match pages {
+            Ok(pages) => {
+                let pages = pages.iter().map(Bytes::as_ref).collect();
+                let revision = read.position.revision.0;
+                self.relayed_response(after, RelayedContent::All { revision, pages })
+            }
+            Err(err) => self.unreadable(&err),
+        }
+    }
+
+    fn unreadable(&self, err: &ReadError) -> Response<ResponseBody> {
+        slog::warn!(self.log, "kept changes are not readable"; "error" => %err);
+        own_response(StatusCode::INTERNAL_SERVER_ERROR, None, None)
+    }
+
     /// Logs that another gateway knows a newer position than this one.
     fn log_behind(&self, after: StorePosition) {
         let known = self.store_progress.borrow().known();
@@ -145,7 +180,8 @@
         let sent_at = now();
         let times = self.source_times();
         let addr = self.process.borrow().peer_addr(gateway.into());
-        let path = PeerRequest::Changes { era: after.era.0, revision: after.revision.0 }.path();
+        let (era, revision) = (after.era.0, after.revision.0);
+        let path = PeerRequest::Changes { era, revision, compressed: true }.path();
         let request = request(Method::GET, addr, &path, Bytes::new());
         let progress = self.receiving.clone();
         let limits = CallLimits {
@@ -181,13 +217,50 @@
 ) -> Result<LearnedContent, ReadError> {
     Ok(match content {
         RelayedContent::None => LearnedContent::Changes(WatchedChanges::none(after)),
-        RelayedContent::Changes(body) => {
-            LearnedContent::Changes(WatchedChanges::decode(reply.slice_ref(body), after)?)
-        }
+        RelayedContent::Changes(body) => decode_changes(RelayedBody::Plain(body), reply, after)?,
+        RelayedContent::ChangesBody(body) => decode_changes(body, reply, after)?,
         RelayedContent::All { revision, pages } => {
-            let pages = pages.into_iter().map(|page| reply.slice_ref(page)).collect();
-            let position = StorePosition { revision: StoreRevision(revision), ..after };
-            LearnedContent::All(Snapshot::decode(pages, position)?)
+            let pages = pages.into_iter().map(RelayedBody::Plain).collect();
+            decode_read(StoreRevision(revision), pages, reply, after)?
+        }
+        RelayedContent::AllBodies { revision, pages } => {
+            decode_read(StoreRevision(revision), pages, reply, after)?
         }
     })
 }
+
+fn decode_changes(
+    body: RelayedBody<'_>,
+    reply: &Bytes,
+    after: StorePosition,
+) -> Result<LearnedContent, ReadError> {
+    let body = store_body(body, reply);
+    Ok(LearnedContent::Changes(WatchedChanges::decode(body, after)?))
+}
+
+fn decode_read(
+    revision: StoreRevision,
+    pages: Vec<RelayedBody<'_>>,
+    reply: &Bytes,
+    after: StorePosition,
+) -> Result<LearnedContent, ReadError> {
+    let pages = pages.into_iter().map(|page| store_body(page, reply)).collect();
+    let position = StorePosition { revision, ..after };
+    Ok(LearnedContent::All(Snapshot::decode(pages, position)?))
+}
+
+/// A response of the store as it is passed on.
+fn relayed_body(body: &StoreBody) -> RelayedBody<'_> {
+    match body {
+        StoreBody::Plain(body) => RelayedBody::Plain(body),
+        StoreBody::Compressed(body) => RelayedBody::Compressed(body),
+    }
+}
+
+/// The opposite, for a body that is a part of `reply`.
+fn store_body(body: RelayedBody<'_>, reply: &Bytes) -> StoreBody {
+    match body {
+        RelayedBody::Plain(body) => StoreBody::Plain(reply.slice_ref(body)),
+        RelayedBody::Compressed(body) => StoreBody::Compressed(reply.slice_ref(body)),
+    }
+}
--- a/components/peering/src/lib.rs
+++ b/components/peering/src/lib.rs
@@ -13,6 +13,6 @@
     NamedVersion, PartAge, PartNews, PieceSet, RefusedRequest, StateReport, Subscription,
     Suspicion, Wanting,
 };
-pub use relay::{RelayedChanges, RelayedContent};
+pub use relay::{RelayedBody, RelayedChanges, RelayedContent};
 pub use request::{PeerRequest, REQUEST_TIMEOUT};
 pub use socket::{MAX_DATAGRAM, PeerSocket};
--- a/components/peering/src/relay.rs
+++ b/components/peering/src/relay.rs
@@ -17,7 +17,16 @@
     pub content: RelayedContent<'a>,
 }
 
-/// How changes of the store are passed on.
+/// A response of the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RelayedBody<'a> {
+    /// As the store sent it.
+    Plain(&'a [u8]),
+    /// Compressed.
+    Compressed(&'a [u8]),
+}
+
+/// How changes of the store are passed on. The first three are what earlier versions understand, too.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RelayedContent<'a> {
     /// There are none.
@@ -32,6 +41,16 @@
         #[serde(borrow)]
         pages: Vec<&'a [u8]>,
     },
+    /// Like `Changes`, for who understands compressed responses.
+    ChangesBody(RelayedBody<'a>),
+    /// Like `All`, for who understands compressed responses.
+    AllBodies {
+        /// The revision after which to ask for changes.
+        revision: u64,
+        /// The responses, in order.
+        #[serde(borrow)]
+        pages: Vec<RelayedBody<'a>>,
+    },
 }
 
 impl<'a> RelayedChanges<'a> {
--- a/components/peering/src/relay/tests.rs
+++ b/components/peering/src/relay/tests.rs
@@ -7,6 +7,11 @@
         RelayedContent::None,
         RelayedContent::Changes(b"{\"events\":[]}"),
         RelayedContent::All { revision: 7, pages },
+        RelayedContent::ChangesBody(RelayedBody::Compressed(b"x")),
+        RelayedContent::AllBodies {
+            revision: 7,
+            pages: vec![RelayedBody::Plain(b"{}"), RelayedBody::Compressed(b"y")],
+        },
     ];
     for content in contents {
         let changes = RelayedChanges::new(Duration::from_millis(70), content);
--- a/components/peering/src/request.rs
+++ b/components/peering/src/request.rs
@@ -9,6 +9,8 @@
 
 /// Key of the query that names a zone.
 const ZONE_KEY: &str = "zone=";
+/// Query that asks for changes in compressed responses of the store.
+const COMPRESSED_QUERY: &str = "?compressed";
 
 /// What one process requests from another.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -22,6 +24,8 @@
         era: u64,
         /// The revision.
         revision: u64,
+        /// Whether compressed responses of the store are understood.
+        compressed: bool,
     },
     /// The digests of a version, 32 bytes each.
     Digests(u64),
@@ -35,7 +39,10 @@
         match self {
             PeerRequest::Fleet(service, None) => format!("/fleet/{service}"),
             PeerRequest::Fleet(service, Some(zone)) => format!("/fleet/{service}?{ZONE_KEY}{zone}"),
-            PeerRequest::Changes { era, revision } => format!("/changes/{era}/{revision}"),
+            PeerRequest::Changes { era, revision, compressed } => {
+                let query = if *compressed { COMPRESSED_QUERY } else { "" };
+                format!("/changes/{era}/{revision}{query}")
+            }
             PeerRequest::Digests(version) => format!("/digests/{version}"),
             PeerRequest::Piece(version, piece) => format!("/pieces/{version}/{piece}"),
         }
@@ -51,7 +58,9 @@
                 PeerRequest::Fleet(service.parse().ok()?, zone)
             }
             ("changes", era, Some(revision)) => {
-                PeerRequest::Changes { era: era.parse().ok()?, revision: revision.parse().ok()? }
+                let (era, revision) = (era.parse().ok()?, revision.parse().ok()?);
+                let compressed = Some(query) == COMPRESSED_QUERY.strip_prefix('?');
+                PeerRequest::Changes { era, revision, compressed }
             }
             ("digests", version, None) => PeerRequest::Digests(version.parse().ok()?),
             ("pieces", version, Some(piece)) => {
--- a/components/peering/src/request/tests.rs
+++ b/components/peering/src/request/tests.rs
@@ -6,7 +6,8 @@
     for request in [
         PeerRequest::Fleet(service.clone(), None),
         PeerRequest::Fleet(service, "zone-1".parse().ok()),
-        PeerRequest::Changes { era: 2, revision: 41 },
+        PeerRequest::Changes { era: 2, revision: 41, compressed: false },
+        PeerRequest::Changes { era: 2, revision: 41, compressed: true },
         PeerRequest::Digests(7),
         PeerRequest::Piece(7, 95),
     ] {
