Learn from another gateway while the whole store cannot be read

What callers would see: a gateway goes on sending requests to endpoints that have left, and uses an old configuration, for as long as the store does not answer its read, though other gateways know better.

Cause: a gateway whose next changes the store no longer has reads the whole store; until that succeeds, it knew no position after which to ask, so that it did not ask other gateways. Class: a way out that is closed just when the other ways are.

Change: as long as it is of the newest era, what is known is a position after which other gateways can be asked. Once they told something newer, the store is asked for changes again, which it may have by then.

--- a/components/directory/src/progress.rs
+++ b/components/directory/src/progress.rs
@@ -60,6 +60,13 @@
         self.known.filter(|_| self.is_current)
     }
 
+    /// The position after which another process can be asked for changes, which may keep them, or a later
+    /// read of the whole store, when the store itself no longer has them; `None` if this process knows
+    /// nothing of the newest era.
+    pub fn position_for_peers(&self) -> Option<StorePosition> {
+        self.known.filter(|known| known.era == self.era)
+    }
+
     /// Accepts a read of the whole store, unless it is from before an era that was seen. Returns
     /// whether the store came back from an older copy since the last one.
     ///
@@ -87,7 +94,8 @@
         self.history.keep_pages(pages);
     }
 
-    /// Accepts changes after the current position, which were all there were at `confirmed_at`.
+    /// Accepts changes after the position that is known, which were all there were at `confirmed_at`. If
+    /// there are any, the store can be asked for those that follow.
     ///
     /// # Errors
     ///
@@ -98,6 +106,7 @@
         confirmed_at: Instant,
     ) -> Result<(), ReadError> {
         check_era(watched.position.era, self.era)?;
+        self.is_current |= Some(watched.position) > self.known;
         self.known = self.known.max(Some(watched.position));
         self.history.push(watched.position, watched.body.clone(), confirmed_at);
         Ok(())
--- a/components/directory/src/progress/tests.rs
+++ b/components/directory/src/progress/tests.rs
@@ -120,3 +120,17 @@
     assert_eq!(progress.known_until(), Some(start - suspended));
     assert_eq!(progress.age(start), Some(suspended));
 }
+
+#[test]
+fn what_the_store_no_longer_has_another_process_can_tell() {
+    let mut progress = progress();
+    progress.record_failure(&ReadError::HistoryGone);
+    assert_eq!(progress.position(), None);
+    assert_eq!(progress.position_for_peers(), Some(position(1, 20)));
+    accept_changes(&mut progress, position(1, 20)).unwrap();
+    assert_eq!(progress.position(), None, "nothing new was told");
+    accept_changes(&mut progress, position(1, 22)).unwrap();
+    assert_eq!(progress.position(), Some(position(1, 22)));
+    progress.record_failure(&ReadError::Restored(StoreEra(2)));
+    assert_eq!(progress.position_for_peers(), None, "revisions of two eras cannot be compared");
+}
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -160,7 +160,7 @@
     pub(crate) async fn wait_until_behind(&self) -> Ipv4Addr {
         loop {
             let news = self.newer_position.notified();
-            let can_ask = self.store_progress.borrow().position().is_some();
+            let can_ask = self.store_progress.borrow().position_for_peers().is_some();
             let received_at = self.receiving.last().map(Instant::into_std);
             let due = self.position_news.borrow().due_request(received_at).filter(|_| can_ask);
             match due {
--- a/components/gateway/src/store_follower.rs
+++ b/components/gateway/src/store_follower.rs
@@ -329,13 +329,13 @@
 
     /// Learns from another gateway what the own source of changes has not told in time.
     async fn catch_up(&mut self, ip: Ipv4Addr) {
-        let position = self.gateway.store_progress.borrow().position();
+        let position = self.gateway.store_progress.borrow().position_for_peers();
         let Some(at) = position else { return };
         let learned = self.gateway.request_changes(ip, at).await;
         // What the own source did not tell can be older than its usual delay.
         self.interrupted = true;
         let result = learned.and_then(|learned| self.accept_learned(ip, learned));
-        let known = self.gateway.store_progress.borrow().position();
+        let known = self.gateway.store_progress.borrow().position_for_peers();
         if result.is_err() || known <= Some(at) {
             self.gateway.position_news.borrow_mut().record_failure(ip, now());
         }
