Correct the begin of an answer by a suspension, as its end was

Found on reading the change again: the age of knowledge now counts from when an answer began to arrive. If the VM is suspended while it arrives, and the clock does not count that, the knowledge would seem younger than it is. The same correction as for the time at which the call was sent. A suspension cannot be played in a test, as the boot clock is the system's.

--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -198,7 +198,7 @@
         if changes.content == RelayedContent::None && changes.age() > times.max_age {
             return Err(RelayError::TooOld(changes.age()));
         }
-        let begun_at = reply.begun_at.into_std();
+        let begun_at = self.corrected_time(reply.begun_at.into_std());
         Ok(LearnedChanges {
             age: changes.age(),
             confirmed_at: begun_at.checked_sub(changes.age()).unwrap_or(begun_at),
--- a/components/gateway/src/store_follower.rs
+++ b/components/gateway/src/store_follower.rs
@@ -261,7 +261,7 @@
         let sent_at = self.gateway.corrected_time(sent_at);
         let changed = !watched.entries.is_empty();
         let known_until = known_by_watch(sent_at, wait, changed, now());
-        let confirmed_at = answer.begun_at.into_std();
+        let confirmed_at = self.gateway.corrected_time(answer.begun_at.into_std());
         self.accept_changes(watched, Knowledge::from_store(confirmed_at, known_until))?;
         self.log_source(ChangeSource::Store, Duration::ZERO);
         Ok(changed)
