Simulate limits while gateways are frozen and while they join

Open since the limits of endpoints were shared: only restarts and cuts were simulated. A frozen gateway gets its datagrams at the end of the freeze; the others learn of one that joins within a second.

--- a/components/dispatch/src/shared_limit/tests.rs
+++ b/components/dispatch/src/shared_limit/tests.rs
@@ -16,6 +16,8 @@
 const FIRST_STEP: u32 = 100;
 /// Time that a datagram takes at most.
 const MAX_DELAY_MS: u64 = 50;
+/// Time within which all learn that a gateway has joined.
+const MAX_JOIN_MS: u64 = 1000;
 /// Share of datagrams that are lost.
 const LOSS: f64 = 0.1;
 /// Gateways that are told at random.
@@ -43,7 +45,11 @@
     steps: u32,
     /// Until when each gateway is cut off from the others.
     cut_until: Vec<Instant>,
-    /// Until when the requests of each gateway do not count, as it was restarted or cut off.
+    /// Until when each gateway does not run.
+    frozen_until: Vec<Instant>,
+    /// When the others learn that each gateway exists.
+    known_from: Vec<Instant>,
+    /// Until when the requests of each gateway do not count, as it was started, frozen or cut off.
     excused_until: Vec<Instant>,
 }
 
@@ -65,6 +71,8 @@
             sent: Vec::new(),
             steps: FIRST_STEP,
             cut_until: vec![start; gateways],
+            frozen_until: vec![start; gateways],
+            known_from: vec![start; gateways],
             excused_until: vec![start; gateways],
         }
     }
@@ -76,6 +84,22 @@
         self.excuse(index, now + CONTACT_WINDOW);
     }
 
+    /// Adds a gateway, which learns of the limit from its next answer.
+    fn join(&mut self, now: Instant) {
+        let limit = self.limits[0].limit;
+        self.limits.push(SharedLimit::new(limit, now, now, now));
+        self.cut_until.push(now);
+        self.frozen_until.push(now);
+        self.known_from.push(now + Duration::from_millis(self.rng.u64(0..MAX_JOIN_MS)));
+        self.excused_until.push(now + CONTACT_WINDOW);
+    }
+
+    /// Freezes a gateway for a time. What it is sent meanwhile arrives at the end.
+    fn freeze(&mut self, index: usize, time: Duration, now: Instant) {
+        self.frozen_until[index] = self.frozen_until[index].max(now + time);
+        self.excuse(index, now + time + CONTACT_WINDOW);
+    }
+
     /// Cuts a gateway off from the others for a time.
     fn cut(&mut self, index: usize, time: Duration, now: Instant) {
         self.cut_until[index] = self.cut_until[index].max(now + time);
@@ -87,8 +111,14 @@
         self.excused_until[index] = self.excused_until[index].max(until);
     }
 
-    fn group(&self, index: usize) -> GatewayGroup {
-        GatewayGroup { own_ip: ip(index), count: self.limits.len() }
+    fn group(&self, index: usize, now: Instant) -> GatewayGroup {
+        let is_known = |other: &usize| *other == index || now >= self.known_from[*other];
+        let count = (0..self.limits.len()).filter(is_known).count();
+        GatewayGroup { own_ip: ip(index), count }
+    }
+
+    fn is_frozen(&self, index: usize, now: Instant) -> bool {
+        now < self.frozen_until[index]
     }
 
     /// Runs until a time after the start, while each gateway would send `demand` requests a second.
@@ -99,6 +129,9 @@
             let now = self.start + STEP * n;
             self.deliver(now);
             for index in 0..self.limits.len() {
+                if self.is_frozen(index, now) {
+                    continue;
+                }
                 if self.rng.f64() < demand(index, now) * STEP.as_secs_f64() {
                     self.request(index, now);
                 }
@@ -110,7 +143,7 @@
     }
 
     fn request(&mut self, index: usize, now: Instant) {
-        let group = self.group(index);
+        let group = self.group(index, now);
         let limit = &mut self.limits[index];
         limit.record_want(group, now);
         if limit.has_token() {
@@ -122,7 +155,7 @@
     }
 
     fn tell(&mut self, index: usize, now: Instant) {
-        let group = self.group(index);
+        let group = self.group(index, now);
         let Some(wanting) = self.limits[index].take_news(group, now) else { return };
         let limit = &self.limits[index];
         let news = LimitNews {
@@ -146,11 +179,12 @@
     }
 
     fn deliver(&mut self, now: Instant) {
+        let datagrams = std::mem::take(&mut self.datagrams).into_iter();
         let (arrived, rest) =
-            std::mem::take(&mut self.datagrams).into_iter().partition(|(at, ..)| *at <= now);
+            datagrams.partition(|(at, receiver, _)| *at <= now && !self.is_frozen(*receiver, now));
         self.datagrams = rest;
         for (_, receiver, news) in arrived {
-            let group = self.group(receiver);
+            let group = self.group(receiver, now);
             self.limits[receiver].record_news(group, &news);
         }
     }
@@ -243,32 +277,63 @@
     assert_eq!(limit.tokens_within(Duration::from_secs(1), small, now), 2.0);
 }
 
+/// Runs with disturbances, each a few seconds after the one before, and all gateways wanting to send.
+/// `disturb` gets the simulation, a random gateway, a time and now. Returns the most requests in a window.
+fn most_with_disturbances(
+    (seed, count, limit): (u64, usize, f64),
+    disturb: impl Fn(&mut Simulation, &mut Rng, usize, Instant),
+) -> usize {
+    let mut simulation = Simulation::new(seed, limit, count);
+    let mut faults = Rng::with_seed(seed);
+    let mut next = 4;
+    for second in 2..=TIME.as_secs() {
+        simulation.run_until(Duration::from_secs(second), |_, _| 20.0);
+        if second >= next {
+            next = second + faults.u64(1..5);
+            let now = simulation.start + Duration::from_secs(second);
+            let index = faults.usize(0..simulation.limits.len());
+            disturb(&mut simulation, &mut faults, index, now);
+        }
+    }
+    simulation.most_in_window()
+}
+
+/// All seeds, sizes and limits with which disturbances are simulated.
+fn disturbed_cases() -> impl Iterator<Item = (u64, usize, f64)> {
+    (1..=6).flat_map(|seed| {
+        COUNTS.into_iter().flat_map(move |count| LIMITS.map(|limit| (seed, count, limit)))
+    })
+}
+
 /// Guards against gateways that stay within a limit only as long as all of them run and hear each other.
 #[test]
 fn gateways_stay_within_a_limit_while_others_restart_and_are_cut_off() {
-    for seed in 1..=6 {
-        for count in COUNTS {
-            for limit in LIMITS {
-                let mut simulation = Simulation::new(seed, limit, count);
-                let mut faults = Rng::with_seed(seed);
-                let mut next = 4;
-                for second in 2..=TIME.as_secs() {
-                    simulation.run_until(Duration::from_secs(second), |_, _| 20.0);
-                    if second >= next {
-                        next = second + faults.u64(1..5);
-                        let now = simulation.start + Duration::from_secs(second);
-                        let index = faults.usize(0..count);
-                        match faults.bool() {
-                            true => simulation.restart(index, now),
-                            false => {
-                                simulation.cut(index, Duration::from_secs(faults.u64(1..9)), now)
-                            }
-                        }
-                    }
-                }
-                let most = simulation.most_in_window();
-                assert!(most <= allowed(limit), "{most}: seed {seed}, {count} at {limit}/s");
-            }
-        }
+    for case in disturbed_cases() {
+        let most =
+            most_with_disturbances(case, |simulation, faults, index, now| match faults.bool() {
+                true => simulation.restart(index, now),
+                false => simulation.cut(index, Duration::from_secs(faults.u64(1..9)), now),
+            });
+        assert!(most <= allowed(case.2), "{most}: seed, gateways and limit {case:?}");
+    }
+}
+
+/// Guards against a gateway that goes on after a freeze with the tokens and the turn of before.
+#[test]
+fn gateways_stay_within_a_limit_while_others_are_frozen() {
+    for case in disturbed_cases() {
+        let most = most_with_disturbances(case, |simulation, faults, index, now| {
+            simulation.freeze(index, Duration::from_millis(faults.u64(100..9000)), now)
+        });
+        assert!(most <= allowed(case.2), "{most}: seed, gateways and limit {case:?}");
+    }
+}
+
+/// Guards against gateways that share a limit among those that were there when it was named.
+#[test]
+fn gateways_stay_within_a_limit_while_others_join() {
+    for case in disturbed_cases() {
+        let most = most_with_disturbances(case, |simulation, _, _, now| simulation.join(now));
+        assert!(most <= allowed(case.2), "{most}: seed, gateways and limit {case:?}");
     }
 }
