--- a/components/stager/src/process.rs
+++ b/components/stager/src/process.rs
@@ -70,6 +70,7 @@
         download: RefCell::default(),
         open_orders: RefCell::default(),
         looked_back: Cell::default(),
+        version_missing: Cell::default(),
         named: Cell::default(),
         pauses: RefCell::new(Pauses::new(MAX_FLUSH_GAP, now(), BootTime::now())),
         fetch_wakeup: Notify::new(),
--- a/components/stager/src/shared.rs
+++ b/components/stager/src/shared.rs
@@ -92,6 +92,8 @@
     pub(crate) open_orders: RefCell<OpenOrders>,
     /// Whether this process has looked for an order of an earlier run.
     pub(crate) looked_back: Cell<bool>,
+    /// Whether it was logged that the fleet is known and no version of its weights.
+    pub(crate) version_missing: Cell<bool>,
     /// The newest named version and a time before which it was not named.
     pub(crate) named: Cell<Option<(u64, Instant)>>,
     /// Observed with each flush of the log, and before what depends on it.
@@ -187,7 +189,12 @@
             newest_at_neighbours,
             self.serving_version().map(|v| v.0),
         ];
-        let Some(version) = versions.into_iter().flatten().max() else { return };
+        let Some(version) = versions.into_iter().flatten().max() else {
+            if !self.version_missing.replace(true) {
+                info!(self.log, "no version of the weights is known"; "model" => %layout.model);
+            }
+            return;
+        };
         let version = WeightsVersion(version);
         if self.download.borrow().as_ref().is_some_and(|download| download.version >= version) {
             return;
