Log for how long an endpoint asks to be sent nothing

An endpoint that turns a request away may add Retry-After. The time is decoded and logged now; nothing acts on it yet.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -6,12 +6,12 @@
 use bytes::Bytes;
 use catalog::{RouteKind, WeightsVersion};
 use dispatch::{EndpointOutcome, EndpointView};
-use http::{HeaderMap, Request, Response, header::CONTENT_TYPE};
+use http::{HeaderMap, Request, Response, StatusCode, header::CONTENT_TYPE};
 use http_body_util::{BodyExt, Full};
 use metrics::counter;
 use platform::{
     EndpointHeaders, RequestIdMatch, ResponseClass, classify_response, keep_alive_timeout,
-    match_request_id, request_limit, weights_version,
+    match_request_id, request_limit, requested_backoff, weights_version,
 };
 use quarantine::PartKey;
 use telemetry::names;
@@ -116,6 +116,7 @@
         let status = head.status();
         let class = classify_response(status, head.headers());
         self.record_limit(&assignment, &view, class, head.headers());
+        self.log_requested_backoff(&view, status, head.headers());
         // The head of a stream may arrive before its request begins.
         options.has_begun.set(!is_stream(context, &exchange));
         match class {
@@ -283,6 +284,21 @@
         }
     }
 
+    /// Logs for how long an endpoint that turned a request away asks to be sent none.
+    fn log_requested_backoff(&self, view: &EndpointView, status: StatusCode, headers: &HeaderMap) {
+        match requested_backoff(status, headers) {
+            Ok(None) => {}
+            Ok(Some(time)) => {
+                slog::info!(self.log, "endpoint asks for no requests"; "endpoint" => %view.id,
+                    "status" => status.as_u16(), "for_ms" => time.as_millis() as u64);
+            }
+            Err(err) => {
+                slog::warn!(self.log, "retry-after of an endpoint is not readable";
+                    "endpoint" => %view.id, "error" => %err);
+            }
+        }
+    }
+
     /// Counts and logs a response from weights that should have been replaced by now.
     fn log_overdue_version(&self, context: &RequestContext, version: WeightsVersion) {
         let Some(model) = self.model_of(&context.service) else { return };
