Presume the initial version of weights while none is named

What callers saw: after all machines had lost power, requests for the model were refused for good (RECOVER).

Cause: which version is the newest one was known from three sources, what the operator named, what neighbours hold, and what the endpoint itself serves. Where the operator has named none, the last two are copies of each other, and a loss of power takes all of them at once. Class: a belief whose only source is the state that it is to restore. Ruled out: missing digests or pieces (no download was begun at all), and reports that gateways miss (they come, and say that the endpoints are empty).

A gateway that has read the whole store, which names no version, tells stagers that the newest version that any of them reported, else version 1, is the newest. A name that cannot be read ends all presumption.

--- a/components/catalog/src/engine.rs
+++ b/components/catalog/src/engine.rs
@@ -13,6 +13,11 @@
     WeightsVersion(u64)
 }
 
+impl WeightsVersion {
+    /// The first version of any weights, which endpoints may serve without that it was ever named.
+    pub const INITIAL: WeightsVersion = WeightsVersion(1);
+}
+
 /// Performance and weights of an engine, as published by the operator.
 #[derive(Debug, Clone, PartialEq)]
 pub struct EngineProfile {
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod limit_news;
 mod peers;
 mod position_news;
+mod presumed_weights;
 mod process;
 mod refused;
 mod relay;
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -50,12 +50,19 @@
             self.subscribe_all();
             self.expire_old();
             // All stagers are asked again, whether the wait was notified or timed out.
-            let _ =
-                timeout(self.settings.subscribe_interval, self.subscribe_notify.notified()).await;
+            let _ = timeout(self.subscribe_wait(), self.subscribe_notify.notified()).await;
             sleep(MIN_SUBSCRIBE_INTERVAL).await;
         }
     }
 
+    /// Time until stagers are asked again. They are told at once when a version may be presumed.
+    fn subscribe_wait(&self) -> Duration {
+        let interval = self.settings.subscribe_interval;
+        let until_due =
+            self.presumed_weights.borrow().due().map(|due| due.checked_duration_since(now()));
+        until_due.flatten().map_or(interval, |time| time.min(interval))
+    }
+
     fn subscribe_all(&self) {
         self.update_subset();
         let now = now();
@@ -112,7 +119,22 @@
     }
 
     fn newest_weights(&self, service: &ServiceId, now: Instant) -> Option<NamedVersion> {
-        self.named_weights.borrow().newest(&self.model_of(service)?, now)
+        let model = self.model_of(service)?;
+        let named = self.named_weights.borrow().newest(&model, now);
+        named.or_else(|| self.presume_weights(&model, now))
+    }
+
+    /// Presumes the newest version of weights of which the operator has named none.
+    fn presume_weights(&self, model: &ModelId, now: Instant) -> Option<NamedVersion> {
+        let mut presumed = self.presumed_weights.borrow_mut();
+        let version = presumed.version(model, now)?;
+        if presumed.record_presumed(model, version) {
+            slog::info!(self.log, "weights presumed, as no version is named";
+                "model" => %model, "version" => version.0);
+        }
+        // Nobody knows since when the version is the newest one; it counts as long known.
+        let age = self.process.borrow().bounds.version_switch;
+        Some(NamedVersion { version: version.0, age_ms: age.as_millis() as u32 })
     }
 
     fn expire_old(&self) {
@@ -210,11 +232,21 @@
                 dispatcher.apply_report(key, status.clone(), now);
                 dispatcher.service_of(key).cloned()
             };
+            self.record_reported_weights(service.as_ref(), &report);
             self.handle_named_age(service.as_ref(), report.named, now);
         }
         self.poll_soon();
     }
 
+    fn record_reported_weights(&self, service: Option<&ServiceId>, report: &StateReport) {
+        let Some(model) = service.and_then(|service| self.model_of(service)) else { return };
+        let newest = report.version.max(report.named.map(|named| named.version));
+        if let Some(version) = newest {
+            let mut presumed = self.presumed_weights.borrow_mut();
+            presumed.record_report(&model, WeightsVersion(version));
+        }
+    }
+
     fn handle_named_age(
         &self,
         service: Option<&ServiceId>,
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -30,6 +30,7 @@
     change_source::SourceTimes,
     peers::MAX_NEWS_GAP,
     position_news::{NewsTimes, PositionNews},
+    presumed_weights::PresumedWeights,
     refused::RecentRefusals,
     settings::GatewaySettings,
     shutdown::Shutdown,
@@ -63,6 +64,7 @@
     /// Wakes the requests in progress when another part of prompts is refused.
     pub(crate) part_refused: Notify,
     pub(crate) named_weights: RefCell<NamedWeights>,
+    pub(crate) presumed_weights: RefCell<PresumedWeights>,
     /// Wakes the requests that wait at endpoints when other weights are required.
     pub(crate) weights_changed: Notify,
     /// Other gateways as named by stagers, with the time when they were last named.
@@ -206,6 +208,7 @@
                 settings.version_margin_fraction,
                 now(),
             )),
+            presumed_weights: RefCell::default(),
             weights_changed: Notify::new(),
             process: RefCell::new(process),
             other_gateways: RefCell::default(),
--- a/components/gateway/src/store_updates.rs
+++ b/components/gateway/src/store_updates.rs
@@ -2,7 +2,7 @@
 
 use catalog::{Endpoint, EndpointUpdate};
 use dispatch::ListingOrigin;
-use platform::store::{StoreEntry, endpoint_id_from_key};
+use platform::store::{StoreEntry, endpoint_id_from_key, names_weights};
 use slog::warn;
 
 use crate::{
@@ -55,6 +55,7 @@
         let changes =
             self.gateway.dispatcher.borrow_mut().replace_listing(all, listing, absence, now);
         self.gateway.endpoints_listed.set(true);
+        self.gateway.presumed_weights.borrow_mut().record_read(now);
         self.gateway.handle_endpoint_changes(changes, origin);
     }
 
@@ -68,6 +69,9 @@
             StoreEntry::Unreadable { key, error } => {
                 warn!(self.gateway.log, "entry of the store is not readable";
                     "key" => &key, "error" => %error);
+                if names_weights(&key) {
+                    self.gateway.presumed_weights.borrow_mut().record_unreadable();
+                }
                 if let Some(id) = endpoint_id_from_key(&key) {
                     self.apply_endpoint_update(EndpointUpdate::Removed(id), origin);
                 }
