Take a response without an id on a kept connection for nobody's

Report of another operator: a faulty endpoint wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for requests that ran (REFUSED), or these ran twice (TWICE). For requests that may run once this cannot happen here: each has a connection of its own (test a_repeated_refusal_is_not_taken_for_that_of_a_request_that_runs_once passes on the code before). For those that may be repeated the id of the response tells; but one without an id counted as the right one.

Change: a response without an id is attributed only on a connection that was not used before, and a connection is kept only if the response on it named the request. An endpoint that never names requests is served as before, on new connections.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -100,7 +100,7 @@
         let request = endpoint_request(context, &view, &options);
         let endpoint = assignment.in_flight.endpoint;
         let exchange = self.exchange(context, &view, endpoint, request).await;
-        let exchange = match exchange {
+        let (exchange, is_reused) = match exchange {
             Ok(exchange) => exchange,
             Err(err) if err.is_unsent() => {
                 let is_backing_off = self.dispatcher.borrow().is_backing_off(endpoint, now());
@@ -115,7 +115,7 @@
             Err(err) => return self.handle_loss(context, assignment, &view, loss_cause(&err), 0),
         };
         let head = &exchange.response;
-        if match_request_id(head.headers(), context.facts.id.as_ref()) == RequestIdMatch::Other {
+        if !is_attributable(context, head.headers(), is_reused) {
             return self.handle_loss(context, assignment, &view, LossCause::Unusable, 0);
         }
         let status = head.status();
@@ -144,13 +144,14 @@
         }
     }
 
+    /// Sends the request. Returns the response with whether its connection was used before.
     async fn exchange(
         &self,
         context: &RequestContext,
         view: &EndpointView,
         endpoint: EndpointKey,
         request: Request<Full<Bytes>>,
-    ) -> Result<Exchange, TransportError> {
+    ) -> Result<(Exchange, bool), TransportError> {
         let until = tokio::time::Instant::from_std(context.deadline);
         let retryable = context.route.kind.is_retryable();
         // A request that may run only once gets a connection of its own, so that a late response to
@@ -160,14 +161,14 @@
             Some(connection) => connection,
             None => self.open_connection(view, endpoint).await?,
         };
-        let reused = connection.is_used();
+        let is_reused = connection.is_used();
         match connection.send(request.clone(), until).await {
             // The endpoint closed the idle connection before it read the request.
-            Err(TransportError::Unsent) if reused => {
+            Err(TransportError::Unsent) if is_reused => {
                 let connection = self.open_connection(view, endpoint).await?;
-                connection.send(request, until).await
+                Ok((connection.send(request, until).await?, false))
             }
-            result => result,
+            result => Ok((result?, is_reused)),
         }
     }
 
@@ -237,11 +238,12 @@
     ) -> AttemptOutcome {
         self.record_version(context, &assignment, &exchange.response);
         let idle_timeout = keep_alive_timeout(exchange.response.headers());
-        let close = has_connection_close(&exchange);
+        let may_keep = may_keep_connection(context, exchange.response.headers())
+            && !has_connection_close(&exchange);
         let until = BodyLimit::Until(tokio::time::Instant::from_std(context.deadline));
         match exchange.read_body(self.settings.max_response_bytes, until).await {
             Ok((response, connection)) => {
-                if context.route.kind.is_retryable() && !close {
+                if may_keep {
                     self.pool.put_back(connection, idle_timeout);
                 }
                 assignment.set_end(if success {
@@ -440,6 +442,23 @@
     matches!(context.route.kind, RouteKind::Stream { .. }) && is_events
 }
 
+/// Whether a response can only be that to the request. A response to another request may arrive on a
+/// connection that was used before; one without an id is then nobody's.
+fn is_attributable(context: &RequestContext, headers: &HeaderMap, is_reused: bool) -> bool {
+    match match_request_id(headers, context.facts.id.as_ref()) {
+        RequestIdMatch::Same => true,
+        RequestIdMatch::Missing => !is_reused,
+        RequestIdMatch::Other => false,
+    }
+}
+
+/// Whether the connection of a complete response may be used again: only for requests that may be
+/// repeated, and if the endpoint says whose responses it sends.
+pub(crate) fn may_keep_connection(context: &RequestContext, headers: &HeaderMap) -> bool {
+    let has_id = match_request_id(headers, context.facts.id.as_ref()) == RequestIdMatch::Same;
+    has_id && context.route.kind.is_retryable()
+}
+
 fn has_connection_close(exchange: &Exchange) -> bool {
     let value = exchange.response.headers().get(http::header::CONNECTION);
     let value = value.and_then(|value| value.to_str().ok());
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -13,7 +13,7 @@
 use transport::Framing;
 
 use crate::{
-    attempt::{AttemptOutcome, LossCause, OpenStream},
+    attempt::{AttemptOutcome, LossCause, OpenStream, may_keep_connection},
     events::EventSplitter,
     hedge::{Hedge, HedgeEvent},
     request::RequestContext,
@@ -209,7 +209,7 @@
             return;
         };
         assignment.set_end(EndpointOutcome::Answered);
-        if self.context.route.kind.is_retryable() {
+        if may_keep_connection(&self.context, &head.headers) {
             self.gateway.pool.put_back(connection, keep_alive_timeout(&head.headers));
         }
     }
