Send orders to load on connections of their own

Test a_repeated_refusal_is_not_taken_for_that_of_an_order: one bad order on the code before, none now. Answers to orders carry no id, so only the connection tells whose they are; and an order is no longer sent twice by the pool when a kept connection breaks. Reports and pieces may still come from such a connection: pieces are checked by digest before an order, and a report is asked for again each 100 ms.

--- a/components/stager/src/engine.rs
+++ b/components/stager/src/engine.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use catalog::{EngineReport, ModelId, WeightsVersion};
-use http::{Method, StatusCode, header::CONTENT_TYPE};
+use http::{HeaderValue, Method, StatusCode, header::CONTENT_TYPE};
 use platform::{
     DecodeError, REPORT_PATH, decode_report,
     weights::{
@@ -13,7 +13,7 @@
     },
 };
 use tokio::time::Instant;
-use transport::{BufferedResponse, TransportError, request};
+use transport::{BufferedResponse, Connection, TransportError, request};
 
 use crate::shared::Stager;
 
@@ -51,16 +51,24 @@
         body: Bytes,
         timeout: Duration,
     ) -> Result<BufferedResponse, EngineError> {
-        let mut request = request(method, self.endpoint.addr, path, body);
-        if path == ORDER_PATH {
-            let json = http::HeaderValue::from_static("application/json");
-            request.headers_mut().insert(CONTENT_TYPE, json);
-        }
+        let request = request(method, self.endpoint.addr, path, body);
         let deadline = Instant::now() + timeout;
         let reply = self.pool.call(self.endpoint.addr, request, MAX_RESPONSE_BYTES, deadline).await;
         Ok(reply?)
     }
 
+    /// Sends an order once, on a connection of its own: an earlier answer that the endpoint writes once more
+    /// on a kept connection would be taken for that of the order. Returns the status of the answer.
+    async fn send_order(&self, body: Bytes) -> Result<StatusCode, EngineError> {
+        let addr = self.endpoint.addr;
+        let mut request = request(Method::POST, addr, ORDER_PATH, body);
+        request.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        let deadline = Instant::now() + self.settings.engine_timeout;
+        let connection = Connection::open(addr, self.pool.connect_settings()).await?;
+        let exchange = connection.send(request, deadline).await?;
+        Ok(exchange.response.status())
+    }
+
     /// Queries the endpoint's state.
     pub(crate) async fn get_report(&self) -> Result<EngineReport, EngineError> {
         let timeout = self.settings.poll_timeout;
@@ -119,12 +127,10 @@
         sequence: u64,
     ) -> Result<LoadOrderOutcome, EngineError> {
         let body = load_order(model, version, running, sequence).into();
-        let timeout = self.settings.engine_timeout;
-        let reply = self.engine_request(Method::POST, ORDER_PATH, body, timeout).await?;
-        match reply.status {
+        match self.send_order(body).await? {
             StatusCode::ACCEPTED => Ok(LoadOrderOutcome::Begun),
             StatusCode::OK => Ok(LoadOrderOutcome::Done),
-            _ => Err(status_error(&reply)),
+            other => Err(EngineError::Status(other.as_u16())),
         }
     }
 }
