--- a/components/directory/src/reader.rs
+++ b/components/directory/src/reader.rs
@@ -7,8 +7,8 @@
 use platform::store::{StoreEra, StorePosition, range_path, watch_path};
 use tokio::time::Instant;
 use transport::{
-    BodyLimit, BufferedResponse, CallLimits, ConnectSettings, ConnectionPool, PoolSettings,
-    ReceiveProgress, TransportError, request,
+    BufferedResponse, CallLimits, ConnectSettings, ConnectionPool, PoolSettings, ReceiveProgress,
+    TransportError, request,
 };
 
 use crate::{PagedRead, ReadError, Snapshot, StoreBody, WatchedChanges, accept_response};
@@ -149,10 +149,7 @@
     ) -> Result<BufferedResponse, TransportError> {
         let request = request(Method::GET, self.addr, path, Bytes::new());
         let progress = self.progress.clone();
-        let limits = CallLimits {
-            begin: Instant::now() + limits.begin,
-            body: BodyLimit::Stalled { within: limits.stall, progress },
-        };
+        let limits = CallLimits::stalled(limits.begin, limits.stall, progress);
         let bytes = self.settings.max_response_bytes;
         let reply = self.pool.call(self.addr, request, bytes, limits).await;
         if reply.is_err() {
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -8,7 +8,7 @@
 use peering::{PeerRequest, RelayedBody, RelayedChanges, RelayedContent};
 use platform::store::{StorePosition, StoreRevision};
 use tokio::time::{Instant, timeout_at};
-use transport::{BodyLimit, CallLimits, TransportError, request};
+use transport::{CallLimits, TransportError, request};
 
 use crate::{
     response::{ResponseBody, own_response},
@@ -184,10 +184,7 @@
         let path = PeerRequest::Changes { era, revision, compressed: true }.path();
         let request = request(Method::GET, addr, &path, Bytes::new());
         let progress = self.receiving.clone();
-        let limits = CallLimits {
-            begin: Instant::now() + times.relay_timeout,
-            body: BodyLimit::Stalled { within: times.stall, progress },
-        };
+        let limits = CallLimits::stalled(times.relay_timeout, times.stall, progress);
         let reply = self.pool.call(addr, request, MAX_CHANGES_BYTES, limits).await?;
         if reply.status != StatusCode::OK {
             return Err(RelayError::Status(reply.status.as_u16()));
--- a/components/stager/src/fleet.rs
+++ b/components/stager/src/fleet.rs
@@ -13,8 +13,8 @@
 use peering::{Fleet, FleetWeights, Member, NamedVersion, PeerRequest, REQUEST_TIMEOUT};
 use platform::store::{StoreEntry, StoreEra};
 use slog::{info, warn};
-use tokio::time::{Instant, sleep, timeout};
-use transport::{BodyLimit, CallLimits, ReceiveProgress, request};
+use tokio::time::{sleep, timeout};
+use transport::{CallLimits, ReceiveProgress, request};
 
 use crate::{
     fleet_view::FleetView,
@@ -107,10 +107,7 @@
         let request = request(Method::GET, addr, &path, Bytes::new());
         // A list of thousands of endpoints may take longer to arrive than any answer to begin.
         let progress = ReceiveProgress::default();
-        let limits = CallLimits {
-            begin: Instant::now() + REQUEST_TIMEOUT,
-            body: BodyLimit::Stalled { within: REQUEST_TIMEOUT, progress },
-        };
+        let limits = CallLimits::stalled(REQUEST_TIMEOUT, REQUEST_TIMEOUT, progress);
         let reply = self.pool.call(addr, request, MAX_FLEET_BYTES, limits).await;
         let reply = match reply {
             Ok(reply) if reply.status == StatusCode::OK => reply,
--- a/components/transport/src/limits.rs
+++ b/components/transport/src/limits.rs
@@ -31,6 +31,16 @@
     },
 }
 
+impl CallLimits {
+    /// The response must begin within `begin`, and its body make progress within each `stall`.
+    pub fn stalled(begin: Duration, stall: Duration, progress: ReceiveProgress) -> CallLimits {
+        CallLimits {
+            begin: Instant::now() + begin,
+            body: BodyLimit::Stalled { within: stall, progress },
+        }
+    }
+}
+
 impl From<Instant> for CallLimits {
     /// The whole response must have arrived by a time.
     fn from(until: Instant) -> CallLimits {
