Leave the endpoint and the origin alone for as long as they ask a stager

A stager sends a host nothing before the time is over, at most 60 s: a host that starts again knows nothing of the time, and a stager finds that out only by asking. Meanwhile the last state of the endpoint counts for 3 s, then it counts as silent.

--- a/components/stager/src/engine.rs
+++ b/components/stager/src/engine.rs
@@ -29,6 +29,9 @@
     /// The endpoint returned an error status.
     #[error("the endpoint returned status {0}")]
     Status(u16),
+    /// The endpoint asked this VM to send nothing for now, and nothing was sent.
+    #[error("the endpoint asked for no requests; they go on in {}ms", .0.as_millis())]
+    BackingOff(Duration),
     /// The response could not be decoded.
     #[error("cannot decode the endpoint's response: {0}")]
     Decode(#[from] DecodeError),
@@ -51,22 +54,35 @@
         body: Bytes,
         timeout: Duration,
     ) -> Result<BufferedResponse, EngineError> {
-        let request = request(method, self.endpoint.addr, path, body);
+        let addr = self.endpoint.addr;
+        self.check_backoff()?;
+        let request = request(method, addr, path, body);
         let deadline = Instant::now() + timeout;
-        let reply = self.pool.call(self.endpoint.addr, request, MAX_RESPONSE_BYTES, deadline).await;
-        Ok(reply?)
+        let reply = self.pool.call(addr, request, MAX_RESPONSE_BYTES, deadline).await?;
+        self.record_backoff(addr, reply.status, &reply.headers);
+        Ok(reply)
+    }
+
+    /// Fails while the endpoint is to be sent nothing.
+    fn check_backoff(&self) -> Result<(), EngineError> {
+        match self.remaining_backoff(self.endpoint.addr) {
+            Some(remaining) => Err(EngineError::BackingOff(remaining)),
+            None => Ok(()),
+        }
     }
 
     /// Sends an order once, on a connection of its own: an earlier answer that the endpoint writes once more
     /// on a kept connection would be taken for that of the order. Returns the status of the answer.
     async fn send_order(&self, body: Bytes) -> Result<StatusCode, EngineError> {
         let addr = self.endpoint.addr;
+        self.check_backoff()?;
         let mut request = request(Method::POST, addr, ORDER_PATH, body);
         request.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
         let deadline = Instant::now() + self.settings.engine_timeout;
         let connection = Connection::open(addr, self.pool.connect_settings()).await?;
-        let exchange = connection.send(request, deadline).await?;
-        Ok(exchange.response.status())
+        let response = connection.send(request, deadline).await?.response;
+        self.record_backoff(addr, response.status(), response.headers());
+        Ok(response.status())
     }
 
     /// Queries the endpoint's state.
--- a/components/stager/src/fetch.rs
+++ b/components/stager/src/fetch.rs
@@ -138,6 +138,9 @@
         version: WeightsVersion,
     ) -> Option<Vec<Digest>> {
         let addr = layout.origin?;
+        if self.remaining_backoff(addr).is_some() {
+            return None;
+        }
         let path = manifest_path(&layout.model, version);
         let request = request(Method::GET, addr, &path, Bytes::new());
         let deadline = Instant::now() + REQUEST_TIMEOUT;
@@ -149,6 +152,7 @@
                 return None;
             }
         };
+        self.record_backoff(addr, reply.status, &reply.headers);
         if reply.status != StatusCode::OK {
             warn!(self.log, "cannot fetch the digests"; "source" => "origin",
                 "status" => reply.status.as_u16());
@@ -298,7 +302,7 @@
         {
             download.scheduler.handle_failure(fetch, failure, now());
         }
-        counter!(names::CHUNK_ERRORS, "error" => format!("{failure:?}")).increment(1);
+        counter!(names::CHUNK_ERRORS, "error" => failure.name()).increment(1);
     }
 
     async fn request_piece(
@@ -317,6 +321,9 @@
                 (addr, piece_path(&layout.model, version, fetch.piece))
             }
         };
+        if let Some(remaining) = self.remaining_backoff(addr) {
+            return Err(FetchFailure::Backoff(remaining));
+        }
         let request = request(Method::GET, addr, &path, Bytes::new());
         // A peer in another zone may itself still be waiting for the piece.
         let piece_wait = if self.is_neighbour(fetch.source) {
@@ -331,6 +338,7 @@
                 "source" => ?fetch.source, "error" => %err);
             FetchFailure::Failed
         })?;
+        self.record_backoff(addr, reply.status, &reply.headers);
         match reply.status {
             StatusCode::OK => Ok(reply.body),
             StatusCode::NOT_FOUND => Err(FetchFailure::Missing),
@@ -349,7 +357,8 @@
 
     /// Uploads a held piece to the endpoint.
     async fn stage_piece(&self, layout: &WeightsLayout, version: WeightsVersion, piece: u32) {
-        if !self.open_orders.borrow().may_stage(version) {
+        let is_backing_off = self.remaining_backoff(self.endpoint.addr).is_some();
+        if is_backing_off || !self.open_orders.borrow().may_stage(version) {
             return;
         }
         let Some(body) = self.held_piece(version, piece) else { return };
--- a/components/stager/src/lib.rs
+++ b/components/stager/src/lib.rs
@@ -1,6 +1,7 @@
 //! The process beside each endpoint on the users' platform. It distributes weights to the endpoint,
 //! preferring other VMs over the origin, and reports the endpoint's state to gateways.
 
+mod backoffs;
 mod engine;
 mod fetch;
 mod fleet;
--- a/components/stager/src/load.rs
+++ b/components/stager/src/load.rs
@@ -84,6 +84,9 @@
     fn due_version(&self) -> Option<WeightsVersion> {
         let report = self.report.borrow();
         let report = report.as_ref().filter(|_| self.failed_polls.get() == 0)?;
+        if self.remaining_backoff(self.endpoint.addr).is_some() {
+            return None;
+        }
         let (version, named_at, complete, staged_at) = {
             let download = self.download.borrow();
             let download = download.as_ref()?;
@@ -253,7 +256,7 @@
 fn order_end(result: &Result<LoadOrderOutcome, EngineError>) -> OrderEnd {
     match result {
         Ok(LoadOrderOutcome::Begun | LoadOrderOutcome::Done) => OrderEnd::Accepted,
-        Err(EngineError::Status(400..=499)) => OrderEnd::NotAccepted,
+        Err(EngineError::Status(400..=499) | EngineError::BackingOff(_)) => OrderEnd::NotAccepted,
         Err(EngineError::Transport(err)) if err.is_unsent() => OrderEnd::NotAccepted,
         Err(EngineError::Transport(_) | EngineError::Status(_) | EngineError::Decode(_)) => {
             OrderEnd::Unanswered
--- a/components/stager/src/report.rs
+++ b/components/stager/src/report.rs
@@ -8,11 +8,14 @@
 
 use crate::{
     Audience,
+    engine::EngineError,
     shared::{Stager, Subscriber, now},
 };
 
 /// Consecutive failed queries after which the endpoint counts as silent.
 const MAX_FAILED_POLLS: u32 = 2;
+/// Time for which the last state counts while the endpoint asked to be sent nothing.
+const MAX_STATE_AGE: Duration = Duration::from_secs(3);
 /// Maximum number of gateways that a report lists.
 const MAX_REPORTED_GATEWAYS: usize = 8;
 
@@ -40,6 +43,7 @@
         loop {
             match self.get_report().await {
                 Ok(report) => self.handle_report(report),
+                Err(EngineError::BackingOff(_)) if self.has_recent_report() => {}
                 Err(err) => {
                     let failures = self.failed_polls.get() + 1;
                     self.failed_polls.set(failures);
@@ -54,7 +58,13 @@
         }
     }
 
+    fn has_recent_report(&self) -> bool {
+        let age = self.reported_at.get().map(|at| now().saturating_duration_since(at));
+        age.is_some_and(|age| age < MAX_STATE_AGE)
+    }
+
     fn handle_report(&self, report: catalog::EngineReport) {
+        self.reported_at.set(Some(now()));
         if self.failed_polls.replace(0) >= MAX_FAILED_POLLS {
             info!(self.log, "endpoint answers again");
             self.load_wakeup.notify_one();
--- a/components/stager/src/scheduler.rs
+++ b/components/stager/src/scheduler.rs
@@ -99,10 +99,23 @@
 pub enum FetchFailure {
     /// The source does not hold the piece.
     Missing,
+    /// The source asked to be sent nothing for this time, and nothing was sent.
+    Backoff(Duration),
     /// The source did not respond, or its response does not match the piece's digest.
     Failed,
 }
 
+impl FetchFailure {
+    /// Name in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            FetchFailure::Missing => "Missing",
+            FetchFailure::Backoff(_) => "Backoff",
+            FetchFailure::Failed => "Failed",
+        }
+    }
+}
+
 /// The pieces of the downloaded version that a neighbour reported to hold.
 #[derive(Debug, Clone)]
 pub struct Neighbour {
@@ -258,11 +271,12 @@
         {
             self.record_fetch_time(source, now.saturating_duration_since(started_at));
         }
-        let divisor = match failure {
-            FetchFailure::Missing => 4,
-            FetchFailure::Failed => 1,
+        let backoff = match failure {
+            FetchFailure::Missing => self.settings.failure_backoff / 4,
+            FetchFailure::Backoff(time) => time,
+            FetchFailure::Failed => self.settings.failure_backoff,
         };
-        self.backoff_until.insert(fetch.source, now + self.settings.failure_backoff / divisor);
+        self.backoff_until.insert(fetch.source, now + backoff);
     }
 
     /// Selects the fetches to start now.
--- a/components/stager/src/shared.rs
+++ b/components/stager/src/shared.rs
@@ -3,7 +3,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
-    net::Ipv4Addr,
+    net::{Ipv4Addr, SocketAddr},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -12,15 +12,18 @@
 use bytes::Bytes;
 use catalog::{EngineReport, LocalEndpoint, ProcessSettings, WeightsVersion};
 use chunks::LinkLimiter;
+use http::{HeaderMap, StatusCode};
 use lifecycle::{BootTime, FLUSH_INTERVAL, Pauses};
 use peering::{Inventory, NamedVersion, PeerSocket, PieceSet};
-use slog::{Logger, info};
+use platform::requested_backoff;
+use slog::{Logger, info, warn};
 use telemetry::MetricsHandle;
 use tokio::sync::Notify;
 use transport::ConnectionPool;
 
 use crate::{
     FetchScheduler, PeerStatus,
+    backoffs::Backoffs,
     fleet_view::{FleetView, WeightsLayout},
     open_order::{OpenOrders, Weights},
     settings::StagerSettings,
@@ -83,8 +86,12 @@
     pub(crate) subscribers: RefCell<HashMap<Ipv4Addr, Subscriber>>,
     pub(crate) neighbours: RefCell<HashMap<Ipv4Addr, (Inventory, Instant)>>,
     pub(crate) report: RefCell<Option<EngineReport>>,
+    /// When the endpoint's state was last reported.
+    pub(crate) reported_at: Cell<Option<Instant>>,
     /// Consecutive failed queries of the endpoint's state.
     pub(crate) failed_polls: Cell<u32>,
+    /// What the endpoint and the origin asked for.
+    pub(crate) backoffs: RefCell<Backoffs>,
     /// Whether a load order is about to be sent or in progress.
     pub(crate) loading: Cell<bool>,
     pub(crate) download: RefCell<Option<Download>>,
@@ -134,6 +141,27 @@
         self.fleet.borrow().layout.clone()
     }
 
+    /// Returns for how long a host is still to be sent nothing, if it asked for that.
+    pub(crate) fn remaining_backoff(&self, host: SocketAddr) -> Option<Duration> {
+        self.backoffs.borrow().remaining(host, now())
+    }
+
+    /// Records for how long a host asks to be sent nothing, if its answer says so.
+    pub(crate) fn record_backoff(&self, host: SocketAddr, status: StatusCode, headers: &HeaderMap) {
+        match requested_backoff(status, headers) {
+            Ok(None) => {}
+            Ok(Some(time)) => {
+                info!(self.log, "host asks for no requests"; "addr" => %host,
+                    "status" => status.as_u16(), "for_ms" => time.as_millis() as u64);
+                self.backoffs.borrow_mut().record(host, time, now());
+            }
+            Err(err) => {
+                warn!(self.log, "retry-after of a host is not readable"; "addr" => %host,
+                    "error" => %err);
+            }
+        }
+    }
+
     /// The version that the endpoint serves.
     pub(crate) fn serving_version(&self) -> Option<WeightsVersion> {
         let fleet = self.fleet.borrow();
