Leave an endpoint alone whichever request its refusal names

Found by reading the change again: a refusal on a kept connection that names another request, or none, is nobody's answer, and the time that the endpoint asked for in it was dropped with it. A copy of an earlier refusal can keep an endpoint out of use a little longer that way, which harms less than the opposite. Where one endpoint asked for nothing and the others of its service take no requests for another reason, callers are told the usual time for that, 2 s, in place of 0.2 s.

--- a/components/dispatch/src/selection.rs
+++ b/components/dispatch/src/selection.rs
@@ -138,7 +138,7 @@
             None => self.refuse(Refusal::NoEndpoint),
             Some(at) if at > now.max(request.arrived_at + max_wait) => {
                 let backoff = self.service_backoff(&request.service, now);
-                let retry_after = backoff.unwrap_or(self.settings.min_retry_after);
+                let retry_after = backoff.unwrap_or(self.settings.max_retry_after);
                 Decision::Refuse { reason: Refusal::Backoff, retry_after }
             }
             Some(_) => self.wait_or_refuse(request, Refusal::NoEndpoint, now),
--- a/components/dispatch/src/state.rs
+++ b/components/dispatch/src/state.rs
@@ -64,6 +64,7 @@
     /// Endpoints that were missing when the store came back from an outage or an older copy, with the time at which they count as
     /// gone.
     pub(crate) lapsed: HashMap<EndpointId, Instant>,
+    /// Times for which endpoints that are not listed now asked to be sent nothing.
     pub(crate) unlisted_backoffs: UnlistedBackoffs,
     /// Endpoints that left a short time ago.
     pub(crate) departures: Departures,
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -115,13 +115,14 @@
             Err(err) => return self.handle_loss(context, assignment, &view, loss_cause(&err), 0),
         };
         let head = &exchange.response;
+        let status = head.status();
+        // Whichever request it answers, the endpoint asks this gateway.
+        self.record_backoff(endpoint, &view, status, head.headers());
         if !is_attributable(context, head.headers(), is_reused) {
             return self.handle_loss(context, assignment, &view, LossCause::Unusable, 0);
         }
-        let status = head.status();
         let class = classify_response(status, head.headers());
         self.record_limit(&assignment, &view, class, head.headers());
-        self.record_backoff(&assignment, &view, status, head.headers());
         // The head of a stream may arrive before its request begins.
         options.has_begun.set(!is_stream(context, &exchange));
         match class {
@@ -308,7 +309,7 @@
     /// Records for how long an endpoint that turned a request away asks to be sent none.
     fn record_backoff(
         &self,
-        assignment: &Assignment,
+        endpoint: EndpointKey,
         view: &EndpointView,
         status: StatusCode,
         headers: &HeaderMap,
@@ -316,7 +317,6 @@
         match requested_backoff(status, headers) {
             Ok(None) => {}
             Ok(Some(time)) => {
-                let endpoint = assignment.in_flight.endpoint;
                 self.dispatcher.borrow_mut().record_backoff(endpoint, time, now());
                 slog::info!(self.log, "endpoint asks for no requests"; "endpoint" => %view.id,
                     "status" => status.as_u16(), "for_ms" => time.as_millis() as u64);
