Review case 2: one wrong character of a manifest ends all service for good

At fault: the stager takes the digests of a version once, passes them on to its neighbours, and never asks again, whatever fails to match them.

--- a/review/standin/cases/mod.rs
+++ b/review/standin/cases/mod.rs
@@ -1,5 +1,6 @@
 //! The cases.
 
+mod recovery;
 mod stopping;
 
 use std::{io, path::Path};
@@ -12,6 +13,7 @@
 
 pub fn play(case: &str, dir: &Path, trouble: bool, record: &Record) -> io::Result<Verdict> {
     match case {
+        "recovery" => recovery::play(dir, trouble, record),
         "stopping" => stopping::play(dir, trouble, record),
         _ => Err(io::Error::other("no such case")),
     }
