Review case 3: gateways do not heed Server-Leaving

While the store turns the gateways away, they send on to a runner that says in its answers that it leaves, until it ends and cuts orders that may run once: rule DRAIN.

At fault: nothing decodes the header; gateways learn of leaving only from the store.

--- a/review/standin/cases/mod.rs
+++ b/review/standin/cases/mod.rs
@@ -1,5 +1,6 @@
 //! The cases.
 
+mod leaving;
 mod recovery;
 mod stopping;
 
@@ -13,6 +14,7 @@
 
 pub fn play(case: &str, dir: &Path, trouble: bool, record: &Record) -> io::Result<Verdict> {
     match case {
+        "leaving" => leaving::play(dir, trouble, record),
         "recovery" => recovery::play(dir, trouble, record),
         "stopping" => stopping::play(dir, trouble, record),
         _ => Err(io::Error::other("no such case")),
