Review case 4: a stager that wakes from a freeze orders unverified weights

A runner takes layers with a piece that has been bad for 3.8 s and writes tokens with them: rule WHOLE.

At fault: load_weights orders the load however long ago it verified the staged pieces. The window is 30 ms and one report, once for each load.

--- a/review/standin/cases/mod.rs
+++ b/review/standin/cases/mod.rs
@@ -1,5 +1,6 @@
 //! The cases.
 
+mod freeze;
 mod leaving;
 mod recovery;
 mod stopping;
@@ -14,6 +15,7 @@
 
 pub fn play(case: &str, dir: &Path, trouble: bool, record: &Record) -> io::Result<Verdict> {
     match case {
+        "freeze" => freeze::play(dir, trouble, record),
         "leaving" => leaving::play(dir, trouble, record),
         "recovery" => recovery::play(dir, trouble, record),
         "stopping" => stopping::play(dir, trouble, record),
