Review case 2: a piece whose upload failed is never uploaded again

Callers get only refusals for good once all runners had one failed upload while a new version was being staged: rule RECOVER, shown with connections that go silent after all processes were killed.

At fault: stage_piece tries once, and due_version never asks for what is missing while the runner serves an older version.

The other cases move down by one, and three of them share Fleet.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
-# Freezes the machine beside a runner between the check of its staged pieces and the order to load them. See claim.txt.
+# Lets runners leave, one after another, while the store turns the gateways away. See claim.txt.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/standin ] || exit 2
 dir=$(mktemp -d) || exit 2
 trap 'rm -rf "$dir"' EXIT
-target/review/standin freeze "$dir" review/4/record.txt
+target/review/standin leaving "$dir" review/4/record.txt
--- a/review/standin/engine.rs
+++ b/review/standin/engine.rs
@@ -9,7 +9,7 @@
 };
 
 use crate::{
-    http::{Message, response, serve},
+    http::{Message, hold_if_silent, response, serve},
     record::Record,
     runner::entry,
     store::Store,
@@ -129,6 +129,12 @@
         if state.written < PIECES { 0 } else { state.read_back }
     }
 
+    /// Number of pieces of a version that are staged.
+    pub fn staged_count(&self, version: u64) -> usize {
+        let state = self.state.lock().unwrap();
+        (0..PIECES).filter(|n| fault_of(&state.staged[*n], version, *n).is_none()).count()
+    }
+
     /// Number of requests that began on layers that are not whole.
     pub fn spoilt_runs(&self) -> u32 {
         self.state.lock().unwrap().spoilt_runs
@@ -149,6 +155,7 @@
         }
         if path.starts_with("/v1/stage-") {
             thread::sleep(STAGE_TIME);
+            hold_if_silent();
             return stream.write_all(&self.stage(request));
         }
         self.run(request, stream)
@@ -269,6 +276,7 @@
     let last = request.header("last-event-id").and_then(|n| n.parse().ok()).unwrap_or(0);
     for event in last + 1..=EVENTS {
         thread::sleep(EVENT_TIME);
+        hold_if_silent();
         let text = format!("id: {event}\ndata: {}\n\n", "t".repeat(50));
         stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())?;
     }
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -1,9 +1,13 @@
 //! HTTP/1.1 messages over blocking sockets, as far as the stand-ins need them.
 
 use std::{
+    cell::RefCell,
     io::{self, Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
-    sync::Arc,
+    sync::{
+        Arc, Mutex, Weak,
+        atomic::{AtomicBool, Ordering::SeqCst},
+    },
     thread,
     time::Duration,
 };
@@ -145,6 +149,31 @@
     bytes
 }
 
+/// Whether each connection that the stand-ins serve has gone silent.
+static CONNECTIONS: Mutex<Vec<Weak<AtomicBool>>> = Mutex::new(Vec::new());
+
+thread_local! {
+    /// The same of the connection that this thread serves.
+    static IS_SILENT: RefCell<Option<Arc<AtomicBool>>> = const { RefCell::new(None) };
+}
+
+/// Lets all open connections to the stand-ins go silent for good. New ones work. Returns their number.
+pub fn silence_all() -> usize {
+    let open: Vec<_> = CONNECTIONS.lock().unwrap().drain(..).filter_map(|c| c.upgrade()).collect();
+    open.iter().for_each(|is_silent| is_silent.store(true, SeqCst));
+    open.len()
+}
+
+/// Does not return if the connection that this thread serves has gone silent.
+pub fn hold_if_silent() {
+    let is_silent = || {
+        IS_SILENT.with_borrow(|silent| silent.as_ref().is_some_and(|silent| silent.load(SeqCst)))
+    };
+    while is_silent() {
+        thread::sleep(Duration::from_secs(1));
+    }
+}
+
 /// Answers a request by writing to its connection. An error closes the connection.
 pub type Handler = Arc<dyn Fn(&Message, &TcpStream) -> io::Result<()> + Send + Sync>;
 
@@ -155,10 +184,14 @@
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             let handler = handler.clone();
+            let is_silent = Arc::new(AtomicBool::new(false));
+            CONNECTIONS.lock().unwrap().push(Arc::downgrade(&is_silent));
             thread::spawn(move || {
+                IS_SILENT.set(Some(is_silent));
                 let _ = stream.set_nodelay(true);
                 let mut reader = Reader::new(&stream);
                 while let Ok(Some(request)) = reader.read() {
+                    hold_if_silent();
                     if handler(&request, &stream).is_err() {
                         break;
                     }
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -7,6 +7,7 @@
 mod balancer;
 mod cases;
 mod engine;
+mod fleet;
 mod http;
 mod load;
 mod process;
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -11,7 +11,7 @@
     time::{Duration, Instant},
 };
 
-use crate::http::{Message, response, serve};
+use crate::http::{Message, hold_if_silent, response, serve};
 
 /// Time that an answer takes.
 const ANSWER_TIME: Duration = Duration::from_millis(4);
@@ -57,6 +57,7 @@
                 true => None,
                 false => store.answer(request, &closed),
             };
+            hold_if_silent();
             let headers = "content-type: application/json\r\nstore-era: 0\r\n";
             stream.write_all(&match body {
                 Some(body) => response("200 OK", headers, body.as_bytes()),
