--- a/review/standin/process.rs
+++ b/review/standin/process.rs
@@ -37,7 +37,9 @@
     pub fn new(dir: &Path) -> io::Result<Network> {
         let pid = std::process::id();
         let octets = [127, 60 + (pid % 150) as u8, (pid / 150 % 250) as u8];
-        let port = || Ok::<u16, io::Error>(TcpListener::bind("0.0.0.0:0")?.local_addr()?.port());
+        let port = || {
+            Ok::<u16, io::Error>(TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()?.port())
+        };
         let (peer_port, control_port) = (port()?, port()?);
         Ok(Network { octets, peer_port, control_port, dir: dir.to_owned() })
     }
