--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -177,31 +177,58 @@
 /// Answers a request by writing to its connection. An error closes the connection.
 pub type Handler = Arc<dyn Fn(&Message, &TcpStream) -> io::Result<()> + Send + Sync>;
 
+/// Interval at which a listener that can be closed looks for connections.
+const ACCEPT_INTERVAL: Duration = Duration::from_millis(1);
+
 /// Serves requests on an address, each connection on a thread of its own.
 pub fn serve(addr: SocketAddr, handler: Handler) -> io::Result<SocketAddr> {
     let listener = TcpListener::bind(addr)?;
     let addr = listener.local_addr()?;
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            let handler = handler.clone();
-            let is_silent = Arc::new(AtomicBool::new(false));
-            CONNECTIONS.lock().unwrap().push(Arc::downgrade(&is_silent));
-            thread::spawn(move || {
-                IS_SILENT.set(Some(is_silent));
-                let _ = stream.set_nodelay(true);
-                let mut reader = Reader::new(&stream);
-                while let Ok(Some(request)) = reader.read() {
-                    hold_if_silent();
-                    if handler(&request, &stream).is_err() {
-                        break;
-                    }
-                }
-            });
+            serve_connection(stream, handler.clone());
+        }
+    });
+    Ok(addr)
+}
+
+/// The same, until `closed` is set: then the listener is closed, and new connections are refused.
+pub fn serve_until(
+    closed: Arc<AtomicBool>,
+    addr: SocketAddr,
+    handler: Handler,
+) -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind(addr)?;
+    listener.set_nonblocking(true)?;
+    let addr = listener.local_addr()?;
+    thread::spawn(move || {
+        while !closed.load(SeqCst) {
+            match listener.accept() {
+                Ok((stream, _)) => serve_connection(stream, handler.clone()),
+                Err(_) => thread::sleep(ACCEPT_INTERVAL),
+            }
         }
     });
     Ok(addr)
 }
 
+fn serve_connection(stream: TcpStream, handler: Handler) {
+    let is_silent = Arc::new(AtomicBool::new(false));
+    CONNECTIONS.lock().unwrap().push(Arc::downgrade(&is_silent));
+    thread::spawn(move || {
+        IS_SILENT.set(Some(is_silent));
+        let _ = stream.set_nonblocking(false);
+        let _ = stream.set_nodelay(true);
+        let mut reader = Reader::new(&stream);
+        while let Ok(Some(request)) = reader.read() {
+            hold_if_silent();
+            if handler(&request, &stream).is_err() {
+                break;
+            }
+        }
+    });
+}
+
 /// What a client sees of a request.
 #[derive(Debug)]
 pub enum Outcome {
--- a/review/standin/runner.rs
+++ b/review/standin/runner.rs
@@ -15,13 +15,16 @@
 };
 
 use crate::{
-    http::{Message, response, serve},
+    http::{Message, response, serve_until},
+    process::wait_until,
     record::Record,
     store::Store,
 };
 
 /// Requests that run at the same time.
 const SLOTS: u64 = 6;
+/// Time in which a runner that ends finishes what it runs.
+const END_TIME: Duration = Duration::from_secs(2);
 
 /// The entry of a runner in the store.
 pub fn entry(service: &str, addr: SocketAddr, state: &str, more: &str) -> String {
@@ -41,6 +44,8 @@
     running: AtomicU64,
     /// Whether its answers say that it leaves.
     leaving: AtomicBool,
+    /// Whether new connections are refused.
+    closed: Arc<AtomicBool>,
     ended: AtomicBool,
     connections: Mutex<Vec<TcpStream>>,
     random: AtomicU64,
@@ -64,7 +69,8 @@
             let runner = found.lock().unwrap().clone();
             runner.ok_or(io::ErrorKind::NotConnected)?.handle(request, stream)
         });
-        let addr = serve((ip, 0).into(), handler)?;
+        let closed = Arc::new(AtomicBool::default());
+        let addr = serve_until(closed.clone(), (ip, 0).into(), handler)?;
         let runner = Arc::new(Runner {
             id: id.to_owned(),
             addr,
@@ -74,6 +80,7 @@
             mean_work,
             running: AtomicU64::default(),
             leaving: AtomicBool::default(),
+            closed,
             ended: AtomicBool::default(),
             connections: Mutex::default(),
             random: AtomicU64::new(u64::from(ip.to_bits()) | 1),
@@ -96,8 +103,11 @@
         self.record.line(format!("leaving  runner={} (the store has accepted it)", self.id));
     }
 
-    /// Ends: all connections are cut, and no request is answered any more.
+    /// Ends as a sound runner does: it refuses new connections, finishes what it runs and closes the others.
     pub fn end(&self) {
+        self.closed.store(true, SeqCst);
+        self.record.line(format!("closes   runner={}", self.id));
+        wait_until(END_TIME, || self.running.load(SeqCst) == 0);
         self.ended.store(true, SeqCst);
         self.store.put(&format!("servers/{}", self.id), None);
         for connection in self.connections.lock().unwrap().drain(..) {
