--- a/review/standin/cases/freeze.rs
+++ b/review/standin/cases/freeze.rs
@@ -18,7 +18,8 @@
 
 /// Machines beside runners. One of all nine freezes.
 const SIDES: u8 = 7;
-const REQUEST_INTERVAL: Duration = Duration::from_millis(50);
+/// Short enough that gateways use all runners.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(15);
 const FROZEN: Duration = Duration::from_secs(4);
 /// Time from the begin of the freeze until a piece turns bad.
 const ROT_DELAY: Duration = Duration::from_millis(200);
