Gateways can be stopped by a test

A test could only stop a gateway by a signal, which every gateway of the test's process gets. gateway::run_until takes the future that ends when the gateway is to stop; run passes the wait for SIGTERM or SIGINT, as before. No behaviour of the product changes.

--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -31,5 +31,5 @@
 mod suspects;
 mod weights;
 
-pub use process::run;
+pub use process::{run, run_until};
 pub use settings::GatewaySettings;
--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -59,6 +59,22 @@
     log: Logger,
     lines: LogBuffer,
     metrics: MetricsHandle,
+) -> anyhow::Result<()> {
+    run_until(wait_for_stop_signal(), file, process, log, lines, metrics).await
+}
+
+/// Runs the gateway until `stopped` ends, and then shuts it down. Its tasks must end with this future.
+///
+/// # Errors
+///
+/// Fails like [`run`], or if `stopped` does.
+pub async fn run_until(
+    stopped: impl Future<Output = anyhow::Result<()>>,
+    file: PathBuf,
+    process: ProcessSettings,
+    log: Logger,
+    lines: LogBuffer,
+    metrics: MetricsHandle,
 ) -> anyhow::Result<()> {
     let dispatch = dispatch_settings(&process);
     let settings = GatewaySettings { dispatch, ..GatewaySettings::default() };
@@ -71,10 +87,11 @@
         "ip" => %process.ip, "store" => %process.store_addr);
     let gateway = Gateway::new(settings, process, dispatcher, pool, socket, log, metrics);
     let gateway = Rc::new(gateway);
-    let (stop, stopped) = watch::channel(StopPhase::Accepting);
-    let callers = gateway.clone().listen(&stopped).await?;
+    let (stop, phase) = watch::channel(StopPhase::Accepting);
+    let callers = gateway.clone().listen(&phase).await?;
     gateway.clone().start_tasks(lines.clone(), file);
-    gateway.stop(&stop, &callers).await?;
+    stopped.await?;
+    gateway.stop(&stop, &callers).await;
     lines.flush();
     sleep(IDLE_POLL_INTERVAL).await;
     Ok(())
@@ -84,7 +101,7 @@
     /// Starts all listeners and returns the count of callers' connections.
     async fn listen(
         self: Rc<Gateway>,
-        stopped: &watch::Receiver<StopPhase>,
+        phase: &watch::Receiver<StopPhase>,
     ) -> anyhow::Result<Rc<OpenConnections>> {
         let mut connections = Rc::default();
         let process = self.process.borrow().clone();
@@ -93,19 +110,19 @@
             let callers = process.caller_addr.context("settings name no address for callers")?;
             let gateway = self.clone();
             let call = move |request| gateway.clone().serve(request);
-            connections = listen(callers, self.caller_settings(), stopped, call).await?;
+            connections = listen(callers, self.caller_settings(), phase, call).await?;
         }
         for addr in [process.readiness_addr, process.control_addr].into_iter().flatten() {
             let gateway = self.clone();
             let call = move |request| gateway.clone().handle_readiness_call(request);
-            listen(addr, inner, stopped, call).await?;
+            listen(addr, inner, phase, call).await?;
         }
         let gateway = self.clone();
         let peers = process.peer_addr(process.ip.into());
         let call = move |request| gateway.clone().handle_peer_call(request);
-        listen(peers, inner, stopped, call).await?;
+        listen(peers, inner, phase, call).await?;
         let page = self.metrics.clone();
-        serve_metrics(process.ip.into(), INTERNAL_IDLE_TIMEOUT, page, stopped, &self.log).await;
+        serve_metrics(process.ip.into(), INTERNAL_IDLE_TIMEOUT, page, phase, &self.log).await;
         Ok(connections)
     }
 
@@ -167,14 +184,9 @@
         own_response(status, None, None)
     }
 
-    /// Waits for the stop signal, then until requests in progress have ended and their responses are
-    /// written, or the grace period is nearly over.
-    async fn stop(
-        &self,
-        stop: &watch::Sender<StopPhase>,
-        callers: &OpenConnections,
-    ) -> anyhow::Result<()> {
-        wait_for_stop_signal().await?;
+    /// Waits until requests in progress have ended and their responses are written, or the grace period is
+    /// nearly over.
+    async fn stop(&self, stop: &watch::Sender<StopPhase>, callers: &OpenConnections) {
         let bounds = self.process.borrow().bounds;
         let started = tokio::time::Instant::now();
         self.stopping.set(Some(Shutdown::new(started.into_std(), bounds.grace_period)));
@@ -190,6 +202,5 @@
         }
         info!(self.log, "stopped"; "busy" => self.in_flight.get(),
             "connections" => callers.used_count());
-        Ok(())
     }
 }
