A gateway that ends no longer takes requests that it cannot answer

Cause: Gateway::stop left its loop as soon as nothing was in progress, and the process then slept 50 ms for the writer of the log. The listener and the connections went on meanwhile, and admission refused only from 2.8 s after SIGTERM on, so a request of these 50 ms was passed on and cut.

Ruled out: the end of the grace period (all cuts came 5 s earlier), the listener's backlog (reset unread, nothing ran), unwritten responses (the cut requests had none).

Change: the check and the refusal of everything stand next to each other with nothing awaited in between. In the new phase StopPhase::Ending the established connections are accepted and refused with 503 and Retry-After, all listeners close, and connections without a request are closed; the log is written after that. This holds for the listeners of readiness, control, peers and metrics too.

--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -16,7 +16,11 @@
 use platform::READY_PATH;
 use slog::{Logger, info};
 use telemetry::{LogBuffer, MetricsHandle};
-use tokio::{sync::watch, task::spawn_local, time::sleep};
+use tokio::{
+    sync::watch,
+    task::spawn_local,
+    time::{sleep, timeout},
+};
 use transport::{AcceptSettings, ConnectionPool, OpenConnections, PoolSettings, StopPhase};
 
 use crate::{
@@ -33,6 +37,25 @@
 const INTERNAL_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Interval between checks whether a process that shuts down is idle.
 const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Maximum time until the last refusals are written, once requests are no longer accepted.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time in which the last lines of the log are written.
+const LOG_WRITE_TIME: Duration = Duration::from_millis(50);
+
+/// Open connections of the process's listeners.
+struct Listeners {
+    callers: Rc<OpenConnections>,
+    /// Connections of peers and of the platform.
+    internal: Vec<Rc<OpenConnections>>,
+}
+
+impl Listeners {
+    /// Returns the number of open connections.
+    fn connection_count(&self) -> usize {
+        let internal: usize = self.internal.iter().map(|connections| connections.count()).sum();
+        self.callers.count() + internal
+    }
+}
 
 /// Derives the dispatcher's settings from the process settings.
 fn dispatch_settings(process: &ProcessSettings) -> DispatchSettings {
@@ -88,22 +111,23 @@
     let gateway = Gateway::new(settings, process, dispatcher, pool, socket, log, metrics);
     let gateway = Rc::new(gateway);
     let (stop, phase) = watch::channel(StopPhase::Accepting);
-    let callers = gateway.clone().listen(&phase).await?;
+    let listeners = gateway.clone().listen(&phase).await?;
     gateway.clone().start_tasks(lines.clone(), file);
     stopped.await?;
-    gateway.stop(&stop, &callers).await;
+    gateway.stop(&stop, &listeners).await;
     lines.flush();
-    sleep(IDLE_POLL_INTERVAL).await;
+    sleep(LOG_WRITE_TIME).await;
     Ok(())
 }
 
 impl Gateway {
-    /// Starts all listeners and returns the count of callers' connections.
+    /// Starts all listeners and returns the counts of their connections.
     async fn listen(
         self: Rc<Gateway>,
         phase: &watch::Receiver<StopPhase>,
-    ) -> anyhow::Result<Rc<OpenConnections>> {
+    ) -> anyhow::Result<Listeners> {
         let mut connections = Rc::default();
+        let mut internal = Vec::new();
         let process = self.process.borrow().clone();
         let inner = internal_accept_settings(INTERNAL_IDLE_TIMEOUT);
         if process.roles.contains(&ProcessRole::Callers) {
@@ -115,15 +139,15 @@
         for addr in [process.readiness_addr, process.control_addr].into_iter().flatten() {
             let gateway = self.clone();
             let call = move |request| gateway.clone().handle_readiness_call(request);
-            listen(addr, inner, phase, call).await?;
+            internal.push(listen(addr, inner, phase, call).await?);
         }
         let gateway = self.clone();
         let peers = process.peer_addr(process.ip.into());
         let call = move |request| gateway.clone().handle_peer_call(request);
-        listen(peers, inner, phase, call).await?;
+        internal.push(listen(peers, inner, phase, call).await?);
         let page = self.metrics.clone();
         serve_metrics(process.ip.into(), INTERNAL_IDLE_TIMEOUT, page, phase, &self.log).await;
-        Ok(connections)
+        Ok(Listeners { callers: connections, internal })
     }
 
     fn caller_settings(&self) -> AcceptSettings {
@@ -185,22 +209,43 @@
     }
 
     /// Waits until requests in progress have ended and their responses are written, or the grace period is
-    /// nearly over.
-    async fn stop(&self, stop: &watch::Sender<StopPhase>, callers: &OpenConnections) {
+    /// nearly over, and closes all listeners and connections.
+    async fn stop(&self, stop: &watch::Sender<StopPhase>, listeners: &Listeners) {
         let bounds = self.process.borrow().bounds;
         let started = tokio::time::Instant::now();
-        self.stopping.set(Some(Shutdown::new(started.into_std(), bounds.grace_period)));
+        let shutdown = Shutdown::new(started.into_std(), bounds.grace_period);
+        self.stopping.set(Some(shutdown));
         info!(self.log, "stop"; "busy" => self.in_flight.get());
         let end = bounds.grace_period.saturating_sub(self.settings.grace_margin);
         sleep(self.settings.shutdown_accept_time.min(end)).await;
         stop.send_replace(StopPhase::Closing);
         // Leaves connections a moment to read requests that are already on their way.
         sleep(IDLE_POLL_INTERVAL).await;
-        let is_busy = || self.in_flight.get() > 0 || callers.used_count() > 0;
+        let is_busy = || self.in_flight.get() > 0 || listeners.callers.used_count() > 0;
         while is_busy() && started.elapsed() < end {
             sleep(IDLE_POLL_INTERVAL).await;
         }
+        // Nothing is awaited since the process was seen idle: no request can begin in between.
+        self.stopping.set(Some(shutdown.refusing_all(now())));
+        stop.send_replace(StopPhase::Ending);
         info!(self.log, "stopped"; "busy" => self.in_flight.get(),
-            "connections" => callers.used_count());
+            "connections" => listeners.callers.used_count());
+        self.wait_until_closed(listeners).await;
+    }
+
+    /// Waits until all connections are closed, so that callers whose requests came too late get a refusal.
+    async fn wait_until_closed(&self, listeners: &Listeners) {
+        // Peers that wait for changes are answered that none will come from here.
+        self.store_changed.notify_waiters();
+        let closing = async {
+            // The listeners still accept the connections that were established before.
+            sleep(IDLE_POLL_INTERVAL).await;
+            while listeners.connection_count() > 0 {
+                sleep(IDLE_POLL_INTERVAL).await;
+            }
+        };
+        if timeout(CLOSE_TIMEOUT, closing).await.is_err() {
+            info!(self.log, "connections not closed in time"; "count" => listeners.connection_count());
+        }
     }
 }
--- a/components/gateway/src/shutdown.rs
+++ b/components/gateway/src/shutdown.rs
@@ -21,6 +21,11 @@
         Shutdown { refuse_from: since + REFUSE_AFTER.min(grace.mul_f64(REFUSE_FRACTION)) }
     }
 
+    /// The same shutdown, in which all requests are refused from `now` on.
+    pub(crate) fn refusing_all(self, now: Instant) -> Shutdown {
+        Shutdown { refuse_from: self.refuse_from.min(now) }
+    }
+
     /// Returns whether a request that arrives at `now` is refused.
     pub(crate) fn refuses(self, now: Instant) -> bool {
         now >= self.refuse_from
--- a/components/transport/src/server.rs
+++ b/components/transport/src/server.rs
@@ -40,8 +40,8 @@
 /// Minimum buffer size that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8192;
 
-/// Phases of a graceful shutdown.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+/// Phases of a graceful shutdown, in their order.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum StopPhase {
     /// Normal operation: connections are accepted.
     #[default]
@@ -49,6 +49,17 @@
     /// Idle connections are closed now, others after their response. New connections still serve one
     /// request each.
     Closing,
+    /// The listener is closed once the connections that are already established are accepted. All
+    /// connections without a request are closed.
+    Ending,
+}
+
+/// Waits until the shutdown has reached a phase.
+async fn reached(stop: &mut watch::Receiver<StopPhase>, phase: StopPhase) {
+    // Fails only if the process ends.
+    let _ = stop.wait_for(|current| *current >= phase).await;
+    // The runtime learns which connections and bytes have arrived, so that these are still handled.
+    yield_now().await;
 }
 
 /// Counts the open connections of a listener.
@@ -105,11 +116,11 @@
     }
 }
 
-/// Accepts connections and serves their requests until the task is dropped.
+/// Accepts connections until [`StopPhase::Ending`] and serves their requests.
 pub async fn serve<H, F, B>(
     listener: TcpListener,
     settings: AcceptSettings,
-    stop: watch::Receiver<StopPhase>,
+    mut stop: watch::Receiver<StopPhase>,
     server: Rc<OpenConnections>,
     handle: H,
 ) where
@@ -118,7 +129,12 @@
     B: Body<Data = bytes::Bytes, Error = ResponseAborted> + 'static,
 {
     loop {
-        let (stream, peer) = match listener.accept().await {
+        let accepted = tokio::select! {
+            biased;
+            accepted = listener.accept() => accepted,
+            () = reached(&mut stop, StopPhase::Ending) => return,
+        };
+        let (stream, peer) = match accepted {
             Ok(accepted) => accepted,
             Err(_) => {
                 tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -170,20 +186,17 @@
         .header_read_timeout(settings.idle_timeout)
         .max_buf_size(settings.max_header_bytes.max(MIN_BUFFER_BYTES));
     // A connection that is accepted while the process closes the others serves one request.
-    let is_closing = *stop.borrow() == StopPhase::Closing;
-    builder.keep_alive(!is_closing);
+    let close_in = match *stop.borrow() {
+        StopPhase::Accepting => StopPhase::Closing,
+        StopPhase::Closing | StopPhase::Ending => StopPhase::Ending,
+    };
+    builder.keep_alive(close_in == StopPhase::Closing);
     let stream = ResettableStream::new(stream, control.clone());
     let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
-    let closing = async {
-        // Fails only if the process ends.
-        let _ = stop.wait_for(|stop| *stop == StopPhase::Closing).await;
-        // The runtime learns which bytes have arrived, so that a request among them is still read.
-        yield_now().await;
-    };
     let ended = tokio::select! {
         biased;
         ended = connection.as_mut() => Some(ended),
-        () = closing, if !is_closing => None,
+        () = reached(&mut stop, close_in) => None,
     };
     let ended = match ended {
         Some(ended) => ended,
