A gateway that stops refuses requests that it would pass on late

Cause: a gateway that stops refuses requests from 2.8 s after SIGTERM on, but asked that only when a head arrived. A request whose body came later, or that waited for an endpoint, was passed on whenever it was ready, and had what was left of the grace period.

Ruled out: kept connections (idle ones are closed 2.3 s after SIGTERM, others after their response) and new ones with the whole request (refused at admission).

Change: Shutdown tells when a request is refused that no endpoint can have begun, and it is asked at the head, while the body is read and before each attempt. Requests that wait are woken at that time and get 503 with Retry-After 50 ms, so that another gateway can take them. Retries of requests that may have run and resumed streams go on.

--- a/components/gateway/src/hedge.rs
+++ b/components/gateway/src/hedge.rs
@@ -71,6 +71,8 @@
     Exhausted,
     /// The request has a part that crashes endpoints. All attempts were ended.
     Suspect,
+    /// The process shuts down, and the request is not sent to an endpoint any more. All attempts were ended.
+    Stopping,
 }
 
 /// The attempts of one request.
@@ -175,9 +177,13 @@
                 return HedgeEvent::Ended(outcome);
             }
             if self.is_suspect() {
-                self.end_suspect();
+                self.abandon();
                 return HedgeEvent::Suspect;
             }
+            if self.must_stop() {
+                self.abandon();
+                return HedgeEvent::Stopping;
+            }
             let mut wake_at = self.in_progress.latest_start(&self.gateway, &self.context.service);
             if self.acquiring.is_none() {
                 match self.plan.next_step(self.progress(), now()) {
@@ -203,6 +209,7 @@
                 }
                 () = sleep_until(wake_at) => {}
                 () = self.gateway.part_refused.notified() => {}
+                () = self.gateway.stage_reached.notified() => {}
                 () = self.gateway.weights_changed.notified(), if !self.in_progress.is_empty() => {}
             }
         }
@@ -216,8 +223,15 @@
         !is_open && suspects.refused_part(&self.context.parts).is_some()
     }
 
+    /// Whether the process shuts down and no endpoint can have begun the request.
+    fn must_stop(&self) -> bool {
+        let may_have_run =
+            self.stream.is_some() || self.is_in_progress() || self.history.may_have_run();
+        !may_have_run && self.gateway.refuses_requests()
+    }
+
     /// Ends all attempts, those included that an endpoint has not begun to answer.
-    fn end_suspect(&mut self) {
+    fn abandon(&mut self) {
         if !self.in_progress.is_empty() {
             self.history.record_unknown();
         }
--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -217,13 +217,19 @@
         self.stopping.set(Some(shutdown));
         info!(self.log, "stop"; "busy" => self.in_flight.get());
         let end = bounds.grace_period.saturating_sub(self.settings.grace_margin);
-        sleep(self.settings.shutdown_accept_time.min(end)).await;
-        stop.send_replace(StopPhase::Closing);
-        // Leaves connections a moment to read requests that are already on their way.
-        sleep(IDLE_POLL_INTERVAL).await;
-        let is_busy = || self.in_flight.get() > 0 || listeners.callers.used_count() > 0;
-        while is_busy() && started.elapsed() < end {
+        let finishing = async {
+            sleep(self.settings.shutdown_accept_time.min(end)).await;
+            stop.send_replace(StopPhase::Closing);
+            // Leaves connections a moment to read requests that are already on their way.
             sleep(IDLE_POLL_INTERVAL).await;
+            let is_busy = || self.in_flight.get() > 0 || listeners.callers.used_count() > 0;
+            while is_busy() && started.elapsed() < end {
+                sleep(IDLE_POLL_INTERVAL).await;
+            }
+        };
+        tokio::select! {
+            () = finishing => {}
+            () = self.announce_stages(shutdown) => {}
         }
         // Nothing is awaited since the process was seen idle: no request can begin in between.
         self.stopping.set(Some(shutdown.refusing_all(now())));
--- a/components/gateway/src/request.rs
+++ b/components/gateway/src/request.rs
@@ -30,6 +30,9 @@
 /// `Retry-After` for requests that crash endpoints.
 pub(crate) const SUSPECT_RETRY_AFTER: Duration = Duration::from_secs(30);
 
+/// `Retry-After` for requests that another gateway can take at once.
+pub(crate) const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
+
 /// Admitted request with everything needed to send it to endpoints.
 pub(crate) struct RequestContext {
     pub(crate) facts: CallerHeaders,
@@ -89,8 +92,7 @@
     pub(crate) fn retry_after(self) -> Option<Duration> {
         match self {
             Denied::NotReady => Some(Duration::from_millis(500)),
-            // Another gateway can take the request at once.
-            Denied::Stopping => Some(Duration::from_millis(50)),
+            Denied::Stopping => Some(STOPPING_RETRY_AFTER),
             Denied::MemoryLimit => Some(Duration::from_secs(1)),
             Denied::Suspect => Some(SUSPECT_RETRY_AFTER),
             _ => None,
@@ -145,7 +147,7 @@
         facts: CallerHeaders,
     ) -> Result<(RequestContext, BodyReservation<'a>), Denied> {
         let arrived = now();
-        if self.stopping.get().is_some_and(|stopping| stopping.refuses(arrived)) {
+        if self.refuses_requests() {
             return Err(Denied::Stopping);
         }
         let config = self.config.borrow().clone().ok_or(Denied::NotReady)?;
@@ -154,7 +156,11 @@
         let workspace = self.workspace(&config, &route, &facts)?;
         let limit = config.limits.max_body_bytes;
         let mut reservation = BodyReservation { gateway: self, bytes: 0 };
-        let body = read_body(body, limit, &mut reservation).await?;
+        let body = tokio::select! {
+            biased;
+            body = read_body(body, limit, &mut reservation) => body?,
+            () = self.refusing() => return Err(Denied::Stopping),
+        };
         let Parts { method, uri, headers, .. } = head;
         let path = uri.into_parts().path_and_query.ok_or(Denied::NoRoute)?;
         let fingerprint = fingerprint(path.as_str(), facts.api_key.as_ref(), &body);
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -15,7 +15,7 @@
 use crate::{
     attempt::{AttemptOutcome, LossCause, OpenStream},
     hedge::{Hedge, HedgeEvent},
-    request::{RequestContext, SUSPECT_RETRY_AFTER},
+    request::{RequestContext, STOPPING_RETRY_AFTER, SUSPECT_RETRY_AFTER},
     response::{ResponseBody, forwarded_response, own_response},
     state::{Assignment, Gateway, now},
 };
@@ -48,6 +48,11 @@
         self.waited = waited;
     }
 
+    /// Whether an attempt that has ended may have run.
+    pub(crate) fn may_have_run(&self) -> bool {
+        self.may_have_run
+    }
+
     /// Records that an attempt was ended that may have run.
     pub(crate) fn record_unknown(&mut self) {
         self.may_have_run = true;
@@ -138,6 +143,10 @@
                     let history = &mut hedge.history;
                     return self.give_up(context, history, "suspect", SUSPECT_RETRY_AFTER).into();
                 }
+                HedgeEvent::Stopping => {
+                    let history = &mut hedge.history;
+                    return self.give_up(context, history, "stopping", STOPPING_RETRY_AFTER).into();
+                }
                 HedgeEvent::Exhausted => {
                     let history = &mut hedge.history;
                     return self.give_up(context, history, "attempts", REFUSED_RETRY_AFTER).into();
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -100,6 +100,8 @@
     pub(crate) pauses: RefCell<Pauses>,
     /// Set once the process received SIGTERM.
     pub(crate) stopping: Cell<Option<Shutdown>>,
+    /// Wakes the requests in progress at the next stage of the shutdown.
+    pub(crate) stage_reached: Notify,
     /// Number of requests in progress, streams included.
     pub(crate) in_flight: Cell<usize>,
     /// Memory reserved for request bodies, in bytes.
@@ -227,6 +229,7 @@
             receiving: ReceiveProgress::default(),
             pauses: RefCell::new(Pauses::new(MAX_NEWS_GAP, now(), BootTime::now())),
             stopping: Cell::new(None),
+            stage_reached: Notify::new(),
             in_flight: Cell::new(0),
             body_bytes: Cell::new(0),
             refusals: RefCell::default(),
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -258,6 +258,10 @@
                 self.log_not_resumed("suspect");
                 return Some(StreamEnd::Broken);
             }
+            HedgeEvent::Stopping => {
+                self.log_not_resumed("stopping");
+                return Some(StreamEnd::Broken);
+            }
             HedgeEvent::Exhausted => {
                 self.log_not_resumed("attempts");
                 return Some(StreamEnd::Broken);
