A gateway that stops answers all requests before it ends

Cause: the end of the process was a time in Gateway::stop that no request knew. Attempts, queues and streams went by the deadline of the request, endpoints were told that they had so long, and the system closed the connections.

Change: Shutdown has a time by which all requests are answered, 0.2 s before the process ends. It caps the deadline for queues and endpoints; at that time what is open is given up: 503 if no endpoint can have begun it, else the endpoint's own failure or 502, and streams are broken off, with a reset where only the end of the connection would mark their end.

What stays: a response that its caller still reads slowly at the very end is cut, as the process can't outlive its grace period.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt to run a request at one endpoint.
 
-use std::{cell::Cell, net::IpAddr, rc::Rc};
+use std::{cell::Cell, net::IpAddr, rc::Rc, time::Duration};
 
 use base::EVENT_STREAM;
 use bytes::Bytes;
@@ -97,7 +97,8 @@
     ) -> AttemptOutcome {
         let view = self.dispatcher.borrow().endpoint(assignment.in_flight.endpoint, now());
         let Some(view) = view else { return AttemptOutcome::Unsent };
-        let request = endpoint_request(context, &view, &options);
+        let time_left = self.deadline(context).saturating_duration_since(now());
+        let request = endpoint_request(context, &view, &options, time_left);
         let endpoint = assignment.in_flight.endpoint;
         let exchange = self.exchange(context, &view, endpoint, request).await;
         let (exchange, is_reused) = match exchange {
@@ -415,10 +416,11 @@
     context: &RequestContext,
     view: &EndpointView,
     options: &AttemptOptions,
+    time_left: Duration,
 ) -> Request<Full<Bytes>> {
     let out = EndpointHeaders {
         endpoint: &view.id,
-        deadline: context.time_left(),
+        deadline: time_left,
         workspace: context.workspace.as_ref().map(|w| &w.name),
         priority: options.resume_after.map(|_| RESUMED_RANK),
         weights_version: view.version,
--- a/components/gateway/src/hedge.rs
+++ b/components/gateway/src/hedge.rs
@@ -21,6 +21,7 @@
     in_progress::{AttemptInProgress, AttemptsInProgress},
     request::RequestContext,
     serve::{AttemptHistory, REFUSED_RETRY_AFTER},
+    shutdown::ShutdownStage,
     state::{AcquireResult, Assignment, Gateway, InFlight, now},
 };
 
@@ -71,7 +72,7 @@
     Exhausted,
     /// The request has a part that crashes endpoints. All attempts were ended.
     Suspect,
-    /// The process shuts down, and the request is not sent to an endpoint any more. All attempts were ended.
+    /// The process shuts down and gives the request up. All attempts were ended.
     Stopping,
 }
 
@@ -223,11 +224,18 @@
         !is_open && suspects.refused_part(&self.context.parts).is_some()
     }
 
-    /// Whether the process shuts down and no endpoint can have begun the request.
+    /// Whether the process shuts down and gives the request up.
     fn must_stop(&self) -> bool {
-        let may_have_run =
-            self.stream.is_some() || self.is_in_progress() || self.history.may_have_run();
-        !may_have_run && self.gateway.refuses_requests()
+        match self.gateway.shutdown_stage() {
+            ShutdownStage::Serving => false,
+            ShutdownStage::Refusing => !self.may_have_run(),
+            ShutdownStage::GivingUp => true,
+        }
+    }
+
+    /// Whether an endpoint can have begun the request.
+    fn may_have_run(&self) -> bool {
+        self.stream.is_some() || self.is_in_progress() || self.history.may_have_run()
     }
 
     /// Ends all attempts, those included that an endpoint has not begun to answer.
@@ -247,7 +255,9 @@
                 return Some(self.deny("budget", REFUSED_RETRY_AFTER));
             }
         }
-        let request = self.context.pending_request(&self.history.endpoints, self.stream.is_some());
+        let deadline = self.gateway.deadline(&self.context);
+        let is_resumed = self.stream.is_some();
+        let request = self.context.pending_request(&self.history.endpoints, is_resumed, deadline);
         let gateway = self.gateway.clone();
         self.acquiring = Some(Box::pin(async move { gateway.acquire(request).await }));
         None
--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -19,7 +19,7 @@
 use tokio::{
     sync::watch,
     task::spawn_local,
-    time::{sleep, timeout},
+    time::{sleep, sleep_until, timeout},
 };
 use transport::{AcceptSettings, ConnectionPool, OpenConnections, PoolSettings, StopPhase};
 
@@ -212,18 +212,17 @@
     /// nearly over, and closes all listeners and connections.
     async fn stop(&self, stop: &watch::Sender<StopPhase>, listeners: &Listeners) {
         let bounds = self.process.borrow().bounds;
-        let started = tokio::time::Instant::now();
-        let shutdown = Shutdown::new(started.into_std(), bounds.grace_period);
+        let shutdown = Shutdown::new(now(), bounds.grace_period, self.settings.grace_margin);
+        let close_at = shutdown.end().min(now() + self.settings.shutdown_accept_time);
         self.stopping.set(Some(shutdown));
         info!(self.log, "stop"; "busy" => self.in_flight.get());
-        let end = bounds.grace_period.saturating_sub(self.settings.grace_margin);
         let finishing = async {
-            sleep(self.settings.shutdown_accept_time.min(end)).await;
+            sleep_until(close_at.into()).await;
             stop.send_replace(StopPhase::Closing);
             // Leaves connections a moment to read requests that are already on their way.
             sleep(IDLE_POLL_INTERVAL).await;
             let is_busy = || self.in_flight.get() > 0 || listeners.callers.used_count() > 0;
-            while is_busy() && started.elapsed() < end {
+            while is_busy() && now() < shutdown.end() {
                 sleep(IDLE_POLL_INTERVAL).await;
             }
         };
--- a/components/gateway/src/request.rs
+++ b/components/gateway/src/request.rs
@@ -18,6 +18,7 @@
 use quarantine::PartKey;
 
 use crate::{
+    shutdown::ShutdownStage,
     state::{Gateway, now},
     suspect_parts::part_keys,
     suspects::fingerprint,
@@ -147,7 +148,7 @@
         facts: CallerHeaders,
     ) -> Result<(RequestContext, BodyReservation<'a>), Denied> {
         let arrived = now();
-        if self.refuses_requests() {
+        if self.shutdown_stage() >= ShutdownStage::Refusing {
             return Err(Denied::Stopping);
         }
         let config = self.config.borrow().clone().ok_or(Denied::NotReady)?;
@@ -159,7 +160,7 @@
         let body = tokio::select! {
             biased;
             body = read_body(body, limit, &mut reservation) => body?,
-            () = self.refusing() => return Err(Denied::Stopping),
+            () = self.reached(ShutdownStage::Refusing) => return Err(Denied::Stopping),
         };
         let Parts { method, uri, headers, .. } = head;
         let path = uri.into_parts().path_and_query.ok_or(Denied::NoRoute)?;
@@ -259,8 +260,14 @@
 }
 
 impl RequestContext {
-    /// Creates the dispatcher's request for the next attempt, after the endpoints in `tried`.
-    pub(crate) fn pending_request(&self, tried: &[EndpointKey], resumed: bool) -> PendingRequest {
+    /// Creates the dispatcher's request for the next attempt, after the endpoints in `tried`. It must be
+    /// answered by `deadline`.
+    pub(crate) fn pending_request(
+        &self,
+        tried: &[EndpointKey],
+        resumed: bool,
+        deadline: Instant,
+    ) -> PendingRequest {
         let priority = self.workspace.as_ref().and_then(|w| w.priority);
         let priority = priority.unwrap_or(self.route.priority);
         PendingRequest {
@@ -273,7 +280,7 @@
             arrived_at: now(),
             latency_objective: self.route.target_latency,
             max_event_gap: self.route.target_event_gap,
-            deadline: self.deadline,
+            deadline,
             is_resumed: resumed,
             was_refused: self.refused_before || !tried.is_empty(),
             tried: tried.to_vec(),
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -19,6 +19,7 @@
     request::RequestContext,
     response::{ResponseBody, StreamPart, response_with_head},
     serve::InFlightGuard,
+    shutdown::ShutdownStage,
     state::{Gateway, now},
     suspect_parts::ANSWERED_EVENTS,
 };
@@ -63,6 +64,8 @@
     CallerGone,
     /// The deadline passed.
     Late,
+    /// The process shuts down.
+    Stopping,
 }
 
 impl Gateway {
@@ -116,6 +119,7 @@
             }
             Some(StreamEnd::CallerGone) => self.log_end("caller-gone", ""),
             Some(StreamEnd::Late) => self.log_end("broken-off", "timeout"),
+            Some(StreamEnd::Stopping) => self.log_end("broken-off", "stopping"),
             Some(StreamEnd::Broken) | None => self.log_end("broken-off", self.loss.name()),
         }
     }
@@ -184,6 +188,7 @@
             biased;
             sent = self.sender.send(part) => sent.is_err().then_some(StreamEnd::CallerGone),
             () = sleep_until(deadline) => Some(StreamEnd::Late),
+            () = self.gateway.reached(ShutdownStage::GivingUp) => Some(StreamEnd::Stopping),
         }
     }
 
@@ -258,10 +263,7 @@
                 self.log_not_resumed("suspect");
                 return Some(StreamEnd::Broken);
             }
-            HedgeEvent::Stopping => {
-                self.log_not_resumed("stopping");
-                return Some(StreamEnd::Broken);
-            }
+            HedgeEvent::Stopping => return Some(StreamEnd::Stopping),
             HedgeEvent::Exhausted => {
                 self.log_not_resumed("attempts");
                 return Some(StreamEnd::Broken);
