A load is ordered only while the check of its staged pieces is recent

Cause: a check whose age nobody asks. The staged pieces were read back one after the other; then came the notice to gateways, a report, a connection and the order, however long all that took.

Ruled out: a freeze as the cause (slow reads alone show the same), and one during the reads (a read times out, and all are checked again).

Change: a check knows when it began. The last thing before the order is handed to its connection is the question for the check's age, suspensions included; over 2.5 s no order is sent and the pieces are checked again. If reads are slow, more of them run at the same time. The order waits for its answer for the rest of the 3 s only. A replaced piece is read back too.

Measured: a_piece_that_turns_bad_while_the_stager_is_frozen_is_not_loaded and a_piece_that_turns_bad_while_the_others_are_read_is_not_loaded fail before and pass now.

Open: an order that is written in time and accepted over 3 s after the check, as its endpoint stands still too.

--- a/components/stager/src/engine.rs
+++ b/components/stager/src/engine.rs
@@ -3,19 +3,21 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use catalog::{EngineReport, ModelId, WeightsVersion};
+use catalog::{EngineReport, ModelId};
 use http::{HeaderValue, Method, StatusCode, header::CONTENT_TYPE};
 use platform::{
     DecodeError, REPORT_PATH, decode_report,
     weights::{
-        ORDER_PATH, RunningRequests, decode_staged_pieces, load_order, stage_piece_path,
-        staged_piece_path, staged_pieces_path,
+        ORDER_PATH, decode_staged_pieces, stage_piece_path, staged_piece_path, staged_pieces_path,
     },
 };
 use tokio::time::Instant;
 use transport::{BufferedResponse, Connection, TransportError, request};
 
-use crate::shared::Stager;
+use crate::{
+    shared::Stager,
+    staged_check::{MAX_CHECK_AGE, SPOILT_ALLOWANCE, StagedCheck},
+};
 
 /// Maximum size of a response from the endpoint in bytes.
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
@@ -32,6 +34,9 @@
     /// The endpoint asked this VM to send nothing for now, and nothing was sent.
     #[error("the endpoint asked for no requests; they go on in {}ms", .0.as_millis())]
     BackingOff(Duration),
+    /// The staged pieces were checked too long ago, and no order was sent.
+    #[error("the staged pieces were checked {}ms ago", .0.as_millis())]
+    CheckTooOld(Duration),
     /// The response could not be decoded.
     #[error("cannot decode the endpoint's response: {0}")]
     Decode(#[from] DecodeError),
@@ -73,14 +78,23 @@
 
     /// Sends an order once, on a connection of its own: an earlier answer that the endpoint writes once more
     /// on a kept connection would be taken for that of the order. Returns the status of the answer.
-    async fn send_order(&self, body: Bytes) -> Result<StatusCode, EngineError> {
+    async fn send_order(&self, body: Bytes, check: StagedCheck) -> Result<StatusCode, EngineError> {
         let addr = self.endpoint.addr;
         self.check_backoff()?;
         let mut request = request(Method::POST, addr, ORDER_PATH, body);
         request.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-        let deadline = Instant::now() + self.settings.engine_timeout;
-        let connection = Connection::open(addr, self.pool.connect_settings()).await?;
-        let response = connection.send(request, deadline).await?.response;
+        let mut connection = Connection::open(addr, self.pool.connect_settings()).await?;
+        if !connection.ready().await {
+            return Err(TransportError::Unsent.into());
+        }
+        // Nothing is awaited between this and the order, which may not be older than the check permits.
+        let age = self.check_age(check);
+        if age > MAX_CHECK_AGE {
+            return Err(EngineError::CheckTooOld(age));
+        }
+        // An order that is accepted later loads what must be checked again.
+        let time_left = self.settings.engine_timeout.min(SPOILT_ALLOWANCE - age);
+        let response = connection.send(request, Instant::now() + time_left).await?.response;
         self.record_backoff(addr, response.status(), response.headers());
         Ok(response.status())
     }
@@ -134,16 +148,13 @@
         }
     }
 
-    /// Orders the endpoint to load the staged weights.
+    /// Orders the endpoint to load the staged weights, which `check` found right.
     pub(crate) async fn send_load_order(
         &self,
-        model: &ModelId,
-        version: WeightsVersion,
-        running: RunningRequests,
-        sequence: u64,
+        order: Bytes,
+        check: StagedCheck,
     ) -> Result<LoadOrderOutcome, EngineError> {
-        let body = load_order(model, version, running, sequence).into();
-        match self.send_order(body).await? {
+        match self.send_order(order, check).await? {
             StatusCode::ACCEPTED => Ok(LoadOrderOutcome::Begun),
             StatusCode::OK => Ok(LoadOrderOutcome::Done),
             other => Err(EngineError::Status(other.as_u16())),
--- a/components/stager/src/lib.rs
+++ b/components/stager/src/lib.rs
@@ -16,6 +16,7 @@
 mod scheduler;
 mod settings;
 mod shared;
+mod staged_check;
 
 pub use load_schedule::{LoadSettings, PeerStatus, may_load};
 pub use process::run;
--- a/components/stager/src/load.rs
+++ b/components/stager/src/load.rs
@@ -2,10 +2,9 @@
 
 use std::{rc::Rc, time::Duration};
 
-use base::Digest;
 use catalog::WeightsVersion;
 use metrics::counter;
-use platform::weights::RunningRequests;
+use platform::weights::{RunningRequests, load_order};
 use slog::{info, warn};
 use telemetry::names;
 use tokio::time::{Instant, sleep, timeout};
@@ -16,6 +15,7 @@
     load_schedule::may_load,
     open_order::{OrderEnd, Weights},
     shared::{Download, Stager, now},
+    staged_check::StagedCheck,
 };
 
 /// Maximum time between checks whether to load, while new weights wait for it.
@@ -133,18 +133,18 @@
         }
     }
 
-    /// Verifies the staged pieces and orders the endpoint to load them.
+    /// Checks the staged pieces and orders the endpoint to load them.
     async fn load_weights(self: &Rc<Stager>, layout: &WeightsLayout, weights: &Weights) {
-        if !self.verify_staged(layout, weights).await {
+        let Some(check) = self.check_staged(layout, weights).await else {
             sleep(self.settings.retry_delay).await;
             return;
-        }
+        };
         self.loading.set(true);
         self.report_wakeup.notify_one();
         self.inventory_wakeup.notify_one();
         // Gateways learn of the load before the endpoint stops taking requests.
         sleep(self.settings.load_notice).await;
-        self.order_load(layout, weights).await;
+        self.order_load(layout, weights, check).await;
         self.loading.set(false);
         self.report_wakeup.notify_one();
         self.inventory_wakeup.notify_one();
@@ -154,40 +154,14 @@
         }
     }
 
-    /// Reads the staged pieces back and replaces those that do not match their digest. Returns
-    /// whether all pieces are correct now.
-    async fn verify_staged(&self, layout: &WeightsLayout, weights: &Weights) -> bool {
-        let version = weights.version;
-        for (piece, (digest, body)) in (0..).zip(weights.digests.iter().zip(&weights.pieces)) {
-            let staged = match self.get_staged_piece(&layout.model, piece).await {
-                Ok(staged) => staged,
-                Err(err) => {
-                    warn!(self.log, "staged piece not read"; "piece" => piece, "error" => %err);
-                    return false;
-                }
-            };
-            if staged.is_some_and(|staged| Digest::of(&staged) == *digest) {
-                continue;
-            }
-            if !self.may_order(version) {
-                return false;
-            }
-            info!(self.log, "staged piece replaced"; "version" => version.0, "piece" => piece);
-            if let Err(err) = self.put_piece(&layout.model, piece, body.clone()).await {
-                warn!(self.log, "cannot stage a piece"; "piece" => piece, "error" => %err);
-                return false;
-            }
-        }
-        true
-    }
-
     /// Whether a version may be ordered: that of the open order, else the newest one.
-    fn may_order(&self, version: WeightsVersion) -> bool {
+    pub(crate) fn may_order(&self, version: WeightsVersion) -> bool {
         let open = self.open_orders.borrow().current().map(|order| order.weights.version);
         open.or(self.download_version()) == Some(version)
     }
 
-    async fn order_load(&self, layout: &WeightsLayout, weights: &Weights) {
+    /// Orders the endpoint to load the staged pieces, unless their check is too old.
+    async fn order_load(&self, layout: &WeightsLayout, weights: &Weights, check: StagedCheck) {
         let report = match self.get_report().await {
             Ok(report) => report,
             Err(err) => {
@@ -205,7 +179,8 @@
         };
         // From here on the staged pieces stay as they are.
         self.open_orders.borrow_mut().open(weights.clone(), sequence);
-        let result = self.send_load_order(&layout.model, version, running, sequence).await;
+        let body = load_order(&layout.model, version, running, sequence).into();
+        let result = self.send_load_order(body, check).await;
         self.open_orders.borrow_mut().record_end(order_end(&result));
         let accepted = if result.is_ok() { "true" } else { "false" };
         counter!(names::ORDERS, "order" => "load", "accepted" => accepted).increment(1);
@@ -256,7 +231,11 @@
 fn order_end(result: &Result<LoadOrderOutcome, EngineError>) -> OrderEnd {
     match result {
         Ok(LoadOrderOutcome::Begun | LoadOrderOutcome::Done) => OrderEnd::Accepted,
-        Err(EngineError::Status(400..=499) | EngineError::BackingOff(_)) => OrderEnd::NotAccepted,
+        Err(
+            EngineError::Status(400..=499)
+            | EngineError::BackingOff(_)
+            | EngineError::CheckTooOld(_),
+        ) => OrderEnd::NotAccepted,
         Err(EngineError::Transport(err)) if err.is_unsent() => OrderEnd::NotAccepted,
         Err(EngineError::Transport(_) | EngineError::Status(_) | EngineError::Decode(_)) => {
             OrderEnd::Unanswered
--- a/components/stager/src/process.rs
+++ b/components/stager/src/process.rs
@@ -71,6 +71,7 @@
         loading: Cell::default(),
         download: RefCell::default(),
         open_orders: RefCell::default(),
+        read_limit: Cell::default(),
         looked_back: Cell::default(),
         version_missing: Cell::default(),
         named: Cell::default(),
--- a/components/stager/src/shared.rs
+++ b/components/stager/src/shared.rs
@@ -97,6 +97,8 @@
     pub(crate) download: RefCell<Option<Download>>,
     /// The load order that the endpoint may still accept.
     pub(crate) open_orders: RefCell<OpenOrders>,
+    /// Number of staged pieces that the next check reads at the same time at first.
+    pub(crate) read_limit: Cell<usize>,
     /// Whether this process has looked for an order of an earlier run.
     pub(crate) looked_back: Cell<bool>,
     /// Whether it was logged that the fleet is known and no version of its weights.
