A stager that stops sends no order and cuts no piece

What could happen: a stager that was told to stop went on with all tasks for the 250 ms of its log, and then ended whatever was in progress. It still sent orders to load, whose answers nobody read, and pieces to its peers were cut.

Change: it begins no load, answers peers that wait for a piece that it lacks, waits up to 2 s (half of a shorter grace period) for the answer to an order that was sent and for pieces on their way, and closes its listeners before it ends.

--- a/components/stager/src/lib.rs
+++ b/components/stager/src/lib.rs
@@ -19,7 +19,7 @@
 mod staged_check;
 
 pub use load_schedule::{LoadSettings, PeerStatus, may_load};
-pub use process::run;
+pub use process::{run, run_until};
 pub use report_rates::{Audience, ReportRates};
 pub use scheduler::{Fetch, FetchFailure, FetchScheduler, FetchSettings, Neighbour, Source};
 pub use settings::StagerSettings;
--- a/components/stager/src/load.rs
+++ b/components/stager/src/load.rs
@@ -170,7 +170,11 @@
             }
         };
         let (version, sequence) = (weights.version, report.accepted_orders);
-        if report.is_loading || !self.may_order(version) || self.close_order(sequence) {
+        if self.stopping.get()
+            || report.is_loading
+            || !self.may_order(version)
+            || self.close_order(sequence)
+        {
             return;
         }
         let running = match self.interrupts_requests() {
@@ -180,7 +184,9 @@
         // From here on the staged pieces stay as they are.
         self.open_orders.borrow_mut().open(weights.clone(), sequence);
         let body = load_order(&layout.model, version, running, sequence).into();
+        self.ordering.set(true);
         let result = self.send_load_order(body, check).await;
+        self.ordering.set(false);
         self.open_orders.borrow_mut().record_end(order_end(&result));
         let accepted = if result.is_ok() { "true" } else { "false" };
         counter!(names::ORDERS, "order" => "load", "accepted" => accepted).increment(1);
--- a/components/stager/src/peers.rs
+++ b/components/stager/src/peers.rs
@@ -188,7 +188,7 @@
             if let Some(found) = find(self) {
                 return Some(found);
             }
-            if self.download_version() != Some(version) {
+            if self.stopping.get() || self.download_version() != Some(version) {
                 return None;
             }
             timeout_at(deadline, arrived).await.ok()?;
--- a/components/stager/src/process.rs
+++ b/components/stager/src/process.rs
@@ -4,7 +4,7 @@
     cell::{Cell, RefCell},
     path::PathBuf,
     rc::Rc,
-    time::{SystemTime, UNIX_EPOCH},
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use anyhow::Context;
@@ -24,23 +24,51 @@
 use tokio::{
     sync::{Notify, watch},
     task::spawn_local,
-    time::sleep,
+    time::{sleep, timeout},
 };
-use transport::{ConnectionPool, PoolSettings, StopPhase};
+use transport::{ConnectionPool, OpenConnections, PoolSettings, StopPhase};
 
 use crate::{
     settings::StagerSettings,
     shared::{MAX_FLUSH_GAP, Stager, now},
 };
 
+/// Interval between checks whether a process that stops is idle.
+const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Maximum time until the order that was sent is answered and peers have what they asked for, once the
+/// process is told to stop.
+const FINISH_TIMEOUT: Duration = Duration::from_secs(2);
+/// Maximum time until the last connections are closed.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Runs the process until a signal stops it. `file` is the settings file that `process` was read
 /// from.
+///
+/// # Errors
+///
+/// Fails if an address cannot be bound or the settings name no endpoint on this VM.
 pub async fn run(
     file: PathBuf,
     process: ProcessSettings,
     log: Logger,
     lines: LogBuffer,
     metrics: MetricsHandle,
+) -> anyhow::Result<()> {
+    run_until(wait_for_stop_signal(), file, process, log, lines, metrics).await
+}
+
+/// Runs the process until `stopped` ends, and then shuts it down. Its tasks must end with this future.
+///
+/// # Errors
+///
+/// Fails like [`run`], or if `stopped` does.
+pub async fn run_until(
+    stopped: impl Future<Output = anyhow::Result<()>>,
+    file: PathBuf,
+    process: ProcessSettings,
+    log: Logger,
+    lines: LogBuffer,
+    metrics: MetricsHandle,
 ) -> anyhow::Result<()> {
     let endpoint = process.endpoint.clone().context("the settings name no endpoint on this VM")?;
     let settings = StagerSettings::default();
@@ -69,6 +97,8 @@
         failed_polls: Cell::default(),
         backoffs: RefCell::default(),
         loading: Cell::default(),
+        ordering: Cell::default(),
+        stopping: Cell::default(),
         download: RefCell::default(),
         open_orders: RefCell::default(),
         read_limit: Cell::default(),
@@ -85,8 +115,8 @@
         report_number: Cell::default(),
         process: RefCell::new(process),
     });
-    let (stop, stopped) = watch::channel(StopPhase::Accepting);
-    stager.clone().listen(&stopped).await?;
+    let (stop, phase) = watch::channel(StopPhase::Accepting);
+    let peers = stager.clone().listen(&phase).await?;
     spawn_local(stager.clone().fleet_loop(reader));
     spawn_local(stager.clone().receive_loop());
     spawn_local(stager.clone().poll_loop());
@@ -102,28 +132,59 @@
         move || observer.observe_pauses(),
         move || pool.pool.close_expired(),
     ));
-    wait_for_stop_signal().await?;
-    stop.send_replace(StopPhase::Closing);
-    info!(stager.log, "stopped");
+    stopped.await?;
+    stager.stop(&stop, &peers).await;
     lines.flush();
     sleep(FLUSH_INTERVAL).await;
     Ok(())
 }
 
+/// Waits while a condition holds, for some time at the most. Returns whether it holds no longer.
+async fn wait_while(condition: impl Fn() -> bool, limit: Duration) -> bool {
+    let waiting = async {
+        sleep(IDLE_POLL_INTERVAL).await;
+        while condition() {
+            sleep(IDLE_POLL_INTERVAL).await;
+        }
+    };
+    timeout(limit, waiting).await.is_ok()
+}
+
 /// The rate limit for uploads to peers.
 fn upload_rate(process: &ProcessSettings, settings: &StagerSettings) -> ByteRate {
     ByteRate((process.limits.link_bits_per_second / 8.0 * settings.upload_fraction) as u64)
 }
 
 impl Stager {
-    async fn listen(self: Rc<Stager>, stopped: &watch::Receiver<StopPhase>) -> anyhow::Result<()> {
+    /// Starts all listeners and returns the count of peers' connections.
+    async fn listen(
+        self: Rc<Stager>,
+        phase: &watch::Receiver<StopPhase>,
+    ) -> anyhow::Result<Rc<OpenConnections>> {
         let peers = self.process.borrow().peer_addr(self.ip.into());
         let stager = self.clone();
         let handler = move |request: Request<Incoming>| stager.clone().handle_peer_request(request);
-        listen(peers, internal_accept_settings(self.peer_idle_timeout()), stopped, handler).await?;
+        let settings = internal_accept_settings(self.peer_idle_timeout());
+        let connections = listen(peers, settings, phase, handler).await?;
         let page = self.metrics.clone();
-        serve_metrics(self.ip.into(), self.peer_idle_timeout(), page, stopped, &self.log).await;
-        Ok(())
+        serve_metrics(self.ip.into(), self.peer_idle_timeout(), page, phase, &self.log).await;
+        Ok(connections)
+    }
+
+    /// Begins no load any more, and waits a while until the order that was sent is answered and peers have
+    /// what they asked for. Then closes all listeners and connections.
+    async fn stop(&self, stop: &watch::Sender<StopPhase>, peers: &OpenConnections) {
+        self.stopping.set(true);
+        // Peers that wait for a piece ask another stager.
+        self.piece_arrived.notify_waiters();
+        stop.send_replace(StopPhase::Closing);
+        info!(self.log, "stop"; "ordering" => self.ordering.get());
+        let is_busy = || self.ordering.get() || peers.used_count() > 0;
+        let grace_period = self.process.borrow().bounds.grace_period;
+        let is_finished = wait_while(is_busy, FINISH_TIMEOUT.min(grace_period / 2)).await;
+        stop.send_replace(StopPhase::Ending);
+        let is_closed = wait_while(|| peers.count() > 0, CLOSE_TIMEOUT).await;
+        info!(self.log, "stopped"; "finished" => is_finished, "closed" => is_closed);
     }
 
     async fn watch_settings(self: Rc<Stager>, file: PathBuf) {
--- a/components/stager/src/shared.rs
+++ b/components/stager/src/shared.rs
@@ -94,6 +94,10 @@
     pub(crate) backoffs: RefCell<Backoffs>,
     /// Whether a load order is about to be sent or in progress.
     pub(crate) loading: Cell<bool>,
+    /// Whether a load order was sent whose answer is awaited.
+    pub(crate) ordering: Cell<bool>,
+    /// Whether the process was told to stop. It begins no load then.
+    pub(crate) stopping: Cell<bool>,
     pub(crate) download: RefCell<Option<Download>>,
     /// The load order that the endpoint may still accept.
     pub(crate) open_orders: RefCell<OpenOrders>,
