A piece whose upload failed is uploaded again until it is staged

Cause: a piece was uploaded once, as it arrived. Only a load uploaded what was missing, and a load was due only once all pieces had been staged, so one failed or postponed upload kept an endpoint on old weights until the next version.

Ruled out: the load schedule (never asked), missing pieces (all were held), connections that stay silent (new ones worked).

--- a/components/stager/src/fetch.rs
+++ b/components/stager/src/fetch.rs
@@ -355,33 +355,49 @@
         matches!(source, Source::Peer(ip) if neighbours.contains(&ip))
     }
 
-    /// Uploads a held piece to the endpoint.
-    async fn stage_piece(&self, layout: &WeightsLayout, version: WeightsVersion, piece: u32) {
+    /// Uploads a held piece to the endpoint. Returns whether it is staged now.
+    async fn stage_piece(
+        &self,
+        layout: &WeightsLayout,
+        version: WeightsVersion,
+        piece: u32,
+    ) -> bool {
         let is_backing_off = self.remaining_backoff(self.endpoint.addr).is_some();
         if is_backing_off || !self.open_orders.borrow().may_stage(version) {
-            return;
+            return false;
         }
-        let Some(body) = self.held_piece(version, piece) else { return };
-        if let Err(err) = self.put_piece(&layout.model, piece, body).await {
-            warn!(self.log, "cannot stage a piece"; "piece" => piece, "error" => %err);
-            return;
+        let Some(body) = self.held_piece(version, piece) else { return false };
+        self.uploads.set(self.uploads.get() + 1);
+        let uploaded = self.put_piece(&layout.model, piece, body).await;
+        self.uploads.set(self.uploads.get() - 1);
+        match uploaded {
+            Ok(()) => self.record_staged(version, piece),
+            Err(err) => {
+                warn!(self.log, "cannot stage a piece"; "piece" => piece, "error" => %err);
+                false
+            }
         }
-        let complete = match self.download.borrow_mut().as_mut() {
+    }
+
+    /// Records that a piece was uploaded. Returns whether it is one of the newest version.
+    fn record_staged(&self, version: WeightsVersion, piece: u32) -> bool {
+        let is_complete = match self.download.borrow_mut().as_mut() {
             Some(download) if download.version == version => {
                 download.staged.insert(piece);
-                let complete = download.is_staged();
-                if complete {
+                let is_complete = download.is_staged();
+                if is_complete {
                     download.staged_at.get_or_insert_with(now);
                 }
-                complete
+                is_complete
             }
-            _ => false,
+            _ => return false,
         };
-        if complete {
+        if is_complete {
             info!(self.log, "weights staged"; "version" => version.0);
             self.inventory_wakeup.notify_one();
             self.load_wakeup.notify_one();
         }
+        true
     }
 
     /// The content of a piece, if this VM holds it.
@@ -391,7 +407,20 @@
         download.pieces.get(piece as usize)?.clone()
     }
 
-    /// Uploads held pieces that the endpoint has not accepted yet.
+    /// The newest version, if all of it is here and pieces are neither staged nor being uploaded: an upload has
+    /// failed or was postponed.
+    pub(crate) fn unstaged_version(&self) -> Option<WeightsVersion> {
+        let is_reachable =
+            self.failed_polls.get() == 0 && self.remaining_backoff(self.endpoint.addr).is_none();
+        let download = self.download.borrow();
+        let download = download.as_ref().filter(|_| is_reachable && self.uploads.get() == 0)?;
+        let is_unstaged = download.scheduler.is_complete()
+            && !download.is_staged()
+            && self.open_orders.borrow().may_stage(download.version);
+        is_unstaged.then_some(download.version)
+    }
+
+    /// Uploads held pieces that the endpoint has not accepted yet, until one cannot be uploaded.
     pub(crate) async fn stage_missing(&self, layout: &WeightsLayout, version: WeightsVersion) {
         let missing: Vec<u32> = match self.download.borrow().as_ref() {
             Some(download) if download.version == version => {
@@ -401,7 +430,9 @@
             _ => return,
         };
         for piece in missing {
-            self.stage_piece(layout, version, piece).await;
+            if !self.stage_piece(layout, version, piece).await {
+                return;
+            }
         }
     }
 }
--- a/components/stager/src/load.rs
+++ b/components/stager/src/load.rs
@@ -28,7 +28,7 @@
 const LOAD_POLL_INTERVAL: Duration = Duration::from_millis(40);
 
 impl Stager {
-    /// Loads new versions until the task is dropped.
+    /// Loads new versions, and uploads pieces again that could not be staged, until the task is dropped.
     pub(crate) async fn load_loop(self: Rc<Stager>) {
         loop {
             // Whether notified or timed out, everything is checked again.
@@ -40,6 +40,9 @@
                 self.settle_order(&layout, &weights).await;
             } else if let Some(version) = self.due_version() {
                 self.load_version(&layout, version).await;
+            } else if let Some(version) = self.unstaged_version() {
+                self.stage_missing(&layout, version).await;
+                sleep(self.settings.retry_delay).await;
             }
         }
     }
--- a/components/stager/src/process.rs
+++ b/components/stager/src/process.rs
@@ -100,6 +100,7 @@
         ordering: Cell::default(),
         stopping: Cell::default(),
         download: RefCell::default(),
+        uploads: Cell::default(),
         open_orders: RefCell::default(),
         read_limit: Cell::default(),
         looked_back: Cell::default(),
--- a/components/stager/src/shared.rs
+++ b/components/stager/src/shared.rs
@@ -99,6 +99,8 @@
     /// Whether the process was told to stop. It begins no load then.
     pub(crate) stopping: Cell<bool>,
     pub(crate) download: RefCell<Option<Download>>,
+    /// Number of uploads to the endpoint in progress.
+    pub(crate) uploads: Cell<usize>,
     /// The load order that the endpoint may still accept.
     pub(crate) open_orders: RefCell<OpenOrders>,
     /// Number of staged pieces that the next check reads at the same time at first.
