--- a/components/gateway/src/shutdown.rs
+++ b/components/gateway/src/shutdown.rs
@@ -27,7 +27,7 @@
 pub(crate) struct Shutdown {
     /// Time from which requests are refused that no endpoint can have begun.
     refuse_from: Instant,
-    /// Time by which all requests are answered: what has no response by then gets none.
+    /// Time at which the requests in progress are given up, so that their callers get an answer before the end.
     answer_by: Instant,
     /// Time by which the process ends, whatever is in progress.
     end: Instant,
