Interfaces: homes, cold starts, bounds of evacuation; why an endpoint is excluded

The configuration's allowed_regions and cold_start_s, the entry's cold_remaining_ms and the bounds of evacuation and of cold endpoints are decoded into typed values that nothing uses yet. Endpoint selection is split by concern: which endpoints are eligible (with a typed reason for each that is not), how well one suits, what distance costs, who waits and who is refused.

--- a/components/catalog/src/config.rs
+++ b/components/catalog/src/config.rs
@@ -2,9 +2,9 @@
 
 use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
-use base::{ServiceId, WorkspaceId, Zone, number};
+use base::{Rate, ServiceId, WorkspaceId, Zone, number};
 
-use crate::EngineProfile;
+use crate::{EngineProfile, Homes};
 
 number! {
     /// Version number of a configuration. A higher version replaces a lower one.
@@ -107,6 +107,8 @@
     pub max_attempts: u32,
     /// Whether callers without an API key are admitted.
     pub allow_anonymous: bool,
+    /// Regions in which its requests may be served.
+    pub homes: Homes,
 }
 
 impl Route {
@@ -122,6 +124,15 @@
     }
 }
 
+/// What an endpoint bears for a time after its start.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ColdStart {
+    /// Time after its start for which an endpoint is cold.
+    pub time: Duration,
+    /// Requests that a cold endpoint bears, from all processes together.
+    pub request_rate: Rate,
+}
+
 /// Group of endpoints that run the same requests.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Service {
@@ -129,6 +140,8 @@
     pub name: ServiceId,
     /// Maximum number of connections that one endpoint accepts from all processes together.
     pub max_connections: Option<u32>,
+    /// What its endpoints bear while they are cold. `None` if they start at full capacity.
+    pub cold_start: Option<ColdStart>,
     /// Profile of its engines. `None` for a plain service.
     pub engine: Option<EngineProfile>,
     /// Address from which weights are downloaded first, if the service is the origin of weights.
@@ -144,6 +157,8 @@
     pub name: WorkspaceId,
     /// Priority of its requests. Overrides that of the route.
     pub priority: Option<Priority>,
+    /// Regions in which its requests may be served. Those of the route bind as well.
+    pub homes: Homes,
 }
 
 /// Limits on callers' requests and connections.
--- a/components/catalog/src/config/tests.rs
+++ b/components/catalog/src/config/tests.rs
@@ -13,6 +13,7 @@
         destinations: Vec::new(),
         max_attempts: 2,
         allow_anonymous: false,
+        homes: Homes::ANYWHERE,
     }
 }
 
--- a/components/catalog/src/endpoint.rs
+++ b/components/catalog/src/endpoint.rs
@@ -1,6 +1,6 @@
 //! Endpoints as they are registered in the platform's store.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use base::{ServiceId, Zone, text_id};
 
@@ -38,6 +38,8 @@
     /// Start time in Unix milliseconds by the endpoint's own clock. Distinguishes runs that share a
     /// name.
     pub started_at_ms: Option<u64>,
+    /// Time for which it is cold from now on, by its own word.
+    pub cold_time: Duration,
     /// Weights that it held when it published this entry. Empty for a plain service.
     pub held: Vec<HeldWeights>,
     /// Whether it is a model engine, which holds weights.
--- a/components/catalog/src/lib.rs
+++ b/components/catalog/src/lib.rs
@@ -4,14 +4,16 @@
 mod config;
 mod endpoint;
 mod engine;
+mod homes;
 mod load_policy;
 mod process;
 
 pub use config::{
-    ApiKey, Config, ConfigVersion, Destination, Priority, RequestLimits, Route, RouteKind, Service,
-    Workspace,
+    ApiKey, ColdStart, Config, ConfigVersion, Destination, Priority, RequestLimits, Route,
+    RouteKind, Service, Workspace,
 };
 pub use endpoint::{Endpoint, EndpointId, EndpointState, EndpointUpdate};
 pub use engine::{EngineProfile, EngineReport, HeldWeights, ModelId, WeightsSpec, WeightsVersion};
+pub use homes::Homes;
 pub use load_policy::interrupts_on_load;
 pub use process::{Bounds, LocalEndpoint, ProcessLimits, ProcessRole, ProcessSettings};
--- a/components/catalog/src/process.rs
+++ b/components/catalog/src/process.rs
@@ -76,6 +76,12 @@
     pub retry_extra: f64,
     /// Time after the operator named new weights within which requests start only on those.
     pub version_switch: Duration,
+    /// Time after which the endpoints of an evacuated zone receive no new requests.
+    pub evacuation: Duration,
+    /// Factor by which the requests at a cold endpoint may exceed its rate within a second.
+    pub cold_overage: f64,
+    /// Requests at a cold endpoint that are allowed within a second beyond that.
+    pub cold_slack: f64,
     /// Time after the store is reachable again within which the expired entry of a live endpoint is
     /// back.
     pub relist_time: Duration,
@@ -103,6 +109,9 @@
             retry_window: Duration::from_secs(10),
             retry_extra: 10.0,
             version_switch: Duration::from_secs(8),
+            evacuation: Duration::from_secs(5),
+            cold_overage: 1.0,
+            cold_slack: 0.0,
             relist_time: Duration::from_secs(2),
         }
     }
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -3,12 +3,16 @@
 
 mod backoff;
 mod bias;
+mod candidate;
 mod departures;
+mod distance;
+mod eligibility;
 mod endpoint;
 mod engine;
 mod health;
 mod limits;
 mod listing;
+mod refusal;
 mod requests;
 mod retries;
 mod selection;
@@ -24,7 +28,7 @@
 pub use health::{EndpointOutcome, Health};
 pub use listing::Absence;
 pub use requests::{
-    Decision, GenerationSize, PendingRequest, Refusal, RequestKey, VersionRequirement,
+    Decision, Exclusion, GenerationSize, PendingRequest, Refusal, RequestKey, VersionRequirement,
 };
 pub use retries::{RetryBudget, RetrySettings};
 pub use settings::DispatchSettings;
--- a/components/dispatch/src/requests.rs
+++ b/components/dispatch/src/requests.rs
@@ -2,8 +2,8 @@
 
 use std::time::{Duration, Instant};
 
-use base::ServiceId;
-use catalog::WeightsVersion;
+use base::{ServiceId, WorkspaceId};
+use catalog::{Homes, Priority, WeightsVersion};
 use slotmap::new_key_type;
 
 use crate::{EndpointKey, InFlightKey};
@@ -18,6 +18,10 @@
 pub struct GenerationSize {
     /// Length of the prompt in tokens.
     pub prompt_tokens: f64,
+    /// Maximum length of the answer in tokens.
+    pub max_answer_tokens: f64,
+    /// The caller's estimate of the length of the answer in tokens.
+    pub answer_hint: Option<f64>,
 }
 
 /// A request that is to be sent to an endpoint.
@@ -41,12 +45,52 @@
     pub is_resumed: bool,
     /// Whether the caller was refused before.
     pub was_refused: bool,
+    /// Regions in which the request may be served.
+    pub homes: Homes,
+    /// The workspace of the caller, if it is known.
+    pub workspace: Option<WorkspaceId>,
+    /// How urgent the request is.
+    pub priority: Priority,
     /// Endpoints that the request was already sent to.
     pub tried: Vec<EndpointKey>,
     /// Rank among the waiting requests; 0 comes first.
     pub rank: u8,
 }
 
+/// Why an endpoint may not get a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Exclusion {
+    /// The request was sent to it before.
+    Tried,
+    /// It is not in the subset that this gateway follows.
+    NotFollowed,
+    /// It is draining.
+    Leaving,
+    /// It asked to be sent nothing for now.
+    Backoff,
+    /// Its last answers were failures.
+    Unhealthy,
+    /// It loads weights, or holds none.
+    NotServing,
+    /// Its weights may no longer answer.
+    OldWeights,
+}
+
+impl Exclusion {
+    /// Name in logs, metrics and explanations.
+    pub fn name(self) -> &'static str {
+        match self {
+            Exclusion::Tried => "tried",
+            Exclusion::NotFollowed => "not_followed",
+            Exclusion::Leaving => "leaving",
+            Exclusion::Backoff => "backoff",
+            Exclusion::Unhealthy => "unhealthy",
+            Exclusion::NotServing => "not_serving",
+            Exclusion::OldWeights => "old_weights",
+        }
+    }
+}
+
 /// Why a request is refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Refusal {
--- a/components/dispatch/tests/backoff.rs
+++ b/components/dispatch/tests/backoff.rs
@@ -39,6 +39,7 @@
         slots: 2,
         state: EndpointState::Ready,
         started_at_ms: Some(run),
+        cold_time: Duration::ZERO,
         held: vec![HeldWeights { model: "m".parse().unwrap(), version: WeightsVersion(1) }],
         serves_model: true,
     }
@@ -83,6 +84,9 @@
         deadline: now + Duration::from_secs(6),
         is_resumed: false,
         was_refused: false,
+        homes: catalog::Homes::ANYWHERE,
+        workspace: None,
+        priority: catalog::Priority(0),
         tried: Vec::new(),
         rank: 0,
     }
--- a/components/dispatch/tests/departures.rs
+++ b/components/dispatch/tests/departures.rs
@@ -37,6 +37,7 @@
         slots: 4,
         state: EndpointState::Ready,
         started_at_ms: Some(run.into()),
+        cold_time: Duration::ZERO,
         held: Vec::new(),
         serves_model: false,
     }
@@ -84,6 +85,9 @@
         deadline: now + Duration::from_secs(6),
         is_resumed: false,
         was_refused: false,
+        homes: catalog::Homes::ANYWHERE,
+        workspace: None,
+        priority: catalog::Priority(0),
         tried: Vec::new(),
         rank: 0,
     };
--- a/components/dispatch/tests/dispatch.rs
+++ b/components/dispatch/tests/dispatch.rs
@@ -50,6 +50,7 @@
         slots: 4,
         state: EndpointState::Ready,
         started_at_ms: Some(1),
+        cold_time: Duration::ZERO,
         held: vec![HeldWeights { model: "m".parse().unwrap(), version: WeightsVersion(1) }],
         serves_model: true,
     }
@@ -70,7 +71,7 @@
 fn request(now: Instant) -> PendingRequest {
     PendingRequest {
         service: service(),
-        size: Some(GenerationSize { prompt_tokens: 1000.0 }),
+        size: Some(GenerationSize { prompt_tokens: 1000.0, ..GenerationSize::default() }),
         requested_at: now,
         arrived_at: now,
         latency_objective: Duration::from_millis(400),
@@ -78,6 +79,9 @@
         deadline: now + Duration::from_secs(6),
         is_resumed: false,
         was_refused: false,
+        homes: catalog::Homes::ANYWHERE,
+        workspace: None,
+        priority: catalog::Priority(0),
         tried: Vec::new(),
         rank: 0,
     }
--- a/components/dispatch/tests/limits.rs
+++ b/components/dispatch/tests/limits.rs
@@ -20,6 +20,7 @@
         slots: 8,
         state: EndpointState::Ready,
         started_at_ms: Some(started_at_ms),
+        cold_time: Duration::ZERO,
         held: Vec::new(),
         serves_model: false,
     }
@@ -46,6 +47,9 @@
         deadline: now + Duration::from_secs(4),
         is_resumed: false,
         was_refused: false,
+        homes: catalog::Homes::ANYWHERE,
+        workspace: None,
+        priority: catalog::Priority(0),
         tried: Vec::new(),
         rank: 0,
     }
--- a/components/dispatch/tests/subset.rs
+++ b/components/dispatch/tests/subset.rs
@@ -46,6 +46,7 @@
         slots: 8,
         state: EndpointState::Ready,
         started_at_ms: Some(1),
+        cold_time: Duration::ZERO,
         held: vec![HeldWeights { model: "m".parse().unwrap(), version: WeightsVersion(1) }],
         serves_model: true,
     }
--- a/components/gateway/src/hedge/tests.rs
+++ b/components/gateway/src/hedge/tests.rs
@@ -28,6 +28,7 @@
         destinations: Vec::new(),
         max_attempts: 2,
         allow_anonymous: true,
+        homes: catalog::Homes::ANYWHERE,
     };
     Rc::new(RequestContext {
         facts: CallerHeaders::default(),
--- a/components/gateway/src/request.rs
+++ b/components/gateway/src/request.rs
@@ -7,7 +7,7 @@
 
 use base::{Digest, ServiceId};
 use bytes::{Bytes, BytesMut};
-use catalog::{Config, Destination, Route, Workspace};
+use catalog::{Config, Destination, Homes, Route, Workspace};
 use dispatch::{EndpointKey, GenerationSize, PendingRequest};
 use http::{
     HeaderMap, Method, Request, StatusCode, header::HOST, request::Parts, uri::PathAndQuery,
@@ -272,10 +272,11 @@
         let priority = priority.unwrap_or(self.route.priority);
         PendingRequest {
             service: self.service.clone(),
-            size: self
-                .facts
-                .token_counts
-                .map(|tokens| GenerationSize { prompt_tokens: tokens.prompt.into() }),
+            size: self.facts.token_counts.map(|tokens| GenerationSize {
+                prompt_tokens: tokens.prompt.into(),
+                max_answer_tokens: tokens.max_answer.into(),
+                answer_hint: self.facts.answer_hint.map(f64::from),
+            }),
             requested_at: self.first_requested,
             arrived_at: now(),
             latency_objective: self.route.target_latency,
@@ -283,11 +284,22 @@
             deadline,
             is_resumed: resumed,
             was_refused: self.refused_before || !tried.is_empty(),
+            homes: self.homes(),
+            workspace: self.workspace.as_ref().map(|workspace| workspace.name.clone()),
+            priority,
             tried: tried.to_vec(),
             rank: priority.0.saturating_mul(2).saturating_add(u8::from(self.refused_before)),
         }
     }
 
+    /// Returns the regions in which the request may be served: those of both the route and the workspace.
+    fn homes(&self) -> Homes {
+        match &self.workspace {
+            Some(workspace) => self.route.homes.intersection(&workspace.homes),
+            None => self.route.homes.clone(),
+        }
+    }
+
     /// Returns the time by which the response has to begin: the deadline, or a moment before the caller
     /// of a stream gives up waiting for the first event.
     pub(crate) fn response_deadline(&self) -> Instant {
--- a/components/gateway/src/state/tests.rs
+++ b/components/gateway/src/state/tests.rs
@@ -41,6 +41,7 @@
         slots: 1,
         state: EndpointState::Ready,
         started_at_ms: Some(1),
+        cold_time: Duration::ZERO,
         held: Vec::new(),
         serves_model: false,
     }
@@ -57,6 +58,9 @@
         deadline: now() + OBJECTIVE,
         is_resumed: false,
         was_refused: false,
+        homes: catalog::Homes::ANYWHERE,
+        workspace: None,
+        priority: catalog::Priority(0),
         tried: Vec::new(),
         rank: 0,
     }
