--- a/components/dispatch/src/bias.rs
+++ b/components/dispatch/src/bias.rs
@@ -3,29 +3,57 @@
 //!
 //! Requests that other gateways send at the same moment, or that arrive before an engine's next
 //! pass begins, are unknown when a request is sent, but delay it all the same. How much depends on
-//! the load.
+//! the load, and on how early this gateway learns of it.
+
+use std::time::{Duration, Instant};
 
 /// Fraction of the requests that should start no later than predicted.
 const TARGET_QUANTILE: f64 = 0.85;
 /// Step size of the correction for each request, in milliseconds.
 const STEP_MS: f64 = 16.0;
-/// Maximum correction, in milliseconds.
+/// Maximum correction for endpoints whose state this gateway learns first, in milliseconds.
 const MAX_CORRECTION_MS: f64 = 160.0;
+/// Maximum correction for endpoints that other gateways prefer, in milliseconds.
+const MAX_SHARED_CORRECTION_MS: f64 = 640.0;
+/// Time in which a correction for such endpoints loses half of its value while no request is sent to them.
+const HALF_LIFE: Duration = Duration::from_secs(1);
+
+/// How a gateway stands to an endpoint, which decides how well it knows the load there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Relation {
+    /// The gateway is one of those that send requests to the endpoint first.
+    Preferred,
+    /// Other gateways of the endpoint's zone send requests to it first.
+    SameZone,
+    /// The endpoint is in another zone.
+    OtherZone,
+}
 
 /// Running estimate of a quantile of the prediction error.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
-pub struct PredictionBias(f64);
+pub struct PredictionBias {
+    correction_ms: f64,
+    /// When it was last learned, if it gets old.
+    learned_at: Option<Instant>,
+}
 
 impl PredictionBias {
     /// Time to add to a prediction, in milliseconds.
-    pub fn correction_ms(self) -> f64 {
-        self.0
+    pub fn correction_ms(self, now: Instant) -> f64 {
+        let age = self.learned_at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        self.correction_ms * (-age.as_secs_f64() / HALF_LIFE.as_secs_f64()).exp2()
     }
 
     /// Records that a request started `error_ms` later than predicted.
-    pub fn record_error(&mut self, error_ms: f64) {
-        let change = if error_ms > self.0 { TARGET_QUANTILE } else { TARGET_QUANTILE - 1.0 };
-        self.0 = (self.0 + change * STEP_MS).clamp(0.0, MAX_CORRECTION_MS);
+    pub fn record_error(&mut self, relation: Relation, error_ms: f64, now: Instant) {
+        let (max, learned_at) = match relation {
+            Relation::Preferred => (MAX_CORRECTION_MS, None),
+            Relation::SameZone | Relation::OtherZone => (MAX_SHARED_CORRECTION_MS, Some(now)),
+        };
+        let current = self.correction_ms(now);
+        let change = if error_ms > current { TARGET_QUANTILE } else { TARGET_QUANTILE - 1.0 };
+        self.correction_ms = (current + change * STEP_MS).clamp(0.0, max);
+        self.learned_at = learned_at;
     }
 }
 
--- a/components/dispatch/src/candidate.rs
+++ b/components/dispatch/src/candidate.rs
@@ -4,7 +4,7 @@
 
 use catalog::interrupts_on_load;
 
-use crate::{EndpointKey, PendingRequest, endpoint::TrackedEndpoint, state::Dispatcher};
+use crate::{EndpointKey, PendingRequest, Relation, endpoint::TrackedEndpoint, state::Dispatcher};
 
 /// How well an endpoint suits a request.
 pub(crate) struct Candidate {
@@ -34,6 +34,7 @@
         key: EndpointKey,
         tracked: &TrackedEndpoint,
         request: &PendingRequest,
+        reserved: f64,
         now: Instant,
     ) -> Candidate {
         let distance = self.distance_cost_ms(&tracked.listed.zone);
@@ -42,7 +43,7 @@
             request.latency_objective.as_secs_f64() * 1e3 * self.settings.objective_fraction
                 - self.settings.caller_round_trip.as_secs_f64() * 1e3
                 - waited;
-        let bias = self.biases.get(&request.service).copied().unwrap_or_default().correction_ms();
+        let bias = self.correction_ms(tracked, now);
         let max_age = self.settings.max_report_age;
         let shared = tracked.fresh_report(max_age, now).is_some_and(|report| !report.is_preferred);
         let shared = if shared { self.shared_cost_ms(distance) } else { 0.0 };
@@ -61,18 +62,35 @@
             load.awaiting_prefill == 0.0 || pass_ms <= gap_ms * self.settings.event_gap_fraction;
         let slots = f64::from(model.slots());
         let total = tracked.total_in_flight();
+        let leaves_room = reserved == 0.0 || total + 1.0 + reserved <= slots;
         let fraction = if request.is_resumed { 1.0 } else { self.settings.late_slot_fraction };
         let reload = if request.is_resumed { self.reload_cost_ms(tracked, now) } else { 0.0 };
         Candidate {
             key,
             expected_ms,
-            cost_ms: expected_ms + penalty + reload,
-            meets_objective: harmless && expected_ms + bias <= budget,
-            has_late_capacity: harmless && total < slots * fraction,
+            cost_ms: expected_ms + bias + penalty + reload,
+            meets_objective: harmless && leaves_room && expected_ms + bias <= budget,
+            has_late_capacity: harmless && leaves_room && total < slots * fraction,
             has_token: tracked.limit.has_token(),
         }
     }
 
+    /// Time to add to a prediction for an endpoint, in milliseconds.
+    fn correction_ms(&self, tracked: &TrackedEndpoint, now: Instant) -> f64 {
+        let key = (tracked.listed.service.clone(), self.relation(tracked, now));
+        self.biases.get(&key).map_or(0.0, |bias| bias.correction_ms(now))
+    }
+
+    /// How this gateway stands to an endpoint.
+    pub(crate) fn relation(&self, tracked: &TrackedEndpoint, now: Instant) -> Relation {
+        let report = tracked.fresh_report(self.settings.max_report_age, now);
+        match (tracked.listed.zone == self.zone, report) {
+            (false, _) => Relation::OtherZone,
+            (true, Some(report)) if !report.is_preferred => Relation::SameZone,
+            (true, _) => Relation::Preferred,
+        }
+    }
+
     /// Penalty of an endpoint that is about to load other weights and interrupts its running
     /// requests to do so. The last endpoints of a zone by address let their requests finish
     /// instead.
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -4,6 +4,7 @@
 mod backoff;
 mod bias;
 mod candidate;
+mod demand;
 mod departures;
 mod distance;
 mod eligibility;
@@ -12,6 +13,8 @@
 mod health;
 mod limits;
 mod listing;
+mod queue;
+mod rank;
 mod refusal;
 mod requests;
 mod retries;
@@ -21,12 +24,13 @@
 mod state;
 mod subset;
 
-pub use bias::PredictionBias;
+pub use bias::{PredictionBias, Relation};
 pub use departures::ListingOrigin;
 pub use endpoint::{EndpointKey, EngineStatus, InFlightKey, InFlightRequest};
 pub use engine::EngineModel;
 pub use health::{EndpointOutcome, Health};
 pub use listing::Absence;
+pub use rank::{Rank, Urgency};
 pub use requests::{
     Decision, Exclusion, GenerationSize, PendingRequest, Refusal, RequestKey, VersionRequirement,
 };
--- a/components/dispatch/src/requests.rs
+++ b/components/dispatch/src/requests.rs
@@ -3,10 +3,10 @@
 use std::time::{Duration, Instant};
 
 use base::{ServiceId, WorkspaceId};
-use catalog::{Homes, Priority, WeightsVersion};
+use catalog::{Homes, WeightsVersion};
 use slotmap::new_key_type;
 
-use crate::{EndpointKey, InFlightKey};
+use crate::{EndpointKey, InFlightKey, Rank};
 
 new_key_type! {
     /// Identifies a waiting request within this process.
@@ -49,12 +49,10 @@
     pub homes: Homes,
     /// The workspace of the caller, if it is known.
     pub workspace: Option<WorkspaceId>,
-    /// How urgent the request is.
-    pub priority: Priority,
     /// Endpoints that the request was already sent to.
     pub tried: Vec<EndpointKey>,
-    /// Rank among the waiting requests; 0 comes first.
-    pub rank: u8,
+    /// Rank among the waiting requests.
+    pub rank: Rank,
 }
 
 /// Why an endpoint may not get a request.
--- a/components/dispatch/src/selection.rs
+++ b/components/dispatch/src/selection.rs
@@ -59,6 +59,7 @@
         expected_ms: f64,
         now: Instant,
     ) -> Decision {
+        self.record_sent(request, now);
         let prompt_tokens = request.size.map_or(0.0, |size| size.prompt_tokens);
         let in_flight = InFlightRequest {
             prompt_tokens,
@@ -74,7 +75,9 @@
     }
 
     fn candidates(&self, request: &PendingRequest, now: Instant) -> Vec<Candidate> {
+        let reserved = self.reserved_slots(request, now);
         let eligible = self.eligible(request, now);
-        eligible.map(|(key, tracked)| self.candidate(key, tracked, request, now)).collect()
+        let candidate = |(key, tracked)| self.candidate(key, tracked, request, reserved, now);
+        eligible.map(candidate).collect()
     }
 }
--- a/components/dispatch/src/state.rs
+++ b/components/dispatch/src/state.rs
@@ -14,9 +14,9 @@
 
 use crate::{
     Decision, DispatchSettings, EndpointKey, EngineModel, EngineStatus, InFlightKey,
-    PendingRequest, PredictionBias, RequestKey, RetryBudget, backoff::UnlistedBackoffs,
-    departures::Departures, endpoint::TrackedEndpoint, health::EndpointOutcome,
-    requests::VersionRequirement,
+    PendingRequest, PredictionBias, Refusal, Relation, RequestKey, RetryBudget,
+    backoff::UnlistedBackoffs, demand::ServiceDemand, departures::Departures,
+    endpoint::TrackedEndpoint, health::EndpointOutcome, requests::VersionRequirement,
 };
 
 /// A change of the endpoint list that the process has to react to.
@@ -69,7 +69,8 @@
     /// Endpoints that left a short time ago.
     pub(crate) departures: Departures,
     pub(crate) engine_models: HashMap<ServiceId, EngineModel>,
-    pub(crate) biases: HashMap<ServiceId, PredictionBias>,
+    pub(crate) biases: HashMap<(ServiceId, Relation), PredictionBias>,
+    pub(crate) demand: HashMap<ServiceId, ServiceDemand>,
     pub(crate) version_requirements: HashMap<ServiceId, Vec<VersionRequirement>>,
     pub(crate) pending: SlotMap<RequestKey, PendingRequest>,
     /// Waiting requests, in order of arrival.
@@ -97,6 +98,7 @@
             departures: Departures::default(),
             engine_models: HashMap::new(),
             biases: HashMap::new(),
+            demand: HashMap::new(),
             version_requirements: HashMap::new(),
             pending: SlotMap::with_key(),
             waiting: Vec::new(),
@@ -214,7 +216,12 @@
         request: PendingRequest,
         now: Instant,
     ) -> (Option<RequestKey>, Decision) {
-        match self.decide(&request, now) {
+        self.record_arrival(&request, now);
+        let decision = match self.is_behind(&request) {
+            true => self.wait_or_refuse(&request, Refusal::Overload, now),
+            false => self.decide(&request, now),
+        };
+        match decision {
             Decision::Wait => {
                 let key = self.pending.insert(request);
                 self.waiting.push(key);
@@ -227,9 +234,7 @@
     /// Decides again on the waiting requests; returns those that no longer wait.
     pub fn poll(&mut self, now: Instant) -> Vec<(RequestKey, Decision)> {
         let mut order = std::mem::take(&mut self.waiting);
-        order.sort_by_key(|key| {
-            self.pending.get(*key).map(|request| (request.rank, request.arrived_at))
-        });
+        self.sort_waiting(&mut order, now);
         let mut decided = Vec::new();
         for key in order {
             let Some(request) = self.pending.get(key).cloned() else { continue };
@@ -269,9 +274,12 @@
         let error_ms = took - request.expected_ms;
         let service = tracked.listed.service.clone();
         // The pause of a silent endpoint says nothing about later predictions.
-        if !self.record_silence_end(endpoint, in_flight, now) {
-            self.biases.entry(service).or_default().record_error(error_ms);
+        if self.record_silence_end(endpoint, in_flight, now) {
+            return;
         }
+        let relation = self.relation(&self.endpoints[endpoint], now);
+        let bias = self.biases.entry((service, relation)).or_default();
+        bias.record_error(relation, error_ms, now);
     }
 
     /// Records that an endpoint has sent nothing of a response for too long. Its attempt goes on.
--- a/components/dispatch/tests/departures.rs
+++ b/components/dispatch/tests/departures.rs
@@ -87,9 +87,8 @@
         was_refused: false,
         homes: catalog::Homes::ANYWHERE,
         workspace: None,
-        priority: catalog::Priority(0),
         tried: Vec::new(),
-        rank: 0,
+        rank: dispatch::Rank::default(),
     };
     match dispatcher.submit(request, now).1 {
         Decision::Send { endpoint, in_flight, .. } => {
--- a/components/dispatch/tests/limits.rs
+++ b/components/dispatch/tests/limits.rs
@@ -49,9 +49,8 @@
         was_refused: false,
         homes: catalog::Homes::ANYWHERE,
         workspace: None,
-        priority: catalog::Priority(0),
         tried: Vec::new(),
-        rank: 0,
+        rank: dispatch::Rank::default(),
     }
 }
 
--- a/components/gateway/src/request.rs
+++ b/components/gateway/src/request.rs
@@ -8,7 +8,7 @@
 use base::{Digest, ServiceId};
 use bytes::{Bytes, BytesMut};
 use catalog::{Config, Destination, Homes, Route, Workspace};
-use dispatch::{EndpointKey, GenerationSize, PendingRequest};
+use dispatch::{EndpointKey, GenerationSize, PendingRequest, Rank, Urgency};
 use http::{
     HeaderMap, Method, Request, StatusCode, header::HOST, request::Parts, uri::PathAndQuery,
 };
@@ -268,8 +268,6 @@
         resumed: bool,
         deadline: Instant,
     ) -> PendingRequest {
-        let priority = self.workspace.as_ref().and_then(|w| w.priority);
-        let priority = priority.unwrap_or(self.route.priority);
         PendingRequest {
             service: self.service.clone(),
             size: self.facts.token_counts.map(|tokens| GenerationSize {
@@ -286,12 +284,17 @@
             was_refused: self.refused_before || !tried.is_empty(),
             homes: self.homes(),
             workspace: self.workspace.as_ref().map(|workspace| workspace.name.clone()),
-            priority,
             tried: tried.to_vec(),
-            rank: priority.0.saturating_mul(2).saturating_add(u8::from(self.refused_before)),
+            rank: Rank { urgency: self.urgency(), returned: self.refused_before },
         }
     }
 
+    /// Returns how urgent the request is.
+    pub(crate) fn urgency(&self) -> Urgency {
+        let workspace = self.workspace.as_ref().and_then(|workspace| workspace.priority);
+        Urgency::new(workspace, self.route.priority)
+    }
+
     /// Returns the regions in which the request may be served: those of both the route and the workspace.
     fn homes(&self) -> Homes {
         match &self.workspace {
--- a/components/gateway/src/state/tests.rs
+++ b/components/gateway/src/state/tests.rs
@@ -60,9 +60,8 @@
         was_refused: false,
         homes: catalog::Homes::ANYWHERE,
         workspace: None,
-        priority: catalog::Priority(0),
         tried: Vec::new(),
-        rank: 0,
+        rank: dispatch::Rank::default(),
     }
 }
 
