--- a/components/catalog/src/config.rs
+++ b/components/catalog/src/config.rs
@@ -1,8 +1,13 @@
 //! The operator's configuration: routes, services, workspaces and limits.
 
-use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeSet, HashMap},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
-use base::{Rate, ServiceId, WorkspaceId, Zone, number};
+use base::{Rate, Region, ServiceId, WorkspaceId, Zone, number};
 
 use crate::{EngineProfile, Homes};
 
@@ -214,6 +219,14 @@
         self.routes.values().map(Vec::len).sum()
     }
 
+    /// Returns all regions to which a route or a workspace binds requests.
+    pub fn home_regions(&self) -> BTreeSet<Region> {
+        let of_routes = self.routes.values().flatten().map(|route| &route.homes);
+        let workspaces = self.workspaces.iter().flat_map(HashMap::values);
+        let of_workspaces = workspaces.map(|workspace| &workspace.homes);
+        of_routes.chain(of_workspaces).flat_map(Homes::regions).cloned().collect()
+    }
+
     /// Returns the address and zone from which weights are downloaded first.
     pub fn weights_origin(&self) -> Option<(SocketAddr, Option<&Zone>)> {
         let mut origins =
--- a/components/catalog/src/homes.rs
+++ b/components/catalog/src/homes.rs
@@ -39,4 +39,9 @@
     pub fn is_bound(&self) -> bool {
         self.0.is_some()
     }
+
+    /// The regions to which requests are bound; none if they are bound to none or to nothing at all.
+    pub fn regions(&self) -> impl Iterator<Item = &Region> {
+        self.0.iter().flat_map(|regions| regions.iter())
+    }
 }
--- a/components/catalog/src/process.rs
+++ b/components/catalog/src/process.rs
@@ -76,8 +76,9 @@
     pub retry_extra: f64,
     /// Time after the operator named new weights within which requests start only on those.
     pub version_switch: Duration,
-    /// Time after which the endpoints of an evacuated zone receive no new requests.
-    pub evacuation: Duration,
+    /// Time after which the endpoints of an evacuated zone receive no new requests, if the operator
+    /// promises one.
+    pub evacuation: Option<Duration>,
     /// Factor by which the requests at a cold endpoint may exceed its rate within a second.
     pub cold_overage: f64,
     /// Requests at a cold endpoint that are allowed within a second beyond that.
@@ -91,10 +92,12 @@
 const MIN_CHANGE_BOUND: Duration = Duration::from_millis(500);
 
 impl Bounds {
-    /// Time within which every change of the store must be known: that of an endpoint that leaves, and
-    /// that of the configuration.
+    /// Time within which every change of the store must be known: that of an endpoint that leaves, that
+    /// of the configuration, and the evacuation of a zone.
     pub fn change_bound(&self) -> Duration {
-        self.drain_time.min(self.config_propagation).max(MIN_CHANGE_BOUND)
+        let bound = self.drain_time.min(self.config_propagation);
+        let bound = self.evacuation.map_or(bound, |evacuation| bound.min(evacuation));
+        bound.max(MIN_CHANGE_BOUND)
     }
 }
 
@@ -109,7 +112,7 @@
             retry_window: Duration::from_secs(10),
             retry_extra: 10.0,
             version_switch: Duration::from_secs(8),
-            evacuation: Duration::from_secs(5),
+            evacuation: None,
             cold_overage: 1.0,
             cold_slack: 0.0,
             relist_time: Duration::from_secs(2),
--- a/components/dispatch/src/backoff.rs
+++ b/components/dispatch/src/backoff.rs
@@ -6,7 +6,7 @@
 };
 
 use base::ServiceId;
-use catalog::{Endpoint, EndpointId};
+use catalog::{Endpoint, EndpointId, Homes};
 
 use crate::{
     EndpointKey, PendingRequest,
@@ -66,31 +66,35 @@
         self.endpoints.get(key).is_some_and(|tracked| tracked.is_backing_off(now))
     }
 
-    /// Time until the first endpoint of a service may be sent requests, if all of them asked to be sent
-    /// none for now.
-    pub fn service_backoff(&self, service: &ServiceId, now: Instant) -> Option<Duration> {
+    /// Time until the first endpoint of a service that may serve requests bound to `homes` may be sent
+    /// some, if all of these asked to be sent none for now.
+    pub fn service_backoff(
+        &self,
+        service: &ServiceId,
+        homes: &Homes,
+        now: Instant,
+    ) -> Option<Duration> {
         let of_service = self.endpoints.values().filter(|tracked| {
-            tracked.listed.service == *service && tracked.is_followed && tracked.is_listed_ready()
+            tracked.listed.service == *service
+                && tracked.is_followed
+                && tracked.is_listed_ready()
+                && self.zone_exclusion(&tracked.listed.zone, homes).is_none()
         });
         let ends = of_service.map(|tracked| tracked.backoff_until.unwrap_or(now).max(now));
         let time = ends.min()?.saturating_duration_since(now);
         (!time.is_zero()).then_some(time.min(self.settings.max_backoff_retry))
     }
 
-    /// When the first endpoint that a request was not sent to yet may be sent it, of those that are only
-    /// paused after a refusal or asked to be sent nothing for now.
+    /// When the first endpoint that a request may be sent to may get it, of those that are only paused
+    /// after a refusal or asked to be sent nothing for now.
     pub(crate) fn earliest_return(
         &self,
         request: &PendingRequest,
         now: Instant,
     ) -> Option<Instant> {
-        let of_service = self.endpoints.iter().filter(|(key, tracked)| {
-            tracked.listed.service == request.service
-                && !request.tried.contains(key)
-                && tracked.is_listed_ready()
-        });
-        let returning = of_service
-            .filter(|(_, tracked)| tracked.is_backing_off(now) || tracked.health.is_pausing());
-        returning.map(|(_, tracked)| tracked.backoff_until.unwrap_or(now).max(now)).min()
+        let passing = self.exclusions(request, now).filter(|(_, why)| why.may_pass_soon());
+        let returning = passing
+            .filter(|(tracked, _)| tracked.is_backing_off(now) || tracked.health.is_pausing());
+        returning.map(|(tracked, _)| tracked.backoff_until.unwrap_or(now).max(now)).min()
     }
 }
--- a/components/dispatch/src/eligibility.rs
+++ b/components/dispatch/src/eligibility.rs
@@ -3,21 +3,32 @@
 
 use std::time::Instant;
 
+use base::Zone;
+use catalog::Homes;
+
 use crate::{
-    EndpointKey, PendingRequest, endpoint::TrackedEndpoint, requests::Exclusion, state::Dispatcher,
+    EndpointKey, PendingRequest, RequestKey, endpoint::TrackedEndpoint, requests::Exclusion,
+    state::Dispatcher,
 };
 
 impl Dispatcher {
-    /// The endpoints that a request may be sent to now.
+    /// The endpoints that a request may be sent to now. A gateway that does not know the others yet
+    /// sends nothing to cold endpoints while there are warm ones.
     pub(crate) fn eligible(
         &self,
         request: &PendingRequest,
         now: Instant,
-    ) -> impl Iterator<Item = (EndpointKey, &TrackedEndpoint)> {
+    ) -> Vec<(EndpointKey, &TrackedEndpoint)> {
         let of_service =
             self.endpoints.iter().filter(|(_, tracked)| tracked.listed.service == request.service);
-        of_service
-            .filter(move |(key, tracked)| self.exclusion(*key, tracked, request, now).is_none())
+        let may_get = |(key, tracked): &(EndpointKey, &TrackedEndpoint)| {
+            self.exclusion(*key, tracked, request, now).is_none()
+        };
+        let mut eligible: Vec<_> = of_service.filter(may_get).collect();
+        if self.gateways.is_none() && eligible.iter().any(|(_, t)| !t.cold.is_cold(now)) {
+            eligible.retain(|(_, tracked)| !tracked.cold.is_cold(now));
+        }
+        eligible
     }
 
     /// Why an endpoint of the service may not get a request now; `None` if it may.
@@ -37,13 +48,54 @@
         if !tracked.is_listed_ready() {
             return Some(Exclusion::Leaving);
         }
+        if let Some(exclusion) = self.zone_exclusion(&tracked.listed.zone, &request.homes) {
+            return Some(exclusion);
+        }
         if tracked.is_backing_off(now) {
             return Some(Exclusion::Backoff);
         }
         if !tracked.health.is_available(now) {
             return Some(Exclusion::Unhealthy);
         }
-        self.weights_exclusion(tracked, now)
+        let by_weights = self.weights_exclusion(tracked, now);
+        by_weights.or_else(|| tracked.cold.is_used_up(now).then_some(Exclusion::Cold))
+    }
+
+    /// The endpoints of the service that may not get a request now, each with the reason.
+    pub(crate) fn exclusions(
+        &self,
+        request: &PendingRequest,
+        now: Instant,
+    ) -> impl Iterator<Item = (&TrackedEndpoint, Exclusion)> {
+        let of_service =
+            self.endpoints.iter().filter(|(_, tracked)| tracked.listed.service == request.service);
+        of_service.filter_map(move |(key, tracked)| {
+            Some((tracked, self.exclusion(key, tracked, request, now)?))
+        })
+    }
+
+    /// Why nothing that may be served in `homes` may be sent to a zone.
+    pub(crate) fn zone_exclusion(&self, zone: &Zone, homes: &Homes) -> Option<Exclusion> {
+        if homes.is_bound() && !homes.allow(self.regions.get(zone)) {
+            return Some(Exclusion::Home);
+        }
+        self.evacuations.contains(zone).then_some(Exclusion::Evacuated)
+    }
+
+    /// Whether an endpoint may no longer be sent a request that was assigned to it: it asked for a pause
+    /// since, its zone was evacuated, or the request may not be served in its region.
+    pub fn is_withheld(&self, key: EndpointKey, homes: &Homes, now: Instant) -> bool {
+        self.endpoints.get(key).is_some_and(|tracked| {
+            tracked.is_backing_off(now)
+                || self.zone_exclusion(&tracked.listed.zone, homes).is_some()
+        })
+    }
+
+    /// Binds a waiting request to `homes`.
+    pub fn set_homes(&mut self, key: RequestKey, homes: Homes) {
+        if let Some(request) = self.pending.get_mut(key) {
+            request.homes = homes;
+        }
     }
 
     /// Whether an engine lacks the weights that may answer.
--- a/components/dispatch/src/endpoint.rs
+++ b/components/dispatch/src/endpoint.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     Health,
+    cold::ColdState,
     engine::{EngineLoad, EngineModel},
     limits::EndpointLimit,
 };
@@ -81,6 +82,8 @@
     pub(crate) others_waiting: f64,
     /// The limit that it names for the requests of all gateways together.
     pub(crate) limit: EndpointLimit,
+    /// How long it is cold, and what this gateway may send it meanwhile.
+    pub(crate) cold: ColdState,
     /// Version of the weights that an answer showed; it may be newer than the listed one.
     pub(crate) observed_version: Option<WeightsVersion>,
 }
@@ -102,6 +105,7 @@
             others_in_flight: 0.0,
             others_waiting: 0.0,
             limit: EndpointLimit::default(),
+            cold: ColdState::default(),
             observed_version: None,
         }
     }
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -4,11 +4,13 @@
 mod backoff;
 mod bias;
 mod candidate;
+mod cold;
 mod departures;
 mod distance;
 mod eligibility;
 mod endpoint;
 mod engine;
+mod evacuation;
 mod health;
 mod limits;
 mod listing;
@@ -22,9 +24,11 @@
 mod subset;
 
 pub use bias::PredictionBias;
+pub use cold::ColdSettings;
 pub use departures::ListingOrigin;
 pub use endpoint::{EndpointKey, EngineStatus, InFlightKey, InFlightRequest};
 pub use engine::EngineModel;
+pub use evacuation::EvacuationChange;
 pub use health::{EndpointOutcome, Health};
 pub use listing::Absence;
 pub use requests::{
--- a/components/dispatch/src/listing.rs
+++ b/components/dispatch/src/listing.rs
@@ -170,6 +170,7 @@
         let started_draining = draining && tracked.leaving_since.is_none();
         tracked.leaving_since = if draining { tracked.leaving_since.or(Some(now)) } else { None };
         tracked.listed = endpoint;
+        self.learn_cold_time(key, now);
         Some(if started_draining {
             EndpointChange::Leaving(key)
         } else {
@@ -186,6 +187,7 @@
         let ip = tracked.ip();
         let key = self.endpoints.insert(tracked);
         self.keys_by_id.insert(id, key);
+        self.learn_cold_time(key, now);
         if let Some(ip) = ip {
             self.keys_by_ip.entry(ip).or_default().push(key);
         }
--- a/components/dispatch/src/refusal.rs
+++ b/components/dispatch/src/refusal.rs
@@ -3,7 +3,8 @@
 use std::time::{Duration, Instant};
 
 use crate::{
-    Decision, DispatchSettings, EndpointKey, PendingRequest, Refusal, RequestKey, state::Dispatcher,
+    Decision, DispatchSettings, EndpointKey, Exclusion, PendingRequest, Refusal, RequestKey,
+    state::Dispatcher,
 };
 
 /// Number of waiting requests that lengthens the retry-after time by its minimum once more.
@@ -20,10 +21,7 @@
         let waited = now.saturating_duration_since(request.arrived_at);
         let max_wait = request.latency_objective.mul_f64(self.settings.max_wait_fraction);
         let left = max_wait.saturating_sub(waited);
-        let of_service = |key: &&RequestKey| {
-            self.pending.get(**key).is_some_and(|pending| pending.service == request.service)
-        };
-        let ahead = self.waiting.iter().filter(of_service).count() as f64;
+        let ahead = self.waiting_ahead(request) as f64;
         if self.tokens_within(limited, left, now) >= ahead + 1.0 {
             return self.wait_or_refuse(request, Refusal::Limited, now);
         }
@@ -33,21 +31,73 @@
         let retry_after = steps.into_iter().find(in_time).unwrap_or(max_retry_after);
         Decision::Refuse { reason: Refusal::Limited, retry_after }
     }
+
     /// Lets a request wait for an endpoint that takes none for a moment, unless that moment is longer than
     /// the request may wait.
     pub(crate) fn wait_for_return(&self, request: &PendingRequest, now: Instant) -> Decision {
         let max_wait = request.latency_objective.mul_f64(self.settings.max_wait_fraction);
+        let wait_until = now.max(request.arrived_at + max_wait);
         match self.earliest_return(request, now) {
-            None => self.refuse(Refusal::NoEndpoint),
-            Some(at) if at > now.max(request.arrived_at + max_wait) => {
-                let backoff = self.service_backoff(&request.service, now);
+            Some(at) if at <= wait_until => self.wait_or_refuse(request, Refusal::NoEndpoint, now),
+            _ if self.may_get_cold_slot(request, wait_until - now, now) => {
+                self.wait_or_refuse(request, Refusal::Cold, now)
+            }
+            Some(_) => {
+                let backoff = self.service_backoff(&request.service, &request.homes, now);
                 let retry_after = backoff.unwrap_or(self.settings.max_retry_after);
                 Decision::Refuse { reason: Refusal::Backoff, retry_after }
             }
-            Some(_) => self.wait_or_refuse(request, Refusal::NoEndpoint, now),
+            None => self.refuse_excluded(request, now),
         }
     }
 
+    /// Whether a request will be sent to a cold endpoint within a time, after those that wait already.
+    fn may_get_cold_slot(&self, request: &PendingRequest, time: Duration, now: Instant) -> bool {
+        let slots = self.cold_slots_within(request, time, now);
+        slots > 0 && slots > self.waiting_ahead(request)
+    }
+
+    /// Number of waiting requests of the same service that were decided before.
+    fn waiting_ahead(&self, request: &PendingRequest) -> usize {
+        let of_service = |key: &&RequestKey| {
+            self.pending.get(**key).is_some_and(|pending| pending.service == request.service)
+        };
+        self.waiting.iter().filter(of_service).count()
+    }
+
+    /// Refuses a request that no endpoint may get soon, and tells why.
+    fn refuse_excluded(&self, request: &PendingRequest, now: Instant) -> Decision {
+        let excluded: Vec<Exclusion> = self.exclusions(request, now).map(|(_, why)| why).collect();
+        if excluded.contains(&Exclusion::Cold) {
+            return self.refuse_cold(request, now);
+        }
+        let may_pass = excluded.iter().any(|why| why.may_pass_soon());
+        if excluded.contains(&Exclusion::Evacuated) && !may_pass {
+            let retry_after = self.settings.evacuation_retry;
+            return Decision::Refuse { reason: Refusal::Evacuated, retry_after };
+        }
+        if !excluded.contains(&Exclusion::Home) {
+            return self.refuse(Refusal::NoEndpoint);
+        }
+        match self.regions.values().any(|region| request.homes.allow(Some(region))) {
+            true => self.refuse(Refusal::NoHome),
+            // Only another configuration lets the request be served.
+            false => {
+                let retry_after = self.settings.max_backoff_retry;
+                Decision::Refuse { reason: Refusal::NoHome, retry_after }
+            }
+        }
+    }
+
+    /// Refuses a request that only cold endpoints could take, until one of them bears another.
+    fn refuse_cold(&self, request: &PendingRequest, now: Instant) -> Decision {
+        let DispatchSettings { min_retry_after, max_retry_after, .. } = self.settings;
+        let next = self.next_cold_slot(request, now);
+        let time = next.map_or(max_retry_after, |at| at.saturating_duration_since(now));
+        let retry_after = time.clamp(min_retry_after, max_retry_after);
+        Decision::Refuse { reason: Refusal::Cold, retry_after }
+    }
+
     /// Lets a request wait, unless it has waited too long or too many requests are waiting.
     pub(crate) fn wait_or_refuse(
         &self,
@@ -68,7 +118,9 @@
         // The more requests are waiting, the later there is capacity.
         let factor = 1.0 + self.waiting.len() as f64 / RETRY_AFTER_SCALE;
         let wait = match reason {
-            Refusal::NoEndpoint => max_retry_after,
+            Refusal::NoEndpoint | Refusal::NoHome | Refusal::Evacuated | Refusal::Cold => {
+                max_retry_after
+            }
             Refusal::Overload | Refusal::Backoff | Refusal::Limited | Refusal::Late => {
                 min_retry_after.mul_f64(factor)
             }
--- a/components/dispatch/src/requests.rs
+++ b/components/dispatch/src/requests.rs
@@ -66,6 +66,10 @@
     NotFollowed,
     /// It is draining.
     Leaving,
+    /// Its region is none in which the request may be served.
+    Home,
+    /// The operator evacuated its zone.
+    Evacuated,
     /// It asked to be sent nothing for now.
     Backoff,
     /// Its last answers were failures.
@@ -74,19 +78,41 @@
     NotServing,
     /// Its weights may no longer answer.
     OldWeights,
+    /// It is cold, and this gateway's share of what it bears is used up.
+    Cold,
 }
 
 impl Exclusion {
+    /// Whether the endpoint may get the request without a change of the fleet, the configuration or what
+    /// the operator wants.
+    pub(crate) fn may_pass_soon(self) -> bool {
+        match self {
+            Exclusion::Backoff
+            | Exclusion::Unhealthy
+            | Exclusion::NotServing
+            | Exclusion::OldWeights
+            | Exclusion::Cold => true,
+            Exclusion::Tried
+            | Exclusion::NotFollowed
+            | Exclusion::Leaving
+            | Exclusion::Home
+            | Exclusion::Evacuated => false,
+        }
+    }
+
     /// Name in logs, metrics and explanations.
     pub fn name(self) -> &'static str {
         match self {
             Exclusion::Tried => "tried",
             Exclusion::NotFollowed => "not_followed",
             Exclusion::Leaving => "leaving",
+            Exclusion::Home => "home",
+            Exclusion::Evacuated => "evacuated",
             Exclusion::Backoff => "backoff",
             Exclusion::Unhealthy => "unhealthy",
             Exclusion::NotServing => "not_serving",
             Exclusion::OldWeights => "old_weights",
+            Exclusion::Cold => "cold",
         }
     }
 }
@@ -102,6 +128,12 @@
     Backoff,
     /// All endpoints that could take the request name limits that are used up.
     Limited,
+    /// No endpoint of a region in which the request may be served can take it.
+    NoHome,
+    /// All endpoints that could take the request are in zones that the operator evacuated.
+    Evacuated,
+    /// All endpoints that could take the request are cold and bear no more for now.
+    Cold,
     /// The deadline of the request has passed.
     Late,
 }
@@ -114,6 +146,9 @@
             Refusal::Overload => "overload",
             Refusal::Backoff => "backoff",
             Refusal::Limited => "limit",
+            Refusal::NoHome => "no_home",
+            Refusal::Evacuated => "evacuated",
+            Refusal::Cold => "cold",
             Refusal::Late => "late",
         }
     }
--- a/components/dispatch/src/selection.rs
+++ b/components/dispatch/src/selection.rs
@@ -68,6 +68,7 @@
             is_silent: false,
         };
         self.take_token(key, now);
+        self.record_cold_send(key, now);
         let in_flight = self.endpoints[key].in_flight.insert(in_flight);
         let expected = predicted_time(expected_ms);
         Decision::Send { endpoint: key, in_flight, expected }
@@ -75,6 +76,7 @@
 
     fn candidates(&self, request: &PendingRequest, now: Instant) -> Vec<Candidate> {
         let eligible = self.eligible(request, now);
-        eligible.map(|(key, tracked)| self.candidate(key, tracked, request, now)).collect()
+        let candidate = |(key, tracked)| self.candidate(key, tracked, request, now);
+        eligible.into_iter().map(candidate).collect()
     }
 }
--- a/components/dispatch/src/settings.rs
+++ b/components/dispatch/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::{net::Ipv4Addr, time::Duration};
 
-use crate::{RetrySettings, SubsetSettings};
+use crate::{ColdSettings, RetrySettings, SubsetSettings};
 
 /// Weights and limits used to select endpoints.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -34,10 +34,14 @@
     pub max_retry_after: Duration,
     /// Maximum retry-after time while all endpoints of a service asked to be sent nothing.
     pub max_backoff_retry: Duration,
+    /// Retry-after time while the zones of all endpoints that could take a request are evacuated.
+    pub evacuation_retry: Duration,
     /// Maximum number of requests that wait for an endpoint, over all services.
     pub max_waiting: usize,
     /// Limits of retries.
     pub retries: RetrySettings,
+    /// How the requests that cold endpoints bear are divided among the gateways.
+    pub cold: ColdSettings,
     /// Limits of the engines that are followed.
     pub subset: SubsetSettings,
     /// Time for which endpoints that disappeared while the store was unreachable are kept.
@@ -60,8 +64,10 @@
             min_retry_after: Duration::from_millis(200),
             max_retry_after: Duration::from_secs(2),
             max_backoff_retry: Duration::from_secs(30),
+            evacuation_retry: Duration::from_secs(5),
             max_waiting: 256,
             retries: RetrySettings::default(),
+            cold: ColdSettings::default(),
             subset: SubsetSettings::default(),
             relist_grace: Duration::from_secs(2),
         }
--- a/components/dispatch/src/state.rs
+++ b/components/dispatch/src/state.rs
@@ -2,21 +2,21 @@
 
 use std::{
     cell::RefCell,
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     net::{Ipv4Addr, SocketAddr},
     time::Instant,
 };
 
 use base::{Region, ServiceId, Zone};
-use catalog::{Endpoint, EndpointId, EngineProfile, WeightsVersion};
+use catalog::{ColdStart, Endpoint, EndpointId, EngineProfile, WeightsVersion};
 use fastrand::Rng;
 use slotmap::SlotMap;
 
 use crate::{
     Decision, DispatchSettings, EndpointKey, EngineModel, EngineStatus, InFlightKey,
     PendingRequest, PredictionBias, RequestKey, RetryBudget, backoff::UnlistedBackoffs,
-    departures::Departures, endpoint::TrackedEndpoint, health::EndpointOutcome,
-    requests::VersionRequirement,
+    cold::KnownGateways, departures::Departures, endpoint::TrackedEndpoint,
+    evacuation::Evacuations, health::EndpointOutcome, requests::VersionRequirement,
 };
 
 /// A change of the endpoint list that the process has to react to.
@@ -68,6 +68,17 @@
     pub(crate) unlisted_backoffs: UnlistedBackoffs,
     /// Endpoints that left a short time ago.
     pub(crate) departures: Departures,
+    /// Zones to which nothing may be sent.
+    pub(crate) evacuations: Evacuations,
+    /// Regions to which the configuration binds requests.
+    pub(crate) home_regions: BTreeSet<Region>,
+    /// The gateways among which the allowance of cold endpoints is divided; `None` until a process has
+    /// named them.
+    pub(crate) gateways: Option<KnownGateways>,
+    /// What the endpoints of the services bear while they are cold.
+    pub(crate) cold_starts: HashMap<ServiceId, ColdStart>,
+    /// Endpoints that became cold since they were last taken.
+    pub(crate) newly_cold: Vec<EndpointKey>,
     pub(crate) engine_models: HashMap<ServiceId, EngineModel>,
     pub(crate) biases: HashMap<ServiceId, PredictionBias>,
     pub(crate) version_requirements: HashMap<ServiceId, Vec<VersionRequirement>>,
@@ -95,6 +106,11 @@
             lapsed: HashMap::new(),
             unlisted_backoffs: UnlistedBackoffs::default(),
             departures: Departures::default(),
+            evacuations: Evacuations::default(),
+            home_regions: BTreeSet::new(),
+            gateways: None,
+            cold_starts: HashMap::new(),
+            newly_cold: Vec::new(),
             engine_models: HashMap::new(),
             biases: HashMap::new(),
             version_requirements: HashMap::new(),
@@ -118,6 +134,11 @@
         }
     }
 
+    /// Sets the regions to which the configuration binds requests.
+    pub fn set_home_regions(&mut self, regions: BTreeSet<Region>) {
+        self.home_regions = regions;
+    }
+
     /// Sets which versions of the weights may answer the service's requests, and from which time.
     pub fn set_version_requirements(
         &mut self,
--- a/components/dispatch/src/subset.rs
+++ b/components/dispatch/src/subset.rs
@@ -1,7 +1,7 @@
 //! Subsetting: which engines a process follows and may send requests to. All of a small fleet; of a
 //! large one a bounded number, most of them in the process's own availability zone.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 
 use base::{Zone, rendezvous_order};
 
@@ -16,13 +16,16 @@
     /// Number of engines that are followed in all other zones together, beyond those that fill the
     /// subset up to `size`.
     pub remote_size: usize,
+    /// Number of engines that are followed at least in each region to which the configuration binds
+    /// requests, if it has as many.
+    pub home_size: usize,
     /// Mean number of processes of its zone that follow an engine, at least.
     pub coverage: usize,
 }
 
 impl Default for SubsetSettings {
     fn default() -> SubsetSettings {
-        SubsetSettings { size: 64, remote_size: 24, coverage: 8 }
+        SubsetSettings { size: 64, remote_size: 24, home_size: 8, coverage: 8 }
     }
 }
 
@@ -58,6 +61,8 @@
         for engines in zones.values() {
             chosen.extend(first(own_name, engines, per_zone));
         }
+        let followed: HashSet<EndpointKey> = chosen.iter().copied().collect();
+        chosen.extend(self.missing_home_engines(own_name, &followed));
         let is_engine = |service| self.engine_models.contains_key(service);
         for tracked in self.endpoints.values_mut() {
             tracked.is_followed = !is_engine(&tracked.listed.service);
@@ -66,6 +71,29 @@
             self.endpoints[key].is_followed = true;
         }
     }
+
+    /// Engines to follow beside `followed` ones, so that requests that are bound to a region find some
+    /// there.
+    fn missing_home_engines(
+        &self,
+        own_name: &str,
+        followed: &HashSet<EndpointKey>,
+    ) -> Vec<EndpointKey> {
+        let mut missing = Vec::new();
+        for region in &self.home_regions {
+            let in_region = self.endpoints.iter().filter(|(_, tracked)| {
+                self.engine_models.contains_key(&tracked.listed.service)
+                    && self.regions.get(&tracked.listed.zone) == Some(region)
+            });
+            let (chosen, others): (Vec<_>, Vec<_>) =
+                in_region.partition(|(key, _)| followed.contains(key));
+            let others: Vec<(EndpointKey, &str)> =
+                others.into_iter().map(|(key, t)| (key, t.listed.id.as_str())).collect();
+            let count = self.settings.subset.home_size.saturating_sub(chosen.len());
+            missing.extend(first(own_name, &others, count));
+        }
+        missing
+    }
 }
 
 /// The `count` engines that rank highest for the process `own_name`.
--- a/components/dispatch/tests/subset.rs
+++ b/components/dispatch/tests/subset.rs
@@ -122,7 +122,7 @@
 fn engines_that_are_not_followed_get_no_requests_and_new_ones_may() {
     let now = Instant::now();
     let settings = DispatchSettings {
-        subset: SubsetSettings { size: 2, remote_size: 0, coverage: 0 },
+        subset: SubsetSettings { size: 2, remote_size: 0, home_size: 0, coverage: 0 },
         ..DispatchSettings::default()
     };
     let mut dispatcher = Dispatcher::new(settings, zone(0), []);
@@ -134,3 +134,28 @@
     dispatcher.update_subset("vm-1", 1);
     assert_eq!(dispatcher.followed_endpoints().count(), 2);
 }
+
+/// Guards against requests that are bound to a region and refused, as this process follows none of its
+/// engines.
+#[test]
+fn a_region_to_which_requests_are_bound_has_followed_engines() {
+    let now = Instant::now();
+    let settings = DispatchSettings {
+        subset: SubsetSettings { size: 4, remote_size: 0, home_size: 3, coverage: 0 },
+        ..DispatchSettings::default()
+    };
+    let regions = (0..3).map(|n| (zone(n), format!("region-{n}").parse().unwrap()));
+    let mut dispatcher = Dispatcher::new(settings, zone(0), regions);
+    dispatcher.set_engine_profile(&service(), Some(&profile()));
+    for n in 0..30 {
+        dispatcher.apply_listing(EndpointUpdate::Published(engine(n % 3, n)), now);
+    }
+    let count = |dispatcher: &Dispatcher, n| {
+        dispatcher.followed_endpoints().filter(|endpoint| endpoint.zone == zone(n)).count()
+    };
+    dispatcher.update_subset("vm-1", 1);
+    assert_eq!([0, 1, 2].map(|n| count(&dispatcher, n)), [4, 0, 0]);
+    dispatcher.set_home_regions(["region-0", "region-2"].map(|r| r.parse().unwrap()).into());
+    dispatcher.update_subset("vm-1", 1);
+    assert_eq!([0, 1, 2].map(|n| count(&dispatcher, n)), [4, 0, 3]);
+}
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -104,8 +104,7 @@
         let (exchange, is_reused) = match exchange {
             Ok(exchange) => exchange,
             Err(err) if err.is_unsent() => {
-                let is_backing_off = self.dispatcher.borrow().is_backing_off(endpoint, now());
-                assignment.set_end(match is_backing_off {
+                assignment.set_end(match self.is_withheld(context, endpoint) {
                     true => EndpointOutcome::Inconclusive,
                     false => EndpointOutcome::Lost,
                 });
@@ -161,32 +160,38 @@
         let idle = if retryable { self.pool.take_idle(view.addr) } else { None };
         let connection = match idle {
             Some(connection) => connection,
-            None => self.open_connection(view, endpoint).await?,
+            None => self.open_connection(context, view, endpoint).await?,
         };
         let is_reused = connection.is_used();
         match connection.send(request.clone(), until).await {
             // The endpoint closed the idle connection before it read the request.
             Err(TransportError::Unsent) if is_reused => {
-                let connection = self.open_connection(view, endpoint).await?;
+                let connection = self.open_connection(context, view, endpoint).await?;
                 Ok((connection.send(request, until).await?, false))
             }
             result => Ok((result?, is_reused)),
         }
     }
 
-    /// Opens a connection. Fails with `Unsent` if the endpoint asked to be sent nothing in the meantime.
+    /// Opens a connection. Fails with `Unsent` if the endpoint may no longer be sent the request then.
     async fn open_connection(
         &self,
+        context: &RequestContext,
         view: &EndpointView,
         endpoint: EndpointKey,
     ) -> Result<Connection, TransportError> {
         let connection = Connection::open(view.addr, self.pool.connect_settings()).await?;
-        match self.dispatcher.borrow().is_backing_off(endpoint, now()) {
+        match self.is_withheld(context, endpoint) {
             true => Err(TransportError::Unsent),
             false => Ok(connection),
         }
     }
 
+    fn is_withheld(&self, context: &RequestContext, endpoint: EndpointKey) -> bool {
+        let homes = self.homes(context);
+        self.dispatcher.borrow().is_withheld(endpoint, &homes, now())
+    }
+
     async fn open_stream(
         self: &Rc<Gateway>,
         context: &RequestContext,
--- a/components/gateway/src/hedge.rs
+++ b/components/gateway/src/hedge.rs
@@ -257,9 +257,11 @@
         }
         let deadline = self.gateway.deadline(&self.context);
         let is_resumed = self.stream.is_some();
-        let request = self.context.pending_request(&self.history.endpoints, is_resumed, deadline);
-        let gateway = self.gateway.clone();
-        self.acquiring = Some(Box::pin(async move { gateway.acquire(request).await }));
+        let homes = self.gateway.homes(&self.context);
+        let tried = &self.history.endpoints;
+        let request = self.context.pending_request(tried, is_resumed, deadline, homes);
+        let (gateway, context) = (self.gateway.clone(), self.context.clone());
+        self.acquiring = Some(Box::pin(async move { gateway.acquire(request, context).await }));
         None
     }
 
@@ -407,4 +409,4 @@
 }
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
--- a/components/gateway/src/hedge/tests.rs
+++ b/components/gateway/src/hedge/tests.rs
@@ -15,7 +15,7 @@
 /// Number of silent requests, more than the dispatcher lets wait.
 const SILENT_COUNT: usize = 300;
 
-fn context() -> Rc<RequestContext> {
+pub(crate) fn context() -> Rc<RequestContext> {
     let route = Route {
         name: "safe".into(),
         host: "h".into(),
@@ -66,9 +66,9 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     runtime.block_on(async {
         let gateway = gateway().await;
-        let _busy = gateway.acquire(request()).await.ok().unwrap();
+        let _busy = gateway.acquire(request(), context()).await.ok().unwrap();
         let _silent: Vec<Hedge> = (0..SILENT_COUNT).map(|_| ask_again(&gateway)).collect();
-        let first = pin!(gateway.acquire(request()));
+        let first = pin!(gateway.acquire(request(), context()));
         let polled = first.poll(&mut Context::from_waker(Waker::noop()));
         assert!(
             polled.is_pending(),
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -142,10 +142,13 @@
         let gateways = {
             let mut gateways = self.other_gateways.borrow_mut();
             gateways.retain(|_, seen| now.saturating_duration_since(*seen) < GATEWAY_EXPIRY);
-            self.gateway_count.get().max(gateways.len() as u32 + 1)
+            self.gateway_count.get().unwrap_or(1).max(gateways.len() as u32 + 1)
         };
+        let others: Vec<Ipv4Addr> = self.other_gateways.borrow().keys().copied().collect();
+        let others = self.knows_gateways(now).then_some(&others[..]);
         let mut dispatcher = self.dispatcher.borrow_mut();
         dispatcher.retry_budget.set_gateways(gateways);
+        dispatcher.set_gateways(others, gateways as usize);
         drop(dispatcher);
         self.suspects.borrow_mut().expire(now);
         self.suspect_parts.borrow_mut().expire(now);
@@ -156,6 +159,14 @@
         self.pool.close_expired();
     }
 
+    /// Whether stagers have told of the other gateways. One that has just started does not know those yet
+    /// that will ask it for reports within an interval.
+    fn knows_gateways(&self, now: Instant) -> bool {
+        let settle = self.settings.subscribe_interval * 2;
+        let told_at = self.gateways_told_at.get();
+        told_at.is_some_and(|at| now.saturating_duration_since(at) >= settle)
+    }
+
     /// Receives and handles messages of peers.
     pub(crate) async fn receive_loop(self: Rc<Gateway>) {
         loop {
@@ -198,7 +209,8 @@
     fn handle_state_report(&self, from: Ipv4Addr, report: StateReport) {
         let now = now();
         let own_ip = self.process.borrow().ip;
-        self.gateway_count.set(report.entry_count.into());
+        self.gateway_count.set(Some(report.entry_count.into()));
+        self.gateways_told_at.set(self.gateways_told_at.get().or(Some(now)));
         {
             let mut gateways = self.other_gateways.borrow_mut();
             gateways.extend(report.entries.iter().filter(|ip| **ip != own_ip).map(|ip| (*ip, now)));
--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -5,7 +5,7 @@
 use anyhow::Context;
 use catalog::{ProcessRole, ProcessSettings};
 use directory::{StoreReader, StoreReaderSettings};
-use dispatch::{DispatchSettings, Dispatcher, RetrySettings};
+use dispatch::{ColdSettings, DispatchSettings, Dispatcher, RetrySettings};
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use lifecycle::{
@@ -66,9 +66,14 @@
         window: bounds.retry_window,
         ..RetrySettings::default()
     };
+    let cold = ColdSettings {
+        overage: bounds.cold_overage,
+        slack: bounds.cold_slack,
+        ..ColdSettings::default()
+    };
     let relist_grace = bounds.relist_time;
     let own_ip = process.ip;
-    DispatchSettings { own_ip, retries, relist_grace, ..DispatchSettings::default() }
+    DispatchSettings { own_ip, retries, cold, relist_grace, ..DispatchSettings::default() }
 }
 
 /// Runs the gateway until a signal stops it. `file` is the settings file from which `process` was read.
@@ -179,6 +184,8 @@
     fn check_listed_endpoints(&self) {
         let dropped = self.dispatcher.borrow_mut().remove_lapsed(now());
         self.handle_endpoint_changes(dropped, ChangeOrigin::Timer);
+        let taken_back = self.dispatcher.borrow_mut().end_unlisted_evacuations(now());
+        self.handle_evacuation_changes(taken_back, ChangeOrigin::Timer);
         let Some(known_until) = self.store_progress.borrow().known_until() else { return };
         let readmitted = self.dispatcher.borrow_mut().readmit_listed(known_until, now());
         self.handle_endpoint_changes(readmitted, ChangeOrigin::Timer);
@@ -187,10 +194,11 @@
     async fn follow_settings(self: Rc<Gateway>, file: PathBuf) {
         let process = self.process.borrow().clone();
         let changed = |process: ProcessSettings| {
-            self.dispatcher
-                .borrow_mut()
-                .retry_budget
-                .set_settings(dispatch_settings(&process).retries);
+            let settings = dispatch_settings(&process);
+            let mut dispatcher = self.dispatcher.borrow_mut();
+            dispatcher.retry_budget.set_settings(settings.retries);
+            dispatcher.set_cold_settings(settings.cold);
+            drop(dispatcher);
             *self.process.borrow_mut() = process;
         };
         SettingsFile::new(file, process).watch(self.log.clone(), changed).await;
--- a/components/gateway/src/request.rs
+++ b/components/gateway/src/request.rs
@@ -211,6 +211,14 @@
     }
 }
 
+/// The regions in which both the route and the workspace allow requests to be served.
+fn homes_of(route: &Route, workspace: Option<&Workspace>) -> Homes {
+    match workspace {
+        Some(workspace) => route.homes.intersection(&workspace.homes),
+        None => route.homes.clone(),
+    }
+}
+
 fn find_route(config: &Config, head: &Parts) -> Option<Arc<Route>> {
     let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
     config.route(host.or(head.uri.host())?, head.uri.path()).cloned()
@@ -267,6 +275,7 @@
         tried: &[EndpointKey],
         resumed: bool,
         deadline: Instant,
+        homes: Homes,
     ) -> PendingRequest {
         let priority = self.workspace.as_ref().and_then(|w| w.priority);
         let priority = priority.unwrap_or(self.route.priority);
@@ -284,7 +293,7 @@
             deadline,
             is_resumed: resumed,
             was_refused: self.refused_before || !tried.is_empty(),
-            homes: self.homes(),
+            homes,
             workspace: self.workspace.as_ref().map(|workspace| workspace.name.clone()),
             priority,
             tried: tried.to_vec(),
@@ -292,12 +301,16 @@
         }
     }
 
-    /// Returns the regions in which the request may be served: those of both the route and the workspace.
-    fn homes(&self) -> Homes {
-        match &self.workspace {
-            Some(workspace) => self.route.homes.intersection(&workspace.homes),
-            None => self.route.homes.clone(),
-        }
+    /// Returns the regions in which the request may be served: those that the configuration allowed at its
+    /// admission and that `config`, the one in force, still allows.
+    pub(crate) fn homes(&self, config: Option<&Config>) -> Homes {
+        let admitted = homes_of(&self.route, self.workspace.as_deref());
+        let Some(config) = config else { return admitted };
+        let route = config.route(&self.route.host, self.path.path()).unwrap_or(&self.route);
+        let key = self.facts.api_key.as_ref();
+        let workspace = key.and_then(|key| config.workspaces.as_ref()?.get(key));
+        let workspace = workspace.or(self.workspace.as_ref());
+        admitted.intersection(&homes_of(route, workspace.map(Arc::as_ref)))
     }
 
     /// Returns the time by which the response has to begin: the deadline, or a moment before the caller
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -263,8 +263,10 @@
         retry_after: Duration,
     ) -> Response<ResponseBody> {
         let status = StatusCode::SERVICE_UNAVAILABLE;
-        let backoff = self.dispatcher.borrow().service_backoff(&context.service, now());
+        let homes = self.homes(context);
+        let backoff = self.dispatcher.borrow().service_backoff(&context.service, &homes, now());
         let retry_after = retry_after.max(backoff.unwrap_or_default());
+        counter!(names::REFUSALS, "reason" => reason).increment(1);
         self.refusals.borrow_mut().record(&context.fingerprint, context.first_requested);
         self.log_request(context, "not-run", reason, status, history);
         own_response(status, context.facts.id.as_ref(), Some(retry_after))
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -10,16 +10,17 @@
 };
 
 use base::{ServiceId, Zone};
-use catalog::{Config, ProcessSettings};
+use catalog::{Config, Homes, ProcessSettings};
 use directory::StoreProgress;
 use dispatch::{
     Decision, Dispatcher, EndpointKey, EndpointOutcome, InFlightKey, PendingRequest, Refusal,
     RequestKey,
 };
 use lifecycle::{BootTime, Pauses};
+use metrics::counter;
 use peering::PeerSocket;
 use slog::{Logger, info};
-use telemetry::MetricsHandle;
+use telemetry::{MetricsHandle, names};
 use tokio::{
     sync::{Notify, oneshot},
     time::{sleep, timeout},
@@ -32,6 +33,7 @@
     position_news::{NewsTimes, PositionNews},
     presumed_weights::PresumedWeights,
     refused::RecentRefusals,
+    request::RequestContext,
     settings::GatewaySettings,
     shutdown::Shutdown,
     suspect_parts::SuspectParts,
@@ -55,8 +57,8 @@
     pub(crate) metrics: MetricsHandle,
     pub(crate) config: RefCell<Option<Arc<Config>>>,
     pub(crate) dispatcher: RefCell<Dispatcher>,
-    /// Channels for the results of queued requests.
-    pending_results: RefCell<HashMap<RequestKey, oneshot::Sender<AcquireResult>>>,
+    /// The queued requests.
+    pending_results: RefCell<HashMap<RequestKey, QueuedRequest>>,
     pub(crate) pool: ConnectionPool,
     pub(crate) socket: PeerSocket,
     pub(crate) suspects: RefCell<SuspectRequests>,
@@ -69,8 +71,11 @@
     pub(crate) weights_changed: Notify,
     /// Other gateways as named by stagers, with the time when they were last named.
     pub(crate) other_gateways: RefCell<HashMap<Ipv4Addr, Instant>>,
-    /// Number of gateways that asked one stager for reports, by the last report.
-    pub(crate) gateway_count: Cell<u32>,
+    /// Number of gateways that asked one stager for reports, by the last report; `None` before the first
+    /// one.
+    pub(crate) gateway_count: Cell<Option<u32>>,
+    /// When a stager first told of other gateways.
+    pub(crate) gateways_told_at: Cell<Option<Instant>>,
     /// Incremented when the fleet that stagers request has changed.
     pub(crate) fleet_revision: Cell<u64>,
     /// Digests of the fleets for the stagers of each service and zone, with the `fleet_revision`
@@ -111,6 +116,13 @@
     pub(crate) zone_gateways: RefCell<HashMap<Ipv4Addr, Instant>>,
 }
 
+/// A request that waits for an endpoint.
+struct QueuedRequest {
+    context: Rc<RequestContext>,
+    /// Takes the result.
+    sender: oneshot::Sender<AcquireResult>,
+}
+
 /// Identifies a request in flight at an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct InFlight {
@@ -214,7 +226,8 @@
             weights_changed: Notify::new(),
             process: RefCell::new(process),
             other_gateways: RefCell::default(),
-            gateway_count: Cell::new(1),
+            gateway_count: Cell::default(),
+            gateways_told_at: Cell::default(),
             fleet_revision: Cell::new(1),
             fleet_digests: RefCell::default(),
             subset_inputs: Cell::default(),
@@ -278,15 +291,33 @@
     }
 
     /// Waits until the request is assigned to an endpoint or refused.
-    pub(crate) async fn acquire(self: &Rc<Gateway>, request: PendingRequest) -> AcquireResult {
+    pub(crate) async fn acquire(
+        self: &Rc<Gateway>,
+        request: PendingRequest,
+        context: Rc<RequestContext>,
+    ) -> AcquireResult {
         let (key, decision) = self.dispatcher.borrow_mut().submit(request, now());
         match key {
             None => self.acquired(decision),
-            Some(key) => self.wait_for_result(key).await,
+            Some(key) => self.wait_for_result(key, context).await,
+        }
+    }
+
+    /// Returns the regions in which a request may be served now.
+    pub(crate) fn homes(&self, context: &RequestContext) -> Homes {
+        context.homes(self.config.borrow().as_deref())
+    }
+
+    /// Binds the queued requests to the regions that the configuration in force allows.
+    pub(crate) fn rebind_waiting(&self) {
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        for (key, queued) in &*self.pending_results.borrow() {
+            dispatcher.set_homes(*key, self.homes(&queued.context));
         }
     }
 
     fn acquired(self: &Rc<Gateway>, decision: Decision) -> AcquireResult {
+        self.count_cold_request(&decision);
         match decision {
             Decision::Send { endpoint, in_flight: key, expected } => Ok(Assignment {
                 gateway: self.clone(),
@@ -300,9 +331,27 @@
         }
     }
 
-    async fn wait_for_result(self: &Rc<Gateway>, key: RequestKey) -> AcquireResult {
+    fn count_cold_request(&self, decision: &Decision) {
+        match decision {
+            Decision::Send { endpoint, .. }
+                if self.dispatcher.borrow().cold_time(*endpoint, now()).is_some() =>
+            {
+                counter!(names::COLD_REQUESTS, "allowed" => "true").increment(1);
+            }
+            Decision::Refuse { reason: Refusal::Cold, .. } => {
+                counter!(names::COLD_REQUESTS, "allowed" => "false").increment(1);
+            }
+            Decision::Send { .. } | Decision::Refuse { .. } | Decision::Wait => {}
+        }
+    }
+
+    async fn wait_for_result(
+        self: &Rc<Gateway>,
+        key: RequestKey,
+        context: Rc<RequestContext>,
+    ) -> AcquireResult {
         let (sender, receiver) = oneshot::channel();
-        self.pending_results.borrow_mut().insert(key, sender);
+        self.pending_results.borrow_mut().insert(key, QueuedRequest { context, sender });
         let _guard = PendingGuard { gateway: self, key };
         self.poll_notify.notify_one();
         receiver.await.unwrap_or_else(|_| self.acquired(Decision::Wait))
@@ -335,9 +384,9 @@
         let decided = self.dispatcher.borrow_mut().poll(now());
         for (key, decision) in decided {
             let result = self.acquired(decision);
-            let sender = self.pending_results.borrow_mut().remove(&key);
+            let queued = self.pending_results.borrow_mut().remove(&key);
             // If the caller disconnected at the same moment, the assignment ends with the result.
-            let _ = sender.map(|sender| sender.send(result));
+            let _ = queued.map(|queued| queued.sender.send(result));
         }
     }
 }
--- a/components/gateway/src/state/tests.rs
+++ b/components/gateway/src/state/tests.rs
@@ -3,11 +3,12 @@
     task::{Context, Waker},
 };
 
-use catalog::{Bounds, Endpoint, EndpointState, EndpointUpdate, ProcessLimits};
+use catalog::{Bounds, ConfigVersion, Endpoint, EndpointState, EndpointUpdate, ProcessLimits};
 use dispatch::DispatchSettings;
 use slog::{Discard, o};
 
 use super::*;
+use crate::{change_origin::ChangeOrigin, hedge::tests::context};
 
 pub(crate) const OBJECTIVE: Duration = Duration::from_secs(60);
 
@@ -86,10 +87,10 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     runtime.block_on(async {
         let gateway = gateway().await;
-        let first = gateway.acquire(request()).await.ok().unwrap();
+        let first = gateway.acquire(request(), context()).await.ok().unwrap();
         let key = first.in_flight.endpoint;
         {
-            let mut queued = pin!(gateway.acquire(request()));
+            let mut queued = pin!(gateway.acquire(request(), context()));
             assert!(queued.as_mut().poll(&mut Context::from_waker(Waker::noop())).is_pending());
             drop(first);
             gateway.poll();
@@ -98,3 +99,22 @@
         assert_eq!(gateway.dispatcher.borrow().in_flight(key), 0);
     });
 }
+
+/// Guards against a waiting request that is sent to a region which a newer configuration forbids.
+#[test]
+fn a_newer_configuration_binds_requests_that_wait() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(async {
+        let gateway = gateway().await;
+        let first = gateway.acquire(request(), context()).await.ok().unwrap();
+        let mut queued = pin!(gateway.acquire(request(), context()));
+        assert!(queued.as_mut().poll(&mut Context::from_waker(Waker::noop())).is_pending());
+        let mut route = (*context().route).clone();
+        route.homes = Homes::only(["elsewhere".parse().unwrap()]);
+        gateway.apply_config(Config::new(ConfigVersion(1), vec![route]), ChangeOrigin::Timer);
+        drop(first);
+        gateway.poll();
+        let (reason, _) = queued.await.err().unwrap();
+        assert_eq!(reason, Refusal::NoHome);
+    });
+}
--- a/components/gateway/src/store_contents.rs
+++ b/components/gateway/src/store_contents.rs
@@ -4,9 +4,9 @@
 use std::sync::Arc;
 
 use catalog::{Config, ModelId, WeightsVersion};
-use dispatch::EndpointChange;
+use dispatch::{EndpointChange, EvacuationChange};
 use metrics::gauge;
-use slog::info;
+use slog::{info, warn};
 use telemetry::names;
 
 use crate::{
@@ -16,6 +16,27 @@
 };
 
 impl Gateway {
+    /// Logs which zones were evacuated or taken back, and checks queued requests.
+    pub(crate) fn handle_evacuation_changes(
+        &self,
+        changes: impl IntoIterator<Item = EvacuationChange>,
+        origin: ChangeOrigin,
+    ) {
+        let mut changes = changes.into_iter().peekable();
+        if changes.peek().is_none() {
+            return;
+        }
+        for EvacuationChange { zone, is_evacuated } in changes {
+            match is_evacuated {
+                true => warn!(self.log, "zone evacuated"; "zone" => %zone, "from" => %origin),
+                false => info!(self.log, "zone taken back"; "zone" => %zone, "from" => %origin),
+            }
+        }
+        let count = self.dispatcher.borrow().evacuated_zones().count();
+        gauge!(names::EVACUATED_ZONES).set(count as f64);
+        self.poll_soon();
+    }
+
     /// Logs changes of endpoints, requests new reports if needed and checks queued requests.
     pub(crate) fn handle_endpoint_changes(
         &self,
@@ -28,6 +49,7 @@
         for change in &changes {
             self.log_endpoint_change(change, origin);
         }
+        self.log_newly_cold();
         let membership_changed =
             |change: &EndpointChange| !matches!(change, EndpointChange::Updated(_));
         if changes.iter().any(membership_changed) {
@@ -37,6 +59,16 @@
         self.poll_soon();
     }
 
+    fn log_newly_cold(&self) {
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        for key in dispatcher.take_newly_cold() {
+            let Some(time) = dispatcher.cold_time(key, now()) else { continue };
+            let id = dispatcher.endpoint(key, now()).map(|view| view.id.to_string());
+            info!(self.log, "endpoint is cold"; "endpoint" => id,
+                "cold_ms" => time.as_millis() as u64);
+        }
+    }
+
     fn log_endpoint_change(&self, change: &EndpointChange, origin: ChangeOrigin) {
         let (kind, key) = match change {
             EndpointChange::Added(key) => ("added", key),
@@ -74,9 +106,12 @@
             let mut dispatcher = self.dispatcher.borrow_mut();
             for service in config.services.values() {
                 dispatcher.set_engine_profile(&service.name, service.engine.as_ref());
+                dispatcher.set_cold_start(&service.name, service.cold_start);
             }
+            dispatcher.set_home_regions(config.home_regions());
         }
         *self.config.borrow_mut() = Some(Arc::new(config));
+        self.rebind_waiting();
         self.require_weights();
         self.fleet_revision.set(self.fleet_revision.get() + 1);
         self.poll_soon();
--- a/components/gateway/src/store_updates.rs
+++ b/components/gateway/src/store_updates.rs
@@ -1,5 +1,8 @@
 //! Applies entries of the store, in their order.
 
+use std::collections::BTreeSet;
+
+use base::Zone;
 use catalog::{Endpoint, EndpointUpdate};
 use dispatch::ListingOrigin;
 use platform::store::{StoreEntry, endpoint_id_from_key, names_weights};
@@ -44,14 +47,20 @@
         origin: ChangeOrigin,
     ) {
         let mut all: Vec<Endpoint> = Vec::new();
+        let mut evacuated: BTreeSet<Zone> = BTreeSet::new();
         for entry in entries {
             match entry {
                 StoreEntry::Endpoint(EndpointUpdate::Published(endpoint)) => all.push(endpoint),
+                StoreEntry::Evacuation { zone, is_evacuated: true } => {
+                    evacuated.insert(zone);
+                }
                 other => self.apply_entry(other, named, origin),
             }
         }
         let now = now();
         let absence = self.reregistration.explain_unlisted(now);
+        let changes = self.gateway.dispatcher.borrow_mut().replace_evacuated(evacuated, absence);
+        self.gateway.handle_evacuation_changes(changes, origin);
         let changes =
             self.gateway.dispatcher.borrow_mut().replace_listing(all, listing, absence, now);
         self.gateway.endpoints_listed.set(true);
@@ -62,6 +71,12 @@
     fn apply_entry(&mut self, entry: StoreEntry, named: NamingTime, origin: ChangeOrigin) {
         match entry {
             StoreEntry::Endpoint(listing) => self.apply_endpoint_update(listing, origin),
+            StoreEntry::Evacuation { zone, is_evacuated } => {
+                let mut dispatcher = self.gateway.dispatcher.borrow_mut();
+                let change = dispatcher.set_evacuated(zone, is_evacuated);
+                drop(dispatcher);
+                self.gateway.handle_evacuation_changes(change, origin);
+            }
             StoreEntry::Config(config) => self.gateway.apply_config(*config, origin),
             StoreEntry::NamedVersion { model, version } => {
                 self.gateway.handle_named_weights(&model, version, named)
--- a/components/telemetry/src/names.rs
+++ b/components/telemetry/src/names.rs
@@ -14,6 +14,12 @@
 pub const OVERDUE_VERSIONS: &str = "carawaypaddle_overdue_versions_total";
 /// Parts of prompts that were refused because they crash endpoints.
 pub const REFUSED_PARTS: &str = "carawaypaddle_refused_parts_total";
+/// Requests that were refused after their admission, by `reason`.
+pub const REFUSALS: &str = "carawaypaddle_refusals_total";
+/// Availability zones that the operator evacuated.
+pub const EVACUATED_ZONES: &str = "carawaypaddle_evacuated_zones";
+/// Requests for cold endpoints, by `allowed`: whether this gateway's share allowed them.
+pub const COLD_REQUESTS: &str = "carawaypaddle_cold_requests_total";
 /// Time from a request's arrival to the first byte of its response.
 pub const FIRST_BYTE: &str = "carawaypaddle_first_byte_seconds";
 /// Requests in progress.
@@ -51,6 +57,12 @@
     describe_counter!(RETRIES, "retries, by whether the budget allowed them");
     describe_counter!(OVERDUE_VERSIONS, "responses from weights that should have been replaced");
     describe_counter!(REFUSED_PARTS, "parts of prompts that were refused, as they crash endpoints");
+    describe_counter!(REFUSALS, "requests that were refused after their admission, by reason");
+    describe_gauge!(EVACUATED_ZONES, "availability zones that the operator evacuated");
+    describe_counter!(
+        COLD_REQUESTS,
+        "requests for cold endpoints, by whether the share allowed them"
+    );
     describe_histogram!(FIRST_BYTE, Unit::Seconds, "time to the first byte of an answer");
     describe_gauge!(IN_FLIGHT, "requests in progress");
     describe_gauge!(QUEUED, "requests that wait for an endpoint");
