--- a/components/dispatch/src/bias.rs
+++ b/components/dispatch/src/bias.rs
@@ -15,8 +15,10 @@
 const MAX_CORRECTION_MS: f64 = 160.0;
 /// Maximum correction for endpoints that other gateways prefer, in milliseconds.
 const MAX_SHARED_CORRECTION_MS: f64 = 640.0;
+/// Weight of an error by which a request to such an endpoint starts later than the correction allows.
+const SHARED_ERROR_WEIGHT: f64 = 0.2;
 /// Time in which a correction for such endpoints loses half of its value while no request is sent to them.
-const HALF_LIFE: Duration = Duration::from_secs(1);
+const HALF_LIFE: Duration = Duration::from_secs(2);
 
 /// How a gateway stands to an endpoint, which decides how well it knows the load there.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -46,13 +48,18 @@
 
     /// Records that a request started `error_ms` later than predicted.
     pub fn record_error(&mut self, relation: Relation, error_ms: f64, now: Instant) {
-        let (max, learned_at) = match relation {
-            Relation::Preferred => (MAX_CORRECTION_MS, None),
-            Relation::SameZone | Relation::OtherZone => (MAX_SHARED_CORRECTION_MS, Some(now)),
-        };
         let current = self.correction_ms(now);
-        let change = if error_ms > current { TARGET_QUANTILE } else { TARGET_QUANTILE - 1.0 };
-        self.correction_ms = (current + change * STEP_MS).clamp(0.0, max);
+        let step =
+            if error_ms > current { TARGET_QUANTILE } else { TARGET_QUANTILE - 1.0 } * STEP_MS;
+        let (max, step, learned_at) = match relation {
+            Relation::Preferred => (MAX_CORRECTION_MS, step, None),
+            // Few requests are sent there, so each of them has to tell more.
+            Relation::SameZone | Relation::OtherZone => {
+                let step = step.max((error_ms - current) * SHARED_ERROR_WEIGHT);
+                (MAX_SHARED_CORRECTION_MS, step, Some(now))
+            }
+        };
+        self.correction_ms = (current + step).clamp(0.0, max);
         self.learned_at = learned_at;
     }
 }
--- a/components/dispatch/src/candidate.rs
+++ b/components/dispatch/src/candidate.rs
@@ -62,6 +62,7 @@
             load.awaiting_prefill == 0.0 || pass_ms <= gap_ms * self.settings.event_gap_fraction;
         let slots = f64::from(model.slots());
         let total = tracked.total_in_flight();
+        let may_claim = request.is_resumed || self.may_claim(tracked, now);
         let leaves_room = reserved == 0.0 || total + 1.0 + reserved <= slots;
         let fraction = if request.is_resumed { 1.0 } else { self.settings.late_slot_fraction };
         let reload = if request.is_resumed { self.reload_cost_ms(tracked, now) } else { 0.0 };
@@ -69,7 +70,7 @@
             key,
             expected_ms,
             cost_ms: expected_ms + bias + penalty + reload,
-            meets_objective: harmless && leaves_room && expected_ms + bias <= budget,
+            meets_objective: harmless && may_claim && leaves_room && expected_ms + bias <= budget,
             has_late_capacity: harmless && leaves_room && total < slots * fraction,
             has_token: tracked.limit.has_token(),
         }
--- a/components/dispatch/src/endpoint.rs
+++ b/components/dispatch/src/endpoint.rs
@@ -10,6 +10,8 @@
 
 use crate::{
     Health,
+    claims::Claims,
+    cold::ColdState,
     engine::{EngineLoad, EngineModel},
     limits::EndpointLimit,
 };
@@ -75,12 +77,16 @@
     pub(crate) backoff_until: Option<Instant>,
     pub(crate) in_flight: SlotMap<InFlightKey, InFlightRequest>,
     pub(crate) last_report: Option<(EngineStatus, Instant)>,
+    /// Slots that this gateway may take until the next report, unless it prefers the endpoint.
+    pub(crate) claims: Claims,
     /// Requests of other gateways at the endpoint, as of the last report.
     pub(crate) others_in_flight: f64,
     /// Those of `others_in_flight` that had no slot.
     pub(crate) others_waiting: f64,
     /// The limit that it names for the requests of all gateways together.
     pub(crate) limit: EndpointLimit,
+    /// How long it is cold, and what this gateway may send it meanwhile.
+    pub(crate) cold: ColdState,
     /// Version of the weights that an answer showed; it may be newer than the listed one.
     pub(crate) observed_version: Option<WeightsVersion>,
 }
@@ -99,9 +105,11 @@
             backoff_until: None,
             in_flight: SlotMap::with_key(),
             last_report: None,
+            claims: Claims::default(),
             others_in_flight: 0.0,
             others_waiting: 0.0,
             limit: EndpointLimit::default(),
+            cold: ColdState::default(),
             observed_version: None,
         }
     }
@@ -114,7 +122,7 @@
     }
 
     /// Applies a report, unless it is older than the last one.
-    pub(crate) fn apply_report(&mut self, report: EngineStatus, now: Instant) {
+    pub(crate) fn apply_report(&mut self, report: EngineStatus, claims: Claims, now: Instant) {
         if let Some((last, _)) = &self.last_report
             && last.agent_run == report.agent_run
             && report.sequence <= last.sequence
@@ -132,6 +140,7 @@
         self.others_in_flight = (total - own).max(0.0);
         self.others_waiting =
             (f64::from(report.waiting) - own_awaiting_prefill).max(0.0).min(self.others_in_flight);
+        self.claims = claims;
         self.last_report = Some((report, now));
     }
 
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -4,12 +4,15 @@
 mod backoff;
 mod bias;
 mod candidate;
+mod claims;
+mod cold;
 mod demand;
 mod departures;
 mod distance;
 mod eligibility;
 mod endpoint;
 mod engine;
+mod evacuation;
 mod health;
 mod limits;
 mod listing;
@@ -25,9 +28,11 @@
 mod subset;
 
 pub use bias::{PredictionBias, Relation};
+pub use cold::ColdSettings;
 pub use departures::ListingOrigin;
 pub use endpoint::{EndpointKey, EngineStatus, InFlightKey, InFlightRequest};
 pub use engine::EngineModel;
+pub use evacuation::EvacuationChange;
 pub use health::{EndpointOutcome, Health};
 pub use listing::Absence;
 pub use rank::{Rank, Urgency};
--- a/components/dispatch/src/queue.rs
+++ b/components/dispatch/src/queue.rs
@@ -2,9 +2,10 @@
 
 use std::time::{Duration, Instant};
 
-use crate::{
-    PendingRequest, RequestKey, demand::ServiceDemand, engine::EngineModel, state::Dispatcher,
-};
+use crate::{PendingRequest, RequestKey, engine::EngineModel, state::Dispatcher};
+
+/// Number of equally urgent requests that may wait however few were sent lately.
+const MIN_QUEUE: f64 = 2.0;
 
 impl Dispatcher {
     /// Records the arrival of a request, unless it is a retry of one that was recorded.
@@ -32,9 +33,10 @@
         demand.map_or(0.0, |demand| demand.reserved_slots(request.rank.urgency, now))
     }
 
-    /// Whether requests of the same service wait that come before a new one.
+    /// Whether requests wait for an engine that come before a new one.
     pub(crate) fn is_behind(&self, request: &PendingRequest) -> bool {
-        !request.is_resumed && self.waiting_before(request).next().is_some()
+        let is_bound = self.engine_models.contains_key(&request.service) && !request.is_resumed;
+        is_bound && self.waiting_before(request).next().is_some()
     }
 
     fn waiting_before<'a>(
@@ -68,7 +70,8 @@
         let urgency = request.rank.urgency;
         let same = |other: &&PendingRequest| other.rank.urgency == urgency;
         let ahead = self.waiting_before(request).filter(same).count() as f64;
-        ahead > demand.send_rate(urgency, now) * max_wait.as_secs_f64()
+        let sent_meanwhile = demand.send_rate(urgency, now) * max_wait.as_secs_f64();
+        ahead > sent_meanwhile.max(MIN_QUEUE)
     }
 }
 
--- a/components/dispatch/src/selection.rs
+++ b/components/dispatch/src/selection.rs
@@ -69,6 +69,8 @@
             is_silent: false,
         };
         self.take_token(key, now);
+        self.record_cold_send(key, now);
+        self.endpoints[key].take_claim();
         let in_flight = self.endpoints[key].in_flight.insert(in_flight);
         let expected = predicted_time(expected_ms);
         Decision::Send { endpoint: key, in_flight, expected }
@@ -78,6 +80,6 @@
         let reserved = self.reserved_slots(request, now);
         let eligible = self.eligible(request, now);
         let candidate = |(key, tracked)| self.candidate(key, tracked, request, reserved, now);
-        eligible.map(candidate).collect()
+        eligible.into_iter().map(candidate).collect()
     }
 }
--- a/components/dispatch/src/state.rs
+++ b/components/dispatch/src/state.rs
@@ -2,21 +2,22 @@
 
 use std::{
     cell::RefCell,
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     net::{Ipv4Addr, SocketAddr},
     time::Instant,
 };
 
 use base::{Region, ServiceId, Zone};
-use catalog::{Endpoint, EndpointId, EngineProfile, WeightsVersion};
+use catalog::{ColdStart, Endpoint, EndpointId, EngineProfile, WeightsVersion};
 use fastrand::Rng;
 use slotmap::SlotMap;
 
 use crate::{
     Decision, DispatchSettings, EndpointKey, EngineModel, EngineStatus, InFlightKey,
     PendingRequest, PredictionBias, Refusal, Relation, RequestKey, RetryBudget,
-    backoff::UnlistedBackoffs, demand::ServiceDemand, departures::Departures,
-    endpoint::TrackedEndpoint, health::EndpointOutcome, requests::VersionRequirement,
+    backoff::UnlistedBackoffs, cold::KnownGateways, demand::ServiceDemand, departures::Departures,
+    endpoint::TrackedEndpoint, evacuation::Evacuations, health::EndpointOutcome,
+    requests::VersionRequirement,
 };
 
 /// A change of the endpoint list that the process has to react to.
@@ -68,6 +69,17 @@
     pub(crate) unlisted_backoffs: UnlistedBackoffs,
     /// Endpoints that left a short time ago.
     pub(crate) departures: Departures,
+    /// Zones to which nothing may be sent.
+    pub(crate) evacuations: Evacuations,
+    /// Regions to which the configuration binds requests.
+    pub(crate) home_regions: BTreeSet<Region>,
+    /// The gateways among which the allowance of cold endpoints is divided; `None` until a process has
+    /// named them.
+    pub(crate) gateways: Option<KnownGateways>,
+    /// What the endpoints of the services bear while they are cold.
+    pub(crate) cold_starts: HashMap<ServiceId, ColdStart>,
+    /// Endpoints that became cold since they were last taken.
+    pub(crate) newly_cold: Vec<EndpointKey>,
     pub(crate) engine_models: HashMap<ServiceId, EngineModel>,
     pub(crate) biases: HashMap<(ServiceId, Relation), PredictionBias>,
     pub(crate) demand: HashMap<ServiceId, ServiceDemand>,
@@ -75,6 +87,8 @@
     pub(crate) pending: SlotMap<RequestKey, PendingRequest>,
     /// Waiting requests, in order of arrival.
     pub(crate) waiting: Vec<RequestKey>,
+    /// Number of gateways of this one's zone.
+    pub(crate) zone_gateways: usize,
     pub(crate) rng: RefCell<Rng>,
     /// The retry budget.
     pub retry_budget: RetryBudget,
@@ -96,12 +110,18 @@
             lapsed: HashMap::new(),
             unlisted_backoffs: UnlistedBackoffs::default(),
             departures: Departures::default(),
+            evacuations: Evacuations::default(),
+            home_regions: BTreeSet::new(),
+            gateways: None,
+            cold_starts: HashMap::new(),
+            newly_cold: Vec::new(),
             engine_models: HashMap::new(),
             biases: HashMap::new(),
             demand: HashMap::new(),
             version_requirements: HashMap::new(),
             pending: SlotMap::with_key(),
             waiting: Vec::new(),
+            zone_gateways: 1,
             rng: RefCell::new(Rng::new()),
             retry_budget: RetryBudget::new(settings.retries),
             settings,
@@ -120,6 +140,11 @@
         }
     }
 
+    /// Sets the regions to which the configuration binds requests.
+    pub fn set_home_regions(&mut self, regions: BTreeSet<Region>) {
+        self.home_regions = regions;
+    }
+
     /// Sets which versions of the weights may answer the service's requests, and from which time.
     pub fn set_version_requirements(
         &mut self,
@@ -197,9 +222,9 @@
 
     /// Applies an agent's report on an endpoint.
     pub fn apply_report(&mut self, key: EndpointKey, report: EngineStatus, now: Instant) {
-        if let Some(tracked) = self.endpoints.get_mut(key) {
-            tracked.apply_report(report, now);
-        }
+        let Some(tracked) = self.endpoints.get(key) else { return };
+        let claims = self.claims_by(tracked, &report);
+        self.endpoints[key].apply_report(report, claims, now);
     }
 
     /// Records the version of the weights that an answer of an endpoint showed.
