Stager: an origin of weights that returns sends one copy

Callers saw: no_endpoint for 5 to 8 s after versions were named shortly before the origin was down. Cause: members took over from owners that were not at fault, and owners of all zones went to the origin 2.5 s into the outage though its zone was alive; a returning origin sent 1.3 copies at a time. Ruled out: the older version could not be finished (38 of 64 pieces); links of the VMs were not full. Change: scheduler::outage. Two members of a zone probe, others wait for their success; other zones leave the origin to a zone that responds; 12 fetches of a zone at a time instead of 24.

--- a/components/stager/src/scheduler.rs
+++ b/components/stager/src/scheduler.rs
@@ -5,8 +5,10 @@
 //! zone has a bounded number of owners: the more fetches share the origin's link, the later the
 //! first of them is through and can be passed on. All
 //! other members fetch it within their zone from any member that holds it, rarest pieces first. If
-//! an owner fails, the next candidate takes over its pieces.
+//! an owner fails, the next candidate takes over its pieces. While the source outside the zone has
+//! nothing to give, no owner is at fault: few members probe it, and the others wait for their success.
 
+mod outage;
 mod round;
 
 use std::{
@@ -29,6 +31,15 @@
     pub max_fetches_per_source: usize,
     /// Maximum number of concurrent fetches from the origin.
     pub max_origin_fetches: usize,
+    /// Maximum number of concurrent fetches from the origin by all owners of a zone, if each makes at
+    /// least one.
+    pub max_zone_origin_fetches: usize,
+    /// Number of members of a zone that ask an origin which does not respond again and again.
+    pub max_origin_probers: usize,
+    /// Time between two attempts of such a member.
+    pub origin_probe_delay: Duration,
+    /// Time after which any other member asks such an origin again.
+    pub origin_retry_delay: Duration,
     /// Maximum number of members of a zone that own pieces.
     pub max_owners: usize,
     /// Maximum number of concurrent fetches from other zones, which respond once they hold the
@@ -45,8 +56,12 @@
     pub inventory_timeout: Duration,
     /// Time without a message after which a member of the zone counts as gone.
     pub member_timeout: Duration,
-    /// Time without progress after which owners of all zones may fetch from the origin.
+    /// Time without progress after which owners of all zones may fetch from the origin, if no member
+    /// of the origin's zone responds.
     pub origin_fallback_delay: Duration,
+    /// Maximum time for which owners do without the origin because its zone responds, and for which
+    /// members do not take over from each other because the source outside the zone has nothing.
+    pub max_outage: Duration,
 }
 
 impl Default for FetchSettings {
@@ -55,6 +70,10 @@
             max_fetches: 8,
             max_fetches_per_source: 2,
             max_origin_fetches: 2,
+            max_zone_origin_fetches: 12,
+            max_origin_probers: 2,
+            origin_probe_delay: Duration::from_millis(100),
+            origin_retry_delay: Duration::from_secs(2),
             max_owners: 12,
             max_other_zone_fetches: 5,
             digest_step: Duration::from_millis(300),
@@ -63,6 +82,7 @@
             inventory_timeout: Duration::from_secs(3),
             member_timeout: Duration::from_millis(2200),
             origin_fallback_delay: Duration::from_millis(2500),
+            max_outage: Duration::from_secs(8),
         }
     }
 }
@@ -135,6 +155,10 @@
     started_at: Instant,
     /// When this VM or another member of its zone last got a piece.
     last_progress: Instant,
+    /// When the origin last failed, unless it has given a piece since.
+    origin_failed_at: Option<Instant>,
+    /// When a member of the origin's zone last responded that it does not hold a piece.
+    origin_zone_lacked_at: Option<Instant>,
     /// Whether this zone fetches from the origin.
     in_origin_zone: bool,
     /// Members of this zone in the order of ownership, including this VM.
@@ -207,6 +231,8 @@
             held: PieceSet::default(),
             started_at: now,
             last_progress: now,
+            origin_failed_at: None,
+            origin_zone_lacked_at: None,
             in_origin_zone: true,
             zone_members: vec![own_ip],
             zone_set: HashSet::from([own_ip]),
@@ -247,6 +273,9 @@
     pub fn mark_held(&mut self, piece: u32, now: Instant) {
         if let Some((source, started_at)) = self.in_flight.remove(&piece) {
             self.record_fetch_time(source, now.saturating_duration_since(started_at));
+            if source == Source::Origin {
+                self.origin_failed_at = None;
+            }
         }
         self.last_progress = now;
         if piece < self.piece_count {
@@ -271,11 +300,18 @@
         {
             self.record_fetch_time(source, now.saturating_duration_since(started_at));
         }
-        let backoff = match failure {
-            FetchFailure::Missing => self.settings.failure_backoff / 4,
-            FetchFailure::Backoff(time) => time,
-            FetchFailure::Failed => self.settings.failure_backoff,
+        let backoff = match (failure, fetch.source) {
+            (FetchFailure::Failed, Source::Origin) => {
+                self.origin_failed_at = Some(now);
+                return;
+            }
+            (FetchFailure::Failed, Source::Peer(_)) => self.settings.failure_backoff,
+            (FetchFailure::Missing, _) => self.settings.failure_backoff / 4,
+            (FetchFailure::Backoff(time), _) => time,
         };
+        if failure == FetchFailure::Missing && self.is_in_origin_zone(fetch.source) {
+            self.origin_zone_lacked_at = Some(now);
+        }
         self.backoff_until.insert(fetch.source, now + backoff);
     }
 
@@ -316,20 +352,20 @@
         matches!(source, Source::Peer(ip) if self.zone_set.contains(&ip))
     }
 
+    /// Whether a source is a member of the origin's zone, which is another zone.
+    fn is_in_origin_zone(&self, source: Source) -> bool {
+        matches!(source, Source::Peer(ip) if self.origin_zone_members.contains(&ip))
+    }
+
     /// Whether one more piece may be fetched from a source.
     fn has_capacity(&self, source: Source, round: &Round) -> bool {
         if self.backoff_until.contains_key(&source) {
             return false;
         }
-        let FetchSettings {
-            max_fetches,
-            max_fetches_per_source,
-            max_origin_fetches,
-            max_other_zone_fetches,
-            ..
-        } = self.settings;
+        let FetchSettings { max_fetches, max_fetches_per_source, max_other_zone_fetches, .. } =
+            self.settings;
         if source == Source::Origin {
-            return round.busy(source) < max_origin_fetches;
+            return round.busy(source) < self.max_origin_fetches(round.now);
         }
         if !self.is_in_zone(source) {
             return round.busy_elsewhere() < max_other_zone_fetches.min(self.fetch_window());
@@ -409,6 +445,9 @@
             alive && !round.is_lagging(*ip)
         };
         let working = before.filter(is_working).count() as u32;
+        if self.is_outage(now) {
+            return working == 0 || self.is_origin_prober(now);
+        }
         self.time_without_progress(now) >= self.settings.owner_fallback_delay * working
     }
 
@@ -431,7 +470,7 @@
         let candidates = owner_candidates(members, self.settings.max_owners, piece);
         let mut peers = candidates.map(Source::Peer);
         let peer = peers.find(|peer| self.has_capacity(*peer, round));
-        let late = self.time_without_progress(round.now) >= self.settings.origin_fallback_delay;
+        let late = self.is_cut_from_origin_zone(round.now);
         peer.or_else(|| Some(Source::Origin).filter(|s| late && self.has_capacity(*s, round)))
     }
 }
--- a/components/stager/src/scheduler/tests.rs
+++ b/components/stager/src/scheduler/tests.rs
@@ -330,3 +330,73 @@
     assert_eq!(scheduler.next_fetches(now), []);
     assert!(!scheduler.next_fetches(late).is_empty());
 }
+
+/// Guards against several copies on the link of an origin that returns: while it was down, members took
+/// over from owners that were not at fault, and those of other zones went to the origin too.
+#[test]
+fn only_owners_and_probers_ask_an_origin_that_returns() {
+    let start = Instant::now();
+    let settings = FetchSettings::default();
+    let members: Vec<u8> = (1..=25).collect();
+    let outage = Duration::from_secs(6);
+    let mut attempts = 0;
+    for me in &members {
+        let mut scheduler = scheduler(*me, 64, &members, &[], start);
+        for time in (0..60).map(|n| start + outage * n / 60) {
+            members.iter().for_each(|n| scheduler.mark_alive(ip(*n), time));
+            for fetch in scheduler.next_fetches(time) {
+                attempts += 1;
+                scheduler.handle_failure(fetch, FetchFailure::Failed, time);
+            }
+        }
+        let returned = start + outage;
+        let at_once = scheduler.next_fetches(returned);
+        assert!(at_once.len() <= usize::from(*me as usize <= settings.max_origin_probers) + 1);
+        // The first member to get a piece tells the others, and owners fetch their own pieces.
+        let holds_one = Neighbour { pieces: [63].into_iter().collect(), reported_at: returned };
+        scheduler.handle_inventory(ip(if *me == 1 { 2 } else { 1 }), holds_one);
+        let told = returned + settings.origin_probe_delay;
+        let is_owner = *me as usize <= settings.max_owners;
+        let fetches = scheduler.next_fetches(told);
+        let from_origin = fetches.iter().filter(|fetch| fetch.source == Source::Origin);
+        assert!(is_owner || from_origin.count() == 0, "{me}: {fetches:?}");
+    }
+    // Two probers five times a second, the others every other second, not 25 members all the time.
+    assert!(attempts < 60 + 25 * 6, "{attempts}");
+}
+
+/// Guards against a zone that fetches from the origin since that is down and the origin's zone, though
+/// alive, has nothing.
+#[test]
+fn another_zone_leaves_the_origin_to_a_zone_that_responds() {
+    let start = Instant::now();
+    let mut scheduler = scheduler(4, 2, &[4], &[1, 2], start);
+    let settings = FetchSettings::default();
+    let step = Duration::from_millis(250);
+    let mut now = start;
+    while now + step < start + settings.max_outage {
+        for fetch in scheduler.next_fetches(now) {
+            assert_ne!(fetch.source, Source::Origin);
+            scheduler.handle_failure(fetch, FetchFailure::Missing, now);
+        }
+        now += step;
+    }
+    // After a long time it asks the origin in any case, as the zone may lack a way to it.
+    let late = start + settings.max_outage;
+    for fetch in scheduler.next_fetches(late) {
+        scheduler.handle_failure(fetch, FetchFailure::Failed, late);
+    }
+    let fetches = scheduler.next_fetches(late);
+    assert!(fetches.iter().any(|fetch| fetch.source == Source::Origin), "{fetches:?}");
+}
+
+/// Guards against all pieces of a large zone arriving late and together: many at a time shared the
+/// origin's link, and the first could be passed on only after a second.
+#[test]
+fn a_large_zone_has_few_fetches_from_the_origin_at_a_time() {
+    let now = Instant::now();
+    let members: Vec<u8> = (1..=25).collect();
+    let fetches = members.iter().map(|me| scheduler(*me, 64, &members, &[], now).next_fetches(now));
+    let count: usize = fetches.map(|fetches| fetches.len()).sum();
+    assert_eq!(count, FetchSettings::default().max_zone_origin_fetches);
+}
