Older weights answer what begins well before the bound while no endpoint has the required ones

Callers saw: refusals (no_endpoint) from 2.06 s before the version bound on, with idle engines. Change: dispatch::outdated. What has not begun by half of the margin is ended as before.

--- a/components/dispatch/src/candidate.rs
+++ b/components/dispatch/src/candidate.rs
@@ -1,6 +1,6 @@
 //! How well an endpoint suits a request.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use catalog::interrupts_on_load;
 
@@ -21,6 +21,17 @@
     /// Whether the limit that the endpoint names, if it does, leaves this gateway a request.
     pub(crate) has_token: bool,
 }
+
+impl Candidate {
+    /// Predicted time until the first event.
+    pub(crate) fn expected(&self) -> Duration {
+        let ms = self.expected_ms.max(0.0);
+        Duration::try_from_secs_f64(ms / 1e3).unwrap_or(MAX_EXPECTED).min(MAX_EXPECTED)
+    }
+}
+
+/// Maximum predicted time until the first event; figures of an engine may predict any number.
+const MAX_EXPECTED: Duration = Duration::from_secs(3600);
 /// Penalty of an endpoint whose answers were all failures.
 const FAILURE_COST_MS: f64 = 600.0;
 /// Penalty of an endpoint at which a resumed stream may be interrupted again.
--- a/components/dispatch/src/requests.rs
+++ b/components/dispatch/src/requests.rs
@@ -150,4 +150,7 @@
     pub version: WeightsVersion,
     /// When the requirement takes effect.
     pub effective_at: Instant,
+    /// Until when a request may begin on an older version if no endpoint with the required one can take
+    /// it.
+    pub last_start: Instant,
 }
--- a/components/dispatch/src/state.rs
+++ b/components/dispatch/src/state.rs
@@ -131,8 +131,9 @@
     pub fn endpoint(&self, key: EndpointKey, now: Instant) -> Option<EndpointView> {
         let tracked = self.endpoints.get(key)?;
         let listed = &tracked.listed;
-        let required = self.required_version(&listed.service, now);
         let served = tracked.version(self.settings.max_report_age, now);
+        let outdated = self.last_start(tracked, now).is_some_and(|last| now < last);
+        let required = self.required_version(&listed.service, now).filter(|_| !outdated);
         Some(EndpointView {
             id: listed.id.clone(),
             addr: listed.addr,
--- a/components/dispatch/tests/dispatch.rs
+++ b/components/dispatch/tests/dispatch.rs
@@ -283,6 +283,7 @@
     let required = |version, after| VersionRequirement {
         version: WeightsVersion(version),
         effective_at: now + Duration::from_millis(after),
+        last_start: now + Duration::from_millis(after),
     };
     dispatcher.set_version_requirements(&service(), vec![required(2, 500), required(3, 3000)]);
     assert_eq!(chosen(&mut dispatcher, 1, now), ["i-1"]);
@@ -426,7 +427,11 @@
     let effective_at = now + Duration::from_secs(6);
     dispatcher.set_version_requirements(
         &service(),
-        vec![VersionRequirement { version: WeightsVersion(2), effective_at }],
+        vec![VersionRequirement {
+            version: WeightsVersion(2),
+            effective_at,
+            last_start: effective_at,
+        }],
     );
     assert_eq!(chosen(&mut dispatcher, 1, now), ["i-1"]);
     let resumed = PendingRequest { is_resumed: true, ..request(now) };
@@ -479,7 +484,11 @@
     let effective_at = now + Duration::from_secs(6);
     dispatcher.set_version_requirements(
         &service(),
-        vec![VersionRequirement { version: WeightsVersion(2), effective_at }],
+        vec![VersionRequirement {
+            version: WeightsVersion(2),
+            effective_at,
+            last_start: effective_at,
+        }],
     );
     for _ in 0..4 {
         let resumed = PendingRequest { is_resumed: true, ..request(now) };
@@ -488,3 +497,26 @@
         assert!(["i-4", "i-5"].contains(&id.as_str()), "{id}");
     }
 }
+
+/// Guards against refused requests while engines stand idle: newer weights were required a second
+/// before a request would have begun on older ones too late, and no engine had them yet.
+#[test]
+fn older_weights_answer_what_begins_in_time_while_no_endpoint_has_the_required_ones() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(&[endpoint(1, "a"), endpoint(2, "b")], now);
+    report(&mut dispatcher, 1, status(0, 1, 1), now);
+    report(&mut dispatcher, 2, status(0, 1, 1), now);
+    let last_start = now + Duration::from_secs(1);
+    let required = VersionRequirement { version: WeightsVersion(2), effective_at: now, last_start };
+    dispatcher.set_version_requirements(&service(), vec![required]);
+    let (key, _) = sent(dispatcher.submit(request(now), now).1);
+    // The request names no version that the endpoint lacks.
+    assert_eq!(dispatcher.endpoint(key, now).unwrap().version, None);
+    assert_eq!(dispatcher.endpoint(key, last_start).unwrap().version, Some(WeightsVersion(2)));
+    let late = last_start - Duration::from_millis(100);
+    let decision = dispatcher.submit(request(late), late).1;
+    assert!(matches!(decision, Decision::Refuse { reason: Refusal::NoEndpoint, .. }));
+    // An endpoint with the required weights comes first, however busy the other zone is.
+    report(&mut dispatcher, 2, status(1, 2, 2), now);
+    assert_eq!(chosen(&mut dispatcher, 1, now), ["i-2"]);
+}
--- a/components/gateway/src/weights.rs
+++ b/components/gateway/src/weights.rs
@@ -36,6 +36,11 @@
     named: NamingTime,
 }
 
+/// Fraction of the margin in which a request may begin on older weights if no endpoint with the required
+/// ones can take it. The rest covers the time for which the news of a version is on its way.
+const LAST_START_FRACTION: f64 = 0.4;
+/// Fraction of the margin after which an attempt that has not begun on older weights is ended.
+const END_FRACTION: f64 = 0.5;
 /// Number of remembered versions per model. By the time a version is dropped, it is already required.
 const KEPT_VERSIONS: usize = 8;
 
@@ -114,6 +119,7 @@
         let required = |known: &RecordedVersion| VersionRequirement {
             version: known.version,
             effective_at: self.effective_at(known.named),
+            last_start: self.last_start(known.named, LAST_START_FRACTION),
         };
         known.iter().map(required).collect()
     }
@@ -123,11 +129,18 @@
     /// after the bound, and an endpoint with newer weights still gets the request in time.
     pub(crate) fn latest_start(&self, model: &ModelId, version: WeightsVersion) -> Option<Instant> {
         let known = self.models.get(model)?;
-        let latest = |known: &RecordedVersion| match known.named {
-            NamingTime::BeforeFirstRead => self.effective_at(known.named),
-            NamingTime::NotBefore(_) => self.effective_at(known.named) + self.margin / 2,
-        };
-        known.iter().filter(|known| known.version > version).map(latest).min()
+        let newer = known.iter().filter(|known| known.version > version);
+        newer.map(|known| self.last_start(known.named, END_FRACTION)).min()
+    }
+
+    /// Returns until when a request may begin on weights older than those that were named then: for a
+    /// fraction of the margin.
+    fn last_start(&self, named: NamingTime, margin_fraction: f64) -> Instant {
+        let effective_at = self.effective_at(named);
+        match named {
+            NamingTime::BeforeFirstRead => effective_at,
+            NamingTime::NotBefore(_) => effective_at + self.margin.mul_f64(margin_fraction),
+        }
     }
 
     fn effective_at(&self, named: NamingTime) -> Instant {
--- a/components/gateway/src/weights/tests.rs
+++ b/components/gateway/src/weights/tests.rs
@@ -17,7 +17,11 @@
     let from = at + Duration::from_millis(6500);
     assert_eq!(
         named.required(&model()),
-        [VersionRequirement { version: WeightsVersion(2), effective_at: from }]
+        [VersionRequirement {
+            version: WeightsVersion(2),
+            effective_at: from,
+            last_start: from + Duration::from_millis(600),
+        }]
     );
 }
 
@@ -80,10 +84,12 @@
     assert_eq!(latest(&named, 1), Some(at(20) + bound - half_margin));
     assert_eq!(latest(&named, 2), Some(at(22) + bound - half_margin));
     assert_eq!(latest(&named, 3), None);
-    // It never ends before endpoints with the newer weights are required.
+    // It never ends before endpoints with the newer weights are required, and before the last request
+    // was to begin.
     for required in named.required(&model()) {
         let older = required.version.0 - 1;
         assert!(latest(&named, older).unwrap() > required.effective_at);
+        assert!(latest(&named, older).unwrap() > required.last_start);
     }
 }
 
