Stager: new pieces spread from few members of a zone to all; an urgent load waits for no news

Callers saw: engines got the whole weights 1 to 2 s after the origin had sent the last piece. Cause: all members of a zone asked the only holder of a new piece at once: 330 ms for a fetch of 35, while a third of what the links carry was unused. And 200 ms to settle although there were no turns to keep. Change: scheduler::spread (three members for each holder, any after 400 ms), load_schedule::is_urgent.

--- a/components/stager/src/load.rs
+++ b/components/stager/src/load.rs
@@ -12,7 +12,7 @@
 use crate::{
     engine::{EngineError, LoadOrderOutcome},
     fleet_view::WeightsLayout,
-    load_schedule::may_load,
+    load_schedule::{is_urgent, may_load},
     open_order::{OrderEnd, Weights},
     shared::{Download, Stager, now},
     staged_check::StagedCheck,
@@ -111,10 +111,10 @@
         if serving.is_none() {
             return Some(version);
         }
-        let settled =
-            now().saturating_duration_since(staged_at?) >= self.settings.load.settle_delay;
-        let interrupts = self.interrupts_requests();
         let settings = &self.settings.load;
+        let staged_for = now().saturating_duration_since(staged_at?);
+        let settled = staged_for >= settings.settle_delay || is_urgent(settings, age, time_limit);
+        let interrupts = self.interrupts_requests();
         let may_load_now =
             settled && may_load(settings, self.ip, &peers, age, time_limit, interrupts);
         may_load_now.then_some(version)
--- a/components/stager/src/load_schedule.rs
+++ b/components/stager/src/load_schedule.rs
@@ -60,10 +60,10 @@
     let loading = peers.iter().filter(|peer| peer.loading).count();
     let is_waiting = |peer: &&PeerStatus| peer.staged && !peer.loading && !peer.updated;
     let ahead = peers.iter().filter(is_waiting).filter(|peer| peer.ip < own_ip).count();
-    let remaining = time_limit.saturating_sub(settings.deadline_margin).saturating_sub(age);
-    if remaining <= settings.load_duration {
+    if is_urgent(settings, age, time_limit) {
         return true;
     }
+    let remaining = remaining_time(settings, age, time_limit);
     let total = peers.len() + 1;
     if interrupts {
         let max_loading = (total as f64 * settings.max_interrupting_fraction).ceil() as usize;
@@ -77,5 +77,15 @@
     loading + ahead < max_loading
 }
 
+/// Whether all endpoints load at once, as the time left is just enough for a load. None waits for
+/// what its neighbours do then.
+pub fn is_urgent(settings: &LoadSettings, age: Duration, time_limit: Duration) -> bool {
+    remaining_time(settings, age, time_limit) <= settings.load_duration
+}
+
+fn remaining_time(settings: &LoadSettings, age: Duration, time_limit: Duration) -> Duration {
+    time_limit.saturating_sub(settings.deadline_margin).saturating_sub(age)
+}
+
 #[cfg(test)]
 mod tests;
--- a/components/stager/src/load_schedule/tests.rs
+++ b/components/stager/src/load_schedule/tests.rs
@@ -56,6 +56,15 @@
     assert_eq!(may_load_ids(&peers, Duration::from_secs(6)), [1, 2, 3]);
 }
 
+/// Guards against endpoints that wait for news of their neighbours while gateways use no older weights.
+#[test]
+fn a_load_is_urgent_once_no_turn_is_kept() {
+    let settings = LoadSettings::default();
+    let urgent_from = TIME_LIMIT - settings.deadline_margin - settings.load_duration;
+    assert!(is_urgent(&settings, urgent_from, TIME_LIMIT));
+    assert!(!is_urgent(&settings, urgent_from - Duration::from_millis(1), TIME_LIMIT));
+}
+
 #[test]
 fn the_only_endpoint_of_a_zone_loads_immediately() {
     assert!(may_load(&LoadSettings::default(), ip(1), &[], Duration::ZERO, TIME_LIMIT, false));
--- a/components/stager/src/scheduler.rs
+++ b/components/stager/src/scheduler.rs
@@ -10,6 +10,7 @@
 
 mod outage;
 mod round;
+mod spread;
 
 use std::{
     collections::{HashMap, HashSet},
@@ -42,6 +43,11 @@
     pub origin_retry_delay: Duration,
     /// Maximum number of members of a zone that own pieces.
     pub max_owners: usize,
+    /// Number of members that may fetch a piece for each member of their zone that holds it, while it
+    /// spreads.
+    pub spread_factor: usize,
+    /// Time after which any member may fetch a piece that spreads.
+    pub spread_delay: Duration,
     /// Maximum number of concurrent fetches from other zones, which respond once they hold the
     /// piece.
     pub max_other_zone_fetches: usize,
@@ -75,6 +81,8 @@
             origin_probe_delay: Duration::from_millis(100),
             origin_retry_delay: Duration::from_secs(2),
             max_owners: 12,
+            spread_factor: 3,
+            spread_delay: Duration::from_millis(400),
             max_other_zone_fetches: 5,
             digest_step: Duration::from_millis(300),
             owner_fallback_delay: Duration::from_millis(1500),
@@ -168,6 +176,8 @@
     /// Members of the origin's zone in the order of ownership; empty if it is this zone.
     origin_zone_members: Vec<Ipv4Addr>,
     neighbours: HashMap<Ipv4Addr, Neighbour>,
+    /// When a neighbour first reported to hold a piece, by the index of the piece.
+    first_reported: Vec<Option<Instant>>,
     /// When members of the zone last sent a message.
     last_heard: HashMap<Ipv4Addr, Instant>,
     in_flight: HashMap<u32, (Source, Instant)>,
@@ -238,6 +248,7 @@
             zone_set: HashSet::from([own_ip]),
             origin_zone_members: Vec::new(),
             neighbours: HashMap::new(),
+            first_reported: vec![None; piece_count as usize],
             last_heard: HashMap::new(),
             in_flight: HashMap::new(),
             source_fetch_ms: HashMap::new(),
@@ -290,6 +301,7 @@
         if neighbour.pieces.len() > known_pieces {
             self.last_progress = neighbour.reported_at;
         }
+        self.record_first_reports(&neighbour);
         self.neighbours.insert(from, neighbour);
     }
 
@@ -376,6 +388,9 @@
 
     fn choose_source(&mut self, piece: u32, round: &Round) -> Option<Source> {
         let holders = round.holders(piece);
+        if self.leaves_to_others(piece, round) {
+            return None;
+        }
         let sources = holders.iter().map(|ip| Source::Peer(*ip));
         let free: Vec<Source> = sources.filter(|s| self.has_capacity(*s, round)).collect();
         if !free.is_empty() {
--- a/components/stager/src/scheduler/round.rs
+++ b/components/stager/src/scheduler/round.rs
@@ -12,6 +12,8 @@
 /// State of the zone and of the fetches in flight at the start of a round.
 pub(super) struct Round {
     pub(super) now: Instant,
+    /// Place of this member in the order of the zone's members.
+    own_index: usize,
     /// The neighbours that recently reported to hold a piece, by the index of the piece.
     holders: Vec<Vec<Ipv4Addr>>,
     /// Owners that have brought a much smaller part of their pieces into the zone than the others.
@@ -34,8 +36,10 @@
                 }
             }
         }
+        let own_index = scheduler.zone_members.iter().position(|ip| *ip == scheduler.own_ip);
         let mut round = Round {
             now,
+            own_index: own_index.unwrap_or(0),
             lagging: lagging_owners(scheduler, &holders),
             holders,
             busy: HashMap::new(),
@@ -53,6 +57,10 @@
         self.holders.get(piece as usize).map_or(&[], Vec::as_slice)
     }
 
+    pub(super) fn own_index(&self) -> usize {
+        self.own_index
+    }
+
     pub(super) fn is_lagging(&self, owner: Ipv4Addr) -> bool {
         self.lagging.contains(&owner)
     }
--- a/components/stager/src/scheduler/tests.rs
+++ b/components/stager/src/scheduler/tests.rs
@@ -400,3 +400,28 @@
     let count: usize = fetches.map(|fetches| fetches.len()).sum();
     assert_eq!(count, FetchSettings::default().max_zone_origin_fetches);
 }
+
+/// Guards against all members of a large zone asking the only holder of a new piece at once, whose link
+/// then carries 24 copies while theirs are idle.
+#[test]
+fn a_new_piece_spreads_from_few_members_to_all() {
+    let now = Instant::now();
+    let settings = FetchSettings::default();
+    let members: Vec<u8> = (1..=25).collect();
+    let fetching = |holders: &[u8], at: Instant| {
+        let others = members.iter().filter(|me| !holders.contains(me));
+        let asks = |me: &&u8| {
+            let mut scheduler = scheduler(**me, 1, &members, &[9], now);
+            for holder in holders {
+                scheduler.handle_inventory(ip(*holder), holds_all(1, now));
+            }
+            !scheduler.next_fetches(at).is_empty()
+        };
+        others.filter(asks).count()
+    };
+    // The first member owns the piece.
+    assert_eq!(fetching(&[1], now), 3);
+    assert_eq!(fetching(&[1, 2, 3, 4], now), 9);
+    // If those do not get it, all others fetch it.
+    assert_eq!(fetching(&[1], now + settings.spread_delay), 24);
+}
