--- a/components/dispatch/src/candidate.rs
+++ b/components/dispatch/src/candidate.rs
@@ -1,6 +1,6 @@
 //! How well an endpoint suits a request.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use base::ServiceId;
 use catalog::interrupts_on_load;
@@ -23,6 +23,15 @@
     /// Whether the limit that the endpoint names, if it does, leaves this gateway a request.
     pub(crate) has_token: bool,
 }
+
+impl Candidate {
+    /// Predicted time until the first event.
+    pub(crate) fn expected(&self) -> Duration {
+        let ms = self.expected_ms.max(0.0);
+        Duration::try_from_secs_f64(ms / 1e3).unwrap_or(MAX_EXPECTED).min(MAX_EXPECTED)
+    }
+}
+
 /// What the suitability of all endpoints for a request depends on.
 pub(crate) struct RequestTerms {
     /// Time to add to a prediction by relation, in milliseconds.
@@ -31,6 +40,8 @@
     kept_free: f64,
 }
 
+/// Maximum predicted time until the first event; figures of an engine may predict any number.
+const MAX_EXPECTED: Duration = Duration::from_secs(3600);
 /// Fraction of the slots of an engine that may be kept free.
 const MAX_KEPT_FREE_FRACTION: f64 = 0.25;
 /// Penalty of an endpoint whose answers were all failures.
--- a/components/stager/src/scheduler.rs
+++ b/components/stager/src/scheduler.rs
@@ -5,9 +5,12 @@
 //! zone has a bounded number of owners: the more fetches share the origin's link, the later the
 //! first of them is through and can be passed on. All
 //! other members fetch it within their zone from any member that holds it, rarest pieces first. If
-//! an owner fails, the next candidate takes over its pieces.
+//! an owner fails, the next candidate takes over its pieces. While the source outside the zone has
+//! nothing to give, no owner is at fault: few members probe it, and the others wait for their success.
 
+mod outage;
 mod round;
+mod spread;
 
 use std::{
     collections::{HashMap, HashSet},
@@ -29,8 +32,22 @@
     pub max_fetches_per_source: usize,
     /// Maximum number of concurrent fetches from the origin.
     pub max_origin_fetches: usize,
+    /// Maximum number of concurrent fetches from the origin by all owners of a zone, if each makes at
+    /// least one.
+    pub max_zone_origin_fetches: usize,
+    /// Number of members of a zone that ask an origin which does not respond again and again.
+    pub max_origin_probers: usize,
+    /// Time between two attempts of such a member.
+    pub origin_probe_delay: Duration,
+    /// Time after which any other member asks such an origin again.
+    pub origin_retry_delay: Duration,
     /// Maximum number of members of a zone that own pieces.
     pub max_owners: usize,
+    /// Number of members that may fetch a piece for each member of their zone that holds it, while it
+    /// spreads.
+    pub spread_factor: usize,
+    /// Time after which any member may fetch a piece that spreads.
+    pub spread_delay: Duration,
     /// Maximum number of concurrent fetches from other zones, which respond once they hold the
     /// piece.
     pub max_other_zone_fetches: usize,
@@ -45,8 +62,12 @@
     pub inventory_timeout: Duration,
     /// Time without a message after which a member of the zone counts as gone.
     pub member_timeout: Duration,
-    /// Time without progress after which owners of all zones may fetch from the origin.
+    /// Time without progress after which owners of all zones may fetch from the origin, if no member
+    /// of the origin's zone responds.
     pub origin_fallback_delay: Duration,
+    /// Maximum time for which owners do without the origin because its zone responds, and for which
+    /// members do not take over from each other because the source outside the zone has nothing.
+    pub max_outage: Duration,
 }
 
 impl Default for FetchSettings {
@@ -55,7 +76,13 @@
             max_fetches: 8,
             max_fetches_per_source: 2,
             max_origin_fetches: 2,
+            max_zone_origin_fetches: 12,
+            max_origin_probers: 2,
+            origin_probe_delay: Duration::from_millis(100),
+            origin_retry_delay: Duration::from_secs(2),
             max_owners: 12,
+            spread_factor: 3,
+            spread_delay: Duration::from_millis(400),
             max_other_zone_fetches: 5,
             digest_step: Duration::from_millis(300),
             owner_fallback_delay: Duration::from_millis(1500),
@@ -63,6 +90,7 @@
             inventory_timeout: Duration::from_secs(3),
             member_timeout: Duration::from_millis(2200),
             origin_fallback_delay: Duration::from_millis(2500),
+            max_outage: Duration::from_secs(8),
         }
     }
 }
@@ -101,8 +129,10 @@
     Missing,
     /// The source asked to be sent nothing for this time, and nothing was sent.
     Backoff(Duration),
-    /// The source did not respond, or its response does not match the piece's digest.
+    /// The source did not respond with the piece.
     Failed,
+    /// The response does not match the piece's digest.
+    Corrupted,
 }
 
 impl FetchFailure {
@@ -111,7 +141,7 @@
         match self {
             FetchFailure::Missing => "Missing",
             FetchFailure::Backoff(_) => "Backoff",
-            FetchFailure::Failed => "Failed",
+            FetchFailure::Failed | FetchFailure::Corrupted => "Failed",
         }
     }
 }
@@ -135,6 +165,10 @@
     started_at: Instant,
     /// When this VM or another member of its zone last got a piece.
     last_progress: Instant,
+    /// When the origin last failed, unless it has given a piece since.
+    origin_failed_at: Option<Instant>,
+    /// When a member of the origin's zone last responded that it does not hold a piece.
+    origin_zone_lacked_at: Option<Instant>,
     /// Whether this zone fetches from the origin.
     in_origin_zone: bool,
     /// Members of this zone in the order of ownership, including this VM.
@@ -144,6 +178,8 @@
     /// Members of the origin's zone in the order of ownership; empty if it is this zone.
     origin_zone_members: Vec<Ipv4Addr>,
     neighbours: HashMap<Ipv4Addr, Neighbour>,
+    /// When a neighbour first reported to hold a piece, by the index of the piece.
+    first_reported: Vec<Option<Instant>>,
     /// When members of the zone last sent a message.
     last_heard: HashMap<Ipv4Addr, Instant>,
     in_flight: HashMap<u32, (Source, Instant)>,
@@ -207,11 +243,14 @@
             held: PieceSet::default(),
             started_at: now,
             last_progress: now,
+            origin_failed_at: None,
+            origin_zone_lacked_at: None,
             in_origin_zone: true,
             zone_members: vec![own_ip],
             zone_set: HashSet::from([own_ip]),
             origin_zone_members: Vec::new(),
             neighbours: HashMap::new(),
+            first_reported: vec![None; piece_count as usize],
             last_heard: HashMap::new(),
             in_flight: HashMap::new(),
             source_fetch_ms: HashMap::new(),
@@ -247,6 +286,9 @@
     pub fn mark_held(&mut self, piece: u32, now: Instant) {
         if let Some((source, started_at)) = self.in_flight.remove(&piece) {
             self.record_fetch_time(source, now.saturating_duration_since(started_at));
+            if source == Source::Origin {
+                self.origin_failed_at = None;
+            }
         }
         self.last_progress = now;
         if piece < self.piece_count {
@@ -261,21 +303,29 @@
         if neighbour.pieces.len() > known_pieces {
             self.last_progress = neighbour.reported_at;
         }
+        self.record_first_reports(&neighbour);
         self.neighbours.insert(from, neighbour);
     }
 
     /// Records that a fetch failed.
     pub fn handle_failure(&mut self, fetch: Fetch, failure: FetchFailure, now: Instant) {
         if let Some((source, started_at)) = self.in_flight.remove(&fetch.piece)
-            && failure == FetchFailure::Failed
+            && matches!(failure, FetchFailure::Failed | FetchFailure::Corrupted)
         {
             self.record_fetch_time(source, now.saturating_duration_since(started_at));
         }
-        let backoff = match failure {
-            FetchFailure::Missing => self.settings.failure_backoff / 4,
-            FetchFailure::Backoff(time) => time,
-            FetchFailure::Failed => self.settings.failure_backoff,
+        let backoff = match (failure, fetch.source) {
+            (FetchFailure::Failed, Source::Origin) => {
+                self.origin_failed_at = Some(now);
+                return;
+            }
+            (FetchFailure::Failed | FetchFailure::Corrupted, _) => self.settings.failure_backoff,
+            (FetchFailure::Missing, _) => self.settings.failure_backoff / 4,
+            (FetchFailure::Backoff(time), _) => time,
         };
+        if failure == FetchFailure::Missing && self.is_in_origin_zone(fetch.source) {
+            self.origin_zone_lacked_at = Some(now);
+        }
         self.backoff_until.insert(fetch.source, now + backoff);
     }
 
@@ -296,13 +346,16 @@
         fetches
     }
 
-    /// Pieces that are neither held nor in flight, rarest in the zone first.
+    /// Pieces that are neither held nor in flight, rarest in the zone first, and of those the ones that
+    /// this VM owns.
     fn missing_pieces(&mut self, round: &Round) -> Vec<u32> {
         let all = 0..self.piece_count;
         let missing = all.filter(|p| !self.held.contains(*p) && !self.in_flight.contains_key(p));
         let mut missing: Vec<u32> = missing.collect();
         self.rng.shuffle(&mut missing);
-        missing.sort_by_key(|piece| round.holders(*piece).len());
+        missing.sort_by_key(|piece| {
+            (round.holders(*piece).len(), self.places_after_owner(*piece, round) != 0)
+        });
         missing
     }
 
@@ -316,20 +369,20 @@
         matches!(source, Source::Peer(ip) if self.zone_set.contains(&ip))
     }
 
+    /// Whether a source is a member of the origin's zone, which is another zone.
+    fn is_in_origin_zone(&self, source: Source) -> bool {
+        matches!(source, Source::Peer(ip) if self.origin_zone_members.contains(&ip))
+    }
+
     /// Whether one more piece may be fetched from a source.
     fn has_capacity(&self, source: Source, round: &Round) -> bool {
         if self.backoff_until.contains_key(&source) {
             return false;
         }
-        let FetchSettings {
-            max_fetches,
-            max_fetches_per_source,
-            max_origin_fetches,
-            max_other_zone_fetches,
-            ..
-        } = self.settings;
+        let FetchSettings { max_fetches, max_fetches_per_source, max_other_zone_fetches, .. } =
+            self.settings;
         if source == Source::Origin {
-            return round.busy(source) < max_origin_fetches;
+            return round.busy(source) < self.max_origin_fetches(round.now);
         }
         if !self.is_in_zone(source) {
             return round.busy_elsewhere() < max_other_zone_fetches.min(self.fetch_window());
@@ -340,6 +393,9 @@
 
     fn choose_source(&mut self, piece: u32, round: &Round) -> Option<Source> {
         let holders = round.holders(piece);
+        if self.leaves_to_others(piece, round) {
+            return None;
+        }
         let sources = holders.iter().map(|ip| Source::Peer(*ip));
         let free: Vec<Source> = sources.filter(|s| self.has_capacity(*s, round)).collect();
         if !free.is_empty() {
@@ -409,6 +465,9 @@
             alive && !round.is_lagging(*ip)
         };
         let working = before.filter(is_working).count() as u32;
+        if self.is_outage(now) {
+            return working == 0 || self.is_origin_prober(now);
+        }
         self.time_without_progress(now) >= self.settings.owner_fallback_delay * working
     }
 
@@ -431,7 +490,7 @@
         let candidates = owner_candidates(members, self.settings.max_owners, piece);
         let mut peers = candidates.map(Source::Peer);
         let peer = peers.find(|peer| self.has_capacity(*peer, round));
-        let late = self.time_without_progress(round.now) >= self.settings.origin_fallback_delay;
+        let late = self.is_cut_from_origin_zone(round.now);
         peer.or_else(|| Some(Source::Origin).filter(|s| late && self.has_capacity(*s, round)))
     }
 }
--- a/components/stager/src/scheduler/tests.rs
+++ b/components/stager/src/scheduler/tests.rs
@@ -330,3 +330,108 @@
     assert_eq!(scheduler.next_fetches(now), []);
     assert!(!scheduler.next_fetches(late).is_empty());
 }
+
+/// Guards against several copies on the link of an origin that returns: while it was down, members took
+/// over from owners that were not at fault, and those of other zones went to the origin too.
+#[test]
+fn only_owners_and_probers_ask_an_origin_that_returns() {
+    let start = Instant::now();
+    let settings = FetchSettings::default();
+    let members: Vec<u8> = (1..=25).collect();
+    let outage = Duration::from_secs(6);
+    for me in &members {
+        let mut attempts = 0;
+        let mut scheduler = scheduler(*me, 64, &members, &[], start);
+        for time in (0..60).map(|n| start + outage * n / 60) {
+            members.iter().for_each(|n| scheduler.mark_alive(ip(*n), time));
+            for fetch in scheduler.next_fetches(time) {
+                attempts += 1;
+                scheduler.handle_failure(fetch, FetchFailure::Failed, time);
+            }
+        }
+        let is_prober = *me as usize <= settings.max_origin_probers;
+        let is_owner = *me as usize <= settings.max_owners;
+        let max_attempts = match (is_prober, is_owner) {
+            (true, _) => 61,
+            (false, true) => 4,
+            // It takes over once, as nobody has told it that the origin is down.
+            (false, false) => 1,
+        };
+        assert!(attempts <= max_attempts, "{me}: {attempts}");
+        let returned = start + outage;
+        let at_once = scheduler.next_fetches(returned);
+        assert!(at_once.len() <= 1, "{me}: {at_once:?}");
+        // The first member to get a piece tells the others, and owners fetch their own pieces.
+        let holds_one = Neighbour { pieces: [63].into_iter().collect(), reported_at: returned };
+        scheduler.handle_inventory(ip(if *me == 1 { 2 } else { 1 }), holds_one);
+        let told = returned + settings.origin_probe_delay;
+        let fetches = scheduler.next_fetches(told);
+        let from_origin = fetches.iter().filter(|fetch| fetch.source == Source::Origin);
+        assert!(is_owner || from_origin.count() == 0, "{me}: {fetches:?}");
+    }
+}
+
+/// Guards against a zone that fetches from the origin since that is down and the origin's zone, though
+/// alive, has nothing.
+#[test]
+fn another_zone_leaves_the_origin_to_a_zone_that_responds() {
+    let start = Instant::now();
+    let mut scheduler = scheduler(4, 2, &[4], &[1, 2], start);
+    let settings = FetchSettings::default();
+    let step = Duration::from_millis(250);
+    let mut now = start;
+    while now + step < start + settings.max_outage {
+        for fetch in scheduler.next_fetches(now) {
+            assert_ne!(fetch.source, Source::Origin);
+            scheduler.handle_failure(fetch, FetchFailure::Missing, now);
+        }
+        // All members of the origin's zone have just been asked.
+        let more = scheduler.next_fetches(now);
+        assert!(more.iter().all(|fetch| fetch.source != Source::Origin), "{more:?}");
+        more.into_iter().for_each(|f| scheduler.handle_failure(f, FetchFailure::Missing, now));
+        now += step;
+    }
+    // After a long time it asks the origin in any case, as the zone may lack a way to it.
+    let late = start + settings.max_outage;
+    for fetch in scheduler.next_fetches(late) {
+        scheduler.handle_failure(fetch, FetchFailure::Failed, late);
+    }
+    let fetches = scheduler.next_fetches(late);
+    assert!(fetches.iter().any(|fetch| fetch.source == Source::Origin), "{fetches:?}");
+}
+
+/// Guards against all pieces of a large zone arriving late and together: many at a time shared the
+/// origin's link, and the first could be passed on only after a second.
+#[test]
+fn a_large_zone_has_few_fetches_from_the_origin_at_a_time() {
+    let now = Instant::now();
+    let members: Vec<u8> = (1..=25).collect();
+    let fetches = members.iter().map(|me| scheduler(*me, 64, &members, &[], now).next_fetches(now));
+    let count: usize = fetches.map(|fetches| fetches.len()).sum();
+    assert_eq!(count, FetchSettings::default().max_zone_origin_fetches);
+}
+
+/// Guards against all members of a large zone asking the only holder of a new piece at once, whose link
+/// then carries 24 copies while theirs are idle.
+#[test]
+fn a_new_piece_spreads_from_few_members_to_all() {
+    let now = Instant::now();
+    let settings = FetchSettings::default();
+    let members: Vec<u8> = (1..=25).collect();
+    let fetching = |holders: &[u8], at: Instant| {
+        let others = members.iter().filter(|me| !holders.contains(me));
+        let asks = |me: &&u8| {
+            let mut scheduler = scheduler(**me, 1, &members, &[9], now);
+            for holder in holders {
+                scheduler.handle_inventory(ip(*holder), holds_all(1, now));
+            }
+            !scheduler.next_fetches(at).is_empty()
+        };
+        others.filter(asks).count()
+    };
+    // The first member owns the piece.
+    assert_eq!(fetching(&[1], now), 3);
+    assert_eq!(fetching(&[1, 2, 3, 4], now), 9);
+    // If those do not get it, all others fetch it.
+    assert_eq!(fetching(&[1], now + settings.spread_delay), 24);
+}
