A stream that drips without completing an event is resumed elsewhere

Callers of a resumable stream heard nothing more when its endpoint had stalled and sent a byte of the next event, or a comment, now and then: each byte counted as progress and put off asking another endpoint, until the caller left. Only completed events count now. Ruled out: a stream that cannot be resumed, and one without another endpoint, end at their deadline in any case.

--- a/components/gateway/src/hedge.rs
+++ b/components/gateway/src/hedge.rs
@@ -134,7 +134,7 @@
         self.restart_silence();
     }
 
-    /// Records that the endpoint whose stream is forwarded has sent something, and ends the attempts
+    /// Records that the endpoint whose stream is forwarded has completed an event, and ends the attempts
     /// to resume the stream elsewhere.
     pub(crate) fn record_event(&mut self, last_id: Option<u64>) {
         if let Some(stream) = &mut self.stream {
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -164,6 +164,7 @@
     /// Forwards the complete events that end with `data`.
     async fn forward(&mut self, data: Bytes) -> Option<StreamEnd> {
         self.heard_at = now();
+        let event_count = self.events.event_count();
         let whole = self.events.push(data);
         if !whole.is_empty()
             && let Some(end) = self.send_to_caller(StreamPart::Events(whole)).await
@@ -173,7 +174,10 @@
         if self.events.is_endless() {
             return self.handle_break(LossCause::Unusable);
         }
-        self.hedge.record_event(self.events.last_id());
+        // Bytes inside an event and comments do not bring the caller the next event.
+        if self.events.event_count() > event_count {
+            self.hedge.record_event(self.events.last_id());
+        }
         if self.events.event_count() >= ANSWERED_EVENTS {
             self.gateway.record_answered_parts(&self.context);
         }
