Engines get only requests that their memory has room for

An engine crashes, with all its requests, when they need more than its memory. The published memory was decoded and used nowhere. An engine is now excluded (memory) while what this gateway has in flight there, what reports show of others and the request itself would exceed it; such a request waits for others to end. One that no engine can hold is refused at once (too_large). Reports carry the share of the cache in use, as engines count it in units of their own.

--- a/components/catalog/src/engine.rs
+++ b/components/catalog/src/engine.rs
@@ -86,8 +86,8 @@
     pub waiting: u32,
     /// Number of running requests.
     pub running: u32,
-    /// KV cache tokens that are in use and cannot be evicted.
-    pub kv_cache_used: u64,
+    /// Share of the KV cache that is in use and cannot be evicted, if the engine states it.
+    pub cache_share: Option<f64>,
     /// Current slowdown against the published profile: 1 is as published, 2 is half as fast.
     pub slowdown: f64,
     /// Start time in Unix milliseconds by the engine's own clock.
--- a/components/dispatch/src/eligibility.rs
+++ b/components/dispatch/src/eligibility.rs
@@ -43,7 +43,10 @@
         if !tracked.health.is_available(now) {
             return Some(Exclusion::Unhealthy);
         }
-        self.weights_exclusion(tracked, now)
+        if let Some(excluded) = self.weights_exclusion(tracked, now) {
+            return Some(excluded);
+        }
+        (!self.has_memory(tracked, request, now)).then_some(Exclusion::Memory)
     }
 
     /// Whether an engine lacks the weights that may answer.
--- a/components/dispatch/src/endpoint.rs
+++ b/components/dispatch/src/endpoint.rs
@@ -26,6 +26,8 @@
 pub struct InFlightRequest {
     /// Length of the prompt in tokens.
     pub prompt_tokens: f64,
+    /// Cache tokens that it is expected to need; 0 at a plain service.
+    pub cache_tokens: f64,
     /// When the request was sent.
     pub sent_at: Instant,
     /// Predicted time until the first event, in milliseconds.
@@ -47,8 +49,8 @@
     pub waiting: u32,
     /// Requests that run at the engine.
     pub running: u32,
-    /// Cache tokens in use.
-    pub cache_used: u64,
+    /// Share of the KV cache in use, if it is known.
+    pub cache_share: Option<f64>,
     /// Factor by which the engine is slower than its published figures.
     pub slowdown: f64,
     /// Whether this gateway is one of those that send requests to the engine first.
@@ -79,6 +81,8 @@
     pub(crate) others_in_flight: f64,
     /// Those of `others_in_flight` that had no slot.
     pub(crate) others_waiting: f64,
+    /// Prompt tokens of the own requests that had begun at the last report, which counts them.
+    pub(crate) reported_prompts: f64,
     /// The limit that it names for the requests of all gateways together.
     pub(crate) limit: EndpointLimit,
     /// Version of the weights that an answer showed; it may be newer than the listed one.
@@ -101,6 +105,7 @@
             last_report: None,
             others_in_flight: 0.0,
             others_waiting: 0.0,
+            reported_prompts: 0.0,
             limit: EndpointLimit::default(),
             observed_version: None,
         }
@@ -132,6 +137,7 @@
         self.others_in_flight = (total - own).max(0.0);
         self.others_waiting =
             (f64::from(report.waiting) - own_awaiting_prefill).max(0.0).min(self.others_in_flight);
+        self.reported_prompts = self.begun_prompts();
         self.last_report = Some((report, now));
     }
 
--- a/components/dispatch/src/engine.rs
+++ b/components/dispatch/src/engine.rs
@@ -15,6 +15,7 @@
     prefill_tokens_per_ms: f64,
     per_pairs_ms: f64,
     mean_prompt_tokens: f64,
+    mean_answer_tokens: f64,
     /// Number of passes that an answer of mean length takes.
     mean_answer_passes: f64,
     cache_tokens: u64,
@@ -50,6 +51,7 @@
             prefill_tokens_per_ms: (profile.prefill_tokens_per_second / 1e3).max(1e-3),
             per_pairs_ms: millis(profile.prefill_time_per_million_pairs),
             mean_prompt_tokens: f64::from(profile.mean_prompt_tokens),
+            mean_answer_tokens: f64::from(profile.mean_answer_tokens),
             mean_answer_passes: (f64::from(profile.mean_answer_tokens) / stride).max(1.0),
             cache_tokens: profile.kv_cache_tokens,
         }
@@ -65,11 +67,21 @@
         self.mean_prompt_tokens
     }
 
-    /// Cache tokens shared by all running requests; 0 if not published.
+    /// The mean answer length in tokens.
+    pub fn mean_answer_tokens(&self) -> f64 {
+        self.mean_answer_tokens
+    }
+
+    /// Cache tokens shared by all requests of an engine; 0 if not published.
     pub fn cache_tokens(&self) -> u64 {
         self.cache_tokens
     }
 
+    /// The same; `None` if not published.
+    pub(crate) fn capacity(&self) -> Option<f64> {
+        (self.cache_tokens > 0).then_some(self.cache_tokens as f64)
+    }
+
     /// Time to prefill a prompt, in milliseconds.
     pub fn prefill_ms(&self, tokens: f64) -> f64 {
         tokens / self.prefill_tokens_per_ms + tokens * tokens / 2.0 / 1e6 * self.per_pairs_ms
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -12,6 +12,7 @@
 mod health;
 mod limits;
 mod listing;
+mod memory;
 mod refusal;
 mod requests;
 mod retries;
--- a/components/dispatch/src/refusal.rs
+++ b/components/dispatch/src/refusal.rs
@@ -33,9 +33,12 @@
         let retry_after = steps.into_iter().find(in_time).unwrap_or(max_retry_after);
         Decision::Refuse { reason: Refusal::Limited, retry_after }
     }
-    /// Lets a request wait for an endpoint that takes none for a moment, unless that moment is longer than
-    /// the request may wait.
+    /// Lets a request wait for an endpoint that takes none for a moment, or not this one until others have
+    /// ended, unless that moment is longer than the request may wait.
     pub(crate) fn wait_for_return(&self, request: &PendingRequest, now: Instant) -> Decision {
+        if self.lacks_only_memory(request, now) {
+            return self.wait_or_refuse(request, Refusal::Overload, now);
+        }
         let max_wait = request.latency_objective.mul_f64(self.settings.max_wait_fraction);
         match self.earliest_return(request, now) {
             None => self.refuse(Refusal::NoEndpoint),
@@ -68,7 +71,7 @@
         // The more requests are waiting, the later there is capacity.
         let factor = 1.0 + self.waiting.len() as f64 / RETRY_AFTER_SCALE;
         let wait = match reason {
-            Refusal::NoEndpoint => max_retry_after,
+            Refusal::NoEndpoint | Refusal::TooLarge => max_retry_after,
             Refusal::Overload | Refusal::Backoff | Refusal::Limited | Refusal::Late => {
                 min_retry_after.mul_f64(factor)
             }
--- a/components/dispatch/src/requests.rs
+++ b/components/dispatch/src/requests.rs
@@ -74,6 +74,8 @@
     NotServing,
     /// Its weights may no longer answer.
     OldWeights,
+    /// Its memory has no room for the request.
+    Memory,
 }
 
 impl Exclusion {
@@ -87,6 +89,7 @@
             Exclusion::Unhealthy => "unhealthy",
             Exclusion::NotServing => "not_serving",
             Exclusion::OldWeights => "old_weights",
+            Exclusion::Memory => "memory",
         }
     }
 }
@@ -104,6 +107,8 @@
     Limited,
     /// The deadline of the request has passed.
     Late,
+    /// The request needs more memory than any endpoint has.
+    TooLarge,
 }
 
 impl Refusal {
@@ -115,6 +120,7 @@
             Refusal::Backoff => "backoff",
             Refusal::Limited => "limit",
             Refusal::Late => "late",
+            Refusal::TooLarge => "too_large",
         }
     }
 }
--- a/components/dispatch/src/selection.rs
+++ b/components/dispatch/src/selection.rs
@@ -21,6 +21,9 @@
         if now >= request.deadline {
             return self.refuse(Refusal::Late);
         }
+        if self.is_too_large(request) {
+            return self.refuse(Refusal::TooLarge);
+        }
         self.refill_limits(&request.service, now);
         let candidates = self.candidates(request, now);
         if candidates.is_empty() {
@@ -60,8 +63,10 @@
         now: Instant,
     ) -> Decision {
         let prompt_tokens = request.size.map_or(0.0, |size| size.prompt_tokens);
+        let model = self.engine_models.get(&request.service);
         let in_flight = InFlightRequest {
             prompt_tokens,
+            cache_tokens: model.map_or(0.0, |model| model.expected_tokens(request.size)),
             sent_at: now,
             expected_ms,
             first_event_received: false,
--- a/components/dispatch/tests/dispatch.rs
+++ b/components/dispatch/tests/dispatch.rs
@@ -114,7 +114,7 @@
         version: Some(WeightsVersion(version)).filter(|v| v.0 > 0),
         waiting: 0,
         running,
-        cache_used: 0,
+        cache_share: None,
         slowdown: 1.0,
         is_preferred: true,
         agent_run: 1,
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -215,7 +215,7 @@
             version: report.version.map(WeightsVersion),
             waiting: report.waiting.into(),
             running: report.running.into(),
-            cache_used: report.cache_used.into(),
+            cache_share: report.cache_share(),
             slowdown: f64::from(report.pace) / 100.0,
             is_preferred: report.home,
             agent_run: report.run,
--- a/components/peering/src/message.rs
+++ b/components/peering/src/message.rs
@@ -114,7 +114,7 @@
     pub waiting: u16,
     /// Number of requests running at the endpoint.
     pub running: u16,
-    /// Number of KV cache tokens in use.
+    /// Share of the KV cache in use, in ten-thousandths; [`StateReport::UNKNOWN_SHARE`] if unknown.
     pub cache_used: u32,
     /// The engine's step time in hundredths of its published step time.
     pub pace: u16,
@@ -128,6 +128,26 @@
     pub entry_count: u16,
 }
 
+impl StateReport {
+    /// The `cache_used` of an engine that does not state it.
+    pub const UNKNOWN_SHARE: u32 = u32::MAX;
+    /// The `cache_used` of an engine whose cache is full.
+    const FULL_SHARE: f64 = 10_000.0;
+
+    /// Encodes a share of the KV cache for `cache_used`.
+    pub fn encode_cache_share(share: Option<f64>) -> u32 {
+        share.map_or(StateReport::UNKNOWN_SHARE, |share| {
+            (share.clamp(0.0, 1.0) * StateReport::FULL_SHARE).round() as u32
+        })
+    }
+
+    /// The share of the KV cache in use, if it is known.
+    pub fn cache_share(&self) -> Option<f64> {
+        let share = f64::from(self.cache_used) / StateReport::FULL_SHARE;
+        (share <= 1.0).then_some(share)
+    }
+}
+
 /// A set of pieces as a bit set; the first piece is the lowest bit of the first byte.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PieceSet(Vec<u8>);
--- a/components/stager/src/report.rs
+++ b/components/stager/src/report.rs
@@ -167,7 +167,9 @@
             named: self.newest_named(),
             waiting: report.as_ref().map_or(0, |r| clip(r.waiting)),
             running: report.as_ref().map_or(0, |r| clip(r.running)),
-            cache_used: report.as_ref().map_or(0, |r| r.kv_cache_used.min(u32::MAX.into()) as u32),
+            cache_used: StateReport::encode_cache_share(
+                report.as_ref().and_then(|report| report.cache_share),
+            ),
             pace: report.as_ref().map_or(100, |r| (r.slowdown * 100.0).clamp(1.0, 60_000.0) as u16),
             home,
             near_entries: in_own_zone.iter().take(MAX_REPORTED_GATEWAYS).copied().collect(),
