--- a/components/gateway/src/store_follower.rs
+++ b/components/gateway/src/store_follower.rs
@@ -1,6 +1,7 @@
 //! Follows the platform's store: endpoints, the configuration and the weights that the operator names.
 
 use std::{
+    collections::HashSet,
     net::Ipv4Addr,
     rc::Rc,
     time::{Duration, Instant},
@@ -65,6 +66,8 @@
     patience: StorePatience,
     /// How long endpoints that are missing from the store get to register again.
     pub(crate) reregistration: ReregistrationGrace,
+    /// Entries that could not be read, and why, as they were last logged.
+    pub(crate) unreadable: HashSet<(String, String)>,
 }
 
 impl StoreFollower {
@@ -85,6 +88,7 @@
             failures: 0,
             patience,
             reregistration,
+            unreadable: HashSet::new(),
         }
     }
 
--- a/components/gateway/src/store_updates.rs
+++ b/components/gateway/src/store_updates.rs
@@ -1,8 +1,13 @@
 //! Applies entries of the store, in their order.
 
+use std::collections::HashSet;
+
 use catalog::{Endpoint, EndpointUpdate};
 use dispatch::ListingOrigin;
-use platform::store::{StoreEntry, endpoint_id_from_key, names_weights};
+use platform::{
+    DecodeError,
+    store::{StoreEntry, endpoint_id_from_key, names_weights},
+};
 use slog::warn;
 
 use crate::{
@@ -43,10 +48,14 @@
         named: NamingTime,
         origin: ChangeOrigin,
     ) {
+        let logged = std::mem::take(&mut self.unreadable);
         let mut all: Vec<Endpoint> = Vec::new();
         for entry in entries {
             match entry {
                 StoreEntry::Endpoint(EndpointUpdate::Published(endpoint)) => all.push(endpoint),
+                StoreEntry::Unreadable { key, error } => {
+                    self.apply_unreadable(key, &error, &logged, origin);
+                }
                 other => self.apply_entry(other, named, origin),
             }
         }
@@ -67,19 +76,35 @@
                 self.gateway.handle_named_weights(&model, version, named)
             }
             StoreEntry::Unreadable { key, error } => {
-                warn!(self.gateway.log, "entry of the store is not readable";
-                    "key" => &key, "error" => %error);
-                if names_weights(&key) {
-                    self.gateway.presumed_weights.borrow_mut().record_unreadable();
-                }
-                if let Some(id) = endpoint_id_from_key(&key) {
-                    self.apply_endpoint_update(EndpointUpdate::Removed(id), origin);
-                }
+                self.apply_unreadable(key, &error, &HashSet::new(), origin);
             }
             StoreEntry::Other => {}
         }
     }
 
+    /// Applies an entry that cannot be read: it names no endpoint, and what was in force stays so. Logs it
+    /// unless it was `logged` before, as each read of the whole store brings it again.
+    fn apply_unreadable(
+        &mut self,
+        key: String,
+        error: &DecodeError,
+        logged: &HashSet<(String, String)>,
+        origin: ChangeOrigin,
+    ) {
+        if names_weights(&key) {
+            self.gateway.presumed_weights.borrow_mut().record_unreadable();
+        }
+        if let Some(id) = endpoint_id_from_key(&key) {
+            self.apply_endpoint_update(EndpointUpdate::Removed(id), origin);
+        }
+        let entry = (key, error.to_string());
+        if !logged.contains(&entry) {
+            warn!(self.gateway.log, "entry of the store is not readable";
+                "key" => &entry.0, "error" => &entry.1);
+        }
+        self.unreadable.insert(entry);
+    }
+
     fn apply_endpoint_update(&mut self, listing: EndpointUpdate, origin: ChangeOrigin) {
         let change = self.gateway.dispatcher.borrow_mut().apply_listing(listing, now());
         self.gateway.handle_endpoint_changes(change.into_iter().collect(), origin);
