A late copy of an earlier answer is taken for no order's and no caller's

The agent sent orders and uploads on pooled connections, whose responses name no request: a second copy of an earlier answer, sent late, was taken for the answer to the next order, so that a refused one counted as accepted or the other way round. They have connections of their own now, as the stager's have. The new test fails with the pooled client.

--- a/components/agent/src/engine.rs
+++ b/components/agent/src/engine.rs
@@ -62,6 +62,9 @@
 pub(crate) struct Engine {
     addr: SocketAddr,
     client: ureq::Agent,
+    /// Opens a new connection for each order and upload, so that a late copy of an earlier answer on a pooled one is
+    /// not taken for the answer to it.
+    unpooled: ureq::Agent,
     /// Opens a new connection for each call, as a pooled one does not show whether the endpoint is
     /// up.
     probe: ureq::Agent,
@@ -71,7 +74,8 @@
     pub(crate) fn new(addr: SocketAddr) -> Engine {
         let (client, probe) =
             (net::pooled_client(CONTROL_IDLE_TIMEOUT), net::unpooled_client(PROBE_IDLE_TIMEOUT));
-        Engine { addr, client, probe }
+        let unpooled = net::unpooled_client(CONTROL_IDLE_TIMEOUT);
+        Engine { addr, client, unpooled, probe }
     }
 
     pub(crate) fn addr(&self) -> SocketAddr {
@@ -117,14 +121,17 @@
     /// Sends an order; returns whether the engine accepted it.
     pub(crate) fn order(&self, order: &Order, chunks: &[Digest]) -> bool {
         let url = format!("http://{}/v1/orders", self.addr);
-        let response = self.client.post(url).send_json(OrderBody { order, chunks });
+        let response = self.unpooled.post(url).send_json(OrderBody { order, chunks });
         response.is_ok_and(|r| r.status().is_success())
     }
 
     /// Uploads a chunk of the prepared release to the engine; returns whether it was accepted.
     pub(crate) fn stage(&self, release: &ReleaseId, digest: Digest, chunk: &Bytes) -> bool {
         let url = format!("http://{}/v1/staging/{digest}", self.addr);
-        let request = self.client.put(url).header(header::RELEASE, release.as_str());
+        let request = self.unpooled.put(url).header(header::RELEASE, release.as_str());
         request.send(&chunk[..]).is_ok_and(|r| r.status().is_success())
     }
 }
+
+#[cfg(test)]
+mod tests;
