Responses that callers have not read are bounded in sum

A gateway held up to 4 MiB for each answer and 16 parts of any size for each stream, without any bound in sum: callers that read slowly could have it killed for its memory. Responses now count until they are written out, against a quarter of the process's memory. While that is used up, new requests are refused as not run, endpoints are read on as room comes, and one response at a time may go beyond the bound, so that those in progress get done. A stream holds 256 KiB instead of 16 parts, so that small events of a sound stream never block its endpoint; one that can be resumed leaves an endpoint that was not read for two seconds.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -243,8 +243,13 @@
         let may_keep = may_keep_connection(context, exchange.response.headers())
             && !has_connection_close(&exchange);
         let until = BodyLimit::Until(tokio::time::Instant::from_std(context.deadline));
-        match exchange.read_body(self.settings.max_response_bytes, until).await {
+        let mut reservation = self.response_memory.reserve();
+        let limit = self.response_limit();
+        let reserve = async |bytes| reservation.grow(bytes, limit).await;
+        let read = exchange.read_body_reserved(self.settings.max_response_bytes, until, reserve);
+        match read.await {
             Ok((response, connection)) => {
+                let response = response.map(|body| reservation.hold(body));
                 if may_keep {
                     self.pool.put_back(connection, idle_timeout);
                 }
@@ -261,6 +266,10 @@
                     AttemptOutcome::Failed(response)
                 }
             }
+            // An endpoint may cut off a response that is not read.
+            Err(_) if reservation.has_waited => {
+                self.handle_loss(context, assignment, &view, LossCause::TimedOut, 0)
+            }
             Err(err) => self.handle_loss(context, assignment, &view, loss_cause(&err), 0),
         }
     }
--- a/components/gateway/src/attempt_plan.rs
+++ b/components/gateway/src/attempt_plan.rs
@@ -71,10 +71,18 @@
         self.sent_count
     }
 
+    /// Whether another endpoint may be asked after one that may have run the request.
+    pub(crate) fn may_ask_another(&self) -> bool {
+        self.limits.is_repeatable && self.has_attempts()
+    }
+
+    fn has_attempts(&self) -> bool {
+        self.sent_count < self.limits.max_attempts && self.unreached_count < MAX_UNREACHED
+    }
+
     /// Returns what to do now.
     pub(crate) fn next_step(&self, progress: Progress, now: Instant) -> NextStep {
-        let allowed =
-            self.sent_count < self.limits.max_attempts && self.unreached_count < MAX_UNREACHED;
+        let allowed = self.has_attempts();
         match progress {
             Progress::Nothing if allowed => NextStep::Start,
             Progress::Nothing => NextStep::GiveUp,
--- a/components/gateway/src/hedge.rs
+++ b/components/gateway/src/hedge.rs
@@ -115,6 +115,11 @@
         self.plan.sent_count()
     }
 
+    /// Whether the request may be sent to another endpoint after one that may have run it.
+    pub(crate) fn may_ask_another(&self) -> bool {
+        self.plan.may_ask_another()
+    }
+
     /// Whether an endpoint that was asked may still answer.
     pub(crate) fn is_in_progress(&self) -> bool {
         self.progress() != Progress::Nothing
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod request;
 mod reregistration;
 mod response;
+mod response_memory;
 mod serve;
 mod settings;
 mod shutdown;
--- a/components/gateway/src/request.rs
+++ b/components/gateway/src/request.rs
@@ -71,7 +71,7 @@
     TooLong,
     /// The body did not arrive completely.
     BodyIncomplete,
-    /// Request bodies already use all the memory allowed for them.
+    /// Request bodies, or responses that callers have not read, already use all the memory allowed for them.
     MemoryLimit,
     /// The request, or requests with a part of its prompt, were repeatedly lost at endpoints.
     Suspect,
@@ -151,6 +151,9 @@
         if self.shutdown_stage() >= ShutdownStage::Refusing {
             return Err(Denied::Stopping);
         }
+        if self.is_response_memory_full() {
+            return Err(Denied::MemoryLimit);
+        }
         let config = self.config.borrow().clone().ok_or(Denied::NotReady)?;
         let (head, body) = request.into_parts();
         let route = find_route(&config, &head).ok_or(Denied::NoRoute)?;
--- a/components/gateway/src/response.rs
+++ b/components/gateway/src/response.rs
@@ -19,7 +19,7 @@
     Full(Option<Bytes>),
     /// Body that arrives in parts. It is complete only after `StreamPart::End`; if the sender is gone
     /// before, the response is aborted.
-    Stream(mpsc::Receiver<StreamPart>),
+    Stream(mpsc::UnboundedReceiver<StreamPart>),
     /// The end of an aborted body. The connection writes out earlier parts before it polls this.
     Aborted,
 }
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -38,6 +38,15 @@
     pub grace_margin: Duration,
     /// Fraction of the process memory that request bodies may use.
     pub body_memory_fraction: f64,
+    /// Fraction of the process memory that responses may use until their callers have read them.
+    pub response_memory_fraction: f64,
+    /// Maximum number of bytes of a stream that are held for a slow caller.
+    pub max_stream_bytes: usize,
+    /// The same while the memory for responses is used up.
+    pub min_stream_bytes: usize,
+    /// Time without room for more of a stream after which an endpoint is left that another one can resume
+    /// later.
+    pub max_held_back: Duration,
 }
 
 impl Default for GatewaySettings {
@@ -57,6 +66,10 @@
             shutdown_accept_time: Duration::from_millis(2300),
             grace_margin: Duration::from_millis(600),
             body_memory_fraction: 0.25,
+            response_memory_fraction: 0.25,
+            max_stream_bytes: 256 << 10,
+            min_stream_bytes: 16 << 10,
+            max_held_back: Duration::from_secs(2),
         }
     }
 }
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -32,6 +32,7 @@
     position_news::{NewsTimes, PositionNews},
     presumed_weights::PresumedWeights,
     refused::RecentRefusals,
+    response_memory::ResponseMemory,
     settings::GatewaySettings,
     shutdown::Shutdown,
     suspect_parts::SuspectParts,
@@ -106,6 +107,7 @@
     pub(crate) in_flight: Cell<usize>,
     /// Memory reserved for request bodies, in bytes.
     pub(crate) body_bytes: Cell<usize>,
+    pub(crate) response_memory: Arc<ResponseMemory>,
     pub(crate) refusals: RefCell<RecentRefusals>,
     /// Other gateways of the zone as named by stagers, with the time when they were last named.
     pub(crate) zone_gateways: RefCell<HashMap<Ipv4Addr, Instant>>,
@@ -232,6 +234,7 @@
             stage_reached: Notify::new(),
             in_flight: Cell::new(0),
             body_bytes: Cell::new(0),
+            response_memory: Arc::default(),
             refusals: RefCell::default(),
             zone_gateways: RefCell::default(),
         }
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -1,6 +1,6 @@
 //! Forwards a stream of events, and resumes it at another endpoint if it breaks off.
 
-use std::{rc::Rc, time::Instant};
+use std::{rc::Rc, sync::Arc, time::Instant};
 
 use bytes::Bytes;
 use dispatch::EndpointOutcome;
@@ -18,22 +18,25 @@
     hedge::{Hedge, HedgeEvent},
     request::RequestContext,
     response::{ResponseBody, StreamPart, response_with_head},
+    response_memory::ResponseMemory,
     serve::InFlightGuard,
     shutdown::ShutdownStage,
     state::{Gateway, now},
     suspect_parts::ANSWERED_EVENTS,
 };
 
-/// Number of parts of a stream that are buffered for a slow caller.
-const MAX_BUFFERED_PARTS: usize = 16;
-
 /// Forwards one stream to its caller.
 struct Relay {
     gateway: Rc<Gateway>,
     context: Rc<RequestContext>,
     hedge: Hedge,
     events: EventSplitter,
-    sender: mpsc::Sender<StreamPart>,
+    sender: mpsc::UnboundedSender<StreamPart>,
+    /// What the caller has not read yet.
+    unread: Arc<ResponseMemory>,
+    /// Whether the endpoint was not read for so long, as the caller did not read, that it may have cut the
+    /// stream off.
+    held_back: bool,
     /// The stream of the endpoint that was last heard of, until it breaks off.
     source: Option<OpenStream>,
     /// Why the last stream broke off.
@@ -76,7 +79,7 @@
         opened: OpenStream,
         hedge: Hedge,
     ) -> Response<ResponseBody> {
-        let (sender, parts) = mpsc::channel(MAX_BUFFERED_PARTS);
+        let (sender, parts) = mpsc::unbounded_channel();
         let response = response_with_head(
             opened.head.status,
             &opened.head.headers,
@@ -89,6 +92,8 @@
             hedge,
             events,
             sender,
+            unread: Arc::default(),
+            held_back: false,
             source: None,
             loss: LossCause::Broken,
             heard_at: now(),
@@ -147,7 +152,7 @@
                 Err(_) => None,
             },
             RelayEvent::Frame(Some(Err(_))) => self.handle_break(LossCause::Broken),
-            RelayEvent::Frame(None) => self.handle_end().await,
+            RelayEvent::Frame(None) => self.handle_end(),
             RelayEvent::Hedge(event) => self.handle_hedge(event).await,
         }
     }
@@ -167,7 +172,7 @@
         let event_count = self.events.event_count();
         let whole = self.events.push(data);
         if !whole.is_empty()
-            && let Some(end) = self.send_to_caller(StreamPart::Events(whole)).await
+            && let Some(end) = self.send_to_caller(whole).await
         {
             return Some(end);
         }
@@ -184,28 +189,64 @@
         None
     }
 
-    /// Sends a part to the caller, which may have to read earlier ones first. Returns how the response
-    /// ends, if it does.
-    async fn send_to_caller(&mut self, part: StreamPart) -> Option<StreamEnd> {
+    /// Sends events to the caller, which may have to read earlier ones first. Returns how the response ends,
+    /// if it does.
+    async fn send_to_caller(&mut self, events: Bytes) -> Option<StreamEnd> {
         let deadline = tokio::time::Instant::from_std(self.context.deadline);
-        tokio::select! {
-            biased;
-            sent = self.sender.send(part) => sent.is_err().then_some(StreamEnd::CallerGone),
-            () = sleep_until(deadline) => Some(StreamEnd::Late),
-            () = self.gateway.reached(ShutdownStage::GivingUp) => Some(StreamEnd::Stopping),
+        let leave_at = tokio::time::Instant::now() + self.gateway.settings.max_held_back;
+        self.held_back = false;
+        while !self.has_room(events.len()) {
+            tokio::select! {
+                biased;
+                () = self.sender.closed() => return Some(StreamEnd::CallerGone),
+                () = self.unread.released.notified() => {}
+                () = sleep_until(deadline) => return Some(StreamEnd::Late),
+                () = self.gateway.reached(ShutdownStage::GivingUp) => {
+                    return Some(StreamEnd::Stopping);
+                }
+                () = sleep_until(leave_at), if !self.held_back => self.hold_back(),
+            }
+        }
+        let held = self.unread.hold(self.gateway.response_memory.hold(events));
+        self.sender.send(StreamPart::Events(held)).is_err().then_some(StreamEnd::CallerGone)
+    }
+
+    /// Whether more of the stream may be held for the caller. A caller that has read everything always gets
+    /// the next events.
+    fn has_room(&self, bytes: usize) -> bool {
+        let settings = &self.gateway.settings;
+        let limit = match self.gateway.is_response_memory_full() {
+            true => settings.min_stream_bytes,
+            false => settings.max_stream_bytes,
+        };
+        let unread = self.unread.held();
+        unread == 0 || unread + bytes <= limit
+    }
+
+    /// Records that the endpoint was not read for long. Leaves it, so that it need not hold the rest, if
+    /// another endpoint can resume the stream once the caller reads on.
+    fn hold_back(&mut self) {
+        self.held_back = true;
+        if self.hedge.may_ask_another() && self.source.take().is_some() {
+            self.hedge.record_broken_stream();
+            self.log_not_resumed("caller_slow");
         }
     }
 
     /// Handles the regular end of the endpoint's response. The stream broke off nevertheless if it ended
     /// inside an event, or before the first one with nothing but its connection.
-    async fn handle_end(&mut self) -> Option<StreamEnd> {
+    fn handle_end(&mut self) -> Option<StreamEnd> {
         self.log_source_end();
         let is_unframed = self.source_framing() == Some(Framing::Connection);
         if self.events.is_inside_event() || is_unframed && self.events.event_count() == 0 {
             return self.handle_break(LossCause::Broken);
         }
         self.release_source();
-        self.send_to_caller(StreamPart::End).await.or(Some(StreamEnd::Complete))
+        // Fails only if the caller is gone.
+        Some(match self.sender.send(StreamPart::End) {
+            Ok(()) => StreamEnd::Complete,
+            Err(_) => StreamEnd::CallerGone,
+        })
     }
 
     fn source_framing(&self) -> Option<Framing> {
@@ -230,9 +271,9 @@
         self.hedge.record_broken_stream();
         let endpoint = assignment.in_flight.endpoint;
         let is_loading = self.gateway.dispatcher.borrow().is_loading(endpoint, now());
-        // An endpoint aborts streams to load other weights. Neither the request nor the endpoint is at
-        // fault then.
-        if !is_loading {
+        // An endpoint aborts streams to load other weights, or whose caller does not read. Neither the request
+        // nor the endpoint is at fault then.
+        if !is_loading && !self.held_back {
             let events = self.events.event_count();
             self.gateway.handle_loss(&self.context, assignment, &view, loss, events);
         }
--- a/components/transport/src/client.rs
+++ b/components/transport/src/client.rs
@@ -198,6 +198,16 @@
         self,
         limit: usize,
         time_limit: BodyLimit,
+    ) -> Result<(Response<Bytes>, Connection), TransportError> {
+        self.read_body_reserved(limit, time_limit, async |_| {}).await
+    }
+
+    /// The same. After each part, reads on once `reserve` has reserved memory of its size.
+    pub async fn read_body_reserved(
+        self,
+        limit: usize,
+        time_limit: BodyLimit,
+        mut reserve: impl AsyncFnMut(usize),
     ) -> Result<(Response<Bytes>, Connection), TransportError> {
         let (head, mut body) = self.response.into_parts();
         if body.size_hint().lower() > limit as u64 {
@@ -221,6 +231,8 @@
                     return Err(TransportError::TooLarge(limit));
                 }
                 buffer.extend_from_slice(&data);
+                let reserved = timeout_at(deadline.due(), reserve(data.len())).await;
+                reserved.map_err(|_| TransportError::Incomplete(buffer.len()))?;
                 deadline.record(data.len(), Instant::now());
             }
         }
