A caller that reads nothing of its response for the idle time is closed

A whole answer was kept for ever for a caller that never read it, as neither a deadline nor keepalive ends a connection whose peer is alive. Writes that make no progress for the idle timeout of the listener fail.

--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -9,6 +9,7 @@
 mod pool;
 mod resettable;
 mod server;
+mod write_timeout;
 
 pub use client::{BufferedResponse, Connection, Exchange, Framing, ResponseBody, request};
 pub use connect::ConnectSettings;
--- a/components/transport/src/server.rs
+++ b/components/transport/src/server.rs
@@ -19,7 +19,10 @@
     task::{spawn_local, yield_now},
 };
 
-use crate::resettable::{CloseControl, ResettableStream};
+use crate::{
+    resettable::{CloseControl, ResettableStream},
+    write_timeout::WriteTimeout,
+};
 
 /// Pause after a failed accept, for example because no file descriptors are left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -29,7 +32,8 @@
 pub struct AcceptSettings {
     /// Maximum size of a request's head in bytes.
     pub max_header_bytes: usize,
-    /// Maximum time until the head of the next request is received, including idle time.
+    /// Maximum time until the head of the next request is received, including idle time, and for which a peer
+    /// may read nothing of a response.
     pub idle_timeout: Duration,
     /// Maximum number of open connections. Further ones are closed immediately.
     pub max_connections: usize,
@@ -192,6 +196,7 @@
     };
     builder.keep_alive(close_in == StopPhase::Closing);
     let stream = ResettableStream::new(stream, control.clone());
+    let stream = WriteTimeout::new(stream, settings.idle_timeout);
     let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
     let ended = tokio::select! {
         biased;
