--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -16,6 +16,7 @@
 mod health;
 mod limits;
 mod listing;
+mod memory;
 mod outdated;
 mod queue;
 mod rank;
--- a/components/dispatch/src/queue.rs
+++ b/components/dispatch/src/queue.rs
@@ -87,8 +87,7 @@
 /// Work of a request, of mean size if its own is not known.
 fn work_of(model: &EngineModel, request: &PendingRequest) -> Work {
     let Some(size) = request.size else { return Work(model.mean_work_ms()) };
-    let likely = size.answer_hint.unwrap_or(size.max_answer_tokens);
-    Work(model.work_ms(size.prompt_tokens, likely.min(size.max_answer_tokens)))
+    Work(model.work_ms(size.prompt_tokens, size.expected_answer(model)))
 }
 
 #[cfg(test)]
--- a/components/dispatch/src/requests.rs
+++ b/components/dispatch/src/requests.rs
@@ -78,6 +78,8 @@
     OldWeights,
     /// It is cold, and this gateway's share of what it bears is used up.
     Cold,
+    /// Its memory has no room for the request.
+    Memory,
 }
 
 impl Exclusion {
@@ -89,6 +91,7 @@
             | Exclusion::Unhealthy
             | Exclusion::NotServing
             | Exclusion::OldWeights
+            | Exclusion::Memory
             | Exclusion::Cold => true,
             Exclusion::Tried
             | Exclusion::NotFollowed
@@ -111,6 +114,7 @@
             Exclusion::NotServing => "not_serving",
             Exclusion::OldWeights => "old_weights",
             Exclusion::Cold => "cold",
+            Exclusion::Memory => "memory",
         }
     }
 }
@@ -134,6 +138,8 @@
     Cold,
     /// The deadline of the request has passed.
     Late,
+    /// The request needs more memory than any endpoint has.
+    TooLarge,
 }
 
 impl Refusal {
@@ -148,6 +154,7 @@
             Refusal::Evacuated => "evacuated",
             Refusal::Cold => "cold",
             Refusal::Late => "late",
+            Refusal::TooLarge => "too_large",
         }
     }
 }
--- a/components/dispatch/src/selection.rs
+++ b/components/dispatch/src/selection.rs
@@ -13,6 +13,9 @@
         if now >= request.deadline {
             return self.refuse(Refusal::Late);
         }
+        if self.is_too_large(request) {
+            return self.refuse(Refusal::TooLarge);
+        }
         self.refill_limits(&request.service, now);
         let mut candidates = self.candidates(request, now);
         // A request that is late in any case may use the capacity that is left.
@@ -50,10 +53,12 @@
         let (key, expected_ms) = (candidate.key, candidate.expected_ms);
         self.record_sent(request, now);
         let prompt_tokens = request.size.map_or(0.0, |size| size.prompt_tokens);
-        let relation = self.relation(&self.endpoints[key], now);
+        let model = self.engine_models.get(&request.service);
+        let cache_tokens = model.map_or(0.0, |model| model.expected_tokens(request.size));
         let in_flight = InFlightRequest {
             prompt_tokens,
-            relation,
+            cache_tokens,
+            relation: self.relation(&self.endpoints[key], now),
             sent_at: now,
             expected_ms,
             first_event_received: false,
--- a/components/gateway/src/hedge.rs
+++ b/components/gateway/src/hedge.rs
@@ -115,6 +115,11 @@
         self.plan.sent_count()
     }
 
+    /// Whether the request may be sent to another endpoint after one that may have run it.
+    pub(crate) fn may_ask_another(&self) -> bool {
+        self.plan.may_ask_another()
+    }
+
     /// Whether an endpoint that was asked may still answer.
     pub(crate) fn is_in_progress(&self) -> bool {
         self.progress() != Progress::Nothing
@@ -134,7 +139,7 @@
         self.restart_silence();
     }
 
-    /// Records that the endpoint whose stream is forwarded has sent something, and ends the attempts
+    /// Records that the endpoint whose stream is forwarded has completed an event, and ends the attempts
     /// to resume the stream elsewhere.
     pub(crate) fn record_event(&mut self, last_id: Option<u64>) {
         if let Some(stream) = &mut self.stream {
