A large answer on a connection that was idle reaches its caller

Callers saw 502 for answers of 200 KB and more from a sound endpoint, on a kept connection; three such losses make a sound request suspect. Cause: the limit on heads counted all bytes read until the task that sent the request ran again, so a part of the body too: hyper reads the body at once when it is there, and its buffer may be larger than 64 KiB. Ruled out: hyper's own limit, which holds only while a head is incomplete.

Each head is limited as hyper parses it (max_header_size), and interim responses, which it does not limit, by the sum of their heads as it hands them over.

Test: 1,000 answers of 1 KB to 4 MiB after 0 to 1 s of idleness, 20 connections, client busy or not. Heads without end still fail at once (4 kinds, and the 24 of endless_answers).

--- a/components/transport/src/client.rs
+++ b/components/transport/src/client.rs
@@ -128,7 +128,7 @@
         let head_limit = HeadLimit::default();
         let stream = LimitedStream::new(stream, head_limit.clone());
         let mut builder = http1::Builder::new();
-        builder.max_buf_size(MAX_HEAD_BYTES);
+        builder.max_buf_size(MAX_HEAD_BYTES).max_header_size(MAX_HEAD_BYTES);
         let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(TransportError::Broken)?;
         // The sender reports it when the connection ends.
@@ -169,13 +169,13 @@
     /// Sends a request and waits until `until` for the head of the response.
     pub async fn send(
         mut self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
         until: Instant,
     ) -> Result<Exchange, TransportError> {
         if !self.sender.is_ready() && self.sender.ready().await.is_err() {
             return Err(TransportError::Unsent);
         }
-        self.head_limit.start();
+        self.head_limit.start(&mut request);
         let sending = timeout_at(until, self.sender.send_request(request)).await;
         let response = sending.map_err(|_| TransportError::Timeout)?.map_err(|err| {
             // Hyper cancels a request that it has not started to write.
@@ -185,7 +185,6 @@
                 TransportError::after_sending(err)
             }
         })?;
-        self.head_limit.stop();
         self.used = true;
         Ok(Exchange { response, connection: self })
     }
--- a/components/transport/src/head_limit.rs
+++ b/components/transport/src/head_limit.rs
@@ -1,52 +1,65 @@
-//! A TCP stream that fails when a peer sends too much before the head of its response.
+//! A TCP stream that fails when a peer sends interim responses without end.
+//!
+//! The HTTP library limits each head by itself, but not the number of interim responses before it.
 
 use std::{
-    cell::Cell,
     io::{self, IoSlice},
     pin::Pin,
-    rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering::Relaxed},
+    },
     task::{Context, Poll},
 };
 
+use http::{HeaderMap, HeaderName, HeaderValue, Request};
+use hyper::ext::on_informational;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
 };
 
-/// Maximum number of bytes up to the end of a response's head, interim responses included, with what of
-/// the body is read with it.
+/// Maximum size in bytes of a response's head, and of the heads of all interim responses before it.
 pub(crate) const MAX_HEAD_BYTES: usize = 64 << 10;
+/// Size in bytes as which an interim response counts beside its headers.
+const STATUS_LINE_BYTES: usize = "HTTP/1.1 100 Continue\r\n\r\n".len();
+/// Size in bytes of what separates a header's name from its value, and of its line end.
+const SEPARATOR_BYTES: usize = ": \r\n".len();
 
 /// Error of a stream whose peer sends a head without end.
 #[derive(Debug, thiserror::Error)]
-#[error("the head of the response has more than {MAX_HEAD_BYTES} bytes")]
+#[error("the interim responses have more than {MAX_HEAD_BYTES} bytes")]
 pub(crate) struct HeadTooLarge;
 
-/// Tells a stream when a head is due.
+/// Size in bytes of the interim responses to the current request. Clones share it.
 #[derive(Debug, Clone, Default)]
-pub(crate) struct HeadLimit(Rc<Cell<Option<usize>>>);
+pub(crate) struct HeadLimit(Arc<AtomicUsize>);
 
 impl HeadLimit {
-    /// Starts to count, as a request is sent.
-    pub(crate) fn start(&self) {
-        self.0.set(Some(MAX_HEAD_BYTES));
+    /// Counts the interim responses to `request`, which is about to be sent.
+    pub(crate) fn start<B>(&self, request: &mut Request<B>) {
+        self.0.store(0, Relaxed);
+        let limit = self.clone();
+        on_informational(request, move |interim| limit.record(interim.headers()));
     }
 
-    /// Stops to count, as the head has arrived.
-    pub(crate) fn stop(&self) {
-        self.0.set(None);
+    fn record(&self, headers: &HeaderMap) {
+        let size = |(name, value): (&HeaderName, &HeaderValue)| {
+            name.as_str().len() + value.len() + SEPARATOR_BYTES
+        };
+        let headers: usize = headers.iter().map(size).sum();
+        self.0.fetch_add(STATUS_LINE_BYTES + headers, Relaxed);
     }
 
-    fn record(&self, bytes: usize) -> io::Result<()> {
-        let Some(left) = self.0.get() else { return Ok(()) };
-        let left = left.checked_sub(bytes);
-        let left = left.ok_or_else(|| io::Error::new(io::ErrorKind::InvalidData, HeadTooLarge))?;
-        self.0.set(Some(left));
-        Ok(())
+    fn check(&self) -> io::Result<()> {
+        match self.0.load(Relaxed) > MAX_HEAD_BYTES {
+            true => Err(io::Error::new(io::ErrorKind::InvalidData, HeadTooLarge)),
+            false => Ok(()),
+        }
     }
 }
 
-/// A TCP stream with a limit on heads.
+/// A TCP stream with a limit on interim responses.
 #[derive(Debug)]
 pub(crate) struct LimitedStream {
     stream: TcpStream,
@@ -65,12 +78,8 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
-        match polled {
-            Poll::Ready(Ok(())) => Poll::Ready(self.limit.record(buf.filled().len() - before)),
-            polled => polled,
-        }
+        self.limit.check()?;
+        Pin::new(&mut self.stream).poll_read(cx, buf)
     }
 }
 
