A stager that starts beside a slow endpoint loads the next version in time

Engines served old weights for more than 20 s (bound 8 s) when their stager had just started and each read of a staged piece took 1.9 s. Cause: what is staged was read one piece after the other before a newer version was fetched, also when that was named meanwhile, and the first check of the new pieces began with one read at a time and took longer than counts. Ruled out: the load schedule and the fetches, which took under 0.3 s.

A newer version ends the reads of an older one.

--- a/components/stager/src/fetch.rs
+++ b/components/stager/src/fetch.rs
@@ -1,7 +1,7 @@
 //! Downloads the newest weights and uploads them to the endpoint; each piece is verified by its
 //! digest.
 
-use std::{rc::Rc, time::Duration};
+use std::{ops::ControlFlow, rc::Rc, time::Duration};
 
 use base::Digest;
 use bytes::Bytes;
@@ -37,6 +37,9 @@
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum age of a version of which no piece can be staged anywhere yet.
 const RECENTLY_NAMED: Duration = Duration::from_millis(1500);
+/// Number of pieces that match no digest, while none does, from which all that is staged belongs to another
+/// version.
+const FOREIGN_PIECES: usize = 6;
 /// Size of a digest in bytes.
 const DIGEST_BYTES: usize = 32;
 
@@ -169,7 +172,11 @@
 
     /// Looks for a load order of an earlier run of this process, which may have got no answer: all pieces
     /// of the version before the newest one are staged and not loaded.
-    async fn look_for_open_order(&self, layout: &WeightsLayout, newest: WeightsVersion) {
+    async fn look_for_open_order(
+        self: &Rc<Stager>,
+        layout: &WeightsLayout,
+        newest: WeightsVersion,
+    ) {
         let Some(version) = newest.0.checked_sub(1).map(WeightsVersion) else { return };
         let is_served = self.serving_version().is_some_and(|serving| serving >= version);
         if is_served || version.0 == 0 {
@@ -182,14 +189,19 @@
             return;
         }
         let Some(digests) = self.fetch_digests_from_origin(layout, version).await else { return };
-        let mut pieces = Vec::with_capacity(digests.len());
-        for (piece, digest) in (0..).zip(&digests) {
-            match self.get_staged_piece(&layout.model, piece).await {
-                Ok(Some(body)) if Digest::of(&body) == *digest => pieces.push(body),
+        let mut found = vec![None; digests.len()];
+        self.read_staged(layout, (0..layout.pieces).collect(), |piece, body| {
+            let digest = digests.get(piece as usize);
+            let is_right = body.as_ref().is_some_and(|body| digest == Some(&Digest::of(body)));
+            if !is_right {
                 // A mix of pieces was never ordered.
-                _ => return,
+                return ControlFlow::Break(());
             }
-        }
+            found[piece as usize] = body;
+            ControlFlow::Continue(())
+        })
+        .await;
+        let Some(pieces) = found.into_iter().collect() else { return };
         info!(self.log, "an earlier run may have ordered a load"; "version" => version.0,
             "sequence" => report.accepted_orders);
         let weights = Weights { version, digests: Rc::new(digests), pieces };
@@ -226,21 +238,41 @@
                 return;
             }
         };
-        let mut reused = 0;
-        for piece in staged.into_iter().filter(|piece| *piece < layout.pieces) {
-            let Ok(Some(body)) = self.get_staged_piece(&layout.model, piece).await else {
-                continue;
-            };
-            if self.accept_piece(version, piece, body, true) {
-                reused += 1;
-            } else if reused == 0 && piece > 4 {
-                // The staged pieces belong to another version.
-                break;
+        let staged = staged.into_iter().filter(|piece| *piece < layout.pieces).collect();
+        let (mut reused, mut foreign) = (0, 0);
+        self.read_staged(layout, staged, |piece, body| {
+            if self.download_version() != Some(version) {
+                // A newer version was named.
+                return ControlFlow::Break(());
             }
-        }
+            match body.map(|body| self.accept_piece(version, piece, body, true)) {
+                Some(true) => reused += 1,
+                Some(false) => foreign += 1,
+                None => {}
+            }
+            match reused == 0 && foreign >= FOREIGN_PIECES {
+                true => ControlFlow::Break(()),
+                false => ControlFlow::Continue(()),
+            }
+        })
+        .await;
         info!(self.log, "staged pieces reused"; "version" => version.0, "pieces" => reused);
     }
 
+    /// Reads staged pieces and hands those that could be read to `handle`, until it breaks off.
+    async fn read_staged(
+        self: &Rc<Stager>,
+        layout: &WeightsLayout,
+        pieces: Vec<u32>,
+        mut handle: impl FnMut(u32, Option<Bytes>) -> ControlFlow<()>,
+    ) {
+        let reads = pieces.into_iter().map(|piece| {
+            let (stager, model) = (self.clone(), layout.model.clone());
+            async move { (piece, stager.get_staged_piece(&model, piece).await) }
+        });
+        self.run_reads(reads, |(piece, read)| handle(piece, read.ok().flatten())).await;
+    }
+
     /// Stores a piece if it matches its digest; returns whether it does.
     fn accept_piece(&self, version: WeightsVersion, piece: u32, body: Bytes, staged: bool) -> bool {
         let mut download = self.download.borrow_mut();
--- a/components/stager/src/lib.rs
+++ b/components/stager/src/lib.rs
@@ -11,6 +11,7 @@
 mod open_order;
 mod peers;
 mod process;
+mod read_pace;
 mod report;
 mod report_rates;
 mod scheduler;
--- a/components/stager/src/staged_check.rs
+++ b/components/stager/src/staged_check.rs
@@ -4,6 +4,7 @@
 //! order is sent only while the check is recent.
 
 use std::{
+    ops::ControlFlow,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -13,12 +14,13 @@
 use catalog::{ModelId, WeightsVersion};
 use lifecycle::BootTime;
 use slog::{info, warn};
-use tokio::task::JoinSet;
+use tokio::{task::JoinSet, time::timeout_at};
 
 use crate::{
     engine::EngineError,
     fleet_view::WeightsLayout,
     open_order::Weights,
+    read_pace::ReadPace,
     shared::{Stager, now},
 };
 
@@ -26,10 +28,6 @@
 pub(crate) const SPOILT_ALLOWANCE: Duration = Duration::from_secs(3);
 /// Maximum age of a check when an order is sent. The rest of the allowance is for the order to arrive.
 pub(crate) const MAX_CHECK_AGE: Duration = Duration::from_millis(2500);
-/// Time in which all pieces are to be read. Pieces are read at the same time if that would take longer.
-const READ_TIME: Duration = Duration::from_secs(1);
-/// Maximum number of pieces that are read at the same time.
-const MAX_READS: usize = 32;
 
 /// A check that found all staged pieces right.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -70,36 +68,61 @@
         weights: &Weights,
     ) -> Option<StagedCheck> {
         let check = StagedCheck::begin();
-        let mut expected = expected_pieces(&layout.model, weights);
-        let (total, mut done) = (expected.len(), 0);
-        let mut limit = self.read_limit.get().max(1);
-        let mut reads = JoinSet::new();
-        loop {
-            while reads.len() < limit
-                && let Some(piece) = expected.next()
-            {
-                reads.spawn_local(self.clone().check_piece(piece));
-            }
-            let Some(ended) = reads.join_next().await else { break };
-            if !ended.unwrap_or(false) {
-                return None;
-            }
-            done += 1;
-            if check.age() > READ_TIME.mul_f64(done as f64 / total as f64) {
-                limit = MAX_READS.min(limit + 1);
-            }
+        let pieces = expected_pieces(&layout.model, weights);
+        let mut unchecked = pieces.len();
+        let reads = pieces.map(|piece| self.clone().check_piece(piece));
+        self.run_reads(reads, |is_right| {
+            unchecked -= usize::from(is_right);
+            if is_right { ControlFlow::Continue(()) } else { ControlFlow::Break(()) }
+        })
+        .await;
+        if unchecked > 0 {
+            return None;
         }
         let age = check.age();
         let is_recent = age <= MAX_CHECK_AGE;
-        // After a check that took too long, the next one begins with as many reads.
-        self.read_limit.set(if is_recent { 1 } else { limit });
         if !is_recent {
             warn!(self.log, "staged pieces not checked in time"; "version" => weights.version.0,
-                "took_ms" => age.as_millis() as u64, "reads" => limit);
+                "took_ms" => age.as_millis() as u64, "reads" => self.read_limit.get());
         }
         is_recent.then_some(check)
     }
 
+    /// Runs `reads` of staged pieces, as many at the same time as their pace asks for, and hands their results to
+    /// `handle` until it breaks off.
+    pub(crate) async fn run_reads<R>(
+        &self,
+        mut reads: impl ExactSizeIterator<Item = R>,
+        mut handle: impl FnMut(R::Output) -> ControlFlow<()>,
+    ) where
+        R: Future<Output: 'static> + 'static,
+    {
+        let mut pace = ReadPace::new(reads.len(), self.read_limit.get(), now());
+        let mut running = JoinSet::new();
+        loop {
+            while running.len() < pace.limit()
+                && let Some(read) = reads.next()
+            {
+                running.spawn_local(read);
+            }
+            match timeout_at(pace.silent_at().into(), running.join_next()).await {
+                Ok(Some(Ok(result))) => {
+                    pace.record_end(now());
+                    if handle(result).is_break() {
+                        break;
+                    }
+                }
+                Ok(Some(Err(err))) => {
+                    warn!(self.log, "read of a staged piece ended"; "error" => %err);
+                    break;
+                }
+                Ok(None) => break,
+                Err(_) => pace.record_silence(reads.len(), now()),
+            }
+        }
+        self.read_limit.set(pace.next_limit(now()));
+    }
+
     /// Reads a staged piece back and replaces it if it is wrong. Returns whether it is right now.
     async fn check_piece(self: Rc<Stager>, expected: ExpectedPiece) -> bool {
         match self.is_staged(&expected).await {
