A process that gets SIGHUP while it starts goes on

A gateway or stager that got SIGHUP within 3 ms of its start was ended by it: no handler was there until its tasks ran. The handler is the first thing that is installed now, before the settings are read; what changes meanwhile is found as the file is read anew. Left: the time in which the program is loaded, which no code of its own can shorten.

--- a/components/lifecycle/src/lib.rs
+++ b/components/lifecycle/src/lib.rs
@@ -11,4 +11,4 @@
 pub use maintenance::{FLUSH_INTERVAL, run_maintenance};
 pub use pauses::{BootTime, Pause, Pauses};
 pub use settings_file::SettingsFile;
-pub use signals::wait_for_stop_signal;
+pub use signals::{survive_early_hangups, wait_for_stop_signal};
--- a/src/cmd/on_platform.rs
+++ b/src/cmd/on_platform.rs
@@ -13,12 +13,14 @@
 /// gives the path of the settings.
 pub fn run(role: PlatformRole, file: Option<&Path>) -> anyhow::Result<()> {
     let file = file.map_or_else(platform::settings_path, Path::to_owned);
-    let process = read_settings(&file)?;
     let runtime = Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, start(role, file, process))
+    LocalSet::new().block_on(&runtime, start(role, file))
 }
 
-async fn start(role: PlatformRole, file: PathBuf, process: ProcessSettings) -> anyhow::Result<()> {
+async fn start(role: PlatformRole, file: PathBuf) -> anyhow::Result<()> {
+    // The platform may change the settings while they are read.
+    lifecycle::survive_early_hangups()?;
+    let process = read_settings(&file)?;
     let lines = LogBuffer::start();
     let log = lines.logger(process.vm.to_string(), role.as_str());
     let metrics: MetricsHandle = telemetry::install_without_upkeep_thread();
