The configuration's limits on heads and idle time hold for callers' connections

The gateway used constants (32 KiB, 75 s) and hyper's 100 headers: requests with more headers got 431 though they were small, larger heads than the operator permits were served, and idle connections stayed open for 75 s. Each connection gets the limits of the configuration when it is accepted; a request that begins at the end of the idle time still has the header time-out. The number of headers is limited only by the size.

--- a/components/catalog/src/config.rs
+++ b/components/catalog/src/config.rs
@@ -177,10 +177,10 @@
 impl Default for RequestLimits {
     fn default() -> RequestLimits {
         RequestLimits {
-            max_header_bytes: 16 << 10,
+            max_header_bytes: 32 << 10,
             max_body_bytes: 4 << 20,
             header_timeout: Duration::from_secs(3),
-            idle_timeout: Duration::from_secs(15),
+            idle_timeout: Duration::from_secs(75),
         }
     }
 }
--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -129,12 +129,14 @@
         let mut connections = Rc::default();
         let mut internal = Vec::new();
         let process = self.process.borrow().clone();
-        let inner = internal_accept_settings(INTERNAL_IDLE_TIMEOUT);
+        let inner = || internal_accept_settings(INTERNAL_IDLE_TIMEOUT);
         if process.roles.contains(&ProcessRole::Callers) {
             let callers = process.caller_addr.context("settings name no address for callers")?;
             let gateway = self.clone();
             let call = move |request| gateway.clone().serve(request);
-            connections = listen(callers, self.caller_settings(), phase, call).await?;
+            let gateway = self.clone();
+            let limits = move || gateway.caller_settings();
+            connections = listen(callers, limits, phase, call).await?;
         }
         for addr in [process.readiness_addr, process.control_addr].into_iter().flatten() {
             let gateway = self.clone();
@@ -150,13 +152,16 @@
         Ok(Listeners { callers: connections, internal })
     }
 
+    /// Returns the limits of the configuration for callers' connections.
     fn caller_settings(&self) -> AcceptSettings {
+        let config = self.config.borrow();
+        let limits = config.as_ref().map(|config| config.limits).unwrap_or_default();
         let descriptors = self.process.borrow().limits.file_descriptors;
         let connections = descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(descriptors / 2);
         AcceptSettings {
-            max_header_bytes: 32 << 10,
-            // Callers may reuse a connection after an idle time of almost the operator's limit.
-            idle_timeout: Duration::from_secs(75),
+            max_header_bytes: limits.max_header_bytes,
+            // A request may begin at the end of the idle time.
+            idle_timeout: limits.idle_timeout + limits.header_timeout,
             max_connections: connections as usize,
             keepalive_time: Duration::from_secs(2),
         }
--- a/components/lifecycle/src/listen.rs
+++ b/components/lifecycle/src/listen.rs
@@ -33,11 +33,11 @@
     }
 }
 
-/// Handles requests to `addr` with `handle` in a separate task until the process stops. Returns the
-/// count of the listener's connections. Fails if the address cannot be bound.
+/// Handles requests to `addr` with `handle` in a separate task until the process stops. Each connection gets
+/// the limits that `settings` returns when it is accepted. Returns the count of the listener's connections. Fails if the address cannot be bound.
 pub async fn listen<H, F, B>(
     addr: SocketAddr,
-    settings: AcceptSettings,
+    settings: impl Fn() -> AcceptSettings + 'static,
     stopped: &watch::Receiver<StopPhase>,
     handle: H,
 ) -> anyhow::Result<Rc<OpenConnections>>
@@ -66,7 +66,8 @@
         let page = page.clone();
         async move { metrics_response(request.uri().path(), &page) }
     };
-    if let Err(err) = listen(addr, internal_accept_settings(idle), stopped, handler).await {
+    let settings = move || internal_accept_settings(idle);
+    if let Err(err) = listen(addr, settings, stopped, handler).await {
         warn!(log, "cannot serve the metrics page"; "error" => format!("{err:#}"));
     }
 }
--- a/components/lifecycle/src/signals.rs
+++ b/components/lifecycle/src/signals.rs
@@ -6,7 +6,7 @@
 /// Makes SIGHUP harmless from now on, before its handler reloads the settings. Fails if that cannot be done.
 pub fn survive_early_hangups() -> anyhow::Result<()> {
     // The process keeps this disposition when the receiver is dropped.
-    signal(SignalKind::hangup()).context("SIGHUP")?;
+    drop(signal(SignalKind::hangup()).context("SIGHUP")?);
     Ok(())
 }
 
--- a/components/stager/src/process.rs
+++ b/components/stager/src/process.rs
@@ -165,7 +165,8 @@
         let peers = self.process.borrow().peer_addr(self.ip.into());
         let stager = self.clone();
         let handler = move |request: Request<Incoming>| stager.clone().handle_peer_request(request);
-        let settings = internal_accept_settings(self.peer_idle_timeout());
+        let idle = self.peer_idle_timeout();
+        let settings = move || internal_accept_settings(idle);
         let connections = listen(peers, settings, phase, handler).await?;
         let page = self.metrics.clone();
         serve_metrics(self.ip.into(), self.peer_idle_timeout(), page, phase, &self.log).await;
--- a/components/transport/src/server.rs
+++ b/components/transport/src/server.rs
@@ -24,10 +24,10 @@
 /// Pause after a failed accept, for example because no file descriptors are left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// Limits for the connections of a listener.
+/// Limits for the connections of a listener. Each connection keeps those that were in force when it was accepted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct AcceptSettings {
-    /// Maximum size of a request's head in bytes.
+    /// Maximum size of a request's head in bytes, in whatever number of headers.
     pub max_header_bytes: usize,
     /// Maximum time until the head of the next request is received, including idle time.
     pub idle_timeout: Duration,
@@ -37,8 +37,10 @@
     pub keepalive_time: Duration,
 }
 
-/// Minimum buffer size that hyper accepts.
-const MIN_BUFFER_BYTES: usize = 8192;
+/// Size in bytes of the buffer from which requests are read, unless heads may be larger.
+const READ_BUFFER_BYTES: usize = 32 << 10;
+/// Size in bytes of the shortest header.
+const MIN_HEADER_BYTES: usize = "a:\r\n".len();
 
 /// Phases of a graceful shutdown, in their order.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -119,7 +121,7 @@
 /// Accepts connections until [`StopPhase::Ending`] and serves their requests.
 pub async fn serve<H, F, B>(
     listener: TcpListener,
-    settings: AcceptSettings,
+    settings: impl Fn() -> AcceptSettings,
     mut stop: watch::Receiver<StopPhase>,
     server: Rc<OpenConnections>,
     handle: H,
@@ -141,6 +143,7 @@
                 continue;
             }
         };
+        let settings = settings();
         if server.connections.get() >= settings.max_connections {
             drop(stream);
             continue;
@@ -184,7 +187,9 @@
     builder
         .timer(TokioTimer::new())
         .header_read_timeout(settings.idle_timeout)
-        .max_buf_size(settings.max_header_bytes.max(MIN_BUFFER_BYTES));
+        .max_header_size(settings.max_header_bytes)
+        .max_headers(settings.max_header_bytes / MIN_HEADER_BYTES)
+        .max_buf_size(settings.max_header_bytes.max(READ_BUFFER_BYTES));
     // A connection that is accepted while the process closes the others serves one request.
     let close_in = match *stop.borrow() {
         StopPhase::Accepting => StopPhase::Closing,
