A wrong digest in a list is found out

Cause: a stager believed the list as it came and for good, its neighbours copied it, and the sound piece was thrown away from each source. Ruled out: load schedule and orders (held with a sound list).

The same content twice that does not match puts the digest in doubt, not the piece. One stager of the zone asks the origin for the list again, uses the content that it kept, and tells its neighbours (Message::Relisted, sent only once a list was corrected). A list must name model, version and as many digests as there are pieces.

--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -191,7 +191,7 @@
             Message::Limits(limits) => self.handle_limits(from, &limits),
             Message::Known(known) => self.handle_known_position(from, known),
             // Only stagers handle these.
-            Message::Subscribe(_) | Message::Holding(_) => {}
+            Message::Subscribe(_) | Message::Holding(_) | Message::Relisted(_) => {}
         }
     }
 
--- a/components/peering/src/lib.rs
+++ b/components/peering/src/lib.rs
@@ -10,7 +10,7 @@
 pub use fleet::{Fleet, FleetWeights, Member};
 pub use message::{
     EngineState, Inventory, KnownPosition, LostParts, Message, MessageError, NamedLimit,
-    NamedVersion, PartAge, PartNews, PieceSet, RefusedRequest, StateReport, Subscription,
+    NamedVersion, PartAge, PartNews, PieceSet, RefusedRequest, Relisted, StateReport, Subscription,
     Suspicion, Wanting,
 };
 pub use relay::{RelayedBody, RelayedChanges, RelayedContent};
--- a/components/peering/src/message.rs
+++ b/components/peering/src/message.rs
@@ -29,6 +29,8 @@
     Known(KnownPosition),
     /// A gateway tells others of limits that endpoints name.
     Limits(Vec<NamedLimit>),
+    /// A stager tells a neighbour that it corrected a list of digests.
+    Relisted(Relisted),
 }
 
 /// A weights version that the operator named.
@@ -151,6 +153,15 @@
     pub named: Option<NamedVersion>,
 }
 
+/// A list of digests that differs from the one that the origin sent first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Relisted {
+    /// The version of the weights.
+    pub version: u64,
+    /// How often the list was corrected. A higher revision replaces a lower one.
+    pub revision: u32,
+}
+
 /// A refused request whose caller was told to retry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RefusedRequest {
--- a/components/peering/src/message/tests.rs
+++ b/components/peering/src/message/tests.rs
@@ -20,8 +20,10 @@
         loading: true,
         named: Some(NamedVersion { version: 3, age_ms: 40 }),
     };
-    let message = Message::Holding(inventory);
-    assert_eq!(Message::decode(&message.encode().unwrap()).unwrap(), message);
+    let relisted = Relisted { version: 3, revision: 1 };
+    for message in [Message::Holding(inventory), Message::Relisted(relisted)] {
+        assert_eq!(Message::decode(&message.encode().unwrap()).unwrap(), message);
+    }
 }
 
 #[test]
--- a/components/stager/src/fetch.rs
+++ b/components/stager/src/fetch.rs
@@ -56,6 +56,7 @@
                 self.fetch_digests(version).await;
                 continue;
             }
+            self.recheck_list(version).await;
             self.start_fetches(version);
             sleep(MIN_CHECK_INTERVAL).await;
         }
@@ -118,7 +119,7 @@
         elapsed.is_some_and(|elapsed| elapsed >= self.settings.fetch.digest_delay(rank))
     }
 
-    async fn fetch_digests_from_peer(
+    pub(crate) async fn fetch_digests_from_peer(
         &self,
         peer: std::net::Ipv4Addr,
         version: WeightsVersion,
@@ -135,7 +136,7 @@
         digests.map(|bytes| bytes.try_into().ok().map(Digest)).collect()
     }
 
-    async fn fetch_digests_from_origin(
+    pub(crate) async fn fetch_digests_from_origin(
         &self,
         layout: &WeightsLayout,
         version: WeightsVersion,
@@ -161,7 +162,7 @@
                 "status" => reply.status.as_u16());
             return None;
         }
-        match decode_manifest(&reply.body) {
+        match decode_manifest(&reply.body, &layout.model, version) {
             Ok(digests) => Some(digests),
             Err(err) => {
                 warn!(self.log, "cannot fetch the digests"; "source" => "origin", "error" => %err);
@@ -274,7 +275,13 @@
     }
 
     /// Stores a piece if it matches its digest; returns whether it does.
-    fn accept_piece(&self, version: WeightsVersion, piece: u32, body: Bytes, staged: bool) -> bool {
+    pub(crate) fn accept_piece(
+        &self,
+        version: WeightsVersion,
+        piece: u32,
+        body: Bytes,
+        staged: bool,
+    ) -> bool {
         let mut download = self.download.borrow_mut();
         let Some(download) = download.as_mut().filter(|download| download.version == version)
         else {
@@ -318,13 +325,14 @@
                 let bytes = body.len() as u64;
                 let name = source_name(fetch.source);
                 counter!(names::CHUNK_BYTES, "source" => name).increment(bytes);
-                if self.accept_piece(version, fetch.piece, body, false) {
+                if self.accept_piece(version, fetch.piece, body.clone(), false) {
                     self.fetch_wakeup.notify_one();
                     self.stage_piece(&layout, version, fetch.piece).await;
                     return;
                 }
                 warn!(self.log, "piece is not what its digest says"; "version" => version.0,
                     "piece" => fetch.piece, "source" => ?fetch.source);
+                self.record_mismatch(version, fetch.piece, body);
                 FetchFailure::Failed
             }
             Err(failure) => failure,
@@ -388,7 +396,7 @@
     }
 
     /// Uploads a held piece to the endpoint. Returns whether it is staged now.
-    async fn stage_piece(
+    pub(crate) async fn stage_piece(
         &self,
         layout: &WeightsLayout,
         version: WeightsVersion,
--- a/components/stager/src/peers.rs
+++ b/components/stager/src/peers.rs
@@ -37,6 +37,7 @@
                     self.handle_subscription(from, &subscription)
                 }
                 Ok((from, Message::Holding(inventory))) => self.handle_inventory(from, inventory),
+                Ok((from, Message::Relisted(relisted))) => self.handle_relisted(from, relisted),
                 // These are meant for gateways.
                 Ok((
                     _,
@@ -109,9 +110,13 @@
             let _ =
                 timeout(self.settings.idle_inventory_interval, self.inventory_wakeup.notified())
                     .await;
-            if let Some(inventory) = self.own_inventory() {
+            let messages = [
+                self.own_inventory().map(Message::Holding),
+                self.own_relisted().map(Message::Relisted),
+            ];
+            for message in messages.iter().flatten() {
                 for ip in self.inventory_recipients() {
-                    self.socket.send(ip, &Message::Holding(inventory.clone()));
+                    self.socket.send(ip, message);
                 }
             }
             sleep(self.settings.inventory_interval).await;
--- a/components/stager/src/scheduler.rs
+++ b/components/stager/src/scheduler.rs
@@ -147,6 +147,8 @@
     /// When members of the zone last sent a message.
     last_heard: HashMap<Ipv4Addr, Instant>,
     in_flight: HashMap<u32, (Source, Instant)>,
+    /// Pieces that are not fetched for now.
+    held_back: HashSet<u32>,
     /// Exponentially weighted moving average of the fetch time per source, in milliseconds.
     source_fetch_ms: HashMap<Source, f64>,
     /// The same average over all sources of the zone.
@@ -214,6 +216,7 @@
             neighbours: HashMap::new(),
             last_heard: HashMap::new(),
             in_flight: HashMap::new(),
+            held_back: HashSet::new(),
             source_fetch_ms: HashMap::new(),
             zone_fetch_ms: DEFAULT_FETCH_MS,
             backoff_until: HashMap::new(),
@@ -279,6 +282,16 @@
         self.backoff_until.insert(fetch.source, now + backoff);
     }
 
+    /// Does not fetch a piece until `release` is called.
+    pub fn hold_back(&mut self, piece: u32) {
+        self.held_back.insert(piece);
+    }
+
+    /// Fetches the pieces again that were held back.
+    pub fn release(&mut self) {
+        self.held_back.clear();
+    }
+
     /// Selects the fetches to start now.
     pub fn next_fetches(&mut self, now: Instant) -> Vec<Fetch> {
         if self.is_complete() {
@@ -300,7 +313,7 @@
     fn missing_pieces(&mut self, round: &Round) -> Vec<u32> {
         let all = 0..self.piece_count;
         let missing = all.filter(|p| !self.held.contains(*p) && !self.in_flight.contains_key(p));
-        let mut missing: Vec<u32> = missing.collect();
+        let mut missing: Vec<u32> = missing.filter(|p| !self.held_back.contains(p)).collect();
         self.rng.shuffle(&mut missing);
         missing.sort_by_key(|piece| round.holders(*piece).len());
         missing
--- a/components/stager/src/shared.rs
+++ b/components/stager/src/shared.rs
@@ -25,6 +25,7 @@
     FetchScheduler, PeerStatus,
     backoffs::Backoffs,
     fleet_view::{FleetView, WeightsLayout},
+    list_doubts::ListDoubts,
     open_order::{OpenOrders, Weights},
     settings::StagerSettings,
 };
@@ -36,6 +37,12 @@
     /// this process ran.
     pub(crate) named_at: Option<Instant>,
     pub(crate) digests: Option<Rc<Vec<Digest>>>,
+    /// How often the list of digests was corrected.
+    pub(crate) list_revision: u32,
+    /// Pieces that do not match the list.
+    pub(crate) doubts: ListDoubts,
+    /// A neighbour that has a list of a higher revision, and that revision.
+    pub(crate) newer_list: Option<(Ipv4Addr, u32)>,
     pub(crate) pieces: Vec<Option<Bytes>>,
     /// Pieces that were uploaded to the endpoint.
     pub(crate) staged: PieceSet,
@@ -248,6 +255,9 @@
             version,
             named_at,
             digests: None,
+            list_revision: 0,
+            doubts: ListDoubts::default(),
+            newer_list: None,
             pieces: vec![None; layout.pieces as usize],
             staged: PieceSet::default(),
             scheduler,
