Callers that leave are noticed whatever they sent, and those that only end their sending side get their answer

A caller that closed its sending side after the request got no answer: hyper takes the end for a caller that has left. One that had sent further bytes behind its request and left was not noticed: hyper stops reading while it has unread bytes, and its endpoint worked on until the deadline.

The listener's stream reads on while a request is in progress (8 KiB at the most). At the end of what a caller sends, before the response begins, it sends an interim response: the system of a caller that has left resets the connection. Ruled out: TCP's state, which is the same for both; Connection: close, which callers that leave send too (all_attempts_end_when_the_caller_leaves). Left: HTTP/1.0, and an end after the response has begun, count as left, as before.

--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -1,6 +1,7 @@
 //! HTTP client and server connections on a single-threaded event loop: to endpoints, to the platform
 //! and between processes.
 
+mod caller_stream;
 mod client;
 mod connect;
 mod error;
--- a/components/transport/src/server.rs
+++ b/components/transport/src/server.rs
@@ -1,7 +1,12 @@
 //! HTTP server: accepts connections and serves requests on them.
 
 use std::{
-    cell::Cell, convert::Infallible, future::Future, net::SocketAddr, pin::pin, rc::Rc,
+    cell::Cell,
+    convert::Infallible,
+    future::{Future, poll_fn},
+    net::SocketAddr,
+    pin::{Pin, pin},
+    rc::Rc,
     time::Duration,
 };
 
@@ -19,7 +24,7 @@
     task::{spawn_local, yield_now},
 };
 
-use crate::resettable::{CloseControl, ResettableStream};
+use crate::caller_stream::{CallerStream, CallerWatch};
 
 /// Pause after a failed accept, for example because no file descriptors are left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -177,15 +182,17 @@
         .with_interval(settings.keepalive_time)
         .with_retries(2);
     let _ = SockRef::from(&stream).set_tcp_keepalive(&keepalive);
-    let control = CloseControl::default();
+    let (stream, watch) = CallerStream::new(stream);
     let service = service_fn(|request: Request<Incoming>| {
-        control.record_request(request.version());
+        watch.record_request(request.version());
         let response = handle(request);
         async move { Ok::<_, Infallible>(response.await) }
     });
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
+        // The stream itself finds out whether the caller has left.
+        .half_close(true)
         .header_read_timeout(settings.idle_timeout)
         .max_header_size(settings.max_header_bytes)
         .max_headers(settings.max_header_bytes / MIN_HEADER_BYTES)
@@ -196,19 +203,33 @@
         StopPhase::Closing | StopPhase::Ending => StopPhase::Ending,
     };
     builder.keep_alive(close_in == StopPhase::Closing);
-    let stream = ResettableStream::new(stream, control.clone());
     let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    let mut left = pin!(watch.left());
     let ended = tokio::select! {
         biased;
-        ended = connection.as_mut() => Some(ended),
+        ended = drive(connection.as_mut(), &watch) => Some(ended),
+        () = left.as_mut() => return,
         () = reached(&mut stop, close_in) => None,
     };
     let ended = match ended {
         Some(ended) => ended,
         None => {
             connection.as_mut().graceful_shutdown();
-            connection.as_mut().await
+            tokio::select! {
+                biased;
+                ended = drive(connection.as_mut(), &watch) => ended,
+                () = left.as_mut() => return,
+            }
         }
     };
-    control.record_end(&ended);
+    watch.record_end(&ended);
+}
+
+/// Runs a connection and records whenever it may read.
+async fn drive<C: Future>(mut connection: Pin<&mut C>, watch: &CallerWatch) -> C::Output {
+    poll_fn(|cx| {
+        watch.record_poll();
+        connection.as_mut().poll(cx)
+    })
+    .await
 }
