Requests leave their zone by measured ways and a share that follows late requests

Callers saw: with three times the demand in one zone, half of its requests began late beside free endpoints of other zones, and with both zones overloaded two fifths of all requests crossed between them for nothing. Cause: another zone cost a fixed 100 ms, whatever the way was like and however late requests began at home. Ruled out: a limit on leaving alone (refuses what others could serve), leaving only when the zone is not expected to meet the objective (late reports make a full zone look free), equal steps up and down (the share swung). Change: dispatch/zone_exit.rs. Where the configuration publishes zones at least 2.5 ms apart (decoded from the engines' delays), the cost of a zone is its measured extra latency and how full the way is; a request leaves at once if its zone cannot meet its objective, else only within a share that grows in small steps while its zone begins requests late and others do not. All other services keep the fixed costs.

--- a/components/catalog/src/config.rs
+++ b/components/catalog/src/config.rs
@@ -133,6 +133,27 @@
     pub request_rate: Rate,
 }
 
+/// Published delay of the network between two availability zones.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ZoneDelay {
+    /// The two zones, in any order.
+    pub zones: [Zone; 2],
+    /// Time that data takes from one to the other.
+    pub delay: Duration,
+}
+
+impl ZoneDelay {
+    /// Returns the other zone and the delay to it if `zone` is one of the two.
+    pub fn from_zone(&self, zone: &Zone) -> Option<(&Zone, Duration)> {
+        let [a, b] = &self.zones;
+        match zone {
+            zone if zone == a => Some((b, self.delay)),
+            zone if zone == b => Some((a, self.delay)),
+            _ => None,
+        }
+    }
+}
+
 /// Group of endpoints that run the same requests.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Service {
@@ -144,6 +165,8 @@
     pub cold_start: Option<ColdStart>,
     /// Profile of its engines. `None` for a plain service.
     pub engine: Option<EngineProfile>,
+    /// Delays of the network between the zones of its engines.
+    pub zone_delays: Vec<ZoneDelay>,
     /// Address from which weights are downloaded first, if the service is the origin of weights.
     pub origin: Option<SocketAddr>,
     /// Availability zone of the origin.
--- a/components/catalog/src/lib.rs
+++ b/components/catalog/src/lib.rs
@@ -10,7 +10,7 @@
 
 pub use config::{
     ApiKey, ColdStart, Config, ConfigVersion, Destination, Priority, RequestLimits, Route,
-    RouteKind, Service, Workspace,
+    RouteKind, Service, Workspace, ZoneDelay,
 };
 pub use endpoint::{Endpoint, EndpointId, EndpointState, EndpointUpdate};
 pub use engine::{EngineProfile, EngineReport, HeldWeights, ModelId, WeightsSpec, WeightsVersion};
--- a/components/dispatch/src/candidate.rs
+++ b/components/dispatch/src/candidate.rs
@@ -36,17 +36,18 @@
         request: &PendingRequest,
         now: Instant,
     ) -> Candidate {
-        let distance = self.distance_cost_ms(&tracked.listed.zone);
+        let distance = self.distance(&tracked.listed, now);
         let waited = now.saturating_duration_since(request.requested_at).as_secs_f64() * 1e3;
         let budget =
             request.latency_objective.as_secs_f64() * 1e3 * self.settings.objective_fraction
                 - self.settings.caller_round_trip.as_secs_f64() * 1e3
-                - waited;
+                - waited
+                - distance.extra_ms;
         let bias = self.biases.get(&request.service).copied().unwrap_or_default().correction_ms();
         let max_age = self.settings.max_report_age;
         let shared = tracked.fresh_report(max_age, now).is_some_and(|report| !report.is_preferred);
-        let shared = if shared { self.shared_cost_ms(distance) } else { 0.0 };
-        let penalty = distance + shared + tracked.health.failure_rate() * FAILURE_COST_MS;
+        let shared = if shared { self.shared_cost_ms(distance.cost_ms) } else { 0.0 };
+        let penalty = distance.cost_ms + shared + tracked.health.failure_rate() * FAILURE_COST_MS;
         let Some(model) = self.engine_models.get(&request.service) else {
             return self.plain_candidate(key, tracked, penalty);
         };
--- a/components/dispatch/src/endpoint.rs
+++ b/components/dispatch/src/endpoint.rs
@@ -28,6 +28,8 @@
     pub prompt_tokens: f64,
     /// When the request was sent.
     pub sent_at: Instant,
+    /// When the first event is due.
+    pub due: Instant,
     /// Predicted time until the first event, in milliseconds.
     pub expected_ms: f64,
     /// Whether the first event arrived.
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -20,6 +20,7 @@
 mod shared_limit;
 mod state;
 mod subset;
+mod zone_exit;
 
 pub use bias::PredictionBias;
 pub use departures::ListingOrigin;
@@ -35,3 +36,4 @@
 pub use shared_limit::{LimitNews, WantingGateway};
 pub use state::{Dispatcher, EndpointChange, EndpointView};
 pub use subset::SubsetSettings;
+pub use zone_exit::WayView;
--- a/components/dispatch/src/selection.rs
+++ b/components/dispatch/src/selection.rs
@@ -22,7 +22,8 @@
             return self.refuse(Refusal::Late);
         }
         self.refill_limits(&request.service, now);
-        let candidates = self.candidates(request, now);
+        let mut candidates = self.candidates(request, now);
+        self.apply_zone_exit(request, &mut candidates, now);
         if candidates.is_empty() {
             return self.wait_for_return(request, now);
         }
@@ -63,6 +64,7 @@
         let in_flight = InFlightRequest {
             prompt_tokens,
             sent_at: now,
+            due: request.requested_at + request.latency_objective,
             expected_ms,
             first_event_received: false,
             is_silent: false,
--- a/components/dispatch/src/state.rs
+++ b/components/dispatch/src/state.rs
@@ -16,7 +16,7 @@
     Decision, DispatchSettings, EndpointKey, EngineModel, EngineStatus, InFlightKey,
     PendingRequest, PredictionBias, RequestKey, RetryBudget, backoff::UnlistedBackoffs,
     departures::Departures, endpoint::TrackedEndpoint, health::EndpointOutcome,
-    requests::VersionRequirement,
+    requests::VersionRequirement, zone_exit::ZoneExit,
 };
 
 /// A change of the endpoint list that the process has to react to.
@@ -70,6 +70,8 @@
     pub(crate) departures: Departures,
     pub(crate) engine_models: HashMap<ServiceId, EngineModel>,
     pub(crate) biases: HashMap<ServiceId, PredictionBias>,
+    /// The services whose ways to other zones are measured.
+    pub(crate) zone_exits: HashMap<ServiceId, ZoneExit>,
     pub(crate) version_requirements: HashMap<ServiceId, Vec<VersionRequirement>>,
     pub(crate) pending: SlotMap<RequestKey, PendingRequest>,
     /// Waiting requests, in order of arrival.
@@ -97,6 +99,7 @@
             departures: Departures::default(),
             engine_models: HashMap::new(),
             biases: HashMap::new(),
+            zone_exits: HashMap::new(),
             version_requirements: HashMap::new(),
             pending: SlotMap::with_key(),
             waiting: Vec::new(),
@@ -153,6 +156,11 @@
         self.endpoints.get(key).map(|tracked| &tracked.listed.service)
     }
 
+    /// The availability zone of an endpoint.
+    pub fn zone_of(&self, key: EndpointKey) -> Option<&Zone> {
+        self.endpoints.get(key).map(|tracked| &tracked.listed.zone)
+    }
+
     pub(crate) fn required_version(
         &self,
         service: &ServiceId,
@@ -267,9 +275,11 @@
         request.first_event_received = true;
         let took = now.saturating_duration_since(request.sent_at).as_secs_f64() * 1e3;
         let error_ms = took - request.expected_ms;
-        let service = tracked.listed.service.clone();
+        let is_late = (request.due > request.sent_at).then_some(now > request.due);
+        let (service, zone) = (tracked.listed.service.clone(), tracked.listed.zone.clone());
         // The pause of a silent endpoint says nothing about later predictions.
         if !self.record_silence_end(endpoint, in_flight, now) {
+            let error_ms = self.record_way_error(&service, &zone, error_ms, is_late, now);
             self.biases.entry(service).or_default().record_error(error_ms);
         }
     }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 mod suspect_parts;
 mod suspects;
 mod weights;
+mod zone_exit;
 
 pub use process::{run, run_until};
 pub use settings::GatewaySettings;
--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -173,7 +173,11 @@
         spawn_local(self.clone().poll_loop());
         spawn_local(self.clone().follow_settings(file));
         let (gateway, page) = (self.clone(), self.metrics.clone());
-        spawn_local(run_maintenance(lines, page, move || gateway.check_listed_endpoints(), || ()));
+        let maintain = move || {
+            gateway.check_listed_endpoints();
+            gateway.report_ways();
+        };
+        spawn_local(run_maintenance(lines, page, maintain, || ()));
     }
 
     fn check_listed_endpoints(&self) {
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     net::Ipv4Addr,
     rc::Rc,
     sync::Arc,
@@ -107,6 +107,8 @@
     /// Memory reserved for request bodies, in bytes.
     pub(crate) body_bytes: Cell<usize>,
     pub(crate) refusals: RefCell<RecentRefusals>,
+    /// Services of which the log says that their requests leave the zone.
+    pub(crate) leaving_services: RefCell<HashSet<ServiceId>>,
     /// Other gateways of the zone as named by stagers, with the time when they were last named.
     pub(crate) zone_gateways: RefCell<HashMap<Ipv4Addr, Instant>>,
 }
@@ -233,6 +235,7 @@
             in_flight: Cell::new(0),
             body_bytes: Cell::new(0),
             refusals: RefCell::default(),
+            leaving_services: RefCell::default(),
             zone_gateways: RefCell::default(),
         }
     }
@@ -288,13 +291,16 @@
 
     fn acquired(self: &Rc<Gateway>, decision: Decision) -> AcquireResult {
         match decision {
-            Decision::Send { endpoint, in_flight: key, expected } => Ok(Assignment {
-                gateway: self.clone(),
-                in_flight: InFlight { endpoint, key },
-                sent_at: now(),
-                expected,
-                end: EndpointOutcome::Inconclusive,
-            }),
+            Decision::Send { endpoint, in_flight: key, expected } => {
+                self.count_zone_exit(endpoint);
+                Ok(Assignment {
+                    gateway: self.clone(),
+                    in_flight: InFlight { endpoint, key },
+                    sent_at: now(),
+                    expected,
+                    end: EndpointOutcome::Inconclusive,
+                })
+            }
             Decision::Refuse { reason, retry_after } => Err((reason, retry_after)),
             Decision::Wait => Err((Refusal::Overload, self.settings.poll_interval)),
         }
--- a/components/gateway/src/store_contents.rs
+++ b/components/gateway/src/store_contents.rs
@@ -74,6 +74,7 @@
             let mut dispatcher = self.dispatcher.borrow_mut();
             for service in config.services.values() {
                 dispatcher.set_engine_profile(&service.name, service.engine.as_ref());
+                dispatcher.set_zone_delays(&service.name, &service.zone_delays);
             }
         }
         *self.config.borrow_mut() = Some(Arc::new(config));
--- a/components/telemetry/src/names.rs
+++ b/components/telemetry/src/names.rs
@@ -14,6 +14,12 @@
 pub const OVERDUE_VERSIONS: &str = "carawaypaddle_overdue_versions_total";
 /// Parts of prompts that were refused because they crash endpoints.
 pub const REFUSED_PARTS: &str = "carawaypaddle_refused_parts_total";
+/// Requests sent to endpoints of other availability zones, by `zone`.
+pub const ZONE_EXITS: &str = "carawaypaddle_zone_exits_total";
+/// Fraction of a `service`'s requests that may leave the zone although it expects to serve them.
+pub const ZONE_EXIT_SHARE: &str = "carawaypaddle_zone_exit_share";
+/// Time by which the requests of a `service` begin later in another `zone` than at home.
+pub const ZONE_EXTRA_LATENCY: &str = "carawaypaddle_zone_extra_latency_seconds";
 /// Time from a request's arrival to the first byte of its response.
 pub const FIRST_BYTE: &str = "carawaypaddle_first_byte_seconds";
 /// Requests in progress.
@@ -51,6 +57,16 @@
     describe_counter!(RETRIES, "retries, by whether the budget allowed them");
     describe_counter!(OVERDUE_VERSIONS, "responses from weights that should have been replaced");
     describe_counter!(REFUSED_PARTS, "parts of prompts that were refused, as they crash endpoints");
+    describe_counter!(ZONE_EXITS, "requests sent to other availability zones, by zone");
+    describe_gauge!(
+        ZONE_EXIT_SHARE,
+        "fraction of requests that may leave a zone that expects to serve them"
+    );
+    describe_gauge!(
+        ZONE_EXTRA_LATENCY,
+        Unit::Seconds,
+        "time by which requests begin later in another zone"
+    );
     describe_histogram!(FIRST_BYTE, Unit::Seconds, "time to the first byte of an answer");
     describe_gauge!(IN_FLIGHT, "requests in progress");
     describe_gauge!(QUEUED, "requests that wait for an endpoint");
