What a zone can do for a request and what a way can take are types of their own

apply_zone_exit did four things in one function. No decision changes where ways are measured, but one: a way that was never congested has room for any number of requests in flight, where 256 was a limit.

--- a/components/dispatch/src/zone_exit.rs
+++ b/components/dispatch/src/zone_exit.rs
@@ -4,6 +4,7 @@
 //! has room. If its zone can meet the objective as well, it leaves only within a share that grows
 //! while the zone is short of capacity. A zone without any eligible endpoint limits nothing.
 
+mod home;
 mod share;
 mod way;
 
@@ -14,26 +15,24 @@
 
 use base::{ServiceId, Zone};
 use catalog::ZoneDelay;
+use fastrand::Rng;
 
 use crate::{
     PendingRequest,
     candidate::Candidate,
     state::Dispatcher,
     zone_exit::{
+        home::HomeCapacity,
         share::ExitShare,
-        way::{ErrorEstimate, Way},
+        way::{ErrorEstimate, Way, WayState},
     },
 };
 
 /// Round trip between two zones as a fraction of the caller's from which the way to other zones is
 /// measured. Below it, fixed costs are good enough.
 const MIN_ROUND_TRIP_FRACTION: f64 = 0.5;
-/// Fraction of the objective within which a zone with plenty of capacity answers.
-const FREE_OBJECTIVE_FRACTION: f64 = 0.5;
 /// Failure rate above which an endpoint is no reason for a request to stay in its zone.
 const MAX_HOME_FAILURE_RATE: f64 = 0.2;
-/// Maximum multiple of the fixed cost of a zone that a full way costs.
-const MAX_FULLNESS: f64 = 2.0;
 
 /// State of one service by which its requests leave the zone.
 #[derive(Debug)]
@@ -91,6 +90,20 @@
         let round_trip = self.round_trip(zone);
         self.ways.entry(zone.clone()).or_insert_with(|| Way::new(round_trip))
     }
+
+    /// Records what the zone can do for a request, and draws whether the request belongs to the share
+    /// that may leave all the same.
+    fn draw(&mut self, home: HomeCapacity, now: Instant, rng: &mut Rng) -> bool {
+        if let Some(is_free) = home.is_free() {
+            self.share.record_request(is_free, now, rng);
+        }
+        rng.f64() < self.share.get()
+    }
+
+    fn way_states(&mut self, in_flight: &InFlightCounts) -> HashMap<Zone, WayState> {
+        let state = |(zone, count): (&Zone, &usize)| (zone.clone(), self.way(zone).state(*count));
+        in_flight.iter().map(state).collect()
+    }
 }
 
 /// Requests of this gateway in flight in each other zone.
@@ -126,7 +139,7 @@
                     service: service.clone(),
                     zone: zone.clone(),
                     extra_latency: Duration::from_secs_f64(extra_ms.max(0.0) / 1e3),
-                    fullness: way.fullness(in_flight.get(zone).copied().unwrap_or(0)),
+                    fullness: way.state(in_flight.get(zone).copied().unwrap_or(0)).fullness,
                     share: exit.share.get(),
                 });
             }
@@ -149,7 +162,7 @@
     }
 
     /// Drops the candidates of other zones for which the request does not leave its zone, and adds
-    /// the cost of the way to those that are left.
+    /// the measured costs to those that are left.
     pub(crate) fn apply_zone_exit(
         &mut self,
         request: &PendingRequest,
@@ -159,42 +172,28 @@
         if !self.zone_exits.contains_key(&request.service) {
             return;
         }
-        let home: Vec<&Candidate> =
-            candidates.iter().filter(|c| self.is_reliable_home(c)).collect();
-        let home_meets = home.iter().any(|c| c.meets_objective && c.has_token);
-        let home_takes_late = home.iter().any(|c| c.has_late_capacity && c.has_token);
-        let has_home = !home.is_empty();
-        let is_free = is_home_free(request, &home, now);
+        let reliable = candidates.iter().filter(|c| self.is_reliable_home(c));
+        let home = HomeCapacity::new(request, reliable, now);
         let in_flight = self.remote_in_flight(&request.service);
         let Some(exit) = self.zone_exits.get_mut(&request.service) else { return };
         exit.objective = exit.objective.min(request.latency_objective);
-        let rng = self.rng.get_mut();
-        if let Some(is_free) = is_free {
-            exit.share.record_request(is_free, now, rng);
-        }
+        let is_drawn = exit.draw(home, now, self.rng.get_mut());
         // A stream that breaks off again costs its caller more than the way.
-        let may_leave = !has_home || request.is_resumed || rng.f64() < exit.share.get();
-        let home_error_ms = exit.home_error.value_ms(now);
-        let mut costs = HashMap::new();
-        for (zone, count) in &in_flight {
-            costs.insert(zone.clone(), exit.way(zone).fullness(*count));
-        }
+        let may_leave = is_drawn || request.is_resumed;
+        let home_cost_ms = exit.home_error.value_ms(now);
+        let ways = exit.way_states(&in_flight);
         candidates.retain_mut(|c| {
             let zone = &self.endpoints[c.key].listed.zone;
-            let Some(&fullness) = costs.get(zone) else {
-                c.cost_ms += home_error_ms;
+            let Some(way) = ways.get(zone) else {
+                c.cost_ms += home_cost_ms;
                 return true;
             };
-            c.cost_ms += fullness.min(MAX_FULLNESS) * self.fixed_distance_cost_ms(zone);
-            let stays = match c.meets_objective {
-                true => home_meets,
-                false => home_meets || home_takes_late,
-            };
-            !has_home || fullness <= 1.0 && (may_leave || !stays)
+            c.cost_ms += way.fullness * self.fixed_distance_cost_ms(zone);
+            !home.exists || way.has_room && (may_leave || !home.serves_as_well(c))
         });
     }
 
-    /// Whether a candidate is in this gateway's zone and does not fail often.
+    /// Whether a candidate is in this gateway's zone and rarely fails.
     fn is_reliable_home(&self, candidate: &Candidate) -> bool {
         let tracked = &self.endpoints[candidate.key];
         tracked.listed.zone == self.zone && tracked.health.failure_rate() <= MAX_HOME_FAILURE_RATE
@@ -213,9 +212,9 @@
         if !self.zone_exits.contains_key(service) {
             return error_ms;
         }
-        let in_flight = self.remote_in_flight(service).get(zone).copied().unwrap_or(0);
-        let Some(exit) = self.zone_exits.get_mut(service) else { return error_ms };
         let is_away = *zone != self.zone;
+        let in_flight = if is_away { self.remote_in_flight(service) } else { HashMap::new() };
+        let Some(exit) = self.zone_exits.get_mut(service) else { return error_ms };
         if let Some(is_late) = is_late {
             exit.share.record_start(is_away, is_late);
         }
@@ -225,24 +224,12 @@
         }
         let expected_extra_ms = exit.extra_ms(zone, now);
         let extra_ms = error_ms - exit.home_error.value_ms(now);
+        let count = in_flight.get(zone).copied().unwrap_or(0);
         let objective = exit.objective;
-        exit.way(zone).record(extra_ms, objective, in_flight, now);
+        exit.way(zone).record(extra_ms, objective, count, now);
         error_ms - expected_extra_ms
     }
 }
 
-/// Whether the zone's endpoints have plenty of capacity for a request; `None` if nothing can be
-/// learned from it.
-fn is_home_free(request: &PendingRequest, home: &[&Candidate], now: Instant) -> Option<bool> {
-    let objective = request.latency_objective;
-    let waited = now.saturating_duration_since(request.requested_at);
-    if home.is_empty() || request.was_refused || waited > objective {
-        return None;
-    }
-    let free_ms = objective.as_secs_f64() * 1e3 * FREE_OBJECTIVE_FRACTION;
-    let is_free = |c: &&Candidate| c.meets_objective && c.has_token && c.expected_ms <= free_ms;
-    Some(home.iter().any(is_free))
-}
-
 #[cfg(test)]
 mod tests;
--- a/components/dispatch/src/zone_exit/tests.rs
+++ b/components/dispatch/src/zone_exit/tests.rs
@@ -74,7 +74,7 @@
         way.record(300.0, objective, 10, start);
     }
     assert!(way.extra_ms(start) > 250.0);
-    assert!(way.fullness(10) > 1.0, "ten requests were too many");
+    assert!(!way.state(10).has_room, "ten requests were too many");
     assert!(way.extra_ms(start + Duration::from_secs(10)) < 20.0);
 }
 
--- a/components/dispatch/src/zone_exit/way.rs
+++ b/components/dispatch/src/zone_exit/way.rs
@@ -15,6 +15,8 @@
 const MAX_WINDOW: f64 = 256.0;
 /// Minimum number of requests in flight on a way, which keep its latency measured.
 const MIN_WINDOW: f64 = 4.0;
+/// Maximum fullness, for the cost of a way.
+const MAX_FULLNESS: f64 = 2.0;
 /// Factor by which a congested way's window shrinks.
 const SHRINK_FACTOR: f64 = 0.7;
 /// Growth of the window with each first event that arrives over an uncongested way.
@@ -49,6 +51,15 @@
     }
 }
 
+/// What a way can take now.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct WayState {
+    /// The requests in flight as a fraction of those that the way takes, one more included.
+    pub(crate) fullness: f64,
+    /// Whether the way takes one more request.
+    pub(crate) has_room: bool,
+}
+
 /// The way to one other availability zone.
 #[derive(Debug)]
 pub(crate) struct Way {
@@ -70,9 +81,11 @@
         self.latency.value_ms(now)
     }
 
-    /// The requests in flight as a fraction of those that the way takes, one more included.
-    pub(crate) fn fullness(&self, in_flight: usize) -> f64 {
-        (in_flight as f64 + 1.0) / self.window
+    /// What the way can take with some requests in flight.
+    pub(crate) fn state(&self, in_flight: usize) -> WayState {
+        let fullness = ((in_flight as f64 + 1.0) / self.window).min(MAX_FULLNESS);
+        // The largest window is no limit: the way has not been congested for long.
+        WayState { fullness, has_room: fullness <= 1.0 || self.window >= MAX_WINDOW }
     }
 
     /// Records how much later than predicted a request began, with the requests in flight in the zone.
