--- a/components/dispatch/src/endpoint.rs
+++ b/components/dispatch/src/endpoint.rs
@@ -32,6 +32,8 @@
     pub cache_tokens: f64,
     /// When the request was sent.
     pub sent_at: Instant,
+    /// When the first event is due.
+    pub due: Instant,
     /// Predicted time until the first event, in milliseconds.
     pub expected_ms: f64,
     /// How this gateway was related to the endpoint when the request was sent.
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -28,6 +28,7 @@
 mod shared_limit;
 mod state;
 mod subset;
+mod zone_exit;
 
 pub use bias::{PredictionBias, Relation};
 pub use cold::ColdSettings;
@@ -46,3 +47,4 @@
 pub use shared_limit::{LimitNews, WantingGateway};
 pub use state::{Dispatcher, EndpointChange, EndpointView};
 pub use subset::SubsetSettings;
+pub use zone_exit::WayView;
--- a/components/dispatch/src/selection.rs
+++ b/components/dispatch/src/selection.rs
@@ -18,6 +18,7 @@
         }
         self.refill_limits(&request.service, now);
         let mut candidates = self.candidates(request, now);
+        self.apply_zone_exit(request, &mut candidates, now);
         // A request that is late in any case may use the capacity that is left.
         let late = request.was_refused
             || now.saturating_duration_since(request.requested_at) > request.latency_objective;
@@ -60,6 +61,7 @@
             cache_tokens,
             relation: self.relation(&self.endpoints[key], now),
             sent_at: now,
+            due: request.requested_at + request.latency_objective,
             expected_ms,
             first_event_received: false,
             is_silent: false,
--- a/components/dispatch/src/state.rs
+++ b/components/dispatch/src/state.rs
@@ -17,6 +17,7 @@
     PendingRequest, PredictionBias, Relation, RequestKey, RetryBudget, backoff::UnlistedBackoffs,
     cold::KnownGateways, demand::ServiceDemand, departures::Departures, endpoint::TrackedEndpoint,
     evacuation::Evacuations, health::EndpointOutcome, requests::VersionRequirement,
+    zone_exit::ZoneExit,
 };
 
 /// A change of the endpoint list that the process has to react to.
@@ -82,6 +83,8 @@
     pub(crate) engine_models: HashMap<ServiceId, EngineModel>,
     pub(crate) biases: HashMap<ServiceId, [PredictionBias; Relation::ALL.len()]>,
     pub(crate) demand: HashMap<ServiceId, ServiceDemand>,
+    /// The services whose ways to other zones are measured.
+    pub(crate) zone_exits: HashMap<ServiceId, ZoneExit>,
     pub(crate) version_requirements: HashMap<ServiceId, Vec<VersionRequirement>>,
     pub(crate) pending: SlotMap<RequestKey, PendingRequest>,
     /// Waiting requests, in the order of the last decision on them.
@@ -117,6 +120,7 @@
             engine_models: HashMap::new(),
             biases: HashMap::new(),
             demand: HashMap::new(),
+            zone_exits: HashMap::new(),
             version_requirements: HashMap::new(),
             pending: SlotMap::with_key(),
             waiting: Vec::new(),
@@ -180,6 +184,11 @@
         self.endpoints.get(key).map(|tracked| &tracked.listed.service)
     }
 
+    /// The availability zone of an endpoint.
+    pub fn zone_of(&self, key: EndpointKey) -> Option<&Zone> {
+        self.endpoints.get(key).map(|tracked| &tracked.listed.zone)
+    }
+
     pub(crate) fn required_version(
         &self,
         service: &ServiceId,
@@ -292,12 +301,14 @@
         request.first_event_received = true;
         let took = now.saturating_duration_since(request.sent_at).as_secs_f64() * 1e3;
         let error_ms = took - request.expected_ms;
+        let is_late = (request.due > request.sent_at).then_some(now > request.due);
         let relation = request.relation;
-        let service = tracked.listed.service.clone();
+        let (service, zone) = (tracked.listed.service.clone(), tracked.listed.zone.clone());
         // The pause of a silent endpoint says nothing about later predictions.
         if self.record_silence_end(endpoint, in_flight, now) {
             return;
         }
+        let error_ms = self.record_way_error(&service, &zone, error_ms, is_late, now);
         let bias = &mut self.biases.entry(service).or_default()[relation as usize];
         bias.record_error(relation, error_ms, now);
     }
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     net::Ipv4Addr,
     rc::Rc,
     sync::Arc,
@@ -114,6 +114,8 @@
     pub(crate) body_bytes: Cell<usize>,
     pub(crate) response_memory: Arc<ResponseMemory>,
     pub(crate) refusals: RefCell<RecentRefusals>,
+    /// Services of which the log says that their requests leave the zone.
+    pub(crate) leaving_services: RefCell<HashSet<ServiceId>>,
     /// Other gateways of the zone as named by stagers, with the time when they were last named.
     pub(crate) zone_gateways: RefCell<HashMap<Ipv4Addr, Instant>>,
 }
@@ -249,6 +251,7 @@
             body_bytes: Cell::new(0),
             response_memory: Arc::default(),
             refusals: RefCell::default(),
+            leaving_services: RefCell::default(),
             zone_gateways: RefCell::default(),
         }
     }
@@ -322,13 +325,16 @@
     fn acquired(self: &Rc<Gateway>, decision: Decision) -> AcquireResult {
         self.count_cold_request(&decision);
         match decision {
-            Decision::Send { endpoint, in_flight: key, expected } => Ok(Assignment {
-                gateway: self.clone(),
-                in_flight: InFlight { endpoint, key },
-                sent_at: now(),
-                expected,
-                end: EndpointOutcome::Inconclusive,
-            }),
+            Decision::Send { endpoint, in_flight: key, expected } => {
+                self.count_zone_exit(endpoint);
+                Ok(Assignment {
+                    gateway: self.clone(),
+                    in_flight: InFlight { endpoint, key },
+                    sent_at: now(),
+                    expected,
+                    end: EndpointOutcome::Inconclusive,
+                })
+            }
             Decision::Refuse { reason, retry_after } => Err((reason, retry_after)),
             Decision::Wait => Err((Refusal::Overload, self.settings.poll_interval)),
         }
--- a/components/gateway/src/store_contents.rs
+++ b/components/gateway/src/store_contents.rs
@@ -109,6 +109,7 @@
             for service in config.services.values() {
                 dispatcher.set_engine_profile(&service.name, service.engine.as_ref());
                 dispatcher.set_cold_start(&service.name, service.cold_start);
+                dispatcher.set_zone_delays(&service.name, &service.zone_delays);
             }
             dispatcher.set_home_regions(config.home_regions());
         }
--- a/components/telemetry/src/names.rs
+++ b/components/telemetry/src/names.rs
@@ -20,6 +20,12 @@
 pub const EVACUATED_ZONES: &str = "carawaypaddle_evacuated_zones";
 /// Requests for cold endpoints, by `allowed`: whether this gateway's share allowed them.
 pub const COLD_REQUESTS: &str = "carawaypaddle_cold_requests_total";
+/// Requests sent to endpoints of other availability zones, by `zone`.
+pub const ZONE_EXITS: &str = "carawaypaddle_zone_exits_total";
+/// Fraction of a `service`'s requests that may leave the zone although it expects to serve them.
+pub const ZONE_EXIT_SHARE: &str = "carawaypaddle_zone_exit_share";
+/// Time by which the requests of a `service` begin later in another `zone` than at home.
+pub const ZONE_EXTRA_LATENCY: &str = "carawaypaddle_zone_extra_latency_seconds";
 /// Time from a request's arrival to the first byte of its response.
 pub const FIRST_BYTE: &str = "carawaypaddle_first_byte_seconds";
 /// Requests in progress.
@@ -63,6 +69,16 @@
         COLD_REQUESTS,
         "requests for cold endpoints, by whether the share allowed them"
     );
+    describe_counter!(ZONE_EXITS, "requests sent to other availability zones, by zone");
+    describe_gauge!(
+        ZONE_EXIT_SHARE,
+        "fraction of requests that may leave a zone that expects to serve them"
+    );
+    describe_gauge!(
+        ZONE_EXTRA_LATENCY,
+        Unit::Seconds,
+        "time by which requests begin later in another zone"
+    );
     describe_histogram!(FIRST_BYTE, Unit::Seconds, "time to the first byte of an answer");
     describe_gauge!(IN_FLIGHT, "requests in progress");
     describe_gauge!(QUEUED, "requests that wait for an endpoint");
