A version that is named while the store answers nobody is required once the bound applies

Cause: gateways counted the version bound from the last moment before the outage, though the bound is not in force until the contact window after it. Ruled out: counting from the return of the store alone (a gateway that was cut off by itself would be late; it is out of touch for the same window). Change: a gap in what a gateway knows of the store, longer than the bound on changes, whoever might have told it, postpones the end of the bound to the contact window after the gap, unless the version was required before.

--- a/components/gateway/src/store_follower.rs
+++ b/components/gateway/src/store_follower.rs
@@ -222,6 +222,7 @@
         knowledge: Knowledge,
     ) -> Result<(), ReadError> {
         let position = snapshot.position;
+        self.record_gap(&knowledge);
         let (before, restored) = {
             let mut progress = self.gateway.store_progress.borrow_mut();
             let before = progress.known();
@@ -383,6 +384,7 @@
         knowledge: Knowledge,
     ) -> Result<(), ReadError> {
         let named = self.naming_time_of_changes();
+        self.record_gap(&knowledge);
         {
             let mut progress = self.gateway.store_progress.borrow_mut();
             progress.accept_changes(&watched, knowledge.confirmed_at)?;
@@ -399,6 +401,21 @@
         Ok(())
     }
 
+    /// Records a gap in what is known of the store that ends with `knowledge`, if there is one. Without a
+    /// disturbance the knowledge gets no older than the bound on changes.
+    fn record_gap(&self, knowledge: &Knowledge) {
+        let before = self.gateway.store_progress.borrow().known_until();
+        let (Some(before), Some(until)) = (before, knowledge.known_until) else { return };
+        let bound = self.gateway.process.borrow().bounds.change_bound();
+        if until.saturating_duration_since(before) < bound {
+            return;
+        }
+        info!(self.gateway.log, "nothing was known of the store for a while";
+            "gap_ms" => (until - before).as_millis() as u64);
+        self.gateway.named_weights.borrow_mut().record_gap(before, now());
+        self.gateway.require_weights();
+    }
+
     /// Records up to which position the store is known.
     fn record_position(&self, position: StorePosition) {
         self.gateway.position_news.borrow_mut().record_own(position, now());
--- a/components/gateway/src/weights.rs
+++ b/components/gateway/src/weights.rs
@@ -41,6 +41,13 @@
 const LAST_START_FRACTION: f64 = 0.4;
 /// Fraction of the margin after which an attempt that has not begun on older weights is ended.
 const END_FRACTION: f64 = 0.5;
+/// A time in which no process told this one what the store holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct KnowledgeGap {
+    began: Instant,
+    ended: Instant,
+}
+
 /// Number of remembered versions per model. By the time a version is dropped, it is already required.
 const KEPT_VERSIONS: usize = 8;
 
@@ -51,13 +58,14 @@
     /// Time before the end of the version bound from which a version is required.
     margin: Duration,
     started: Instant,
+    last_gap: Option<KnowledgeGap>,
     models: HashMap<ModelId, Vec<RecordedVersion>>,
 }
 
 impl NamedWeights {
     pub(crate) fn new(bounds: Bounds, margin_fraction: f64, started: Instant) -> NamedWeights {
         let margin = bounds.version_switch.mul_f64(margin_fraction);
-        NamedWeights { bounds, margin, started, models: HashMap::new() }
+        NamedWeights { bounds, margin, started, last_gap: None, models: HashMap::new() }
     }
 
     /// Records a named version. Returns whether it is new.
@@ -103,6 +111,9 @@
     /// Corrects the times after the clock has not counted a suspension of the VM.
     pub(crate) fn correct_times(&mut self, corrected: impl Fn(Instant) -> Instant) {
         self.started = corrected(self.started);
+        if let Some(gap) = &mut self.last_gap {
+            *gap = KnowledgeGap { began: corrected(gap.began), ended: corrected(gap.ended) };
+        }
         for known in self.models.values_mut().flatten() {
             if let NamingTime::NotBefore(at) = &mut known.named {
                 *at = corrected(*at);
@@ -110,6 +121,13 @@
         }
     }
 
+    /// Records that nothing was known of the store between `began` and `ended`, neither from the store nor
+    /// from another gateway: the store did not answer anyone, or this process was cut off or paused.
+    /// Either way the bound does not apply until the contact window after that is over.
+    pub(crate) fn record_gap(&mut self, began: Instant, ended: Instant) {
+        self.last_gap = Some(KnowledgeGap { began, ended });
+    }
+
     /// Returns the versions of a model's weights that are required, each with the time from which it is.
     ///
     /// Versions that were named before the first read count as named long ago. The bound does not
@@ -144,12 +162,25 @@
     }
 
     fn effective_at(&self, named: NamingTime) -> Instant {
-        let Bounds { contact_window, version_switch, .. } = self.bounds;
         match named {
             NamingTime::BeforeFirstRead => {
-                self.started + contact_window.saturating_sub(self.margin / 4)
+                self.started + self.bounds.contact_window.saturating_sub(self.margin / 4)
+            }
+            NamingTime::NotBefore(at) => {
+                self.bound_end(at).checked_sub(self.margin).map_or(at, |end| end.max(at))
+            }
+        }
+    }
+
+    /// When the bound of a version ends that was named at `at`. A gap postpones it, unless the version was
+    /// required before the gap.
+    fn bound_end(&self, at: Instant) -> Instant {
+        let end = at + self.bounds.version_switch;
+        match self.last_gap {
+            Some(gap) if end > gap.began + self.margin => {
+                end.max(gap.ended + self.bounds.contact_window)
             }
-            NamingTime::NotBefore(at) => at + version_switch.saturating_sub(self.margin),
+            _ => end,
         }
     }
 
@@ -163,7 +194,7 @@
         let known = self.models.get(model)?;
         let bound = |known: &RecordedVersion| match known.named {
             NamingTime::BeforeFirstRead => self.started + self.bounds.contact_window,
-            NamingTime::NotBefore(at) => at + self.bounds.version_switch,
+            NamingTime::NotBefore(at) => self.bound_end(at),
         };
         let newer = known.iter().filter(|known| known.version > version);
         let overdue = newer.filter_map(|known| {
--- a/components/gateway/src/weights/tests.rs
+++ b/components/gateway/src/weights/tests.rs
@@ -137,3 +137,23 @@
     let newest = NamedVersion { version: 3, age_ms: 2000 };
     assert_eq!(named.newest(&model(), named_at), Some(newest));
 }
+
+/// The store answered nobody for 8 s while a version was named: all endpoints were refused requests until
+/// they had it, although the bound did not apply yet.
+#[test]
+fn weights_named_while_the_store_answers_nobody_are_required_after_the_contact_window() {
+    let start = Instant::now();
+    let mut named = NamedWeights::new(Bounds::default(), MARGIN, start);
+    let required_before = start + Duration::from_secs(50);
+    named.record(&model(), WeightsVersion(2), NamingTime::NotBefore(required_before));
+    let (began, ended) = (start + Duration::from_secs(60), start + Duration::from_secs(68));
+    named.record(&model(), WeightsVersion(3), NamingTime::NotBefore(began));
+    let before: Vec<_> = named.required(&model()).iter().map(|r| r.effective_at).collect();
+    named.record_gap(began, ended);
+    let after: Vec<_> = named.required(&model()).iter().map(|r| r.effective_at).collect();
+    assert_eq!(after[0], before[0]);
+    assert_eq!(after[1], ended + Duration::from_millis(1500));
+    let overdue = |at| named.overdue(&model(), WeightsVersion(2), at);
+    assert_eq!(overdue(ended + Duration::from_millis(2900)), None);
+    assert!(overdue(ended + Duration::from_millis(3100)).is_some());
+}
