--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -31,7 +31,8 @@
     let program = Path::new(env!("CARGO_BIN_EXE_carawaypaddle"));
     let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}"));
     let outcome = soak::run_seed(seed, program, &dir);
-    println!("seed {seed}: ends {:?}, faults {:?}", outcome.ends, outcome.faults);
+    let soak::Outcome { ends, faults, max_stall, .. } = &outcome;
+    println!("seed {seed}: ends {ends:?}, faults {faults:?}, stalled for {max_stall:?}");
     for finding in &outcome.findings {
         println!("seed {seed}: {finding}");
     }
