--- a/components/dispatch/src/eligibility.rs
+++ b/components/dispatch/src/eligibility.rs
@@ -57,8 +57,17 @@
         if !tracked.health.is_available(now) {
             return Some(Exclusion::Unhealthy);
         }
-        let by_weights = self.weights_exclusion(tracked, now);
-        by_weights.or_else(|| tracked.cold.is_used_up(now).then_some(Exclusion::Cold))
+        if !self.is_serving(tracked, now) {
+            return Some(Exclusion::NotServing);
+        }
+        if tracked.cold.is_used_up(now) {
+            return Some(Exclusion::Cold);
+        }
+        if !self.has_memory(tracked, request, now) {
+            return Some(Exclusion::Memory);
+        }
+        // The last reason, as older weights may be used if nothing else speaks against the endpoint.
+        self.has_old_weights(tracked, now).then_some(Exclusion::OldWeights)
     }
 
     /// The endpoints of the service that may not get a request now, each with the reason.
@@ -98,19 +107,23 @@
         }
     }
 
-    /// Whether an engine lacks the weights that may answer.
-    fn weights_exclusion(&self, tracked: &TrackedEndpoint, now: Instant) -> Option<Exclusion> {
+    /// Whether an endpoint serves requests now; an engine needs weights for that.
+    fn is_serving(&self, tracked: &TrackedEndpoint, now: Instant) -> bool {
         if !self.engine_models.contains_key(&tracked.listed.service) {
-            return None;
+            return true;
         }
         let max_age = self.settings.max_report_age;
-        if tracked.fresh_report(max_age, now).is_some_and(|report| !report.serving) {
-            return Some(Exclusion::NotServing);
-        }
-        match (tracked.version(max_age, now), self.required_version(&tracked.listed.service, now)) {
-            (None, _) => Some(Exclusion::NotServing),
-            (Some(version), Some(required)) if version < required => Some(Exclusion::OldWeights),
-            (Some(_), _) => None,
+        let is_loading = tracked.fresh_report(max_age, now).is_some_and(|report| !report.serving);
+        !is_loading && tracked.version(max_age, now).is_some()
+    }
+
+    /// Whether the weights of an engine may no longer answer.
+    fn has_old_weights(&self, tracked: &TrackedEndpoint, now: Instant) -> bool {
+        if !self.engine_models.contains_key(&tracked.listed.service) {
+            return false;
         }
+        let served = tracked.version(self.settings.max_report_age, now);
+        let required = self.required_version(&tracked.listed.service, now);
+        required.is_some_and(|required| served < Some(required))
     }
 }
--- a/components/dispatch/src/endpoint.rs
+++ b/components/dispatch/src/endpoint.rs
@@ -9,7 +9,8 @@
 use slotmap::{SlotMap, new_key_type};
 
 use crate::{
-    Health,
+    Health, Relation,
+    claims::Claims,
     cold::ColdState,
     engine::{EngineLoad, EngineModel},
     limits::EndpointLimit,
@@ -27,10 +28,14 @@
 pub struct InFlightRequest {
     /// Length of the prompt in tokens.
     pub prompt_tokens: f64,
+    /// Cache tokens that it is expected to need; 0 at a plain service.
+    pub cache_tokens: f64,
     /// When the request was sent.
     pub sent_at: Instant,
     /// Predicted time until the first event, in milliseconds.
     pub expected_ms: f64,
+    /// How this gateway was related to the endpoint when the request was sent.
+    pub relation: Relation,
     /// Whether the first event arrived.
     pub first_event_received: bool,
     /// Whether the endpoint was recorded as silent since it was last heard of.
@@ -48,8 +53,8 @@
     pub waiting: u32,
     /// Requests that run at the engine.
     pub running: u32,
-    /// Cache tokens in use.
-    pub cache_used: u64,
+    /// Share of the KV cache in use, if it is known.
+    pub cache_share: Option<f64>,
     /// Factor by which the engine is slower than its published figures.
     pub slowdown: f64,
     /// Whether this gateway is one of those that send requests to the engine first.
@@ -76,10 +81,14 @@
     pub(crate) backoff_until: Option<Instant>,
     pub(crate) in_flight: SlotMap<InFlightKey, InFlightRequest>,
     pub(crate) last_report: Option<(EngineStatus, Instant)>,
+    /// Slots that this gateway may take until the next report, unless it prefers the endpoint.
+    pub(crate) claims: Claims,
     /// Requests of other gateways at the endpoint, as of the last report.
     pub(crate) others_in_flight: f64,
     /// Those of `others_in_flight` that had no slot.
     pub(crate) others_waiting: f64,
+    /// Prompt tokens of the own requests that had begun at the last report, which counts them.
+    pub(crate) reported_prompts: f64,
     /// The limit that it names for the requests of all gateways together.
     pub(crate) limit: EndpointLimit,
     /// How long it is cold, and what this gateway may send it meanwhile.
@@ -102,8 +111,10 @@
             backoff_until: None,
             in_flight: SlotMap::with_key(),
             last_report: None,
+            claims: Claims::default(),
             others_in_flight: 0.0,
             others_waiting: 0.0,
+            reported_prompts: 0.0,
             limit: EndpointLimit::default(),
             cold: ColdState::default(),
             observed_version: None,
@@ -118,7 +129,7 @@
     }
 
     /// Applies a report, unless it is older than the last one.
-    pub(crate) fn apply_report(&mut self, report: EngineStatus, now: Instant) {
+    pub(crate) fn apply_report(&mut self, report: EngineStatus, claims: Claims, now: Instant) {
         if let Some((last, _)) = &self.last_report
             && last.agent_run == report.agent_run
             && report.sequence <= last.sequence
@@ -136,6 +147,8 @@
         self.others_in_flight = (total - own).max(0.0);
         self.others_waiting =
             (f64::from(report.waiting) - own_awaiting_prefill).max(0.0).min(self.others_in_flight);
+        self.claims = claims;
+        self.reported_prompts = self.begun_prompts();
         self.last_report = Some((report, now));
     }
 
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -4,7 +4,9 @@
 mod backoff;
 mod bias;
 mod candidate;
+mod claims;
 mod cold;
+mod demand;
 mod departures;
 mod distance;
 mod eligibility;
@@ -14,6 +16,10 @@
 mod health;
 mod limits;
 mod listing;
+mod memory;
+mod outdated;
+mod queue;
+mod rank;
 mod refusal;
 mod requests;
 mod retries;
@@ -23,7 +29,7 @@
 mod state;
 mod subset;
 
-pub use bias::PredictionBias;
+pub use bias::{PredictionBias, Relation};
 pub use cold::ColdSettings;
 pub use departures::ListingOrigin;
 pub use endpoint::{EndpointKey, EngineStatus, InFlightKey, InFlightRequest};
@@ -31,6 +37,7 @@
 pub use evacuation::EvacuationChange;
 pub use health::{EndpointOutcome, Health};
 pub use listing::Absence;
+pub use rank::{Rank, Urgency};
 pub use requests::{
     Decision, Exclusion, GenerationSize, PendingRequest, Refusal, RequestKey, VersionRequirement,
 };
--- a/components/dispatch/src/requests.rs
+++ b/components/dispatch/src/requests.rs
@@ -3,10 +3,10 @@
 use std::time::{Duration, Instant};
 
 use base::{ServiceId, WorkspaceId};
-use catalog::{Homes, Priority, WeightsVersion};
+use catalog::{Homes, WeightsVersion};
 use slotmap::new_key_type;
 
-use crate::{EndpointKey, InFlightKey};
+use crate::{EndpointKey, InFlightKey, Rank};
 
 new_key_type! {
     /// Identifies a waiting request within this process.
@@ -49,12 +49,10 @@
     pub homes: Homes,
     /// The workspace of the caller, if it is known.
     pub workspace: Option<WorkspaceId>,
-    /// How urgent the request is.
-    pub priority: Priority,
     /// Endpoints that the request was already sent to.
     pub tried: Vec<EndpointKey>,
-    /// Rank among the waiting requests; 0 comes first.
-    pub rank: u8,
+    /// Rank among the waiting requests.
+    pub rank: Rank,
 }
 
 /// Why an endpoint may not get a request.
@@ -80,6 +78,8 @@
     OldWeights,
     /// It is cold, and this gateway's share of what it bears is used up.
     Cold,
+    /// Its memory has no room for the request.
+    Memory,
 }
 
 impl Exclusion {
@@ -91,6 +91,7 @@
             | Exclusion::Unhealthy
             | Exclusion::NotServing
             | Exclusion::OldWeights
+            | Exclusion::Memory
             | Exclusion::Cold => true,
             Exclusion::Tried
             | Exclusion::NotFollowed
@@ -113,6 +114,7 @@
             Exclusion::NotServing => "not_serving",
             Exclusion::OldWeights => "old_weights",
             Exclusion::Cold => "cold",
+            Exclusion::Memory => "memory",
         }
     }
 }
@@ -136,6 +138,8 @@
     Cold,
     /// The deadline of the request has passed.
     Late,
+    /// The request needs more memory than any endpoint has.
+    TooLarge,
 }
 
 impl Refusal {
@@ -150,6 +154,7 @@
             Refusal::Evacuated => "evacuated",
             Refusal::Cold => "cold",
             Refusal::Late => "late",
+            Refusal::TooLarge => "too_large",
         }
     }
 }
@@ -185,4 +190,7 @@
     pub version: WeightsVersion,
     /// When the requirement takes effect.
     pub effective_at: Instant,
+    /// Until when a request may begin on an older version if no endpoint with the required one can take
+    /// it.
+    pub last_start: Instant,
 }
--- a/components/dispatch/src/state.rs
+++ b/components/dispatch/src/state.rs
@@ -14,8 +14,8 @@
 
 use crate::{
     Decision, DispatchSettings, EndpointKey, EngineModel, EngineStatus, InFlightKey,
-    PendingRequest, PredictionBias, RequestKey, RetryBudget, backoff::UnlistedBackoffs,
-    cold::KnownGateways, departures::Departures, endpoint::TrackedEndpoint,
+    PendingRequest, PredictionBias, Relation, RequestKey, RetryBudget, backoff::UnlistedBackoffs,
+    cold::KnownGateways, demand::ServiceDemand, departures::Departures, endpoint::TrackedEndpoint,
     evacuation::Evacuations, health::EndpointOutcome, requests::VersionRequirement,
 };
 
@@ -80,11 +80,14 @@
     /// Endpoints that became cold since they were last taken.
     pub(crate) newly_cold: Vec<EndpointKey>,
     pub(crate) engine_models: HashMap<ServiceId, EngineModel>,
-    pub(crate) biases: HashMap<ServiceId, PredictionBias>,
+    pub(crate) biases: HashMap<ServiceId, [PredictionBias; Relation::ALL.len()]>,
+    pub(crate) demand: HashMap<ServiceId, ServiceDemand>,
     pub(crate) version_requirements: HashMap<ServiceId, Vec<VersionRequirement>>,
     pub(crate) pending: SlotMap<RequestKey, PendingRequest>,
-    /// Waiting requests, in order of arrival.
+    /// Waiting requests, in the order of the last decision on them.
     pub(crate) waiting: Vec<RequestKey>,
+    /// Number of gateways of this one's zone.
+    pub(crate) zone_gateways: usize,
     pub(crate) rng: RefCell<Rng>,
     /// The retry budget.
     pub retry_budget: RetryBudget,
@@ -113,9 +116,11 @@
             newly_cold: Vec::new(),
             engine_models: HashMap::new(),
             biases: HashMap::new(),
+            demand: HashMap::new(),
             version_requirements: HashMap::new(),
             pending: SlotMap::with_key(),
             waiting: Vec::new(),
+            zone_gateways: 1,
             rng: RefCell::new(Rng::new()),
             retry_budget: RetryBudget::new(settings.retries),
             settings,
@@ -152,8 +157,9 @@
     pub fn endpoint(&self, key: EndpointKey, now: Instant) -> Option<EndpointView> {
         let tracked = self.endpoints.get(key)?;
         let listed = &tracked.listed;
-        let required = self.required_version(&listed.service, now);
         let served = tracked.version(self.settings.max_report_age, now);
+        let outdated = self.last_start(tracked, now).is_some_and(|last| now < last);
+        let required = self.required_version(&listed.service, now).filter(|_| !outdated);
         Some(EndpointView {
             id: listed.id.clone(),
             addr: listed.addr,
@@ -216,9 +222,9 @@
 
     /// Applies an agent's report on an endpoint.
     pub fn apply_report(&mut self, key: EndpointKey, report: EngineStatus, now: Instant) {
-        if let Some(tracked) = self.endpoints.get_mut(key) {
-            tracked.apply_report(report, now);
-        }
+        let Some(tracked) = self.endpoints.get(key) else { return };
+        let claims = self.claims_by(tracked, &report);
+        self.endpoints[key].apply_report(report, claims, now);
     }
 
     /// Records the version of the weights that an answer of an endpoint showed.
@@ -235,7 +241,7 @@
         request: PendingRequest,
         now: Instant,
     ) -> (Option<RequestKey>, Decision) {
-        match self.decide(&request, now) {
+        match self.decide_new(&request, now) {
             Decision::Wait => {
                 let key = self.pending.insert(request);
                 self.waiting.push(key);
@@ -248,9 +254,7 @@
     /// Decides again on the waiting requests; returns those that no longer wait.
     pub fn poll(&mut self, now: Instant) -> Vec<(RequestKey, Decision)> {
         let mut order = std::mem::take(&mut self.waiting);
-        order.sort_by_key(|key| {
-            self.pending.get(*key).map(|request| (request.rank, request.arrived_at))
-        });
+        self.sort_waiting(&mut order, now);
         let mut decided = Vec::new();
         for key in order {
             let Some(request) = self.pending.get(key).cloned() else { continue };
@@ -288,11 +292,14 @@
         request.first_event_received = true;
         let took = now.saturating_duration_since(request.sent_at).as_secs_f64() * 1e3;
         let error_ms = took - request.expected_ms;
+        let relation = request.relation;
         let service = tracked.listed.service.clone();
         // The pause of a silent endpoint says nothing about later predictions.
-        if !self.record_silence_end(endpoint, in_flight, now) {
-            self.biases.entry(service).or_default().record_error(error_ms);
+        if self.record_silence_end(endpoint, in_flight, now) {
+            return;
         }
+        let bias = &mut self.biases.entry(service).or_default()[relation as usize];
+        bias.record_error(relation, error_ms, now);
     }
 
     /// Records that an endpoint has sent nothing of a response for too long. Its attempt goes on.
@@ -340,6 +347,7 @@
     ) {
         if let Some(tracked) = self.endpoints.get_mut(endpoint) {
             let request = tracked.in_flight.remove(in_flight);
+            tracked.return_claim();
             let was_silent = request.is_some_and(|request| request.is_silent);
             if !was_silent || result != EndpointOutcome::Lost {
                 tracked.health.record_result(result, now);
--- a/components/dispatch/src/subset.rs
+++ b/components/dispatch/src/subset.rs
@@ -53,6 +53,7 @@
                 engines.push((key, tracked.listed.id.as_str()));
             }
         }
+        self.zone_gateways = processes.max(1);
         let settings = self.settings.subset;
         let own = zones.remove(&self.zone).unwrap_or_default();
         let local = settings.local_size(own.len(), processes);
--- a/components/dispatch/tests/cold.rs
+++ b/components/dispatch/tests/cold.rs
@@ -7,7 +7,7 @@
 };
 
 use base::{Rate, ServiceId};
-use catalog::{ColdStart, Endpoint, EndpointState, EndpointUpdate, Homes, Priority};
+use catalog::{ColdStart, Endpoint, EndpointState, EndpointUpdate, Homes};
 use dispatch::{
     ColdSettings, Decision, DispatchSettings, Dispatcher, EndpointOutcome, PendingRequest, Refusal,
 };
@@ -50,9 +50,8 @@
         was_refused: false,
         homes: Homes::ANYWHERE,
         workspace: None,
-        priority: Priority(0),
         tried: Vec::new(),
-        rank: 0,
+        rank: dispatch::Rank::default(),
     }
 }
 
--- a/components/dispatch/tests/eligibility.rs
+++ b/components/dispatch/tests/eligibility.rs
@@ -6,7 +6,7 @@
 };
 
 use base::{Region, ServiceId, Zone};
-use catalog::{Endpoint, EndpointState, EndpointUpdate, Homes, Priority};
+use catalog::{Endpoint, EndpointState, EndpointUpdate, Homes};
 use dispatch::{
     Absence, Decision, DispatchSettings, Dispatcher, EndpointKey, EndpointOutcome, PendingRequest,
     Refusal,
@@ -71,9 +71,8 @@
         was_refused: false,
         homes,
         workspace: None,
-        priority: Priority(0),
         tried: Vec::new(),
-        rank: 0,
+        rank: dispatch::Rank::default(),
     }
 }
 
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -68,6 +68,7 @@
         let now = now();
         let zone = self.process.borrow().zone.clone();
         let dispatcher = self.dispatcher.borrow();
+        let displaced: Vec<ServiceId> = dispatcher.displaced_services().collect();
         for endpoint in dispatcher.followed_endpoints() {
             let (IpAddr::V4(ip), true) = (endpoint.addr.ip(), endpoint.serves_model) else {
                 continue;
@@ -77,7 +78,12 @@
                 named: self.newest_weights(&endpoint.service, now),
                 fleet: self.fleet_digest(&dispatcher, &endpoint.service, &endpoint.zone),
             };
-            self.socket.send(ip, &Message::Subscribe(subscription));
+            let is_displaced = !subscription.near && displaced.contains(&endpoint.service);
+            let message = match is_displaced {
+                true => Message::SubscribeDisplaced(subscription),
+                false => Message::Subscribe(subscription),
+            };
+            self.socket.send(ip, &message);
         }
     }
 
@@ -202,7 +208,10 @@
             Message::Limits(limits) => self.handle_limits(from, &limits),
             Message::Known(known) => self.handle_known_position(from, known),
             // Only stagers handle these.
-            Message::Subscribe(_) | Message::Holding(_) => {}
+            Message::Subscribe(_)
+            | Message::SubscribeDisplaced(_)
+            | Message::Holding(_)
+            | Message::Relisted(_) => {}
         }
     }
 
@@ -227,7 +236,7 @@
             version: report.version.map(WeightsVersion),
             waiting: report.waiting.into(),
             running: report.running.into(),
-            cache_used: report.cache_used.into(),
+            cache_share: report.cache_share(),
             slowdown: f64::from(report.pace) / 100.0,
             is_preferred: report.home,
             agent_run: report.run,
--- a/components/gateway/src/request.rs
+++ b/components/gateway/src/request.rs
@@ -8,7 +8,7 @@
 use base::{Digest, ServiceId};
 use bytes::{Bytes, BytesMut};
 use catalog::{Config, Destination, Homes, Route, Workspace};
-use dispatch::{EndpointKey, GenerationSize, PendingRequest};
+use dispatch::{EndpointKey, GenerationSize, PendingRequest, Rank, Urgency};
 use http::{
     HeaderMap, Method, Request, StatusCode, header::HOST, request::Parts, uri::PathAndQuery,
 };
@@ -71,7 +71,7 @@
     TooLong,
     /// The body did not arrive completely.
     BodyIncomplete,
-    /// Request bodies already use all the memory allowed for them.
+    /// Request bodies, or responses that callers have not read, already use all the memory allowed for them.
     MemoryLimit,
     /// The request, or requests with a part of its prompt, were repeatedly lost at endpoints.
     Suspect,
@@ -151,6 +151,9 @@
         if self.shutdown_stage() >= ShutdownStage::Refusing {
             return Err(Denied::Stopping);
         }
+        if self.is_response_memory_full() {
+            return Err(Denied::MemoryLimit);
+        }
         let config = self.config.borrow().clone().ok_or(Denied::NotReady)?;
         let (head, body) = request.into_parts();
         let route = find_route(&config, &head).ok_or(Denied::NoRoute)?;
@@ -277,8 +280,6 @@
         deadline: Instant,
         homes: Homes,
     ) -> PendingRequest {
-        let priority = self.workspace.as_ref().and_then(|w| w.priority);
-        let priority = priority.unwrap_or(self.route.priority);
         PendingRequest {
             service: self.service.clone(),
             size: self.facts.token_counts.map(|tokens| GenerationSize {
@@ -295,12 +296,17 @@
             was_refused: self.refused_before || !tried.is_empty(),
             homes,
             workspace: self.workspace.as_ref().map(|workspace| workspace.name.clone()),
-            priority,
             tried: tried.to_vec(),
-            rank: priority.0.saturating_mul(2).saturating_add(u8::from(self.refused_before)),
+            rank: Rank { urgency: self.urgency(), returned: self.refused_before },
         }
     }
 
+    /// Returns how urgent the request is.
+    pub(crate) fn urgency(&self) -> Urgency {
+        let workspace = self.workspace.as_ref().and_then(|workspace| workspace.priority);
+        Urgency::new(workspace, self.route.priority)
+    }
+
     /// Returns the regions in which the request may be served: those that the configuration allowed at its
     /// admission and that `config`, the one in force, still allows.
     pub(crate) fn homes(&self, config: Option<&Config>) -> Homes {
--- a/components/peering/src/message.rs
+++ b/components/peering/src/message.rs
@@ -29,6 +29,11 @@
     Known(KnownPosition),
     /// A gateway tells others of limits that endpoints name.
     Limits(Vec<NamedLimit>),
+    /// A stager tells a neighbour that it corrected a list of digests.
+    Relisted(Relisted),
+    /// A gateway asks a stager of another zone for state reports. Its own zone has no endpoint that may
+    /// get its requests, so that it sends them there like a gateway of that zone.
+    SubscribeDisplaced(Subscription),
 }
 
 /// A weights version that the operator named.
@@ -114,7 +119,7 @@
     pub waiting: u16,
     /// Number of requests running at the endpoint.
     pub running: u16,
-    /// Number of KV cache tokens in use.
+    /// Share of the KV cache in use, in ten-thousandths; [`StateReport::UNKNOWN_SHARE`] if unknown.
     pub cache_used: u32,
     /// The engine's step time in hundredths of its published step time.
     pub pace: u16,
@@ -128,6 +133,26 @@
     pub entry_count: u16,
 }
 
+impl StateReport {
+    /// The `cache_used` of an engine that does not state it.
+    pub const UNKNOWN_SHARE: u32 = u32::MAX;
+    /// The `cache_used` of an engine whose cache is full.
+    const FULL_SHARE: f64 = 10_000.0;
+
+    /// Encodes a share of the KV cache for `cache_used`.
+    pub fn encode_cache_share(share: Option<f64>) -> u32 {
+        share.map_or(StateReport::UNKNOWN_SHARE, |share| {
+            (share.clamp(0.0, 1.0) * StateReport::FULL_SHARE).round() as u32
+        })
+    }
+
+    /// The share of the KV cache in use, if it is known.
+    pub fn cache_share(&self) -> Option<f64> {
+        let share = f64::from(self.cache_used) / StateReport::FULL_SHARE;
+        (share <= 1.0).then_some(share)
+    }
+}
+
 /// A set of pieces as a bit set; the first piece is the lowest bit of the first byte.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PieceSet(Vec<u8>);
@@ -151,6 +176,15 @@
     pub named: Option<NamedVersion>,
 }
 
+/// A list of digests that differs from the one that the origin sent first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Relisted {
+    /// The version of the weights.
+    pub version: u64,
+    /// How often the list was corrected. A higher revision replaces a lower one.
+    pub revision: u32,
+}
+
 /// A refused request whose caller was told to retry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RefusedRequest {
--- a/components/stager/src/report.rs
+++ b/components/stager/src/report.rs
@@ -113,13 +113,17 @@
         let gateways: Vec<Ipv4Addr> = subscribers.keys().copied().collect();
         let in_own_zone = subscribers.iter().filter(|(_, s)| s.same_zone).map(|(ip, _)| *ip);
         let in_own_zone: Vec<Ipv4Addr> = in_own_zone.collect();
-        let preferring =
-            preferring_gateways(self.ip, &self.fleet().zone_members, in_own_zone.clone());
-        let other_zone_count = gateways.len() - in_own_zone.len();
+        let displaced: Vec<Ipv4Addr> =
+            subscribers.iter().filter(|(_, s)| s.displaced).map(|(ip, _)| *ip).collect();
+        let near_count = in_own_zone.len() + displaced.len();
+        let members = &self.fleet().zone_members;
+        let mut preferring = preferring_gateways(self.ip, members, in_own_zone.clone());
+        preferring.extend(preferring_gateways(self.ip, members, displaced));
+        let other_zone_count = gateways.len() - near_count;
         for (ip, subscriber) in subscribers.iter_mut() {
-            let (audience, count) = match (subscriber.same_zone, preferring.contains(ip)) {
+            let (audience, count) = match (subscriber.is_near(), preferring.contains(ip)) {
                 (true, true) => (Audience::Preferring, preferring.len()),
-                (true, false) => (Audience::SameZone, in_own_zone.len() - preferring.len()),
+                (true, false) => (Audience::SameZone, near_count - preferring.len()),
                 (false, _) => (Audience::OtherZone, other_zone_count),
             };
             let interval = self.settings.report_rates.interval(audience, count);
@@ -167,7 +171,9 @@
             named: self.newest_named(),
             waiting: report.as_ref().map_or(0, |r| clip(r.waiting)),
             running: report.as_ref().map_or(0, |r| clip(r.running)),
-            cache_used: report.as_ref().map_or(0, |r| r.kv_cache_used.min(u32::MAX.into()) as u32),
+            cache_used: StateReport::encode_cache_share(
+                report.as_ref().and_then(|report| report.cache_share),
+            ),
             pace: report.as_ref().map_or(100, |r| (r.slowdown * 100.0).clamp(1.0, 60_000.0) as u16),
             home,
             near_entries: in_own_zone.iter().take(MAX_REPORTED_GATEWAYS).copied().collect(),
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -1,6 +1,7 @@
 //! HTTP client and server connections on a single-threaded event loop: to endpoints, to the platform
 //! and between processes.
 
+mod caller_stream;
 mod client;
 mod connect;
 mod error;
@@ -9,6 +10,7 @@
 mod pool;
 mod resettable;
 mod server;
+mod write_timeout;
 
 pub use client::{BufferedResponse, Connection, Exchange, Framing, ResponseBody, request};
 pub use connect::ConnectSettings;
--- a/components/transport/src/server.rs
+++ b/components/transport/src/server.rs
@@ -1,7 +1,12 @@
 //! HTTP server: accepts connections and serves requests on them.
 
 use std::{
-    cell::Cell, convert::Infallible, future::Future, net::SocketAddr, pin::pin, rc::Rc,
+    cell::Cell,
+    convert::Infallible,
+    future::{Future, poll_fn},
+    net::SocketAddr,
+    pin::{Pin, pin},
+    rc::Rc,
     time::Duration,
 };
 
@@ -19,17 +24,21 @@
     task::{spawn_local, yield_now},
 };
 
-use crate::resettable::{CloseControl, ResettableStream};
+use crate::{
+    caller_stream::{CallerStream, CallerWatch},
+    write_timeout::WriteTimeout,
+};
 
 /// Pause after a failed accept, for example because no file descriptors are left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// Limits for the connections of a listener.
+/// Limits for the connections of a listener. Each connection keeps those that were in force when it was accepted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct AcceptSettings {
-    /// Maximum size of a request's head in bytes.
+    /// Maximum size of a request's head in bytes, in whatever number of headers.
     pub max_header_bytes: usize,
-    /// Maximum time until the head of the next request is received, including idle time.
+    /// Maximum time until the head of the next request is received, including idle time, and for which a peer
+    /// may read nothing of a response.
     pub idle_timeout: Duration,
     /// Maximum number of open connections. Further ones are closed immediately.
     pub max_connections: usize,
@@ -37,8 +46,10 @@
     pub keepalive_time: Duration,
 }
 
-/// Minimum buffer size that hyper accepts.
-const MIN_BUFFER_BYTES: usize = 8192;
+/// Size in bytes of the buffer from which requests are read, unless heads may be larger.
+const READ_BUFFER_BYTES: usize = 32 << 10;
+/// Size in bytes of the shortest header.
+const MIN_HEADER_BYTES: usize = "a:\r\n".len();
 
 /// Phases of a graceful shutdown, in their order.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -119,7 +130,7 @@
 /// Accepts connections until [`StopPhase::Ending`] and serves their requests.
 pub async fn serve<H, F, B>(
     listener: TcpListener,
-    settings: AcceptSettings,
+    settings: impl Fn() -> AcceptSettings,
     mut stop: watch::Receiver<StopPhase>,
     server: Rc<OpenConnections>,
     handle: H,
@@ -141,6 +152,7 @@
                 continue;
             }
         };
+        let settings = settings();
         if server.connections.get() >= settings.max_connections {
             drop(stream);
             continue;
@@ -174,36 +186,55 @@
         .with_interval(settings.keepalive_time)
         .with_retries(2);
     let _ = SockRef::from(&stream).set_tcp_keepalive(&keepalive);
-    let control = CloseControl::default();
+    let (stream, watch) = CallerStream::new(stream);
     let service = service_fn(|request: Request<Incoming>| {
-        control.record_request(request.version());
+        watch.record_request(request.version());
         let response = handle(request);
         async move { Ok::<_, Infallible>(response.await) }
     });
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
+        // The stream itself finds out whether the caller has left.
+        .half_close(true)
         .header_read_timeout(settings.idle_timeout)
-        .max_buf_size(settings.max_header_bytes.max(MIN_BUFFER_BYTES));
+        .max_header_size(settings.max_header_bytes)
+        .max_headers(settings.max_header_bytes / MIN_HEADER_BYTES)
+        .max_buf_size(settings.max_header_bytes.max(READ_BUFFER_BYTES));
     // A connection that is accepted while the process closes the others serves one request.
     let close_in = match *stop.borrow() {
         StopPhase::Accepting => StopPhase::Closing,
         StopPhase::Closing | StopPhase::Ending => StopPhase::Ending,
     };
     builder.keep_alive(close_in == StopPhase::Closing);
-    let stream = ResettableStream::new(stream, control.clone());
+    let stream = WriteTimeout::new(stream, settings.idle_timeout);
     let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    let mut left = pin!(watch.left());
     let ended = tokio::select! {
         biased;
-        ended = connection.as_mut() => Some(ended),
+        ended = drive(connection.as_mut(), &watch) => Some(ended),
+        () = left.as_mut() => return,
         () = reached(&mut stop, close_in) => None,
     };
     let ended = match ended {
         Some(ended) => ended,
         None => {
             connection.as_mut().graceful_shutdown();
-            connection.as_mut().await
+            tokio::select! {
+                biased;
+                ended = drive(connection.as_mut(), &watch) => ended,
+                () = left.as_mut() => return,
+            }
         }
     };
-    control.record_end(&ended);
+    watch.record_end(&ended);
+}
+
+/// Runs a connection and records whenever it may read.
+async fn drive<C: Future>(mut connection: Pin<&mut C>, watch: &CallerWatch) -> C::Output {
+    poll_fn(|cx| {
+        watch.record_poll();
+        connection.as_mut().poll(cx)
+    })
+    .await
 }
