A metric counts the requests sent to weights older than required

Seen: after a version is required, older weights still answer for a part of the margin while no endpoint has the required ones; no line or metric told how often. Cause: only attempts that were ended again were logged. Weighed: a log line for each such request (hundreds a second at the moment at which a gateway has least time). Change: carawaypaddle_older_weights_total, counted where the request is sent; the view of an endpoint says whether it is outdated. The dispatch test of older weights checks that too. Tests of gateway and dispatch: all pass but long_prompts_are_spread_and_wait_until_memory_is_free, which fails on main without this change as well.

--- a/components/dispatch/src/state.rs
+++ b/components/dispatch/src/state.rs
@@ -50,6 +50,8 @@
     pub is_leaving: bool,
     /// The version of the weights that must answer; set where older weights may no longer answer.
     pub version: Option<WeightsVersion>,
+    /// Whether it has older weights than required, on which a request may still begin.
+    pub is_outdated: bool,
 }
 
 /// Decides which endpoint each request is sent to.
@@ -158,8 +160,8 @@
         let tracked = self.endpoints.get(key)?;
         let listed = &tracked.listed;
         let served = tracked.version(self.settings.max_report_age, now);
-        let outdated = self.last_start(tracked, now).is_some_and(|last| now < last);
-        let required = self.required_version(&listed.service, now).filter(|_| !outdated);
+        let is_outdated = self.last_start(tracked, now).is_some_and(|last| now < last);
+        let required = self.required_version(&listed.service, now).filter(|_| !is_outdated);
         Some(EndpointView {
             id: listed.id.clone(),
             addr: listed.addr,
@@ -167,6 +169,7 @@
             zone: listed.zone.clone(),
             is_leaving: !tracked.is_listed_ready(),
             version: required.map(|required| served.map_or(required, |v| v.max(required))),
+            is_outdated,
         })
     }
 
--- a/components/dispatch/tests/dispatch.rs
+++ b/components/dispatch/tests/dispatch.rs
@@ -510,8 +510,12 @@
     dispatcher.set_version_requirements(&service(), vec![required]);
     let (key, _) = sent(dispatcher.submit(request(now), now).1);
     // The request names no version that the endpoint lacks.
-    assert_eq!(dispatcher.endpoint(key, now).unwrap().version, None);
-    assert_eq!(dispatcher.endpoint(key, last_start).unwrap().version, Some(WeightsVersion(2)));
+    let view = |dispatcher: &Dispatcher, at| {
+        let view = dispatcher.endpoint(key, at).unwrap();
+        (view.version, view.is_outdated)
+    };
+    assert_eq!(view(&dispatcher, now), (None, true));
+    assert_eq!(view(&dispatcher, last_start), (Some(WeightsVersion(2)), false));
     let late = last_start - Duration::from_millis(100);
     let decision = dispatcher.submit(request(late), late).1;
     assert!(matches!(decision, Decision::Refuse { reason: Refusal::NoEndpoint, .. }));
--- a/components/gateway/src/hedge.rs
+++ b/components/gateway/src/hedge.rs
@@ -11,6 +11,7 @@
 
 use base::ServiceId;
 use catalog::WeightsVersion;
+use dispatch::EndpointView;
 use metrics::counter;
 use slog::info;
 use telemetry::names;
@@ -298,7 +299,11 @@
             has_begun: has_begun.clone(),
         };
         let in_flight = assignment.in_flight;
-        let version = self.version_at(in_flight);
+        let view = self.gateway.dispatcher.borrow().endpoint(in_flight.endpoint, now());
+        if view.as_ref().is_some_and(|view| view.is_outdated) {
+            counter!(names::OLDER_WEIGHTS).increment(1);
+        }
+        let version = view.and_then(|view| self.version_at(in_flight, &view));
         let (gateway, context) = (self.gateway.clone(), self.context.clone());
         let future = async move { gateway.attempt(&context, assignment, options).await };
         let future = Box::pin(future);
@@ -308,10 +313,9 @@
 
     /// Returns the version of the weights that an endpoint must have to take a request now, else the
     /// one that it serves.
-    fn version_at(&self, in_flight: InFlight) -> Option<WeightsVersion> {
+    fn version_at(&self, in_flight: InFlight, view: &EndpointView) -> Option<WeightsVersion> {
         let dispatcher = self.gateway.dispatcher.borrow();
-        let required = dispatcher.endpoint(in_flight.endpoint, now())?.version;
-        required.or_else(|| dispatcher.served_version(in_flight.endpoint, now()))
+        view.version.or_else(|| dispatcher.served_version(in_flight.endpoint, now()))
     }
 
     /// Ends an attempt that may not begin any more. Its connection is closed, so that the endpoint
--- a/components/telemetry/src/names.rs
+++ b/components/telemetry/src/names.rs
@@ -12,6 +12,8 @@
 pub const RETRIES: &str = "carawaypaddle_retries_total";
 /// Responses of endpoints whose weights should have been replaced by then.
 pub const OVERDUE_VERSIONS: &str = "carawaypaddle_overdue_versions_total";
+/// Requests sent to weights older than required, as no endpoint with the required ones could take them.
+pub const OLDER_WEIGHTS: &str = "carawaypaddle_older_weights_total";
 /// Parts of prompts that were refused because they crash endpoints.
 pub const REFUSED_PARTS: &str = "carawaypaddle_refused_parts_total";
 /// Requests that were refused after their admission, by `reason`.
@@ -56,6 +58,7 @@
     describe_counter!(STARTED, "requests with at least one attempt");
     describe_counter!(RETRIES, "retries, by whether the budget allowed them");
     describe_counter!(OVERDUE_VERSIONS, "responses from weights that should have been replaced");
+    describe_counter!(OLDER_WEIGHTS, "requests sent to weights older than required");
     describe_counter!(REFUSED_PARTS, "parts of prompts that were refused, as they crash endpoints");
     describe_counter!(REFUSALS, "requests that were refused after their admission, by reason");
     describe_gauge!(EVACUATED_ZONES, "availability zones that the operator evacuated");
