Stager: a newer version ends the fetches of the one before, few ask for the list, turns count from the first version missed

Cause: pieces of version 2 that were in flight when version 3 was named took the origin's link until 27.3 s, and version 3 was not through when the zone was lost. Beside it: all members that lack the list of digests asked an origin that is down five times a second; the time left for turns counted from the newest version though gateways stop at the bound of the first one that an endpoint lacks. Ruled out: finishing version 2 (it is not loaded by anybody once version 3 is named). Change: a fetch ends when its download is replaced; two members of a zone retry the list, the others each 2 s; NamedVersions keeps the earlier versions. Tests of stager (52), platform stager, wrong_digests, staged_pieces, requested_backoff, lost_weights pass.

--- a/components/stager/src/fetch.rs
+++ b/components/stager/src/fetch.rs
@@ -13,6 +13,7 @@
 use slog::{info, warn};
 use telemetry::names;
 use tokio::{
+    sync::watch,
     task::spawn_local,
     time::{Instant, sleep, timeout},
 };
@@ -76,7 +77,9 @@
         let found = match self.neighbour_with_digests(version) {
             Some(peer) => self.fetch_digests_from_peer(peer, version).await,
             None if self.is_digest_fetcher() => {
-                self.fetch_digests_from_origin(&layout, version).await
+                let found = self.fetch_digests_from_origin(&layout, version).await;
+                self.record_list_answer(version, found.is_some());
+                found
             }
             None => None,
         };
@@ -88,6 +91,8 @@
             && download.version == version
         {
             download.digests = Some(Rc::new(digests));
+            // Whoever fetched the list got it from the origin.
+            download.scheduler.record_list_answer(true, now());
         }
         self.piece_arrived.notify_waiters();
         self.inventory_wakeup.notify_one();
@@ -115,8 +120,16 @@
     fn is_digest_fetcher(&self) -> bool {
         let rank = self.fleet().zone_members.iter().position(|ip| *ip == self.ip).unwrap_or(0);
         let download = self.download.borrow();
-        let elapsed = download.as_ref().map(|download| download.scheduler.elapsed(now()));
-        elapsed.is_some_and(|elapsed| elapsed >= self.settings.fetch.digest_delay(rank))
+        download.as_ref().is_some_and(|download| download.scheduler.may_fetch_digests(rank, now()))
+    }
+
+    /// Records whether the origin sent the list of digests.
+    fn record_list_answer(&self, version: WeightsVersion, is_sent: bool) {
+        if let Some(download) = self.download.borrow_mut().as_mut()
+            && download.version == version
+        {
+            download.scheduler.record_list_answer(is_sent, now());
+        }
     }
 
     pub(crate) async fn fetch_digests_from_peer(
@@ -318,9 +331,15 @@
         }
     }
 
+    /// Fetches a piece and uploads it to the endpoint, unless a newer version is downloaded before it is
+    /// here. The connection of a fetch that is given up is closed, so that its link carries the newer
+    /// version.
     async fn fetch_piece(self: Rc<Stager>, version: WeightsVersion, fetch: Fetch) {
         let Some(layout) = self.weights_layout() else { return };
-        let failure = match self.request_piece(&layout, version, fetch).await {
+        let Some(current) = self.watch_download(version) else { return };
+        let request = self.request_piece(&layout, version, fetch);
+        let Some(reply) = until_closed(current, request).await else { return };
+        let failure = match reply {
             Ok(body) => {
                 let bytes = body.len() as u64;
                 let name = source_name(fetch.source);
@@ -345,6 +364,13 @@
         counter!(names::CHUNK_ERRORS, "error" => failure.name()).increment(1);
     }
 
+    /// Returns what is closed when the download of a version is replaced; `None` if it already is.
+    fn watch_download(&self, version: WeightsVersion) -> Option<watch::Receiver<()>> {
+        let download = self.download.borrow();
+        let download = download.as_ref().filter(|download| download.version == version)?;
+        Some(download.current.subscribe())
+    }
+
     async fn request_piece(
         &self,
         layout: &WeightsLayout,
@@ -477,9 +503,25 @@
     }
 }
 
+/// Runs `work` until it ends or the sender of `watched` is dropped; `None` then.
+async fn until_closed<T>(
+    mut watched: watch::Receiver<()>,
+    work: impl Future<Output = T>,
+) -> Option<T> {
+    tokio::select! {
+        biased;
+        done = work => Some(done),
+        // Nothing is ever sent, so this returns when the sender is dropped.
+        _ = watched.changed() => None,
+    }
+}
+
 fn source_name(source: Source) -> &'static str {
     match source {
         Source::Peer(_) => "peer",
         Source::Origin => "origin",
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/components/stager/src/lib.rs
+++ b/components/stager/src/lib.rs
@@ -9,6 +9,7 @@
 mod list_doubts;
 mod load;
 mod load_schedule;
+mod named_versions;
 mod open_order;
 mod peers;
 mod process;
--- a/components/stager/src/load.rs
+++ b/components/stager/src/load.rs
@@ -105,12 +105,11 @@
             return None;
         }
         let time_limit = self.process.borrow().bounds.version_switch;
+        let Some(serving) = serving else { return Some(version) };
         // Weights whose naming nobody saw are taken to be as old as the time limit.
-        let age = named_at.map_or(time_limit, |at| now().saturating_duration_since(at));
+        let due_since = named_at.and_then(|_| self.named.borrow().first_after(serving));
+        let age = due_since.map_or(time_limit, |at| now().saturating_duration_since(at));
         let peers = self.zone_peers(version);
-        if serving.is_none() {
-            return Some(version);
-        }
         let settings = &self.settings.load;
         let staged_for = now().saturating_duration_since(staged_at?);
         let settled = staged_for >= settings.settle_delay || is_urgent(settings, age, time_limit);
--- a/components/stager/src/process.rs
+++ b/components/stager/src/process.rs
@@ -105,7 +105,7 @@
         read_limit: Cell::default(),
         looked_back: Cell::default(),
         version_missing: Cell::default(),
-        named: Cell::default(),
+        named: RefCell::default(),
         pauses: RefCell::new(Pauses::new(MAX_FLUSH_GAP, now(), BootTime::now())),
         fetch_wakeup: Notify::new(),
         piece_arrived: Notify::new(),
--- a/components/stager/src/scheduler/outage.rs
+++ b/components/stager/src/scheduler/outage.rs
@@ -4,7 +4,7 @@
 //! Members that take over from each other then gain nothing, but send the origin a request for the
 //! same piece each, and its link carries several copies once it is back.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::{FetchScheduler, FetchSettings};
 
@@ -24,9 +24,9 @@
         let usual = (max_zone_origin_fetches / owners).clamp(1, max_origin_fetches.max(1));
         let Some(failed_at) = self.origin_failed_at else { return usual };
         let responds = self.last_progress > failed_at;
-        let delay = match responds || self.is_origin_prober(now) {
+        let delay = match responds {
             true => self.settings.origin_probe_delay,
-            false => self.settings.origin_retry_delay,
+            false => self.origin_delay(now),
         };
         match now.saturating_duration_since(failed_at) >= delay {
             true if responds => usual,
@@ -35,6 +35,28 @@
         }
     }
 
+    /// Whether this member, which has `rank` in the order of addresses of its zone, requests the list of
+    /// digests from the origin now, if no neighbour has it.
+    pub fn may_fetch_digests(&self, rank: usize, now: Instant) -> bool {
+        let may_retry =
+            |failed_at| now.saturating_duration_since(failed_at) >= self.origin_delay(now);
+        self.elapsed(now) >= self.settings.digest_delay(rank)
+            && self.origin_failed_at.is_none_or(may_retry)
+    }
+
+    /// Records whether the origin sent the list of digests.
+    pub fn record_list_answer(&mut self, is_sent: bool, now: Instant) {
+        self.origin_failed_at = (!is_sent).then_some(now);
+    }
+
+    /// Time after a failure of the origin at which this member asks it again.
+    fn origin_delay(&self, now: Instant) -> Duration {
+        match self.is_origin_prober(now) {
+            true => self.settings.origin_probe_delay,
+            false => self.settings.origin_retry_delay,
+        }
+    }
+
     /// Whether this member is among those that ask an origin which does not respond, so that the
     /// others need not: the first ones of the zone that are alive.
     pub(super) fn is_origin_prober(&self, now: Instant) -> bool {
--- a/components/stager/src/scheduler/tests.rs
+++ b/components/stager/src/scheduler/tests.rs
@@ -371,6 +371,35 @@
     }
 }
 
+/// Guards against an origin that all members of all zones ask for the list of digests five times a second
+/// while it is down, and whose connections they use up when it returns.
+#[test]
+fn few_members_ask_an_origin_that_is_down_for_the_digests() {
+    let start = Instant::now();
+    let settings = FetchSettings::default();
+    let members: Vec<u8> = (1..=25).collect();
+    for me in &members {
+        let rank = usize::from(*me) - 1;
+        let mut scheduler = scheduler(*me, 64, &members, &[], start);
+        let mut requests = 0;
+        for time in (0..60).map(|n| start + n * settings.origin_probe_delay) {
+            members.iter().for_each(|n| scheduler.mark_alive(ip(*n), time));
+            if scheduler.may_fetch_digests(rank, time) {
+                requests += 1;
+                scheduler.record_list_answer(false, time);
+            }
+        }
+        let is_prober = rank < settings.max_origin_probers;
+        assert!(if is_prober { requests >= 50 } else { requests <= 3 }, "{me}: {requests}");
+    }
+    // Once the list is here, owners fetch their pieces as if nothing had been.
+    let mut owner = scheduler(12, 64, &members, &[], start);
+    owner.record_list_answer(false, start);
+    assert_eq!(owner.next_fetches(start), []);
+    owner.record_list_answer(true, start);
+    assert_eq!(owner.next_fetches(start).len(), 1);
+}
+
 /// Guards against a zone that fetches from the origin since that is down and the origin's zone, though
 /// alive, has nothing.
 #[test]
--- a/components/stager/src/shared.rs
+++ b/components/stager/src/shared.rs
@@ -18,7 +18,7 @@
 use platform::requested_backoff;
 use slog::{Logger, info, warn};
 use telemetry::MetricsHandle;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use transport::ConnectionPool;
 
 use crate::{
@@ -26,6 +26,7 @@
     backoffs::Backoffs,
     fleet_view::{FleetView, WeightsLayout},
     list_doubts::ListDoubts,
+    named_versions::NamedVersions,
     open_order::{OpenOrders, Weights},
     settings::StagerSettings,
 };
@@ -49,6 +50,8 @@
     pub(crate) scheduler: FetchScheduler,
     /// When all pieces were first staged.
     pub(crate) staged_at: Option<Instant>,
+    /// Closed when the download of a newer version replaces this one, which ends its fetches.
+    pub(crate) current: watch::Sender<()>,
 }
 
 impl Download {
@@ -125,8 +128,8 @@
     pub(crate) looked_back: Cell<bool>,
     /// Whether it was logged that the fleet is known and no version of its weights.
     pub(crate) version_missing: Cell<bool>,
-    /// The newest named version and a time before which it was not named.
-    pub(crate) named: Cell<Option<(u64, Instant)>>,
+    /// The versions that the operator named.
+    pub(crate) named: RefCell<NamedVersions>,
     /// Observed with each flush of the log, and before what depends on it.
     pub(crate) pauses: RefCell<Pauses>,
     /// Wakes the fetch task.
@@ -201,10 +204,9 @@
         self.observe_pauses();
         let named_at = now().checked_sub(Duration::from_millis(named.age_ms.into()));
         let named_at = named_at.unwrap_or_else(now);
-        let known = self.named.get();
-        if known.is_none_or(|(version, _)| version < named.version) {
+        let is_newest = self.named.borrow_mut().record(WeightsVersion(named.version), named_at);
+        if is_newest {
             info!(self.log, "weights named"; "version" => named.version, "age_ms" => named.age_ms);
-            self.named.set(Some((named.version, named_at)));
             self.start_newest_download();
             self.inventory_wakeup.notify_one();
         }
@@ -217,8 +219,7 @@
         let Some(pause) = ended else { return };
         info!(self.log, "process was paused"; "paused_ms" => pause.length.as_millis() as u64,
             "uncounted_ms" => pause.uncounted.as_millis() as u64);
-        let corrected = |(version, named_at)| (version, pause.corrected(named_at));
-        self.named.set(self.named.get().map(corrected));
+        self.named.borrow_mut().correct_times(|at| pause.corrected(at));
         if let Some(download) = self.download.borrow_mut().as_mut() {
             download.named_at = download.named_at.map(|at| pause.corrected(at));
         }
@@ -226,7 +227,7 @@
 
     /// The newest named version and its current age, for messages to others.
     pub(crate) fn newest_named(&self) -> Option<NamedVersion> {
-        let (version, named_at) = self.named.get()?;
+        let (WeightsVersion(version), named_at) = self.named.borrow().newest()?;
         let age = now().saturating_duration_since(named_at).as_millis();
         Some(NamedVersion { version, age_ms: u32::try_from(age).unwrap_or(u32::MAX) })
     }
@@ -234,10 +235,10 @@
     /// Starts to download the newest known version, unless that download has already started.
     pub(crate) fn start_newest_download(&self) {
         let Some(layout) = self.weights_layout() else { return };
-        let named = self.named.get();
+        let named = self.named.borrow().newest();
         let newest_at_neighbours = self.neighbours.borrow().values().map(|(h, _)| h.version).max();
         let versions = [
-            named.map(|(version, _)| version),
+            named.map(|(version, _)| version.0),
             newest_at_neighbours,
             self.serving_version().map(|v| v.0),
         ];
@@ -259,7 +260,7 @@
         for (ip, (_, at)) in self.neighbours.borrow().iter() {
             scheduler.mark_alive(*ip, *at);
         }
-        let named_at = named.filter(|(v, _)| *v == version.0).map(|(_, named_at)| named_at);
+        let named_at = named.filter(|(v, _)| *v == version).map(|(_, named_at)| named_at);
         *self.download.borrow_mut() = Some(Download {
             version,
             named_at,
@@ -271,7 +272,10 @@
             staged: PieceSet::default(),
             scheduler,
             staged_at: None,
+            current: watch::Sender::default(),
         });
+        // Peers that wait for a piece of the version before get no more of it here.
+        self.piece_arrived.notify_waiters();
         self.update_scheduler_members();
         self.fetch_wakeup.notify_one();
         self.inventory_wakeup.notify_one();
