A request does not queue behind a longer one that waits for memory

Now one that no engine may get, for want of memory of which the new request needs less, does not count. Ruled out: the change of earliest_return, which the test does not reach. A long request may so be passed by short ones until half of its objective, and is then refused with overload. Tests of memory, queue, cold, backoff, departures, dispatch pass.

--- a/components/dispatch/src/memory.rs
+++ b/components/dispatch/src/memory.rs
@@ -78,6 +78,20 @@
         })
     }
 
+    /// Whether a waiting request waits for memory of which `request` needs less, and not for a slot.
+    pub(crate) fn waits_for_more_memory(
+        &self,
+        waiting: &PendingRequest,
+        request: &PendingRequest,
+        now: Instant,
+    ) -> bool {
+        let model = self.engine_models.get(&waiting.service);
+        let Some(model) = model.filter(|model| model.capacity().is_some()) else { return false };
+        model.expected_tokens(waiting.size) > model.expected_tokens(request.size)
+            && self.lacks_only_memory(waiting, now)
+            && self.eligible(waiting, now).is_empty()
+    }
+
     /// Whether an engine has the memory for a request beside those that it has.
     pub(crate) fn has_memory(
         &self,
--- a/components/dispatch/src/queue.rs
+++ b/components/dispatch/src/queue.rs
@@ -12,20 +12,20 @@
     pub(crate) fn decide_new(&mut self, request: &PendingRequest, now: Instant) -> Decision {
         self.record_arrival(request, now);
         let has_room = self.waiting.len() < self.settings.max_waiting;
-        match has_room && self.is_behind(request) {
+        match has_room && self.is_behind(request, now) {
             true => Decision::Wait,
             false => self.decide(request, now),
         }
     }
 
-    fn is_behind(&self, request: &PendingRequest) -> bool {
+    fn is_behind(&self, request: &PendingRequest, now: Instant) -> bool {
         let is_engine = self.engine_models.contains_key(&request.service);
         if !is_engine || request.is_resumed {
             return false;
         }
         let waiting = self.waiting.iter().filter_map(|key| self.pending.get(*key));
         let mut before = waiting.filter(|other| other.competes_before(request));
-        before.next().is_some()
+        before.any(|other| !self.waits_for_more_memory(other, request, now))
     }
 
     /// Records the arrival of a request, unless it is a retry of one that was recorded.
