A cold endpoint that turned a request away is still reported as cold

Callers waited half of their objective and were told no_endpoint, while the only endpoint was cold and this gateway's share used up. Cause: an endpoint that refused once counts as pausing until it answers, so earliest_return took it for one that returns now. Cold endpoints are counted by next_cold_slot alone.

--- a/components/dispatch/src/backoff.rs
+++ b/components/dispatch/src/backoff.rs
@@ -9,7 +9,7 @@
 use catalog::{Endpoint, EndpointId, Homes};
 
 use crate::{
-    EndpointKey, PendingRequest,
+    EndpointKey, Exclusion, PendingRequest,
     departures::{Run, follows},
     endpoint::TrackedEndpoint,
     state::Dispatcher,
@@ -86,13 +86,14 @@
     }
 
     /// When the first endpoint that a request may be sent to may get it, of those that are only paused
-    /// after a refusal or asked to be sent nothing for now.
+    /// after a refusal or asked to be sent nothing for now. When a cold one may get it is counted apart.
     pub(crate) fn earliest_return(
         &self,
         request: &PendingRequest,
         now: Instant,
     ) -> Option<Instant> {
-        let passing = self.exclusions(request, now).filter(|(_, why)| why.may_pass_soon());
+        let is_passing = |why: Exclusion| why.may_pass_soon() && why != Exclusion::Cold;
+        let passing = self.exclusions(request, now).filter(|(_, why)| is_passing(*why));
         let returning = passing
             .filter(|(tracked, _)| tracked.is_backing_off(now) || tracked.health.is_pausing());
         returning.map(|(tracked, _)| tracked.backoff_until.unwrap_or(now).max(now)).min()
--- a/components/dispatch/tests/cold.rs
+++ b/components/dispatch/tests/cold.rs
@@ -156,6 +156,25 @@
     assert!(matches!(polled[0].1, Decision::Send { .. }));
 }
 
+/// Guards against requests that wait in vain, and are told that there is no endpoint, because a cold one
+/// turned a request away before.
+#[test]
+fn a_cold_endpoint_that_turned_a_request_away_is_still_cold() {
+    let now = Instant::now();
+    let mut dispatcher = gateway(0, 1);
+    dispatcher.apply_listing(endpoint(1, COLD.time), now);
+    let impatient = Duration::from_millis(400);
+    let request = |now| PendingRequest { latency_objective: impatient, ..request(now) };
+    for _ in 0..8 {
+        let (_, decision) = dispatcher.submit(request(now), now);
+        let Decision::Send { endpoint, in_flight, .. } = decision else { panic!("{decision:?}") };
+        let end = now - Duration::from_secs(1);
+        dispatcher.record_result(endpoint, in_flight, EndpointOutcome::Refused, end);
+    }
+    let (_, decision) = dispatcher.submit(request(now), now);
+    assert!(matches!(decision, Decision::Refuse { reason: Refusal::Cold, .. }), "{decision:?}");
+}
+
 /// Guards against a gateway that has just started and takes all that a cold endpoint bears, as it knows
 /// no other gateway yet.
 #[test]
