A full queue refuses the least urgent request, not the newest one

An urgent request was refused with overload while less urgent ones filled the queue. Cause: wait_or_refuse counted all waiting requests. Now it counts those that come before it or are as urgent; the last of the others is refused at the next decision. With one urgency nothing changes. The new test failed before (refused) and passes now.

--- a/components/dispatch/src/refusal.rs
+++ b/components/dispatch/src/refusal.rs
@@ -109,13 +109,24 @@
         now: Instant,
     ) -> Decision {
         let waited = now.saturating_duration_since(request.arrived_at);
-        let full = self.waiting.len() >= self.settings.max_waiting;
-        if full || waited >= request.latency_objective.mul_f64(self.settings.max_wait_fraction) {
+        if self.is_queue_full(request)
+            || waited >= request.latency_objective.mul_f64(self.settings.max_wait_fraction)
+        {
             return self.refuse(reason);
         }
         Decision::Wait
     }
 
+    /// Whether as many requests as may wait are waiting that come before this one or are as urgent. Less
+    /// urgent ones give way: they are refused when they are decided again, as they come last.
+    fn is_queue_full(&self, request: &PendingRequest) -> bool {
+        let max = self.settings.max_waiting;
+        let comes_before = |key: &&RequestKey| {
+            self.pending.get(**key).is_some_and(|pending| pending.rank <= request.rank)
+        };
+        self.waiting.len() >= max && self.waiting.iter().filter(comes_before).count() >= max
+    }
+
     pub(crate) fn refuse(&self, reason: Refusal) -> Decision {
         let DispatchSettings { min_retry_after, max_retry_after, .. } = self.settings;
         // The more requests are waiting, the later there is capacity.
--- a/components/dispatch/tests/dispatch.rs
+++ b/components/dispatch/tests/dispatch.rs
@@ -519,3 +519,27 @@
     report(&mut dispatcher, 2, status(1, 2, 2), now);
     assert_eq!(chosen(&mut dispatcher, 1, now), ["i-2"]);
 }
+
+/// Guards against urgent requests that are refused because less urgent ones fill the queue.
+#[test]
+fn an_urgent_request_takes_the_place_of_a_less_urgent_one_in_a_full_queue() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(&[endpoint(1, "a")], now);
+    let ranked = |priority| {
+        let urgency = dispatch::Urgency::new(None, catalog::Priority(priority));
+        let rank = dispatch::Rank { urgency, returned: false };
+        PendingRequest { rank, ..request(now) }
+    };
+    let max = DispatchSettings::default().max_waiting;
+    let mut decisions = (0..2 * max).map(|_| dispatcher.submit(ranked(1), now).1);
+    let waiting = decisions.find(|decision| matches!(decision, Decision::Refuse { .. }));
+    assert!(waiting.is_some());
+    drop(decisions);
+    assert_eq!(dispatcher.waiting(), max);
+    let (urgent, decision) = dispatcher.submit(ranked(0), now);
+    assert_eq!(decision, Decision::Wait);
+    let decided = dispatcher.poll(now);
+    assert_eq!((decided.len(), dispatcher.waiting()), (1, max));
+    assert_ne!(Some(decided[0].0), urgent);
+    assert!(matches!(decided[0].1, Decision::Refuse { reason: Refusal::Overload, .. }));
+}
