--- a/components/dispatch/src/queue.rs
+++ b/components/dispatch/src/queue.rs
@@ -25,8 +25,7 @@
         }
         let waiting = self.waiting.iter().filter_map(|key| self.pending.get(*key));
         let mut before = waiting.filter(|other| other.competes_before(request));
-        // One that waits for memory leaves slots to smaller ones.
-        before.any(|other| !self.lacks_only_memory(other, now))
+        before.any(|other| !self.waits_for_more_memory(other, request, now))
     }
 
     /// Records the arrival of a request, unless it is a retry of one that was recorded.
