carawaypaddle explain: where a gateway would send a request now, and why

Operators could not see why a request went to an endpoint, waited or was refused; logs show only the outcome.

The command posts a description of the request (host, path, key or workspace, tokens) to /explain on the gateway's listener for other processes. `decide` and the list share the new `weigh`, cut out of `decide` without a change of its steps.

Ruled out: a second formula for explanations, which could drift from the decision; recording and undoing a decision, which takes tokens and random numbers from the requests that follow.

--- a/components/dispatch/src/backoff.rs
+++ b/components/dispatch/src/backoff.rs
@@ -16,7 +16,7 @@
 };
 
 /// The time of an endpoint that is not listed at the moment.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct UnlistedBackoff {
     run: Run,
     until: Instant,
@@ -24,7 +24,7 @@
 
 /// Times of endpoints that are not listed at the moment. An entry may lapse and come back while its
 /// endpoint runs.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct UnlistedBackoffs(HashMap<EndpointId, UnlistedBackoff>);
 
 impl UnlistedBackoffs {
--- a/components/dispatch/src/candidate.rs
+++ b/components/dispatch/src/candidate.rs
@@ -45,7 +45,7 @@
 /// Fraction of the slots of an engine that may be kept free.
 const MAX_KEPT_FREE_FRACTION: f64 = 0.25;
 /// Penalty of an endpoint whose answers were all failures.
-const FAILURE_COST_MS: f64 = 600.0;
+pub(crate) const FAILURE_COST_MS: f64 = 600.0;
 /// Penalty of an endpoint at which a resumed stream may be interrupted again.
 const RELOAD_COST_MS: f64 = 400.0;
 /// Expected time of a request at a plain service, of which no latency is predicted.
--- a/components/dispatch/src/cold.rs
+++ b/components/dispatch/src/cold.rs
@@ -111,7 +111,7 @@
 }
 
 /// Whether an endpoint is cold, and what this gateway sent it lately.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct ColdState {
     /// What this gateway may send while the endpoint is cold. `None` if its service has no cold starts.
     share: Option<ColdShare>,
--- a/components/dispatch/src/demand.rs
+++ b/components/dispatch/src/demand.rs
@@ -55,7 +55,7 @@
 }
 
 /// Recent demand for one service.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct ServiceDemand {
     urgencies: BTreeMap<Urgency, UrgencyDemand>,
     /// Work that was sent for each workspace, and for callers without one.
--- a/components/dispatch/src/departures.rs
+++ b/components/dispatch/src/departures.rs
@@ -59,14 +59,14 @@
 }
 
 /// An endpoint that was removed.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Departure {
     run: Run,
     at: Instant,
 }
 
 /// An entry that only an older copy shows to be in use.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Doubtful {
     endpoint: Endpoint,
     /// When the entry counts as that of a live endpoint, if it is still listed.
@@ -74,7 +74,7 @@
 }
 
 /// Endpoints that left, and entries of older copies that wait for a proof of life.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct Departures {
     departed: HashMap<EndpointId, Departure>,
     doubtful: HashMap<EndpointId, Doubtful>,
--- a/components/dispatch/src/endpoint.rs
+++ b/components/dispatch/src/endpoint.rs
@@ -69,7 +69,7 @@
 }
 
 /// An endpoint and what is known of its load and health.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct TrackedEndpoint {
     pub(crate) listed: Endpoint,
     /// Whether requests may be sent to it: always for a plain service, for an engine if it is in the
--- a/components/dispatch/src/evacuation.rs
+++ b/components/dispatch/src/evacuation.rs
@@ -19,7 +19,7 @@
 }
 
 /// The zones that are evacuated.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct Evacuations {
     /// For each zone, until when its evacuation holds that a store which came back from an older copy
     /// does not list. `None` while the store lists it.
--- a/components/dispatch/src/limits.rs
+++ b/components/dispatch/src/limits.rs
@@ -19,7 +19,7 @@
 const END_NEWS_TIME: Duration = Duration::from_secs(2);
 
 /// What is known of the limit of an endpoint.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct EndpointLimit {
     /// The limit in force.
     pub(crate) current: Option<SharedLimit>,
--- a/components/dispatch/src/queue.rs
+++ b/components/dispatch/src/queue.rs
@@ -29,7 +29,7 @@
     }
 
     /// Records the arrival of a request, unless it is a retry of one that was recorded.
-    fn record_arrival(&mut self, request: &PendingRequest, now: Instant) {
+    pub(crate) fn record_arrival(&mut self, request: &PendingRequest, now: Instant) {
         if request.is_first_attempt() {
             let demand = self.demand.entry(request.service.clone()).or_default();
             demand.record_arrival(request.rank.urgency, now);
--- a/components/dispatch/src/retries.rs
+++ b/components/dispatch/src/retries.rs
@@ -34,14 +34,14 @@
     }
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 struct Counts {
     requests: VecDeque<Instant>,
     retries: VecDeque<Instant>,
 }
 
 /// Counts the retries of this gateway against its fraction of the shared limit.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct RetryBudget {
     settings: RetrySettings,
     /// Number of gateways that share the budget, at least 1.
--- a/components/dispatch/src/selection.rs
+++ b/components/dispatch/src/selection.rs
@@ -16,16 +16,9 @@
         if self.is_too_large(request) {
             return self.refuse(Refusal::TooLarge);
         }
-        self.refill_limits(&request.service, now);
-        let mut candidates = self.candidates(request, now);
-        self.apply_zone_exit(request, &mut candidates, now);
-        // A request that is late in any case may use the capacity that is left.
-        let late = request.was_refused
-            || now.saturating_duration_since(request.requested_at) > request.latency_objective;
-        let fits = |c: &&Candidate| c.meets_objective || late && c.has_late_capacity;
-        if !candidates.iter().any(|c| fits(&c)) {
-            candidates.extend(self.outdated_candidates(request, now));
-        }
+        let candidates = self.weigh(request, now);
+        let late = request.is_late(now);
+        let fits = |c: &&Candidate| c.fits(late);
         if candidates.is_empty() {
             return self.wait_for_return(request, now);
         }
@@ -50,6 +43,19 @@
         }
     }
 
+    /// The endpoints among which is chosen: those that a request may be sent to and, if none of them fits,
+    /// those with older weights than required.
+    pub(crate) fn weigh(&mut self, request: &PendingRequest, now: Instant) -> Vec<Candidate> {
+        self.refill_limits(&request.service, now);
+        let mut candidates = self.candidates(request, now);
+        self.apply_zone_exit(request, &mut candidates, now);
+        let late = request.is_late(now);
+        if !candidates.iter().any(|c| c.fits(late)) {
+            candidates.extend(self.outdated_candidates(request, now));
+        }
+        candidates
+    }
+
     fn send(&mut self, candidate: &Candidate, request: &PendingRequest, now: Instant) -> Decision {
         let (key, expected_ms) = (candidate.key, candidate.expected_ms);
         self.record_sent(request, now);
@@ -73,10 +79,26 @@
         Decision::Send { endpoint: key, in_flight, expected: candidate.expected() }
     }
 
-    fn candidates(&self, request: &PendingRequest, now: Instant) -> Vec<Candidate> {
+    pub(crate) fn candidates(&self, request: &PendingRequest, now: Instant) -> Vec<Candidate> {
         let terms = self.terms(request, now);
         let eligible = self.eligible(request, now);
         let candidate = |(key, tracked)| self.candidate(key, tracked, request, &terms, now);
         eligible.into_iter().map(candidate).collect()
     }
 }
+
+impl Candidate {
+    /// Whether a request can be sent there; `late` if it misses its objective in any case and may use the
+    /// capacity that is left.
+    fn fits(&self, late: bool) -> bool {
+        self.meets_objective || late && self.has_late_capacity
+    }
+}
+
+impl PendingRequest {
+    /// Whether the request misses its objective in any case.
+    fn is_late(&self, now: Instant) -> bool {
+        self.was_refused
+            || now.saturating_duration_since(self.requested_at) > self.latency_objective
+    }
+}
--- a/components/dispatch/src/shared_limit.rs
+++ b/components/dispatch/src/shared_limit.rs
@@ -71,7 +71,7 @@
 }
 
 /// A limit and this gateway's share in it.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct SharedLimit {
     pub(crate) limit: Rate,
     /// When the endpoint first named a limit. Turns are counted from then.
--- a/components/dispatch/src/state.rs
+++ b/components/dispatch/src/state.rs
@@ -54,7 +54,7 @@
 }
 
 /// Decides which endpoint each request is sent to.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Dispatcher {
     pub(crate) settings: DispatchSettings,
     pub(crate) zone: Zone,
@@ -184,6 +184,11 @@
         self.endpoints.get(key).map(|tracked| &tracked.listed.service)
     }
 
+    /// The id of an endpoint.
+    pub fn id_of(&self, key: EndpointKey) -> Option<&EndpointId> {
+        self.endpoints.get(key).map(|tracked| &tracked.listed.id)
+    }
+
     /// The availability zone of an endpoint.
     pub fn zone_of(&self, key: EndpointKey) -> Option<&Zone> {
         self.endpoints.get(key).map(|tracked| &tracked.listed.zone)
--- a/components/dispatch/src/zone_exit.rs
+++ b/components/dispatch/src/zone_exit.rs
@@ -35,7 +35,7 @@
 const MAX_HOME_FAILURE_RATE: f64 = 0.2;
 
 /// State of one service by which its requests leave the zone.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct ZoneExit {
     round_trips: HashMap<Zone, Duration>,
     /// Prediction error of the endpoints of this zone, against which ways are measured.
--- a/components/dispatch/src/zone_exit/share.rs
+++ b/components/dispatch/src/zone_exit/share.rs
@@ -46,7 +46,7 @@
 }
 
 /// The share, and what it depends on.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct ExitShare {
     share: f64,
     /// Late requests at this zone's endpoints.
--- a/components/dispatch/src/zone_exit/way.rs
+++ b/components/dispatch/src/zone_exit/way.rs
@@ -61,7 +61,7 @@
 }
 
 /// The way to one other availability zone.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct Way {
     latency: ErrorEstimate,
     /// Maximum number of this gateway's requests in flight in the zone.
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 mod change_origin;
 mod change_source;
 mod events;
+mod explain;
 mod hedge;
 mod in_progress;
 mod limit_news;
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -357,6 +357,7 @@
                 let (era, revision) = (StoreEra(era), StoreRevision(revision));
                 self.serve_changes(StorePosition { era, revision }, compressed).await
             }
+            Some(PeerRequest::Explain) => self.respond_explain(request).await,
             _ => own_response(StatusCode::NOT_FOUND, None, None),
         }
     }
--- a/components/gateway/src/request.rs
+++ b/components/gateway/src/request.rs
@@ -199,7 +199,8 @@
         ))
     }
 
-    fn workspace(
+    /// Returns the workspace of the caller, if callers need keys.
+    pub(crate) fn workspace(
         &self,
         config: &Config,
         route: &Route,
@@ -215,7 +216,7 @@
 }
 
 /// The regions in which both the route and the workspace allow requests to be served.
-fn homes_of(route: &Route, workspace: Option<&Workspace>) -> Homes {
+pub(crate) fn homes_of(route: &Route, workspace: Option<&Workspace>) -> Homes {
     match workspace {
         Some(workspace) => route.homes.intersection(&workspace.homes),
         None => route.homes.clone(),
--- a/components/peering/src/request.rs
+++ b/components/peering/src/request.rs
@@ -11,6 +11,7 @@
 const ZONE_KEY: &str = "zone=";
 /// Query that asks for changes in compressed responses of the store.
 const COMPRESSED_QUERY: &str = "?compressed";
+const EXPLAIN_PATH: &str = "/explain";
 
 /// What one process requests from another.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -31,6 +32,8 @@
     Digests(u64),
     /// One piece of a version.
     Piece(u64, u32),
+    /// Where the request that the body describes, an `ExplainQuery`, would be sent.
+    Explain,
 }
 
 impl PeerRequest {
@@ -43,6 +46,7 @@
                 let query = if *compressed { COMPRESSED_QUERY } else { "" };
                 format!("/changes/{era}/{revision}{query}")
             }
+            PeerRequest::Explain => EXPLAIN_PATH.to_owned(),
             PeerRequest::Digests(version) => format!("/digests/{version}"),
             PeerRequest::Piece(version, piece) => format!("/pieces/{version}/{piece}"),
         }
@@ -50,6 +54,9 @@
 
     /// Parses a URL path with its query; `None` if it belongs to no request.
     pub fn parse(path: &str) -> Option<PeerRequest> {
+        if path == EXPLAIN_PATH {
+            return Some(PeerRequest::Explain);
+        }
         let (path, query) = path.split_once('?').unwrap_or((path, ""));
         let mut parts = path.strip_prefix('/')?.split('/');
         let request = match (parts.next()?, parts.next()?, parts.next()) {
--- a/components/peering/src/request/tests.rs
+++ b/components/peering/src/request/tests.rs
@@ -10,6 +10,7 @@
         PeerRequest::Changes { era: 2, revision: 41, compressed: true },
         PeerRequest::Digests(7),
         PeerRequest::Piece(7, 95),
+        PeerRequest::Explain,
     ] {
         assert_eq!(PeerRequest::parse(&request.path()), Some(request));
     }
@@ -17,9 +18,17 @@
 
 #[test]
 fn other_paths_are_rejected() {
-    for path in
-        ["", "/", "/fleet", "/fleet/a b", "/digests/x", "/pieces/1", "/changes/41", "/pieces/1/2/3"]
-    {
+    for path in [
+        "",
+        "/",
+        "/fleet",
+        "/fleet/a b",
+        "/digests/x",
+        "/pieces/1",
+        "/changes/41",
+        "/pieces/1/2/3",
+        "/explain/x",
+    ] {
         assert_eq!(PeerRequest::parse(path), None, "{path}");
     }
 }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -2,7 +2,9 @@
 
 use std::{ffi::OsString, net::SocketAddr, path::PathBuf};
 
+use base::WorkspaceId;
 use lexopt::{Arg, Parser, ValueExt};
+use peering::ExplainQuery;
 
 /// Exit code for invalid arguments.
 pub const USAGE_ERROR: u8 = 2;
@@ -28,6 +30,8 @@
     Status(Target),
     /// Print the audit trail of a process.
     Audit { target: Target, follow: bool },
+    /// Print where a gateway would send a request.
+    Explain(Question),
     /// Print a text, such as the help.
     Print(String),
 }
@@ -62,6 +66,17 @@
     pub json: bool,
 }
 
+/// What to ask a gateway.
+#[derive(Debug, PartialEq)]
+pub struct Question {
+    /// The gateway's address for other processes.
+    pub addr: SocketAddr,
+    /// The request in question.
+    pub query: ExplainQuery,
+    /// Print JSON.
+    pub json: bool,
+}
+
 #[derive(Default)]
 struct Options {
     settings: Option<PathBuf>,
@@ -69,6 +84,11 @@
     vms: Option<PathBuf>,
     node: Option<PathBuf>,
     at: Option<SocketAddr>,
+    host: Option<String>,
+    path: Option<String>,
+    key: Option<String>,
+    workspace: Option<WorkspaceId>,
+    tokens: Option<(u32, u32)>,
     json: bool,
     follow: bool,
     help: bool,
@@ -88,13 +108,14 @@
   plan    Print which VM would serve what
   status  Print the state of a running process
   audit   Print the audit trail of a running process
+  explain Print where a running gateway would send a request, and why
 
 Options:
   --help     Print help; after a command, help for it
   --version  Print the version
 ";
 
-const COMMANDS: [(&str, &str); 8] = [
+const COMMANDS: [(&str, &str); 9] = [
     (
         "entry",
         "Usage: carawaypaddle entry --settings FILE\n\nRuns an entry until SIGTERM, then drains.\n",
@@ -137,6 +158,13 @@
          Asks a running process. The peer key comes from the settings file or from the environment\n\
          variable CARAWAYPADDLE_PEER_KEY.\n",
     ),
+    (
+        "explain",
+        "Usage: carawaypaddle explain --at ADDR --host HOST --path PATH\n\
+         \x20                            [--key KEY | --workspace NAME] [--tokens PROMPT,ANSWER] [--json]\n\n\
+         Asks a running gateway where it would send a request now, and why; sends none. ADDR is the\n\
+         gateway's address for other processes: its IP address and the first internal port.\n",
+    ),
 ];
 
 /// Parses the command line.
@@ -171,6 +199,11 @@
             Arg::Long("node") => options.node = Some(parser.value()?.into()),
             Arg::Long("vms") => options.vms = Some(parser.value()?.into()),
             Arg::Long("at") => options.at = Some(parser.value()?.parse()?),
+            Arg::Long("host") => options.host = Some(parser.value()?.string()?),
+            Arg::Long("path") => options.path = Some(parser.value()?.string()?),
+            Arg::Long("key") => options.key = Some(parser.value()?.string()?),
+            Arg::Long("workspace") => options.workspace = Some(parser.value()?.parse()?),
+            Arg::Long("tokens") => options.tokens = Some(parser.value()?.parse_with(parse_tokens)?),
             Arg::Long("json") => options.json = true,
             Arg::Long("follow") => options.follow = true,
             Arg::Long("help") | Arg::Short('h') => options.help = true,
@@ -180,7 +213,32 @@
     Ok(options)
 }
 
+/// Parses numbers of prompt and answer tokens.
+fn parse_tokens(text: &str) -> Result<(u32, u32), &'static str> {
+    let tokens = text.split_once(',').and_then(|(prompt, answer)| {
+        Some((prompt.trim().parse().ok()?, answer.trim().parse().ok()?))
+    });
+    tokens.ok_or("give two whole numbers, such as 800,200")
+}
+
+fn question(options: Options) -> Result<Question, String> {
+    let Options { at, host, path, key, workspace, tokens, json, .. } = options;
+    if key.is_some() && workspace.is_some() {
+        return Err("give either --key KEY or --workspace NAME".to_owned());
+    }
+    let path = path.ok_or("option --path PATH is missing")?;
+    if !path.starts_with('/') {
+        return Err(format!("path {path:?} does not begin with a slash"));
+    }
+    let host = host.ok_or("option --host HOST is missing")?;
+    let query = ExplainQuery { host, path, key, workspace, tokens };
+    Ok(Question { addr: at.ok_or("option --at ADDR is missing")?, query, json })
+}
+
 fn command(name: &str, options: Options) -> Result<Command, String> {
+    if name == "explain" {
+        return Ok(Command::Explain(question(options)?));
+    }
     let Options { settings, manifest, vms, node, at, json, follow, .. } = options;
     let require = |file: Option<PathBuf>, option: &str| {
         file.ok_or_else(|| format!("option {option} FILE is missing"))
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 mod audit;
 mod check;
 mod entry;
+mod explain;
 mod on_platform;
 mod plan;
 mod remote;
@@ -26,6 +27,7 @@
         Command::Plan { manifest, vms, json } => plan::run(&manifest, &vms, json),
         Command::Status(target) => status::run(&target),
         Command::Audit { target, follow } => audit::run(&target, follow),
+        Command::Explain(question) => explain::run(&question),
         Command::Print(text) => {
             print!("{text}");
             Ok(())
