What a reader of the whole change stumbled on: a full queue, shares that were never taken, huge figures

A new request decided directly when the queue was full, before the more urgent ones that waited; requests gave back claims that they had not taken; shares of more than 256 requests at cold endpoints were not limited; huge delays of a configuration could end the gateway; a subscription could count twice at a stager. Not seen by callers; found by reading. The bench measures the cost of a gateway's decision.

--- a/components/dispatch/src/bias.rs
+++ b/components/dispatch/src/bias.rs
@@ -23,11 +23,12 @@
 /// How a gateway is related to an endpoint, which decides how early it learns of the load there.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Relation {
-    /// The gateway is one of those that send requests to the endpoint first.
+    /// The gateway is one of those that send requests to the endpoint first, in whatever zone it is. Assumed
+    /// for an endpoint of the own zone without a recent report.
     Preferred,
     /// Other gateways of the endpoint's zone send requests to it first.
     SameZone,
-    /// The endpoint is in another zone.
+    /// The endpoint is in another zone, and this gateway is not one of those that it prefers.
     OtherZone,
 }
 
@@ -54,8 +55,8 @@
     /// Records that a request started `error_ms` later than predicted.
     pub fn record_error(&mut self, relation: Relation, error_ms: f64, now: Instant) {
         let current = self.correction_ms(now);
-        let step =
-            if error_ms > current { TARGET_QUANTILE } else { TARGET_QUANTILE - 1.0 } * STEP_MS;
+        let direction = if error_ms > current { TARGET_QUANTILE } else { TARGET_QUANTILE - 1.0 };
+        let step = direction * STEP_MS;
         let (max, step, learned_at) = match relation {
             Relation::Preferred => (MAX_CORRECTION_MS, step, None),
             // Few requests are sent there, so each of them has to tell more.
--- a/components/dispatch/src/candidate.rs
+++ b/components/dispatch/src/candidate.rs
@@ -27,8 +27,7 @@
 impl Candidate {
     /// Predicted time until the first event.
     pub(crate) fn expected(&self) -> Duration {
-        let ms = self.expected_ms.max(0.0);
-        Duration::try_from_secs_f64(ms / 1e3).unwrap_or(MAX_EXPECTED).min(MAX_EXPECTED)
+        predicted_time(self.expected_ms)
     }
 }
 
@@ -42,6 +41,12 @@
 
 /// Maximum predicted time until the first event; figures of an engine may predict any number.
 const MAX_EXPECTED: Duration = Duration::from_secs(3600);
+
+/// Converts a predicted time in milliseconds.
+pub(crate) fn predicted_time(ms: f64) -> Duration {
+    Duration::try_from_secs_f64(ms.max(0.0) / 1e3).unwrap_or(MAX_EXPECTED).min(MAX_EXPECTED)
+}
+
 /// Fraction of the slots of an engine that may be kept free.
 const MAX_KEPT_FREE_FRACTION: f64 = 0.25;
 /// Penalty of an endpoint whose answers were all failures.
@@ -65,6 +70,7 @@
 }
 
 impl Dispatcher {
+    /// Predicts how well an endpoint suits a request.
     pub(crate) fn candidate(
         &self,
         key: EndpointKey,
--- a/components/dispatch/src/claims.rs
+++ b/components/dispatch/src/claims.rs
@@ -23,11 +23,14 @@
         Claims { left: (free / gateways.max(1) as f64 + draw) as u32, taken: 0 }
     }
 
-    fn take(&mut self) {
-        if self.left > 0 {
-            self.left -= 1;
-            self.taken += 1;
+    /// Takes a slot, if one is left. Returns whether it was.
+    fn take(&mut self) -> bool {
+        if self.left == 0 {
+            return false;
         }
+        self.left -= 1;
+        self.taken += 1;
+        true
     }
 
     /// Returns a slot that was taken and is free again.
@@ -73,9 +76,9 @@
 }
 
 impl TrackedEndpoint {
-    /// Takes a slot for a request that is sent.
-    pub(crate) fn take_claim(&mut self) {
-        self.claims.take();
+    /// Takes a slot for a request that is sent, if one is left. Returns whether it was.
+    pub(crate) fn take_claim(&mut self) -> bool {
+        self.claims.take()
     }
 
     /// Returns the slot of a request that ended.
--- a/components/dispatch/src/cold.rs
+++ b/components/dispatch/src/cold.rs
@@ -70,8 +70,9 @@
 impl ColdShare {
     const NOTHING: ColdShare = ColdShare::of(0);
 
-    /// Up to `max_requests` within a second.
+    /// Up to `max_requests` within a second, at most as many as are remembered.
     const fn of(max_requests: usize) -> ColdShare {
+        let max_requests = if max_requests < MAX_KEPT { max_requests } else { MAX_KEPT };
         ColdShare { max_requests, window: WINDOW }
     }
 
@@ -149,7 +150,7 @@
         }
         let windows = (now + time - at).as_secs_f64() / share.window.as_secs_f64();
         // The slots of one window may be used at once.
-        share.max_requests.max(1) * (1 + windows as usize)
+        share.max_requests.max(1).saturating_mul((windows as usize).saturating_add(1))
     }
 
     fn record_send(&mut self, now: Instant) {
--- a/components/dispatch/src/demand.rs
+++ b/components/dispatch/src/demand.rs
@@ -87,7 +87,8 @@
         self.workspaces.entry(workspace).or_default().add(work.0, now);
     }
 
-    /// Forgets the workspaces for which less than the mean was sent lately.
+    /// Forgets the workspaces for which no more than the mean was sent lately; all if they are equal, so that
+    /// there is room.
     fn forget_idle(&mut self, now: Instant) {
         let total: f64 = self.workspaces.values().map(|work| work.value(now)).sum();
         let mean = total / self.workspaces.len().max(1) as f64;
@@ -106,6 +107,7 @@
         MAX_KEPT_FREE * more_urgent / all
     }
 
+    /// Whether too few of the recent first attempts of an urgency were sent.
     fn is_starved(&self, urgency: Urgency, now: Instant) -> bool {
         let Some(demand) = self.urgencies.get(&urgency) else { return true };
         let (arrived, sent) = (demand.arrived.value(now), demand.sent.value(now));
--- a/components/dispatch/src/endpoint.rs
+++ b/components/dispatch/src/endpoint.rs
@@ -36,6 +36,8 @@
     pub due: Instant,
     /// Predicted time until the first event, in milliseconds.
     pub expected_ms: f64,
+    /// Whether the request took a slot of this gateway's share.
+    pub has_claim: bool,
     /// How this gateway was related to the endpoint when the request was sent.
     pub relation: Relation,
     /// Whether the first event arrived.
--- a/components/dispatch/src/queue.rs
+++ b/components/dispatch/src/queue.rs
@@ -3,7 +3,8 @@
 use std::time::Instant;
 
 use crate::{
-    Decision, PendingRequest, RequestKey, demand::Work, engine::EngineModel, state::Dispatcher,
+    Decision, PendingRequest, Refusal, RequestKey, demand::Work, engine::EngineModel,
+    state::Dispatcher,
 };
 
 impl Dispatcher {
@@ -11,13 +12,14 @@
     /// endpoints and come before it, so that it does not take the slot that they wait for.
     pub(crate) fn decide_new(&mut self, request: &PendingRequest, now: Instant) -> Decision {
         self.record_arrival(request, now);
-        let has_room = self.waiting.len() < self.settings.max_waiting;
-        match has_room && self.is_behind(request, now) {
-            true => Decision::Wait,
+        let can_wait = now < request.deadline && !self.is_too_large(request);
+        match can_wait && self.is_behind(request, now) {
+            true => self.wait_or_refuse(request, Refusal::Overload, now),
             false => self.decide(request, now),
         }
     }
 
+    /// Whether requests that come before a new one wait for an engine that it could get.
     fn is_behind(&self, request: &PendingRequest, now: Instant) -> bool {
         let is_engine = self.engine_models.contains_key(&request.service);
         if !is_engine || request.is_resumed {
@@ -65,6 +67,7 @@
             let work = demand.map_or(Work::default(), |demand| {
                 demand.recent_work(request.workspace.as_ref(), now)
             });
+            // Whole milliseconds, as floats have no total order.
             Some((request.rank, work.0 as u64, request.arrived_at))
         });
     }
--- a/components/dispatch/src/rank.rs
+++ b/components/dispatch/src/rank.rs
@@ -8,7 +8,9 @@
 /// the workspace has none, and among equal ones the priority of the route.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Urgency {
+    /// Priority of the workspace or, without one, of the route; 0 is the most urgent.
     priority: u8,
+    /// Priority of the route; 0 is the most urgent.
     route: u8,
 }
 
--- a/components/dispatch/src/selection.rs
+++ b/components/dispatch/src/selection.rs
@@ -65,6 +65,7 @@
         let in_flight = InFlightRequest {
             prompt_tokens,
             cache_tokens,
+            has_claim: false,
             relation: self.relation(&self.endpoints[key], now),
             sent_at: now,
             due: request.requested_at + request.latency_objective,
@@ -74,7 +75,8 @@
         };
         self.take_token(key, now);
         self.record_cold_send(key, now);
-        self.endpoints[key].take_claim();
+        let has_claim = self.endpoints[key].take_claim();
+        let in_flight = InFlightRequest { has_claim, ..in_flight };
         let in_flight = self.endpoints[key].in_flight.insert(in_flight);
         Decision::Send { endpoint: key, in_flight, expected: candidate.expected() }
     }
--- a/components/dispatch/src/state.rs
+++ b/components/dispatch/src/state.rs
@@ -366,7 +366,9 @@
     ) {
         if let Some(tracked) = self.endpoints.get_mut(endpoint) {
             let request = tracked.in_flight.remove(in_flight);
-            tracked.return_claim();
+            if request.is_some_and(|request| request.has_claim) {
+                tracked.return_claim();
+            }
             let was_silent = request.is_some_and(|request| request.is_silent);
             if !was_silent || result != EndpointOutcome::Lost {
                 tracked.health.record_result(result, now);
--- a/components/dispatch/src/zone_exit.rs
+++ b/components/dispatch/src/zone_exit.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     PendingRequest,
-    candidate::Candidate,
+    candidate::{Candidate, predicted_time},
     state::Dispatcher,
     zone_exit::{
         home::HomeCapacity,
@@ -115,7 +115,7 @@
     pub fn set_zone_delays(&mut self, service: &ServiceId, delays: &[ZoneDelay]) {
         let from_here = delays.iter().filter_map(|delay| delay.from_zone(&self.zone));
         let round_trips: HashMap<Zone, Duration> =
-            from_here.map(|(zone, delay)| (zone.clone(), 2 * delay)).collect();
+            from_here.map(|(zone, delay)| (zone.clone(), delay.saturating_mul(2))).collect();
         let min = self.settings.caller_round_trip.mul_f64(MIN_ROUND_TRIP_FRACTION);
         if !round_trips.values().any(|time| *time >= min) {
             self.zone_exits.remove(service);
@@ -138,7 +138,7 @@
                 views.push(WayView {
                     service: service.clone(),
                     zone: zone.clone(),
-                    extra_latency: Duration::from_secs_f64(extra_ms.max(0.0) / 1e3),
+                    extra_latency: predicted_time(extra_ms),
                     fullness: way.state(in_flight.get(zone).copied().unwrap_or(0)).fullness,
                     share: exit.share.get(),
                 });
--- a/components/stager/src/fetch.rs
+++ b/components/stager/src/fetch.rs
@@ -273,7 +273,7 @@
         info!(self.log, "staged pieces reused"; "version" => version.0, "pieces" => reused);
     }
 
-    /// Reads staged pieces and hands those that could be read to `handle`, until it breaks off.
+    /// Reads staged pieces and hands each to `handle`, until it breaks off.
     async fn read_staged(
         self: &Rc<Stager>,
         layout: &WeightsLayout,
--- a/components/stager/src/peers.rs
+++ b/components/stager/src/peers.rs
@@ -69,7 +69,7 @@
         let last_report_at = known.and_then(|s| s.last_report_at);
         let subscriber = Subscriber {
             same_zone: subscription.near,
-            displaced,
+            displaced: displaced && !subscription.near,
             subscribed_at: now(),
             last_report_at,
         };
--- a/components/stager/src/relist.rs
+++ b/components/stager/src/relist.rs
@@ -129,7 +129,7 @@
         }
     }
     let is_same = *own == digests;
-    let next = download.list_revision + u32::from(!is_same);
+    let next = download.list_revision.saturating_add(u32::from(!is_same));
     download.list_revision = revision.unwrap_or(next).max(download.list_revision);
     download.scheduler.release();
     if is_same {
--- a/examples/bench/requests.rs
+++ b/examples/bench/requests.rs
@@ -5,6 +5,7 @@
 
 mod cost;
 mod counts;
+mod dispatch_cost;
 mod faults;
 mod load;
 mod options;
--- a/examples/bench/requests/cost.rs
+++ b/examples/bench/requests/cost.rs
@@ -11,6 +11,7 @@
 use proto::{EndpointState, FlowRow, Load, Serving, UsageUpdate};
 use routing::{AllowedReleases, EndpointRequirements, Router, RouterSettings, ZonedVm, subset};
 
+use super::dispatch_cost::decision_micros;
 use crate::report::Report;
 
 /// Number of decisions measured at each size.
@@ -37,12 +38,16 @@
             ],
         );
     }
+    for engines in [45, 100, 300, 1_000] {
+        let micros = decision_micros(engines);
+        report.line("dispatch", &[("engines", engines.into()), ("micros", micros.into())]);
+    }
     for rows in [10, 30] {
         report.line("usage", &[("rows", rows.into()), ("body_bytes", usage_bytes(rows).into())]);
     }
 }
 
-fn id<T: std::str::FromStr>(text: String) -> T
+pub(super) fn id<T: std::str::FromStr>(text: String) -> T
 where
     T::Err: std::fmt::Debug,
 {
@@ -50,7 +55,7 @@
 }
 
 /// Mean time of a round in microseconds.
-fn micros_per_round(start: Instant, rounds: u32) -> f64 {
+pub(super) fn micros_per_round(start: Instant, rounds: u32) -> f64 {
     start.elapsed().as_secs_f64() * 1e6 / f64::from(rounds)
 }
 
