--- a/components/catalog/src/config.rs
+++ b/components/catalog/src/config.rs
@@ -129,12 +129,12 @@
     }
 }
 
-/// What an endpoint bears for a time after its start.
+/// What an endpoint accepts for a time after its start.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ColdStart {
     /// Time after its start for which an endpoint is cold.
     pub time: Duration,
-    /// Requests that a cold endpoint bears, from all processes together.
+    /// Maximum rate of requests to a cold endpoint, from all processes together.
     pub request_rate: Rate,
 }
 
--- a/components/dispatch/src/queue/tests.rs
+++ b/components/dispatch/src/queue/tests.rs
@@ -19,7 +19,7 @@
         homes,
         workspace: None,
         tried: Vec::new(),
-        rank: Rank { urgency: Urgency::new(None, Priority(urgency)), returned: false },
+        rank: Rank { urgency: Urgency::new(None, Priority(urgency)), was_refused: false },
     }
 }
 
--- a/components/dispatch/src/rank.rs
+++ b/components/dispatch/src/rank.rs
@@ -34,5 +34,5 @@
     /// How urgent the request is.
     pub urgency: Urgency,
     /// Whether its caller was refused before.
-    pub returned: bool,
+    pub was_refused: bool,
 }
--- a/components/dispatch/src/refusal.rs
+++ b/components/dispatch/src/refusal.rs
@@ -92,7 +92,7 @@
         }
     }
 
-    /// Refuses a request that only cold endpoints could take, until one of them bears another.
+    /// Refuses a request that only cold endpoints could take, until one of them accepts another.
     fn refuse_cold(&self, request: &PendingRequest, now: Instant) -> Decision {
         let DispatchSettings { min_retry_after, max_retry_after, .. } = self.settings;
         let next = self.next_cold_slot(request, now);
--- a/components/dispatch/src/requests.rs
+++ b/components/dispatch/src/requests.rs
@@ -76,7 +76,7 @@
     NotServing,
     /// Its weights may no longer answer.
     OldWeights,
-    /// It is cold, and this gateway's share of what it bears is used up.
+    /// It is cold, and this gateway's share of what it accepts is used up.
     Cold,
     /// Its memory has no room for the request.
     Memory,
--- a/components/dispatch/src/zone_exit.rs
+++ b/components/dispatch/src/zone_exit.rs
@@ -4,7 +4,7 @@
 //! has room. If its zone can meet the objective as well, it leaves only within a share that grows
 //! while the zone is short of capacity. A zone without any eligible endpoint limits nothing.
 
-mod home;
+mod local;
 mod share;
 mod way;
 
@@ -22,7 +22,7 @@
     candidate::{Candidate, predicted_time},
     state::Dispatcher,
     zone_exit::{
-        home::HomeCapacity,
+        local::LocalCapacity,
         share::ExitShare,
         way::{ErrorEstimate, Way, WayState},
     },
@@ -39,7 +39,7 @@
 pub(crate) struct ZoneExit {
     round_trips: HashMap<Zone, Duration>,
     /// Prediction error of the endpoints of this zone, against which ways are measured.
-    home_error: ErrorEstimate,
+    local_error: ErrorEstimate,
     /// Shortest objective of the requests so far.
     objective: Duration,
     share: ExitShare,
@@ -53,7 +53,7 @@
     pub service: ServiceId,
     /// The other zone.
     pub zone: Zone,
-    /// Time by which requests begin later there than at home.
+    /// Time by which requests begin later there than in the own zone.
     pub extra_latency: Duration,
     /// The requests in flight as a fraction of those that the way takes.
     pub fullness: f64,
@@ -65,7 +65,7 @@
     fn new(round_trips: HashMap<Zone, Duration>) -> ZoneExit {
         ZoneExit {
             round_trips,
-            home_error: ErrorEstimate::new(0.0),
+            local_error: ErrorEstimate::new(0.0),
             objective: Duration::MAX,
             share: ExitShare::default(),
             ways: HashMap::new(),
@@ -93,8 +93,8 @@
 
     /// Records what the zone can do for a request, and draws whether the request belongs to the share
     /// that may leave all the same.
-    fn draw(&mut self, home: HomeCapacity, now: Instant, rng: &mut Rng) -> bool {
-        if let Some(is_free) = home.is_free() {
+    fn draw(&mut self, local: LocalCapacity, now: Instant, rng: &mut Rng) -> bool {
+        if let Some(is_free) = local.is_free() {
             self.share.record_request(is_free, now, rng);
         }
         rng.f64() < self.share.get()
@@ -172,29 +172,29 @@
         if !self.zone_exits.contains_key(&request.service) {
             return;
         }
-        let reliable = candidates.iter().filter(|c| self.is_reliable_home(c));
-        let home = HomeCapacity::new(request, reliable, now);
+        let reliable = candidates.iter().filter(|c| self.is_reliable_local(c));
+        let local = LocalCapacity::new(request, reliable, now);
         let in_flight = self.remote_in_flight(&request.service);
         let Some(exit) = self.zone_exits.get_mut(&request.service) else { return };
         exit.objective = exit.objective.min(request.latency_objective);
-        let is_drawn = exit.draw(home, now, self.rng.get_mut());
+        let is_drawn = exit.draw(local, now, self.rng.get_mut());
         // A stream that breaks off again costs its caller more than the way.
         let may_leave = is_drawn || request.is_resumed;
-        let home_cost_ms = exit.home_error.value_ms(now);
+        let local_cost_ms = exit.local_error.value_ms(now);
         let ways = exit.way_states(&in_flight);
         candidates.retain_mut(|c| {
             let zone = &self.endpoints[c.key].listed.zone;
             let Some(way) = ways.get(zone) else {
-                c.cost_ms += home_cost_ms;
+                c.cost_ms += local_cost_ms;
                 return true;
             };
             c.cost_ms += way.fullness * self.fixed_distance_cost_ms(zone);
-            !home.exists || way.has_room && (may_leave || !home.serves_as_well(c))
+            !local.exists || way.has_room && (may_leave || !local.serves_as_well(c))
         });
     }
 
     /// Whether a candidate is in this gateway's zone and rarely fails.
-    fn is_reliable_home(&self, candidate: &Candidate) -> bool {
+    fn is_reliable_local(&self, candidate: &Candidate) -> bool {
         let tracked = &self.endpoints[candidate.key];
         tracked.listed.zone == self.zone && tracked.health.failure_rate() <= MAX_HOME_FAILURE_RATE
     }
@@ -219,11 +219,11 @@
             exit.share.record_start(is_away, is_late);
         }
         if !is_away {
-            exit.home_error.record(error_ms, now);
+            exit.local_error.record(error_ms, now);
             return error_ms;
         }
         let expected_extra_ms = exit.extra_ms(zone, now);
-        let extra_ms = error_ms - exit.home_error.value_ms(now);
+        let extra_ms = error_ms - exit.local_error.value_ms(now);
         let count = in_flight.get(zone).copied().unwrap_or(0);
         let objective = exit.objective;
         exit.way(zone).record(extra_ms, objective, count, now);
--- a/components/dispatch/src/zone_exit/home.rs
+++ b/components/dispatch/src/zone_exit/local.rs
@@ -9,7 +9,7 @@
 
 /// What the endpoints of the zone can do for a request.
 #[derive(Debug, Default, Clone, Copy)]
-pub(crate) struct HomeCapacity {
+pub(crate) struct LocalCapacity {
     /// Whether the zone has an endpoint that may get the request.
     pub(crate) exists: bool,
     /// Whether an endpoint meets the objective.
@@ -22,26 +22,26 @@
     is_in_time: bool,
 }
 
-impl HomeCapacity {
+impl LocalCapacity {
     pub(crate) fn new<'a>(
         request: &PendingRequest,
         candidates: impl Iterator<Item = &'a Candidate>,
         now: Instant,
-    ) -> HomeCapacity {
+    ) -> LocalCapacity {
         let waited = now.saturating_duration_since(request.requested_at);
         let objective = request.latency_objective;
         let free_ms = objective.as_secs_f64() * 1e3 * FREE_OBJECTIVE_FRACTION;
         let is_in_time = !request.was_refused && waited <= objective;
-        let mut home = HomeCapacity { is_in_time, ..HomeCapacity::default() };
+        let mut local = LocalCapacity { is_in_time, ..LocalCapacity::default() };
         for candidate in candidates {
-            home.exists = true;
+            local.exists = true;
             if candidate.has_token {
-                home.meets_objective |= candidate.meets_objective;
-                home.takes_late |= candidate.has_late_capacity;
-                home.is_free |= candidate.meets_objective && candidate.expected_ms <= free_ms;
+                local.meets_objective |= candidate.meets_objective;
+                local.takes_late |= candidate.has_late_capacity;
+                local.is_free |= candidate.meets_objective && candidate.expected_ms <= free_ms;
             }
         }
-        home
+        local
     }
 
     /// Whether the zone has plenty of capacity; `None` if the request does not tell.
--- a/components/dispatch/src/zone_exit/share.rs
+++ b/components/dispatch/src/zone_exit/share.rs
@@ -50,11 +50,11 @@
 pub(crate) struct ExitShare {
     share: f64,
     /// Late requests at this zone's endpoints.
-    home_misses: Fraction,
+    local_misses: Fraction,
     /// Late requests at the endpoints of other zones.
     away_misses: Fraction,
     /// Requests for which this zone had plenty of capacity.
-    home_free: Fraction,
+    local_free: Fraction,
     /// When the next step is due; `None` before the first request.
     step_at: Option<Instant>,
     /// The zone has capacity; the share falls from this time on.
@@ -70,7 +70,7 @@
     /// Records whether a request began later than its objective at this zone's endpoints or, if it
     /// left, at others.
     pub(crate) fn record_start(&mut self, is_away: bool, is_late: bool) {
-        let misses = if is_away { &mut self.away_misses } else { &mut self.home_misses };
+        let misses = if is_away { &mut self.away_misses } else { &mut self.local_misses };
         misses.record(is_late);
     }
 
@@ -84,24 +84,24 @@
             self.step(now, rng);
             self.step_at = Some(now + step_interval(rng));
         }
-        self.home_free.record(is_free);
+        self.local_free.record(is_free);
     }
 
     fn step(&mut self, now: Instant, rng: &mut Rng) {
-        let (home, away) = (self.home_misses.0, self.away_misses.0);
+        let (local, away) = (self.local_misses.0, self.away_misses.0);
         self.away_misses.0 *= FORGETTING_FACTOR;
-        let is_free = self.home_free.0 > FREE_FRACTION;
+        let is_free = self.local_free.0 > FREE_FRACTION;
         if !is_free {
             self.falls_from = None;
         }
-        if away > MISSED_FRACTION && away >= home * LOSS_FRACTION {
+        if away > MISSED_FRACTION && away >= local * LOSS_FRACTION {
             self.share -= STEP_UP;
         } else if is_free {
             let dwell = MIN_DWELL + (MAX_DWELL - MIN_DWELL).mul_f64(rng.f64());
             if now >= *self.falls_from.get_or_insert(now + dwell) {
                 self.share -= STEP_DOWN;
             }
-        } else if home > MISSED_FRACTION && away <= home * GAIN_FRACTION {
+        } else if local > MISSED_FRACTION && away <= local * GAIN_FRACTION {
             self.share += STEP_UP;
         }
         self.share = self.share.clamp(0.0, 1.0);
--- a/components/dispatch/src/zone_exit/way.rs
+++ b/components/dispatch/src/zone_exit/way.rs
@@ -76,7 +76,7 @@
         Way { latency, window: MAX_WINDOW, shrunk_at: None }
     }
 
-    /// Time by which a request begins later over this way than at home, in milliseconds.
+    /// Time by which a request begins later over this way than in the own zone, in milliseconds.
     pub(crate) fn extra_ms(&self, now: Instant) -> f64 {
         self.latency.value_ms(now)
     }
--- a/components/dispatch/tests/dispatch.rs
+++ b/components/dispatch/tests/dispatch.rs
@@ -531,7 +531,7 @@
     let mut dispatcher = dispatcher(&[endpoint(1, "a")], now);
     let ranked = |priority| {
         let urgency = dispatch::Urgency::new(None, catalog::Priority(priority));
-        let rank = dispatch::Rank { urgency, returned: false };
+        let rank = dispatch::Rank { urgency, was_refused: false };
         PendingRequest { rank, ..request(now) }
     };
     let max = DispatchSettings::default().max_waiting;
--- a/components/dispatch/tests/overload.rs
+++ b/components/dispatch/tests/overload.rs
@@ -108,7 +108,7 @@
         homes: Homes::ANYWHERE,
         workspace: None,
         tried: Vec::new(),
-        rank: Rank { urgency: Urgency::new(None, Priority(urgency as u8)), returned: false },
+        rank: Rank { urgency: Urgency::new(None, Priority(urgency as u8)), was_refused: false },
     }
 }
 
--- a/components/gateway/src/explain.rs
+++ b/components/gateway/src/explain.rs
@@ -148,7 +148,7 @@
         homes: homes_of(route, workspace),
         workspace: workspace.map(|workspace| workspace.name.clone()),
         tried: Vec::new(),
-        rank: Rank { urgency: Urgency::new(priority, route.priority), returned: false },
+        rank: Rank { urgency: Urgency::new(priority, route.priority), was_refused: false },
     }
 }
 
--- a/components/gateway/src/request.rs
+++ b/components/gateway/src/request.rs
@@ -298,7 +298,7 @@
             homes,
             workspace: self.workspace.as_ref().map(|workspace| workspace.name.clone()),
             tried: tried.to_vec(),
-            rank: Rank { urgency: self.urgency(), returned: self.refused_before },
+            rank: Rank { urgency: self.urgency(), was_refused: self.refused_before },
         }
     }
 
