--- a/components/dispatch/src/zone_exit.rs
+++ b/components/dispatch/src/zone_exit.rs
@@ -2,7 +2,8 @@
 //!
 //! A request leaves at once if its zone cannot meet its objective, another one can and the way there
 //! has room. If its zone can meet the objective as well, it leaves only within a share that grows
-//! while the zone is short of capacity. A zone without any eligible endpoint limits nothing.
+//! while the zone is short of capacity. A zone without a reliable eligible endpoint limits
+//! nothing.
 
 mod local;
 mod share;
--- a/components/dispatch/src/zone_exit/local.rs
+++ b/components/dispatch/src/zone_exit/local.rs
@@ -10,7 +10,7 @@
 /// What the endpoints of the zone can do for a request.
 #[derive(Debug, Default, Clone, Copy)]
 pub(crate) struct LocalCapacity {
-    /// Whether the zone has an endpoint that may get the request.
+    /// Whether the zone has a reliable endpoint that may get the request.
     pub(crate) exists: bool,
     /// Whether an endpoint meets the objective.
     meets_objective: bool,
--- a/components/dispatch/src/zone_exit/way.rs
+++ b/components/dispatch/src/zone_exit/way.rs
@@ -11,7 +11,8 @@
 const MAX_STEP_MS: f64 = 10.0;
 /// Fraction of the objective above which the latency of a way shows that the way is congested.
 const CONGESTED_FRACTION: f64 = 0.25;
-/// Initial and maximum number of requests in flight on a way.
+/// Number of requests in flight at which a way counts as full for its cost. A window of this size does not
+/// limit.
 const MAX_WINDOW: f64 = 256.0;
 /// Minimum number of requests in flight on a way, which keep its latency measured.
 const MIN_WINDOW: f64 = 4.0;
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -42,9 +42,10 @@
     pub response_memory_fraction: f64,
     /// Maximum number of bytes of a stream that are held for a slow caller.
     pub max_stream_bytes: usize,
-    /// The same while the memory for responses is used up.
+    /// Maximum number of bytes of a stream that are held for a slow caller while the memory for responses is
+    /// used up.
     pub min_stream_bytes: usize,
-    /// Time without room for more of a stream after which an endpoint is left that another one can resume
+    /// Maximum time for which an endpoint is not read for a slow caller, if another one can resume the stream
     /// later.
     pub max_held_back: Duration,
 }
--- a/components/gateway/src/store_updates.rs
+++ b/components/gateway/src/store_updates.rs
@@ -115,6 +115,7 @@
             warn!(self.gateway.log, "entry of the store is not readable";
                 "key" => &entry.0, "error" => &entry.1);
         }
+        self.unreadable.retain(|(key, _)| *key != entry.0);
         self.unreadable.insert(entry);
     }
 
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -229,7 +229,9 @@
         self.held_back = true;
         if self.hedge.may_ask_another() && self.source.take().is_some() {
             self.hedge.record_broken_stream();
-            self.log_not_resumed("caller_slow");
+            let id = self.context.facts.id.as_deref().map(String::from_utf8_lossy);
+            info!(self.gateway.log, "endpoint of a stream left, as its caller reads slowly";
+                "id" => id.as_deref(), "after" => self.events.last_id());
         }
     }
 
--- a/components/stager/src/fetch.rs
+++ b/components/stager/src/fetch.rs
@@ -38,9 +38,9 @@
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum age of a version of which no piece can be staged anywhere yet.
 const RECENTLY_NAMED: Duration = Duration::from_millis(1500);
-/// Number of pieces that match no digest, while none does, from which all that is staged belongs to another
-/// version.
-const FOREIGN_PIECES: usize = 6;
+/// Number of mismatching staged pieces after which, if none has matched, all staged pieces are taken to
+/// belong to another version.
+const MAX_LEADING_MISMATCHES: usize = 6;
 /// Size of a digest in bytes.
 const DIGEST_BYTES: usize = 32;
 
@@ -264,7 +264,7 @@
                 Some(false) => foreign += 1,
                 None => {}
             }
-            match reused == 0 && foreign >= FOREIGN_PIECES {
+            match reused == 0 && foreign >= MAX_LEADING_MISMATCHES {
                 true => ControlFlow::Break(()),
                 false => ControlFlow::Continue(()),
             }
@@ -273,7 +273,8 @@
         info!(self.log, "staged pieces reused"; "version" => version.0, "pieces" => reused);
     }
 
-    /// Reads staged pieces and hands each to `handle`, until it breaks off.
+    /// Reads staged pieces and hands each to `handle`, `None` if it could not be read, until `handle` breaks
+    /// off.
     async fn read_staged(
         self: &Rc<Stager>,
         layout: &WeightsLayout,
