One way to list a service's endpoints and one half-life decay in dispatch

Found by reading the whole change, not seen by callers. Four parts of the change filtered the endpoints of a service by the same expression, lacks_only_memory repeated the loop of exclusions, three wrote the decay by half-lives anew, and a request in flight was built without its claim and then copied with it. Change: Dispatcher::endpoints_of, decay::remaining_fraction; lacks_only_memory asks exclusions; the claim is taken before the request is built. Not taken: the loops over local endpoints in displaced_services and reload_cost_ms ask different questions.

--- a/components/catalog/src/config.rs
+++ b/components/catalog/src/config.rs
@@ -166,7 +166,7 @@
     pub name: ServiceId,
     /// Maximum number of connections that one endpoint accepts from all processes together.
     pub max_connections: Option<u32>,
-    /// What its endpoints bear while they are cold. `None` if they start at full capacity.
+    /// What its endpoints accept while they are cold. `None` if they start at full capacity.
     pub cold_start: Option<ColdStart>,
     /// Profile of its engines. `None` for a plain service.
     pub engine: Option<EngineProfile>,
--- a/components/dispatch/src/backoff.rs
+++ b/components/dispatch/src/backoff.rs
@@ -74,9 +74,9 @@
         homes: &Homes,
         now: Instant,
     ) -> Option<Duration> {
-        let of_service = self.endpoints.values().filter(|tracked| {
-            tracked.listed.service == *service
-                && tracked.is_followed
+        let of_service = self.endpoints_of(service).map(|(_, tracked)| tracked);
+        let of_service = of_service.filter(|tracked| {
+            tracked.is_followed
                 && tracked.is_listed_ready()
                 && self.zone_exclusion(&tracked.listed.zone, homes).is_none()
         });
--- a/components/dispatch/src/bias.rs
+++ b/components/dispatch/src/bias.rs
@@ -7,6 +7,8 @@
 
 use std::time::{Duration, Instant};
 
+use crate::decay::remaining_fraction;
+
 /// Fraction of the requests that should start no later than predicted.
 const TARGET_QUANTILE: f64 = 0.85;
 /// Step size of the correction for each request, in milliseconds.
@@ -49,7 +51,7 @@
     /// Time to add to a prediction, in milliseconds.
     pub fn correction_ms(self, now: Instant) -> f64 {
         let age = self.learned_at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
-        self.correction_ms * (-age.as_secs_f64() / HALF_LIFE.as_secs_f64()).exp2()
+        self.correction_ms * remaining_fraction(age, HALF_LIFE)
     }
 
     /// Records that a request started `error_ms` later than predicted.
--- a/components/dispatch/src/demand.rs
+++ b/components/dispatch/src/demand.rs
@@ -8,7 +8,7 @@
 
 use base::WorkspaceId;
 
-use crate::Urgency;
+use crate::{Urgency, decay::remaining_fraction};
 
 /// Time in which a count loses half of its value.
 const HALF_LIFE: Duration = Duration::from_secs(2);
@@ -35,8 +35,7 @@
 impl RecentCount {
     fn value(&self, now: Instant) -> f64 {
         let Some(at) = self.at else { return 0.0 };
-        let age = now.saturating_duration_since(at).as_secs_f64();
-        self.value * (-age / HALF_LIFE.as_secs_f64()).exp2()
+        self.value * remaining_fraction(now.saturating_duration_since(at), HALF_LIFE)
     }
 
     fn add(&mut self, amount: f64, now: Instant) {
--- a/components/dispatch/src/eligibility.rs
+++ b/components/dispatch/src/eligibility.rs
@@ -3,7 +3,7 @@
 
 use std::time::Instant;
 
-use base::Zone;
+use base::{ServiceId, Zone};
 use catalog::Homes;
 
 use crate::{
@@ -12,6 +12,14 @@
 };
 
 impl Dispatcher {
+    /// The endpoints of a service.
+    pub(crate) fn endpoints_of(
+        &self,
+        service: &ServiceId,
+    ) -> impl Iterator<Item = (EndpointKey, &TrackedEndpoint)> {
+        self.endpoints.iter().filter(move |(_, tracked)| tracked.listed.service == *service)
+    }
+
     /// The endpoints that a request may be sent to now. A gateway that does not know the others yet
     /// sends nothing to cold endpoints while there are warm ones.
     pub(crate) fn eligible(
@@ -19,8 +27,7 @@
         request: &PendingRequest,
         now: Instant,
     ) -> Vec<(EndpointKey, &TrackedEndpoint)> {
-        let of_service =
-            self.endpoints.iter().filter(|(_, tracked)| tracked.listed.service == request.service);
+        let of_service = self.endpoints_of(&request.service);
         let may_get = |(key, tracked): &(EndpointKey, &TrackedEndpoint)| {
             self.exclusion(*key, tracked, request, now).is_none()
         };
@@ -76,8 +83,7 @@
         request: &PendingRequest,
         now: Instant,
     ) -> impl Iterator<Item = (&TrackedEndpoint, Exclusion)> {
-        let of_service =
-            self.endpoints.iter().filter(|(_, tracked)| tracked.listed.service == request.service);
+        let of_service = self.endpoints_of(&request.service);
         of_service.filter_map(move |(key, tracked)| {
             Some((tracked, self.exclusion(key, tracked, request, now)?))
         })
--- a/components/dispatch/src/explain.rs
+++ b/components/dispatch/src/explain.rs
@@ -87,8 +87,7 @@
             let suitability = self.suitability(&candidate, now);
             assessments.insert(candidate.key, Assessment::Eligible(suitability));
         }
-        let of_service =
-            self.endpoints.iter().filter(|(_, tracked)| tracked.listed.service == request.service);
+        let of_service = self.endpoints_of(&request.service);
         let assessment = |(key, tracked): (EndpointKey, &TrackedEndpoint)| {
             // An endpoint that nothing excludes is left out only while it is cold and others are not.
             let excluded = || self.exclusion(key, tracked, request, now).unwrap_or(Exclusion::Cold);
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -6,6 +6,7 @@
 mod candidate;
 mod claims;
 mod cold;
+mod decay;
 mod demand;
 mod departures;
 mod distance;
--- a/components/dispatch/src/memory.rs
+++ b/components/dispatch/src/memory.rs
@@ -71,11 +71,7 @@
 
     /// Whether an engine could take a request if it had the memory.
     pub(crate) fn lacks_only_memory(&self, request: &PendingRequest, now: Instant) -> bool {
-        let mut of_service =
-            self.endpoints.iter().filter(|(_, tracked)| tracked.listed.service == request.service);
-        of_service.any(|(key, tracked)| {
-            self.exclusion(key, tracked, request, now) == Some(Exclusion::Memory)
-        })
+        self.exclusions(request, now).any(|(_, exclusion)| exclusion == Exclusion::Memory)
     }
 
     /// Whether a waiting request waits for memory of which `request` needs less, and not for a slot.
--- a/components/dispatch/src/outdated.rs
+++ b/components/dispatch/src/outdated.rs
@@ -23,8 +23,7 @@
         if !self.has_open_start(request, now) {
             return Vec::new();
         }
-        let of_service =
-            self.endpoints.iter().filter(|(_, tracked)| tracked.listed.service == request.service);
+        let of_service = self.endpoints_of(&request.service);
         let outdated = of_service.filter(|(key, tracked)| {
             self.exclusion(*key, tracked, request, now) == Some(Exclusion::OldWeights)
         });
--- a/components/dispatch/src/selection.rs
+++ b/components/dispatch/src/selection.rs
@@ -59,13 +59,16 @@
     fn send(&mut self, candidate: &Candidate, request: &PendingRequest, now: Instant) -> Decision {
         let (key, expected_ms) = (candidate.key, candidate.expected_ms);
         self.record_sent(request, now);
+        self.take_token(key, now);
+        self.record_cold_send(key, now);
+        let has_claim = self.endpoints[key].take_claim();
         let prompt_tokens = request.size.map_or(0.0, |size| size.prompt_tokens);
         let model = self.engine_models.get(&request.service);
         let cache_tokens = model.map_or(0.0, |model| model.expected_tokens(request.size));
         let in_flight = InFlightRequest {
             prompt_tokens,
             cache_tokens,
-            has_claim: false,
+            has_claim,
             relation: self.relation(&self.endpoints[key], now),
             sent_at: now,
             due: request.requested_at + request.latency_objective,
@@ -73,10 +76,6 @@
             first_event_received: false,
             is_silent: false,
         };
-        self.take_token(key, now);
-        self.record_cold_send(key, now);
-        let has_claim = self.endpoints[key].take_claim();
-        let in_flight = InFlightRequest { has_claim, ..in_flight };
         let in_flight = self.endpoints[key].in_flight.insert(in_flight);
         Decision::Send { endpoint: key, in_flight, expected: candidate.expected() }
     }
--- a/components/dispatch/src/zone_exit/way.rs
+++ b/components/dispatch/src/zone_exit/way.rs
@@ -3,6 +3,8 @@
 
 use std::time::{Duration, Instant};
 
+use crate::decay::remaining_fraction;
+
 /// Time in which an estimate moves halfway back to its floor without new samples.
 const HALF_LIFE: Duration = Duration::from_secs(2);
 /// Fraction of a sample's distance to the estimate by which the estimate moves.
@@ -40,8 +42,8 @@
 
     pub(crate) fn value_ms(&self, now: Instant) -> f64 {
         let Some(at) = self.updated_at else { return self.value_ms };
-        let age = now.saturating_duration_since(at).as_secs_f64() / HALF_LIFE.as_secs_f64();
-        self.floor_ms + (self.value_ms - self.floor_ms) * 0.5_f64.powf(age)
+        let fraction = remaining_fraction(now.saturating_duration_since(at), HALF_LIFE);
+        self.floor_ms + (self.value_ms - self.floor_ms) * fraction
     }
 
     pub(crate) fn record(&mut self, sample_ms: f64, now: Instant) {
