The tests of dispatch share their requests, endpoints and engine profiles

They now state only what differs, over components/dispatch/tests/common. About 250 lines less. Not taken: the fake fleets of overload and zone_exit differ in arrivals, reports and what they count.

--- a/components/dispatch/tests/backoff.rs
+++ b/components/dispatch/tests/backoff.rs
@@ -1,14 +1,15 @@
 //! Endpoints that asked to be sent nothing for a while, beside a naive model of when they may be used.
 
+#[allow(dead_code, reason = "not every test file uses it")]
+mod common;
+
 use std::{
     collections::HashMap,
     time::{Duration, Instant},
 };
 
 use base::{ServiceId, Zone};
-use catalog::{
-    Endpoint, EndpointId, EndpointState, EndpointUpdate, EngineProfile, HeldWeights, WeightsVersion,
-};
+use catalog::{Endpoint, EndpointId, EndpointUpdate, EngineProfile};
 use dispatch::{
     Absence, Decision, DispatchSettings, Dispatcher, EndpointKey, EndpointOutcome, InFlightKey,
     PendingRequest, Refusal,
@@ -31,18 +32,7 @@
 }
 
 fn endpoint(n: u16, run: u64) -> Endpoint {
-    Endpoint {
-        id: id(n),
-        service: service(),
-        addr: format!("10.0.0.{n}:80").parse().unwrap(),
-        zone: "a".parse().unwrap(),
-        slots: 2,
-        state: EndpointState::Ready,
-        started_at_ms: Some(run),
-        cold_time: Duration::ZERO,
-        held: vec![HeldWeights { model: "m".parse().unwrap(), version: WeightsVersion(1) }],
-        serves_model: true,
-    }
+    Endpoint { slots: 2, started_at_ms: Some(run), ..common::engine(service(), n.into()) }
 }
 
 fn dispatcher(count: u16, now: Instant) -> Dispatcher {
@@ -56,39 +46,11 @@
 }
 
 fn profile() -> EngineProfile {
-    EngineProfile {
-        slots: 2,
-        kv_cache_tokens: 0,
-        steps_per_pass: 5,
-        step_time: Duration::from_millis(10),
-        step_time_per_request: Duration::ZERO,
-        step_time_per_1k_context: Duration::ZERO,
-        prefill_tokens_per_second: 20_000.0,
-        prefill_time_per_million_pairs: Duration::ZERO,
-        prefill_chunk_tokens: 2048,
-        report_lag: Duration::from_millis(200),
-        mean_prompt_tokens: 1000,
-        mean_answer_tokens: 90,
-        weights: None,
-    }
+    EngineProfile { slots: 2, ..common::profile() }
 }
 
 fn request(now: Instant) -> PendingRequest {
-    PendingRequest {
-        service: service(),
-        size: None,
-        requested_at: now,
-        arrived_at: now,
-        latency_objective: Duration::from_millis(400),
-        max_event_gap: None,
-        deadline: now + Duration::from_secs(6),
-        is_resumed: false,
-        was_refused: false,
-        homes: catalog::Homes::ANYWHERE,
-        workspace: None,
-        tried: Vec::new(),
-        rank: dispatch::Rank::default(),
-    }
+    common::request(service(), now)
 }
 
 fn key_of(dispatcher: &Dispatcher, n: u16) -> Option<EndpointKey> {
--- a/components/dispatch/tests/cold.rs
+++ b/components/dispatch/tests/cold.rs
@@ -1,13 +1,16 @@
 //! Cold endpoints: a burst of requests reaches several gateways while endpoints that have just started
 //! bear few. Guards against a crash by more requests than they bear, from all gateways together.
 
+#[allow(dead_code, reason = "not every test file uses it")]
+mod common;
+
 use std::{
     net::Ipv4Addr,
     time::{Duration, Instant},
 };
 
 use base::{Rate, ServiceId};
-use catalog::{ColdStart, Endpoint, EndpointState, EndpointUpdate, Homes};
+use catalog::{ColdStart, Endpoint, EndpointUpdate};
 use dispatch::{
     ColdSettings, Decision, DispatchSettings, Dispatcher, EndpointOutcome, PendingRequest, Refusal,
 };
@@ -24,35 +27,14 @@
 
 fn endpoint(n: u16, cold_time: Duration) -> EndpointUpdate {
     EndpointUpdate::Published(Endpoint {
-        id: format!("i-{n}").parse().unwrap(),
-        service: service(),
-        addr: format!("10.0.0.{n}:80").parse().unwrap(),
-        zone: "a".parse().unwrap(),
         slots: 1000,
-        state: EndpointState::Ready,
-        started_at_ms: Some(1),
         cold_time,
-        held: Vec::new(),
-        serves_model: false,
+        ..common::endpoint(service(), n.into())
     })
 }
 
 fn request(now: Instant) -> PendingRequest {
-    PendingRequest {
-        service: service(),
-        size: None,
-        requested_at: now,
-        arrived_at: now,
-        latency_objective: Duration::from_secs(1),
-        max_event_gap: None,
-        deadline: now + Duration::from_secs(6),
-        is_resumed: false,
-        was_refused: false,
-        homes: Homes::ANYWHERE,
-        workspace: None,
-        tried: Vec::new(),
-        rank: dispatch::Rank::default(),
-    }
+    PendingRequest { latency_objective: Duration::from_secs(1), ..common::request(service(), now) }
 }
 
 fn gateway_ip(n: u8) -> Ipv4Addr {
--- a/components/dispatch/tests/departures.rs
+++ b/components/dispatch/tests/departures.rs
@@ -1,5 +1,8 @@
 //! Endpoints that left, and a store that comes back from an older copy in which they are still in use.
 
+#[allow(dead_code, reason = "not every test file uses it")]
+mod common;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::{Duration, Instant},
@@ -8,8 +11,7 @@
 use base::{ServiceId, Zone};
 use catalog::{Endpoint, EndpointId, EndpointState, EndpointUpdate};
 use dispatch::{
-    Absence, Decision, DispatchSettings, Dispatcher, EndpointChange, EndpointOutcome,
-    ListingOrigin, PendingRequest,
+    Absence, Decision, DispatchSettings, Dispatcher, EndpointChange, EndpointOutcome, ListingOrigin,
 };
 use fastrand::Rng;
 
@@ -75,21 +77,7 @@
 
 /// The run of an endpoint that gets requests now.
 fn used_run(dispatcher: &mut Dispatcher, n: u16, now: Instant) -> Option<u16> {
-    let request = PendingRequest {
-        service: service(n),
-        size: None,
-        requested_at: now,
-        arrived_at: now,
-        latency_objective: Duration::from_millis(400),
-        max_event_gap: None,
-        deadline: now + Duration::from_secs(6),
-        is_resumed: false,
-        was_refused: false,
-        homes: catalog::Homes::ANYWHERE,
-        workspace: None,
-        tried: Vec::new(),
-        rank: dispatch::Rank::default(),
-    };
+    let request = common::request(service(n), now);
     match dispatcher.submit(request, now).1 {
         Decision::Send { endpoint, in_flight, .. } => {
             let port = dispatcher.endpoint(endpoint, now).unwrap().addr.port();
--- a/components/dispatch/tests/dispatch.rs
+++ b/components/dispatch/tests/dispatch.rs
@@ -1,11 +1,12 @@
 //! Which endpoint requests are sent to, and which requests wait or are refused.
 
+#[allow(dead_code, reason = "not every test file uses it")]
+mod common;
+
 use std::time::{Duration, Instant};
 
 use base::{ServiceId, Zone};
-use catalog::{
-    Endpoint, EndpointId, EndpointState, EndpointUpdate, EngineProfile, HeldWeights, WeightsVersion,
-};
+use catalog::{Endpoint, EndpointId, EndpointState, EndpointUpdate, EngineProfile, WeightsVersion};
 use dispatch::{
     Absence, Decision, DispatchSettings, Dispatcher, EndpointChange, EndpointKey, EndpointOutcome,
     EngineStatus, GenerationSize, InFlightKey, ListingOrigin, PendingRequest, Refusal,
@@ -24,36 +25,11 @@
 }
 
 fn profile() -> EngineProfile {
-    EngineProfile {
-        slots: 4,
-        kv_cache_tokens: 0,
-        steps_per_pass: 5,
-        step_time: Duration::from_millis(10),
-        step_time_per_request: Duration::ZERO,
-        step_time_per_1k_context: Duration::ZERO,
-        prefill_tokens_per_second: 20_000.0,
-        prefill_time_per_million_pairs: Duration::ZERO,
-        prefill_chunk_tokens: 2048,
-        report_lag: Duration::from_millis(200),
-        mean_prompt_tokens: 1000,
-        mean_answer_tokens: 90,
-        weights: None,
-    }
+    common::profile()
 }
 
 fn endpoint(n: u8, zone_name: &str) -> Endpoint {
-    Endpoint {
-        id: format!("i-{n}").parse().unwrap(),
-        service: service(),
-        addr: format!("10.0.0.{n}:80").parse().unwrap(),
-        zone: zone(zone_name),
-        slots: 4,
-        state: EndpointState::Ready,
-        started_at_ms: Some(1),
-        cold_time: Duration::ZERO,
-        held: vec![HeldWeights { model: "m".parse().unwrap(), version: WeightsVersion(1) }],
-        serves_model: true,
-    }
+    Endpoint { zone: zone(zone_name), ..common::engine(service(), n.into()) }
 }
 
 /// A dispatcher in zone `a` of regions `r` (zones `a`, `b`) and `s` (zone `c`).
@@ -70,19 +46,9 @@
 
 fn request(now: Instant) -> PendingRequest {
     PendingRequest {
-        service: service(),
         size: Some(GenerationSize { prompt_tokens: 1000.0, ..GenerationSize::default() }),
-        requested_at: now,
-        arrived_at: now,
-        latency_objective: Duration::from_millis(400),
         max_event_gap: Some(Duration::from_millis(400)),
-        deadline: now + Duration::from_secs(6),
-        is_resumed: false,
-        was_refused: false,
-        homes: catalog::Homes::ANYWHERE,
-        workspace: None,
-        tried: Vec::new(),
-        rank: dispatch::Rank::default(),
+        ..common::request(service(), now)
     }
 }
 
--- a/components/dispatch/tests/eligibility.rs
+++ b/components/dispatch/tests/eligibility.rs
@@ -1,5 +1,8 @@
 //! Where a request may go: regions in which it may be served, and zones that the operator evacuated.
 
+#[allow(dead_code, reason = "not every test file uses it")]
+mod common;
+
 use std::{
     collections::BTreeSet,
     time::{Duration, Instant},
@@ -35,15 +38,9 @@
 fn endpoint(n: usize, zone_name: &str, state: EndpointState) -> Endpoint {
     Endpoint {
         id: format!("i-{n}").parse().unwrap(),
-        service: service(),
-        addr: format!("10.0.0.{}:80", n + 1).parse().unwrap(),
         zone: zone(zone_name),
-        slots: 4,
         state,
-        started_at_ms: Some(1),
-        cold_time: Duration::ZERO,
-        held: Vec::new(),
-        serves_model: false,
+        ..common::endpoint(service(), n + 1)
     }
 }
 
@@ -59,21 +56,7 @@
 }
 
 fn request(homes: Homes, now: Instant) -> PendingRequest {
-    PendingRequest {
-        service: service(),
-        size: None,
-        requested_at: now,
-        arrived_at: now,
-        latency_objective: Duration::from_millis(400),
-        max_event_gap: None,
-        deadline: now + Duration::from_secs(6),
-        is_resumed: false,
-        was_refused: false,
-        homes,
-        workspace: None,
-        tried: Vec::new(),
-        rank: dispatch::Rank::default(),
-    }
+    PendingRequest { homes, ..common::request(service(), now) }
 }
 
 fn decide(dispatcher: &mut Dispatcher, homes: Homes, now: Instant) -> Decision {
--- a/components/dispatch/tests/explain.rs
+++ b/components/dispatch/tests/explain.rs
@@ -1,9 +1,12 @@
 //! Explanations of decisions: they are those that are made, and asking for one changes nothing.
 
+#[allow(dead_code, reason = "not every test file uses it")]
+mod common;
+
 use std::time::{Duration, Instant};
 
 use base::{ServiceId, Zone};
-use catalog::{Endpoint, EndpointState, EndpointUpdate, Homes, ZoneDelay};
+use catalog::{Endpoint, EndpointState, EndpointUpdate, ZoneDelay};
 use dispatch::{
     Assessment, Decision, DispatchSettings, Dispatcher, EndpointKey, Exclusion, PendingRequest,
 };
@@ -26,15 +29,10 @@
 fn endpoint(n: usize, state: EndpointState) -> Endpoint {
     Endpoint {
         id: format!("i-{n}").parse().unwrap(),
-        service: service(),
-        addr: format!("10.0.0.{}:80", n + 1).parse().unwrap(),
         zone: zone(["a", "b"][n % 2]),
         slots: 2,
         state,
-        started_at_ms: Some(1),
-        cold_time: Duration::ZERO,
-        held: Vec::new(),
-        serves_model: false,
+        ..common::endpoint(service(), n + 1)
     }
 }
 
@@ -49,21 +47,7 @@
 }
 
 fn request(now: Instant) -> PendingRequest {
-    PendingRequest {
-        service: service(),
-        size: None,
-        requested_at: now,
-        arrived_at: now,
-        latency_objective: Duration::from_millis(400),
-        max_event_gap: None,
-        deadline: now + Duration::from_secs(6),
-        is_resumed: false,
-        was_refused: false,
-        homes: Homes::ANYWHERE,
-        workspace: None,
-        tried: Vec::new(),
-        rank: dispatch::Rank::default(),
-    }
+    common::request(service(), now)
 }
 
 /// Guards against an explanation that is not the decision, or that takes tokens, shares or random numbers
--- a/components/dispatch/tests/limits.rs
+++ b/components/dispatch/tests/limits.rs
@@ -1,9 +1,12 @@
 //! Requests go to endpoints that name a limit only as far as it allows.
 
+#[allow(dead_code, reason = "not every test file uses it")]
+mod common;
+
 use std::time::{Duration, Instant};
 
 use base::Rate;
-use catalog::{Endpoint, EndpointState, EndpointUpdate};
+use catalog::{Endpoint, EndpointUpdate};
 use dispatch::{
     Decision, DispatchSettings, Dispatcher, EndpointKey, EndpointOutcome, LimitNews,
     PendingRequest, Refusal,
@@ -13,16 +16,9 @@
 
 fn endpoint(n: u8, started_at_ms: u64) -> Endpoint {
     Endpoint {
-        id: format!("i-{n}").parse().unwrap(),
-        service: "plain".parse().unwrap(),
-        addr: format!("10.0.0.{n}:80").parse().unwrap(),
-        zone: "a".parse().unwrap(),
         slots: 8,
-        state: EndpointState::Ready,
         started_at_ms: Some(started_at_ms),
-        cold_time: Duration::ZERO,
-        held: Vec::new(),
-        serves_model: false,
+        ..common::endpoint("plain".parse().unwrap(), n.into())
     }
 }
 
@@ -38,19 +34,9 @@
 
 fn request(now: Instant) -> PendingRequest {
     PendingRequest {
-        service: "plain".parse().unwrap(),
-        size: None,
-        requested_at: now,
-        arrived_at: now,
         latency_objective: OBJECTIVE,
-        max_event_gap: None,
         deadline: now + Duration::from_secs(4),
-        is_resumed: false,
-        was_refused: false,
-        homes: catalog::Homes::ANYWHERE,
-        workspace: None,
-        tried: Vec::new(),
-        rank: dispatch::Rank::default(),
+        ..common::request("plain".parse().unwrap(), now)
     }
 }
 
--- a/components/dispatch/tests/memory.rs
+++ b/components/dispatch/tests/memory.rs
@@ -1,12 +1,13 @@
 //! The memory of engines. Guards against engines that crash, with all their requests, as the requests that
 //! gateways sent them need more cache than they have: long prompts that come together.
 
+#[allow(dead_code, reason = "not every test file uses it")]
+mod common;
+
 use std::time::{Duration, Instant};
 
 use base::ServiceId;
-use catalog::{
-    Endpoint, EndpointState, EndpointUpdate, EngineProfile, HeldWeights, Homes, WeightsVersion,
-};
+use catalog::{Endpoint, EndpointUpdate, EngineProfile, WeightsVersion};
 use dispatch::{
     Decision, DispatchSettings, Dispatcher, EndpointKey, EndpointOutcome, EngineStatus,
     GenerationSize, InFlightKey, PendingRequest, Refusal,
@@ -21,33 +22,15 @@
     EngineProfile {
         slots: 16,
         kv_cache_tokens,
-        steps_per_pass: 5,
         step_time: Duration::from_millis(1),
-        step_time_per_request: Duration::ZERO,
-        step_time_per_1k_context: Duration::ZERO,
         prefill_tokens_per_second: 10_000_000.0,
-        prefill_time_per_million_pairs: Duration::ZERO,
-        prefill_chunk_tokens: 2048,
-        report_lag: Duration::from_millis(200),
-        mean_prompt_tokens: 1000,
         mean_answer_tokens: 100,
-        weights: None,
+        ..common::profile()
     }
 }
 
 fn engine(n: u8) -> Endpoint {
-    Endpoint {
-        id: format!("i-{n}").parse().unwrap(),
-        service: service(),
-        addr: format!("10.0.0.{n}:80").parse().unwrap(),
-        zone: "a".parse().unwrap(),
-        slots: 16,
-        state: EndpointState::Ready,
-        started_at_ms: Some(1),
-        cold_time: Duration::ZERO,
-        held: vec![HeldWeights { model: "m".parse().unwrap(), version: WeightsVersion(1) }],
-        serves_model: true,
-    }
+    Endpoint { slots: 16, ..common::engine(service(), n.into()) }
 }
 
 fn dispatcher(engines: u8, kv_cache_tokens: u64, now: Instant) -> Dispatcher {
@@ -63,23 +46,13 @@
 /// A request with a prompt of `prompt` tokens and an answer of at most `max_answer`.
 fn request(prompt: f64, max_answer: f64, now: Instant) -> PendingRequest {
     PendingRequest {
-        service: service(),
         size: Some(GenerationSize {
             prompt_tokens: prompt,
             max_answer_tokens: max_answer,
             answer_hint: None,
         }),
-        requested_at: now,
-        arrived_at: now,
         latency_objective: Duration::from_secs(2),
-        max_event_gap: None,
-        deadline: now + Duration::from_secs(6),
-        is_resumed: false,
-        was_refused: false,
-        homes: Homes::ANYWHERE,
-        workspace: None,
-        tried: Vec::new(),
-        rank: dispatch::Rank::default(),
+        ..common::request(service(), now)
     }
 }
 
--- a/components/dispatch/tests/overload.rs
+++ b/components/dispatch/tests/overload.rs
@@ -1,16 +1,16 @@
 //! Sustained overload: independent gateways of three zones that see the same delayed reports of their
 //! engines, and callers of three urgencies that ask for more than all engines can serve.
 
+#[allow(dead_code, reason = "not every test file uses it")]
+mod common;
+
 use std::{
     collections::VecDeque,
     time::{Duration, Instant},
 };
 
 use base::{ServiceId, Zone};
-use catalog::{
-    Endpoint, EndpointState, EndpointUpdate, EngineProfile, HeldWeights, Homes, Priority,
-    WeightsVersion,
-};
+use catalog::{Endpoint, EndpointUpdate, EngineProfile, Priority, WeightsVersion};
 use dispatch::{
     Decision, DispatchSettings, Dispatcher, EndpointKey, EndpointOutcome, EngineStatus,
     InFlightKey, PendingRequest, Rank, RequestKey, Urgency,
@@ -48,36 +48,16 @@
 }
 
 fn profile(slots: usize) -> EngineProfile {
-    EngineProfile {
-        slots: slots as u32,
-        kv_cache_tokens: 0,
-        steps_per_pass: 5,
-        step_time: Duration::from_millis(10),
-        step_time_per_request: Duration::ZERO,
-        step_time_per_1k_context: Duration::ZERO,
-        prefill_tokens_per_second: 100_000.0,
-        prefill_time_per_million_pairs: Duration::ZERO,
-        prefill_chunk_tokens: 2048,
-        report_lag: Duration::from_millis(200),
-        mean_prompt_tokens: 1000,
-        mean_answer_tokens: 90,
-        weights: None,
-    }
+    EngineProfile { slots: slots as u32, prefill_tokens_per_second: 100_000.0, ..common::profile() }
 }
 
 /// The engine of a number; the first ones are in zone `a`.
 fn engine(n: usize, slots: usize) -> Endpoint {
     Endpoint {
         id: format!("i-{n}").parse().unwrap(),
-        service: service(),
-        addr: format!("10.0.0.{}:80", n + 1).parse().unwrap(),
         zone: zone(n / ENGINES),
         slots: slots as u32,
-        state: EndpointState::Ready,
-        started_at_ms: Some(1),
-        cold_time: Duration::ZERO,
-        held: vec![HeldWeights { model: "m".parse().unwrap(), version: WeightsVersion(1) }],
-        serves_model: true,
+        ..common::engine(service(), n + 1)
     }
 }
 
@@ -96,19 +76,9 @@
 
 fn request(urgency: usize, now: Instant) -> PendingRequest {
     PendingRequest {
-        service: service(),
-        size: None,
-        requested_at: now,
-        arrived_at: now,
         latency_objective: OBJECTIVE,
-        max_event_gap: None,
-        deadline: now + Duration::from_secs(6),
-        is_resumed: false,
-        was_refused: false,
-        homes: Homes::ANYWHERE,
-        workspace: None,
-        tried: Vec::new(),
         rank: Rank { urgency: Urgency::new(None, Priority(urgency as u8)), was_refused: false },
+        ..common::request(service(), now)
     }
 }
 
--- a/components/dispatch/tests/subset.rs
+++ b/components/dispatch/tests/subset.rs
@@ -1,5 +1,8 @@
 //! Large fleets: each process follows a bounded subset of the engines.
 
+#[allow(dead_code, reason = "not every test file uses it")]
+mod common;
+
 use std::{
     collections::HashMap,
     time::{Duration, Instant},
@@ -20,21 +23,7 @@
 }
 
 fn profile() -> EngineProfile {
-    EngineProfile {
-        slots: 8,
-        kv_cache_tokens: 0,
-        steps_per_pass: 5,
-        step_time: Duration::from_millis(10),
-        step_time_per_request: Duration::ZERO,
-        step_time_per_1k_context: Duration::ZERO,
-        prefill_tokens_per_second: 20_000.0,
-        prefill_time_per_million_pairs: Duration::ZERO,
-        prefill_chunk_tokens: 2048,
-        report_lag: Duration::from_millis(200),
-        mean_prompt_tokens: 1000,
-        mean_answer_tokens: 90,
-        weights: None,
-    }
+    EngineProfile { slots: 8, ..common::profile() }
 }
 
 fn engine(zone_number: usize, n: usize) -> Endpoint {
--- a/components/dispatch/tests/zone_exit.rs
+++ b/components/dispatch/tests/zone_exit.rs
@@ -1,13 +1,13 @@
 //! When requests leave their availability zone: independent gateways of two zones that see the same
 //! delayed reports.
 
+#[allow(dead_code, reason = "not every test file uses it")]
+mod common;
+
 use std::time::{Duration, Instant};
 
 use base::{ServiceId, Zone};
-use catalog::{
-    Endpoint, EndpointState, EndpointUpdate, EngineProfile, HeldWeights, Homes, WeightsVersion,
-    ZoneDelay,
-};
+use catalog::{Endpoint, EndpointState, EndpointUpdate, EngineProfile, WeightsVersion, ZoneDelay};
 use dispatch::{
     Decision, DispatchSettings, Dispatcher, EndpointKey, EndpointOutcome, EngineStatus,
     InFlightKey, PendingRequest,
@@ -48,18 +48,9 @@
 fn profile() -> EngineProfile {
     EngineProfile {
         slots: SLOTS,
-        kv_cache_tokens: 0,
-        steps_per_pass: 5,
-        step_time: Duration::from_millis(10),
         step_time_per_request: Duration::from_micros(500),
-        step_time_per_1k_context: Duration::ZERO,
         prefill_tokens_per_second: 100_000.0,
-        prefill_time_per_million_pairs: Duration::ZERO,
-        prefill_chunk_tokens: 2048,
-        report_lag: Duration::from_millis(200),
-        mean_prompt_tokens: 1000,
-        mean_answer_tokens: 90,
-        weights: None,
+        ..common::profile()
     }
 }
 
@@ -67,15 +58,9 @@
 fn engine(n: usize) -> Endpoint {
     Endpoint {
         id: format!("i-{n}").parse().unwrap(),
-        service: service(),
-        addr: format!("10.0.0.{}:80", n + 1).parse().unwrap(),
         zone: zone(n / ENGINES),
         slots: SLOTS,
-        state: EndpointState::Ready,
-        started_at_ms: Some(1),
-        cold_time: Duration::ZERO,
-        held: vec![HeldWeights { model: "m".parse().unwrap(), version: WeightsVersion(1) }],
-        serves_model: true,
+        ..common::engine(service(), n + 1)
     }
 }
 
@@ -92,21 +77,7 @@
 }
 
 fn request(now: Instant) -> PendingRequest {
-    PendingRequest {
-        service: service(),
-        size: None,
-        requested_at: now,
-        arrived_at: now,
-        latency_objective: OBJECTIVE,
-        max_event_gap: None,
-        deadline: now + Duration::from_secs(6),
-        is_resumed: false,
-        was_refused: false,
-        homes: Homes::ANYWHERE,
-        workspace: None,
-        tried: Vec::new(),
-        rank: dispatch::Rank::default(),
-    }
+    PendingRequest { latency_objective: OBJECTIVE, ..common::request(service(), now) }
 }
 
 /// A request at an engine.
