--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -3,6 +3,7 @@
 
 mod http;
 mod leaving;
+mod poison;
 mod process;
 mod runner;
 mod store;
@@ -27,6 +28,7 @@
             record.line(if has_trouble { "with the disruption" } else { "without the disruption" });
             match case.as_str() {
                 "leaving" => leaving::run(record, has_trouble),
+                "poison" => poison::run(record, has_trouble),
                 _ => 2,
             }
         }
--- a/review/standin-2/process.rs
+++ b/review/standin-2/process.rs
@@ -10,7 +10,8 @@
         Mutex,
         atomic::{AtomicU16, Ordering},
     },
-    time::Instant,
+    thread,
+    time::{Duration, Instant},
 };
 
 /// Writes what happens, with the time since the start.
@@ -36,6 +37,12 @@
     }
 }
 
+const SIGTERM: i32 = 15;
+
+unsafe extern "C" {
+    fn kill(pid: i32, signal: i32) -> i32;
+}
+
 /// A gateway or stager, started like the deploy file says. Killed on drop.
 pub struct Process {
     child: Child,
@@ -59,10 +66,25 @@
     }
 
     /// Whether it has ended.
-    #[allow(dead_code)]
     pub fn has_ended(&mut self) -> bool {
         self.child.try_wait().is_ok_and(|status| status.is_some())
     }
+
+    /// Sends SIGTERM and waits for the exit; kills it after the grace period. Returns whether it ended by itself.
+    pub fn stop(&mut self, grace: Duration) -> bool {
+        // The child has not been waited for, so its id is still its own.
+        unsafe { kill(self.child.id() as i32, SIGTERM) };
+        let end = Instant::now() + grace;
+        while Instant::now() < end {
+            if self.has_ended() {
+                return true;
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        false
+    }
 }
 
 impl Drop for Process {
@@ -138,6 +160,25 @@
     (text, GatewayAddrs { callers, ready })
 }
 
+/// Returns the settings of a stager beside the engine at `app`.
+pub fn stager_settings(
+    name: &str,
+    ip: Ipv4Addr,
+    zone: &str,
+    peer_port: u16,
+    seeds: &str,
+    store: SocketAddr,
+    (app, service): (SocketAddr, &str),
+) -> String {
+    format!(
+        "node_name={name}\nrole=stager\nmachine_class=side\nserves=side\nip_address={ip}\n\
+         zone={zone}\nregion=r-{zone}\nzones.a=r-a\nzones.b=r-b\nzones.c=r-c\n\
+         internal_port_range={peer_port},{}\nseed_nodes={seeds}\napp={app}\nservice={service}\n{}",
+        peer_port + 15,
+        common_settings(store),
+    )
+}
+
 /// The part of the settings that is the same for all machines, with the figures of the deploy page.
 fn common_settings(store: SocketAddr) -> String {
     format!(
