--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-rustc --edition 2021 -O -o target/review-2/standin review/standin-2/main.rs
+rustc --edition 2024 -O -o target/review-2/standin review/standin-2/main.rs
--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -148,6 +148,17 @@
         Client { addr, kept: None }
     }
 
+    /// Sends a request on a new connection and reads until the peer closes it.
+    pub fn read_all(&mut self, request: &[u8], limit: Duration) -> io::Result<String> {
+        let mut stream = TcpStream::connect_timeout(&self.addr, Duration::from_secs(1))?;
+        stream.set_nodelay(true)?;
+        stream.set_read_timeout(Some(limit))?;
+        stream.write_all(request)?;
+        let mut bytes = Vec::new();
+        stream.read_to_end(&mut bytes)?;
+        Ok(String::from_utf8_lossy(&bytes).into_owned())
+    }
+
     /// Sends a request and waits for the response, up to a time.
     pub fn call(&mut self, request: &[u8], limit: Duration) -> io::Result<Message> {
         let (mut stream, mut buffer) = match self.kept.take() {
--- a/review/standin-2/leaving.rs
+++ b/review/standin-2/leaving.rs
@@ -14,7 +14,7 @@
 };
 
 use crate::{
-    process::{Process, Record, TempDir, free_port, gateway_settings, machine_ip},
+    process::{Process, Record, TempDir, free_peer_port, free_port, gateway_settings, machine_ip},
     runner::{Runner, Seen, run_client},
     store::Store,
 };
@@ -42,7 +42,7 @@
     }
     store.put("op/config", Some(CONFIG));
     let ips: Vec<Ipv4Addr> = (0..3).map(|n| machine_ip(10 + n)).collect();
-    let peer_port = free_port(ips[0]) + 1;
+    let peer_port = free_peer_port(ips[0]);
     let seeds: Vec<String> = ips.iter().map(|ip| format!("{ip}:{}", peer_port - 1)).collect();
     let mut paths = Vec::new();
     let mut gateways = Vec::new();
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -3,10 +3,12 @@
 
 mod http;
 mod leaving;
+mod parts;
 mod poison;
 mod process;
 mod runner;
 mod store;
+mod weights;
 
 use std::{
     net::SocketAddr,
@@ -28,6 +30,11 @@
             record.line(if has_trouble { "with the disruption" } else { "without the disruption" });
             match case.as_str() {
                 "leaving" => leaving::run(record, has_trouble),
+                "parts" => parts::run(record, has_trouble),
+                "digest" => {
+                    record.line(&weights::digest_of("abc"));
+                    0
+                }
                 "poison" => poison::run(record, has_trouble),
                 _ => 2,
             }
--- a/review/standin-2/poison.rs
+++ b/review/standin-2/poison.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     http::{Client, Message, Server, response},
-    process::{Process, Record, TempDir, free_port, gateway_settings, machine_ip, stager_settings},
+    process::{Process, Record, TempDir, free_peer_port, free_port, gateway_settings, machine_ip, stager_settings},
     store::Store,
 };
 
@@ -180,7 +180,7 @@
     }
     store.put("op/config", Some(CONFIG));
     let path = store.open_path((machine_ip(1), free_port(machine_ip(1))).into());
-    let peer_port = free_port(machine_ip(10)) + 1;
+    let peer_port = free_peer_port(machine_ip(10));
     let seeds: Vec<String> =
         (0..3).map(|n| format!("{}:{}", machine_ip(10 + n), peer_port - 1)).collect();
     let seeds = seeds.join(",");
--- a/review/standin-2/process.rs
+++ b/review/standin-2/process.rs
@@ -94,7 +94,7 @@
     }
 }
 
-/// A temporary directory, removed on drop.
+/// A temporary directory, removed on drop unless `KEEP_LOGS` is set.
 pub struct TempDir(pub PathBuf);
 
 impl TempDir {
@@ -107,7 +107,9 @@
 
 impl Drop for TempDir {
     fn drop(&mut self) {
-        let _ = fs::remove_dir_all(&self.0);
+        if std::env::var_os("KEEP_LOGS").is_none() {
+            let _ = fs::remove_dir_all(&self.0);
+        }
     }
 }
 
@@ -129,6 +131,15 @@
     }
 }
 
+/// Returns a port for connections between processes, with the control port below it and the range above it free on an
+/// address. No other port comes from there.
+pub fn free_peer_port(ip: Ipv4Addr) -> u16 {
+    let first = std::process::id() as u16 % 100;
+    let ports = (0..100).map(|n| 29_200 + (first + n) % 100 * 20);
+    let is_free = |port: &u16| TcpListener::bind((ip, *port)).is_ok();
+    ports.into_iter().find(is_free).expect("a free port") + 1
+}
+
 /// Addresses of a gateway.
 pub struct GatewayAddrs {
     pub callers: SocketAddr,
