--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -1,8 +1,10 @@
 //! Drives the cases of the second review: starts the stand-ins and the project's programs, and judges what was seen.
 //! Usage: `standin CASE RECORD`, in the repository's root. With `TROUBLE=0` the disruption is left out.
 
+mod blame;
 mod http;
 mod leaving;
+mod model_fleet;
 mod parts;
 mod poison;
 mod process;
@@ -29,6 +31,7 @@
             let record = Arc::new(Record::create(Path::new(path)));
             record.line(if has_trouble { "with the disruption" } else { "without the disruption" });
             match case.as_str() {
+                "blame" => blame::run(record, has_trouble),
                 "leaving" => leaving::run(record, has_trouble),
                 "parts" => parts::run(record, has_trouble),
                 "digest" => {
