Order the review cases by gravity

Cases 6 to 9 are renumbered, the gravest first, and the programs that a script starts end with it even if it is killed. No check has changed.

--- a/review/standin-2/blame.rs
+++ b/review/standin-2/blame.rs
@@ -1,4 +1,4 @@
-//! Case 9: the first part of prompts crashes each runner that begins to write an answer on it; three such requests come
+//! Case 8: the first part of prompts crashes each runner that begins to write an answer on it; three such requests come
 //! between two sound ones that share their second part.
 //!
 //! Judged is the rule LOST of the news: from 2 x `contact_window_ms` after the fifth crash, while such requests still
--- a/review/standin-2/leaving.rs
+++ b/review/standin-2/leaving.rs
@@ -1,4 +1,4 @@
-//! Case 6: a runner leaves and says so in all its answers, while the store turns one gateway away.
+//! Case 9: a runner leaves and says so in all its answers, while the store turns one gateway away.
 //!
 //! Judged is the rule DRAIN of the news: a request that a client sent later than `drain_ms` after a gateway had
 //! passed on an answer with `Server-Leaving` must not reach that runner from that gateway.
--- a/review/standin-2/parts.rs
+++ b/review/standin-2/parts.rs
@@ -1,4 +1,4 @@
-//! Case 8: the ninth of ten shared parts of prompts crashes each runner that begins to write an answer on it.
+//! Case 6: the ninth of ten shared parts of prompts crashes each runner that begins to write an answer on it.
 //!
 //! Judged is the rule BUDGET of the news: no more than three requests with such a part, new ones or repeats, may reach
 //! runners that machines in touch send later than `contact_window_ms` after the fifth crash.
--- a/review/standin-2/process.rs
+++ b/review/standin-2/process.rs
@@ -4,6 +4,7 @@
     fs::{self, File},
     io::Write,
     net::{Ipv4Addr, SocketAddr, TcpListener},
+    os::unix::process::CommandExt,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{
@@ -38,9 +39,12 @@
 }
 
 const SIGTERM: i32 = 15;
+const SIGKILL: i32 = 9;
+const PR_SET_PDEATHSIG: i32 = 1;
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, ...) -> i32;
 }
 
 /// A gateway or stager, started like the deploy file says. Killed on drop.
@@ -54,14 +58,21 @@
         let file = dir.join(format!("{name}.conf"));
         fs::write(&file, settings).expect("write the settings");
         let log = File::create(dir.join(format!("{name}.log"))).expect("create the log");
-        let child = Command::new("target/release/carawaypaddle")
+        let mut command = Command::new("target/release/carawaypaddle");
+        command
             .arg(role)
             .env("CARAWAYPADDLE_NODE_FILE", &file)
             .stdin(Stdio::null())
             .stderr(Stdio::from(log.try_clone().expect("clone the log")))
-            .stdout(Stdio::from(log))
-            .spawn()
-            .expect("start the program");
+            .stdout(Stdio::from(log));
+        // It ends with this program, also if that is killed. The main thread starts all processes.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
+                Ok(())
+            })
+        };
+        let child = command.spawn().expect("start the program");
         Process { child }
     }
 
