--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -4,6 +4,7 @@
 mod blame;
 mod http;
 mod leaving;
+mod memory;
 mod model_fleet;
 mod parts;
 mod poison;
@@ -33,6 +34,7 @@
             match case.as_str() {
                 "blame" => blame::run(record, has_trouble),
                 "leaving" => leaving::run(record, has_trouble),
+                "memory" => memory::run(record, has_trouble),
                 "parts" => parts::run(record, has_trouble),
                 "digest" => {
                     record.line(&weights::digest_of("abc"));
