--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -2,14 +2,13 @@
 //! Usage: `standin CASE RECORD`, in the repository's root. With `TROUBLE=0` the disruption is left out.
 
 mod blame;
+mod cold;
 mod http;
-mod leaving;
 mod memory;
 mod model_fleet;
 mod parts;
 mod poison;
 mod process;
-mod runner;
 mod store;
 mod weights;
 
@@ -33,7 +32,7 @@
             record.line(if has_trouble { "with the disruption" } else { "without the disruption" });
             match case.as_str() {
                 "blame" => blame::run(record, has_trouble),
-                "leaving" => leaving::run(record, has_trouble),
+                "cold" => cold::run(record, has_trouble),
                 "memory" => memory::run(record, has_trouble),
                 "parts" => parts::run(record, has_trouble),
                 "digest" => {
