--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of the cases 6 to 10, without cargo and without dependencies.
+# Builds the stand-ins of the cases 6 to 8, without cargo and without dependencies.
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
