--- a/review/standin-2/model_fleet.rs
+++ b/review/standin-2/model_fleet.rs
@@ -33,7 +33,7 @@
 /// Time in which a prompt is read, before the first event.
 const PREFILL_TIME: Duration = Duration::from_millis(60);
 /// Time until a runner that crashed is back.
-const DOWN_TIME: Duration = Duration::from_millis(1500);
+const DOWN_TIME: Duration = Duration::from_millis(3000);
 /// Time after which the store removes the entry of a silent runner: three heartbeats.
 const LAPSE_TIME: Duration = Duration::from_millis(3600);
 
--- a/review/standin-2/parts.rs
+++ b/review/standin-2/parts.rs
@@ -29,7 +29,7 @@
 /// Pause between two requests with the part.
 const POISON_PAUSE: Duration = Duration::from_millis(700);
 /// How long such requests come.
-const POISON_TIME: Duration = Duration::from_secs(26);
+const POISON_TIME: Duration = Duration::from_secs(22);
 
 /// Returns the exit code.
 pub fn run(record: Arc<Record>, has_trouble: bool) -> i32 {
